--- /dev/null
+++ b/src/libs/core/model/result.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "core/model/errorcode.h"
+
+#include <string>
+#include <utility>
+
+#include <tl/expected.hpp>
+
+namespace Model {
+
+/// An error code with the detail that a caller or operator is shown.
+struct Error {
+    std::error_code code;
+    std::string message;
+
+    /// The row of the error table.
+    const ErrorInfo& info() const { return errorInfo(static_cast<ErrorCode>(code.value())); }
+};
+
+/// A value or an error; the caller decides what to do with it.
+template <typename T> using Result = tl::expected<T, Error>;
+
+inline tl::unexpected<Error> makeError(ErrorCode code, std::string message = {})
+{
+    if (message.empty())
+        message = errorInfo(code).description;
+    return tl::unexpected<Error>(Error { make_error_code(code), std::move(message) });
+}
+
+}
--- /dev/null
+++ b/src/libs/logging/eventid.cpp
@@ -0,0 +1,59 @@
+#include "logging/eventid.h"
+
+#include <algorithm>
+#include <array>
+
+namespace Logging {
+
+namespace {
+
+    using enum EventId;
+
+    constexpr std::array<EventInfo, 31> table { {
+        { ProcessStarted, "process_started", Severity::Info, "the process listens on all its addresses" },
+        { ProcessStopped, "process_stopped", Severity::Info, "the process ended after its last request" },
+        { DrainStarted, "drain_started", Severity::Info, "SIGTERM received; no new requests are accepted" },
+        { SettingsInvalid, "settings_invalid", Severity::Error,
+            "a field of the settings is missing or wrong" },
+        { ListenFailed, "listen_failed", Severity::Error, "an address cannot be bound" },
+        { SpanFinished, "span_finished", Severity::Info, "one hop of a traced request ended" },
+        { MemberAlive, "member_alive", Severity::Info, "a host joined or refuted a suspicion" },
+        { MemberSuspect, "member_suspect", Severity::Warning,
+            "a host did not answer direct and indirect probes" },
+        { MemberDead, "member_dead", Severity::Warning, "a suspected host did not refute in time" },
+        { ContactChanged, "contact_changed", Severity::Warning, "the host's contact with the fleet changed" },
+        { PeerMessageMalformed, "peer_message_malformed", Severity::Warning, "a peer message was dropped" },
+        { PeerRejected, "peer_rejected", Severity::Warning,
+            "a peer without the fleet's key was turned away" },
+        { OwnershipGained, "ownership_gained", Severity::Info, "the host became the owner of a group" },
+        { OwnershipLost, "ownership_lost", Severity::Info, "the host is no longer the owner of a group" },
+        { PrimarySuspected, "primary_suspected", Severity::Warning, "the primary does not answer" },
+        { PromotionStarted, "promotion_started", Severity::Warning,
+            "members are being fenced with a new term" },
+        { PromotionFinished, "promotion_finished", Severity::Warning, "a member is primary of a new term" },
+        { PromotionFailed, "promotion_failed", Severity::Warning, "a promotion ended without a primary" },
+        { UpstreamSilent, "upstream_silent", Severity::Warning,
+            "a connection gave no answer and was closed" },
+        { ConnectionFailed, "connection_failed", Severity::Warning,
+            "a connection to an upstream cannot be opened" },
+        { CatalogAdopted, "catalog_adopted", Severity::Info,
+            "a newer configuration is in force on this host" },
+        { CatalogRejected, "catalog_rejected", Severity::Warning, "a configuration was not adopted" },
+        { CatalogPublished, "catalog_published", Severity::Info, "an operator's publication took effect" },
+        { KeyGranted, "key_granted", Severity::Info, "a key was granted" },
+        { KeyWithdrawn, "key_withdrawn", Severity::Info, "a key was withdrawn" },
+        { StoreUnavailable, "store_unavailable", Severity::Warning, "the platform's store does not answer" },
+        { StoreRecovered, "store_recovered", Severity::Info, "the platform's store answers again" },
+        { SlotTaken, "slot_taken", Severity::Info, "the host became the holder of a quota slot" },
+        { SlotLost, "slot_lost", Severity::Warning, "another host took a quota slot" },
+        { SlotReleased, "slot_released", Severity::Info, "the host gave a quota slot back" },
+        { LeaseLapsed, "lease_lapsed", Severity::Warning, "the host lease could not be renewed in time" },
+    } };
+
+}
+
+std::span<const EventInfo> eventTable() { return table; }
+
+const EventInfo& eventInfo(EventId id) { return *std::ranges::find(table, id, &EventInfo::id); }
+
+}
--- /dev/null
+++ b/src/libs/logging/eventid.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace Logging {
+
+/// Numbered log events. docs/events.md is the catalogue; a test compares both.
+enum class EventId : std::uint16_t {
+    ProcessStarted = 100,
+    ProcessStopped = 101,
+    DrainStarted = 102,
+    SettingsInvalid = 103,
+    ListenFailed = 104,
+    SpanFinished = 110,
+    MemberAlive = 200,
+    MemberSuspect = 201,
+    MemberDead = 202,
+    ContactChanged = 203,
+    PeerMessageMalformed = 204,
+    PeerRejected = 205,
+    OwnershipGained = 210,
+    OwnershipLost = 211,
+    PrimarySuspected = 300,
+    PromotionStarted = 301,
+    PromotionFinished = 302,
+    PromotionFailed = 303,
+    UpstreamSilent = 310,
+    ConnectionFailed = 311,
+    CatalogAdopted = 400,
+    CatalogRejected = 401,
+    CatalogPublished = 402,
+    KeyGranted = 403,
+    KeyWithdrawn = 404,
+    StoreUnavailable = 410,
+    StoreRecovered = 411,
+    SlotTaken = 500,
+    SlotLost = 501,
+    SlotReleased = 502,
+    LeaseLapsed = 503,
+};
+
+enum class Severity : std::uint8_t {
+    Info,
+    Warning,
+    Error,
+};
+
+/// One row of the event catalogue.
+struct EventInfo {
+    EventId id;
+    std::string_view name;
+    Severity severity;
+    std::string_view description;
+};
+
+/// All events in rising order of their number.
+std::span<const EventInfo> eventTable();
+const EventInfo& eventInfo(EventId id);
+
+}
--- /dev/null
+++ b/src/libs/logging/span.cpp
@@ -0,0 +1,76 @@
+#include "logging/span.h"
+
+#include "logging/log.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <random>
+
+namespace Logging {
+
+namespace {
+
+    constexpr std::size_t traceIdDigits = 32;
+    constexpr std::size_t spanIdDigits = 16;
+    constexpr std::size_t traceparentSize = 55;
+
+    bool isLowerHex(std::string_view text)
+    {
+        return std::ranges::all_of(
+            text, [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'); });
+    }
+
+    std::string randomHex64()
+    {
+        thread_local std::mt19937_64 generator(std::random_device {}());
+        std::array<char, spanIdDigits + 1> text {};
+        std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(generator() | 1U));
+        return { text.data(), spanIdDigits };
+    }
+
+}
+
+std::optional<TraceContext> parseTraceparent(std::string_view header)
+{
+    if (header.size() != traceparentSize || header.substr(0, 3) != "00-" || header[35] != '-'
+        || header[52] != '-')
+        return std::nullopt;
+    const std::string_view traceId = header.substr(3, traceIdDigits);
+    const std::string_view spanId = header.substr(36, spanIdDigits);
+    const std::string_view flags = header.substr(53);
+    if (!isLowerHex(traceId) || !isLowerHex(spanId) || !isLowerHex(flags))
+        return std::nullopt;
+    if (traceId.find_first_not_of('0') == std::string_view::npos
+        || spanId.find_first_not_of('0') == std::string_view::npos)
+        return std::nullopt;
+    // The lowest bit of the flags says whether the trace is recorded.
+    const bool isSampled = std::string_view("13579bdf").find(flags[1]) != std::string_view::npos;
+    return TraceContext { std::string(traceId), std::string(spanId), isSampled };
+}
+
+std::string formatTraceparent(const TraceContext& context)
+{
+    return "00-" + context.traceId + "-" + context.spanId + (context.isSampled ? "-01" : "-00");
+}
+
+Span::Span(std::string_view name, const std::optional<TraceContext>& parent)
+    : m_name(name)
+    , m_parentId(parent ? parent->spanId : std::string())
+    , m_context { parent ? parent->traceId : randomHex64() + randomHex64(), randomHex64(),
+        parent ? parent->isSampled : true }
+{
+}
+
+Span::~Span()
+{
+    if (!currentSettings().spans || !m_context.isSampled)
+        return;
+    const auto duration
+        = std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now() - m_start);
+    write(EventId::SpanFinished,
+        { { "trace", m_context.traceId }, { "span", m_context.spanId }, { "parent", m_parentId },
+            { "hop", m_name }, { "status", m_status }, { "us", std::to_string(duration.count()) } });
+}
+
+}
--- /dev/null
+++ b/tests/auto/core/model/tst_rendezvous.cpp
@@ -0,0 +1,23 @@
+#include "core/model/rendezvous.h"
+
+#include <vector>
+
+#include <gtest/gtest.h>
+
+using namespace Model;
+
+// Guards against moving subjects whose candidate is still there, which would reopen connections.
+TEST(Rendezvous, LossOfACandidateMovesOnlyItsSubjects)
+{
+    const std::vector<std::string> all { "a", "b", "c", "d" };
+    const std::vector<std::string> fewer { "a", "b", "c" };
+    for (int i = 0; i < 1000; ++i) {
+        const std::string subject = "service-" + std::to_string(i);
+        const int before = rendezvousIndex(subject, all);
+        if (before == 3)
+            continue;
+        EXPECT_EQ(rendezvousIndex(subject, fewer), before);
+    }
+}
+
+TEST(Rendezvous, NoCandidates) { EXPECT_EQ(rendezvousIndex("service", {}), -1); }
