Accept the name is_steady in the clock of the core

The linter refuses every file that includes core/model/time.h, because constants are camelCase here. The clock requirements of the standard fix the name. An exception for the one line was chosen over one in .clang-tidy, which would allow the name everywhere.

--- a/src/libs/core/model/time.h
+++ b/src/libs/core/model/time.h
@@ -11,7 +11,8 @@
     using period = std::micro;
     using duration = std::chrono::duration<rep, period>;
     using time_point = std::chrono::time_point<Clock, duration>;
-    static constexpr bool is_steady = true;
+    // The standard fixes this name for clocks.
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming)
 };
 
 /// Monotonic time of one process, in microseconds.
