--- a/src/libs/core/session/sessiontoken.cpp
+++ b/src/libs/core/session/sessiontoken.cpp
@@ -5,7 +5,6 @@
 #include "wire/token.pb.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace Session {
 
@@ -50,8 +49,7 @@
     }
     const std::string content = message.SerializeAsString();
     const TokenKey& key = keys.keys.front();
-    return std::to_string(key.id) + "."
-        + Crypto::toBase64Url(Crypto::hmacSha256(key.secret, content) + content);
+    return key.id + "." + Crypto::toBase64Url(Crypto::hmacSha256(key.secret, content) + content);
 }
 
 Model::Result<SessionToken> decodeToken(
@@ -60,10 +58,8 @@
     const std::size_t dot = text.find('.');
     if (text.size() > maxTokenSize || dot == std::string_view::npos)
         return makeError(ErrorCode::SessionTokenInvalid);
-    std::uint32_t keyId = 0;
-    const auto [stop, error] = std::from_chars(text.data(), text.data() + dot, keyId);
-    const TokenKey* key = keys.find(keyId);
-    if (error != std::errc() || stop != text.data() + dot || !key)
+    const TokenKey* key = keys.find(text.substr(0, dot));
+    if (!key)
         return makeError(ErrorCode::SessionTokenInvalid);
     const auto bytes = Crypto::fromBase64Url(text.substr(dot + 1));
     if (!bytes || bytes->size() < digestSize)
--- a/src/libs/core/session/tokenkeys.cpp
+++ b/src/libs/core/session/tokenkeys.cpp
@@ -6,18 +6,17 @@
 
 namespace Session {
 
-const TokenKey* TokenKeys::find(std::uint32_t id) const
+const TokenKey* TokenKeys::find(std::string_view id) const
 {
     const auto found = std::ranges::find(keys, id, &TokenKey::id);
     return found == keys.end() ? nullptr : &*found;
 }
 
-TokenKeys deriveTokenKeys(std::string_view fleetSecret, const std::vector<std::uint32_t>& ids)
+TokenKeys deriveTokenKeys(std::string_view fleetSecret, const std::vector<std::string>& ids)
 {
     TokenKeys result;
-    for (const std::uint32_t id : ids)
-        result.keys.push_back(
-            { id, Crypto::deriveSecret(fleetSecret, "session-token/" + std::to_string(id)) });
+    for (const std::string& id : ids)
+        result.keys.push_back({ id, Crypto::deriveSecret(fleetSecret, "session-token/" + id) });
     return result;
 }
 
--- a/src/libs/core/session/tokenkeys.h
+++ b/src/libs/core/session/tokenkeys.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -8,7 +7,8 @@
 namespace Session {
 
 struct TokenKey {
-    std::uint32_t id = 0;
+    /// Without a dot.
+    std::string id;
     std::string secret;
 };
 
@@ -16,10 +16,10 @@
 struct TokenKeys {
     std::vector<TokenKey> keys;
 
-    const TokenKey* find(std::uint32_t id) const;
+    const TokenKey* find(std::string_view id) const;
 };
 
 /// Derives the keys with the given ids from the fleet secret.
-TokenKeys deriveTokenKeys(std::string_view fleetSecret, const std::vector<std::uint32_t>& ids);
+TokenKeys deriveTokenKeys(std::string_view fleetSecret, const std::vector<std::string>& ids);
 
 }
--- /dev/null
+++ b/src/libs/daemon/workerpool.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace Daemon {
+
+/// Runs blocking tasks. Owns its threads, which are started on demand up to a limit and stay.
+class WorkerPool {
+public:
+    WorkerPool(std::size_t maxThreads, std::size_t maxQueuedTasks);
+    ~WorkerPool();
+    WorkerPool(const WorkerPool&) = delete;
+    WorkerPool& operator=(const WorkerPool&) = delete;
+
+    /// Returns false if the queue is full or the pool is stopping; the task is then not run.
+    [[nodiscard]] bool post(std::function<void()> task);
+    /// Runs the queued tasks and ends the threads.
+    void stop();
+
+private:
+    void run();
+
+    std::size_t m_maxThreads;
+    std::size_t m_maxQueuedTasks;
+    std::mutex m_mutex;
+    std::condition_variable m_wake;
+    std::deque<std::function<void()>> m_tasks;
+    std::vector<std::thread> m_threads;
+    std::size_t m_idle = 0;
+    bool m_isStopping = false;
+};
+
+}
--- /dev/null
+++ b/src/libs/gateway/callerserver.cpp
@@ -0,0 +1,148 @@
+#include "gateway/callerserver.h"
+
+#include <array>
+#include <cstring>
+#include <sstream>
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <ulfius.h>
+
+namespace Gateway {
+
+using Model::ErrorCode;
+using Model::makeError;
+
+namespace {
+
+    constexpr std::size_t maxHeaderBytes = 16UL * 1024;
+    // The HTTP library answers for itself above this size, so it is well above our own limit.
+    constexpr std::size_t connectionMemoryBytes = 64UL * 1024;
+    constexpr std::size_t largestBodyBytes = 16UL * 1024 * 1024;
+    constexpr unsigned idleTimeoutSeconds = 120;
+
+    std::vector<std::string> splitPath(std::string_view path)
+    {
+        std::vector<std::string> parts;
+        std::istringstream stream { std::string(path) };
+        for (std::string part; std::getline(stream, part, '/');)
+            parts.push_back(part);
+        // The path starts with "/v1/", so the first two parts are empty and "v1".
+        parts.erase(parts.begin(), parts.begin() + std::min<std::ptrdiff_t>(2, std::ssize(parts)));
+        return parts;
+    }
+
+    std::size_t headerBytes(const _u_request& request)
+    {
+        std::size_t size = 0;
+        const char** names = u_map_enum_keys(request.map_header);
+        for (int i = 0; names && names[i]; ++i)
+            size += std::strlen(names[i]) + std::strlen(u_map_get_case(request.map_header, names[i]));
+        return size;
+    }
+
+}
+
+struct CallerServer::Private {
+    CallerServerSettings settings;
+    CallerHooks hooks;
+    sockaddr_in address {};
+    _u_instance instance {};
+    bool isStarted = false;
+    std::atomic<bool> isDraining = false;
+    std::atomic<int> runningCount = 0;
+
+    static int onRequest(const _u_request* request, _u_response* response, void* self)
+    {
+        static_cast<Private*>(self)->handle(*request, *response);
+        return U_CALLBACK_COMPLETE;
+    }
+
+    Model::Result<CallerRequest> parse(const _u_request& request) const
+    {
+        if (headerBytes(request) > maxHeaderBytes)
+            return makeError(ErrorCode::HeadersTooLarge);
+        if (request.binary_body_length > hooks.maxBodyBytes())
+            return makeError(ErrorCode::BodyTooLarge);
+        HttpInput input;
+        input.path = splitPath(request.url_path);
+        input.header = [&request](std::string_view name) {
+            const char* value = u_map_get_case(request.map_header, std::string(name).c_str());
+            return std::string(value ? value : "");
+        };
+        input.body.assign(static_cast<const char*>(request.binary_body), request.binary_body_length);
+        return parseCallerRequest(input);
+    }
+
+    void handle(const _u_request& request, _u_response& response)
+    {
+        ++runningCount;
+        const auto parsed = parse(request);
+        const CallerAnswer answer
+            = parsed ? hooks.serve(*parsed) : CallerAnswer { parsed.error(), {}, {}, {} };
+        const std::string body = formatAnswer(answer);
+        ulfius_set_binary_body_response(
+            &response, answer.error ? answer.error->info().httpStatus : 200, body.data(), body.size());
+        u_map_put(response.map_header, "Content-Type", "application/json");
+        if (!answer.sessionToken.empty())
+            u_map_put(response.map_header, "Parsleytack-Session", answer.sessionToken.c_str());
+        if (isDraining)
+            u_map_put(response.map_header, "Connection", "close");
+        --runningCount;
+    }
+};
+
+CallerServer::CallerServer(CallerServerSettings settings, CallerHooks hooks)
+    : d(std::make_unique<Private>())
+{
+    d->settings = std::move(settings);
+    d->hooks = std::move(hooks);
+}
+
+CallerServer::~CallerServer() { stop(); }
+
+std::optional<std::string> CallerServer::start()
+{
+    d->address.sin_family = AF_INET;
+    d->address.sin_port = htons(d->settings.port);
+    inet_pton(AF_INET, d->settings.ip.c_str(), &d->address.sin_addr);
+    if (ulfius_init_instance(&d->instance, d->settings.port, &d->address, nullptr) != U_OK)
+        return "the HTTP library cannot be initialized";
+    // One byte more than the largest limit lets a body over the limit be told from one at the limit.
+    d->instance.max_post_body_size = largestBodyBytes + 1;
+    d->instance.allowed_post_processor = U_POST_PROCESS_NONE;
+    d->instance.check_utf8 = 0;
+    ulfius_add_endpoint_by_val(&d->instance, "POST", "/v1", "/*", 0, &Private::onRequest, d.get());
+    std::array<MHD_OptionItem, 8> options { {
+        { MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<std::intptr_t>(&mhd_request_completed), nullptr },
+        { MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<std::intptr_t>(&ulfius_uri_logger), nullptr },
+        { MHD_OPTION_SOCK_ADDR, 0, &d->address },
+        { MHD_OPTION_CONNECTION_LIMIT, d->settings.maxConnections, nullptr },
+        { MHD_OPTION_CONNECTION_MEMORY_LIMIT, static_cast<std::intptr_t>(connectionMemoryBytes), nullptr },
+        { MHD_OPTION_THREAD_STACK_SIZE, static_cast<std::intptr_t>(d->settings.stackBytes), nullptr },
+        { MHD_OPTION_CONNECTION_TIMEOUT, idleTimeoutSeconds, nullptr },
+        { MHD_OPTION_END, 0, nullptr },
+    } };
+    const unsigned flags = MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_ITC;
+    if (ulfius_start_framework_with_mhd_options(&d->instance, flags, options.data()) != U_OK) {
+        ulfius_clean_instance(&d->instance);
+        return "cannot listen on " + d->settings.ip + ":" + std::to_string(d->settings.port);
+    }
+    d->isStarted = true;
+    return std::nullopt;
+}
+
+void CallerServer::beginDrain() { d->isDraining = true; }
+
+int CallerServer::running() const { return d->runningCount; }
+
+void CallerServer::stop()
+{
+    if (!d->isStarted)
+        return;
+    d->isStarted = false;
+    ulfius_stop_framework(&d->instance);
+    ulfius_clean_instance(&d->instance);
+}
+
+}
--- a/tests/auto/core/session/tst_sessiontoken.cpp
+++ b/tests/auto/core/session/tst_sessiontoken.cpp
@@ -21,7 +21,7 @@
 
 TEST(SessionToken, SurvivesEncoding)
 {
-    const TokenKeys keys = deriveTokenKeys(fleetSecret, { 1 });
+    const TokenKeys keys = deriveTokenKeys(fleetSecret, { "k1" });
     const auto token = decodeToken(encodeToken(sampleToken(), keys), keys, "acme");
     ASSERT_TRUE(token);
     EXPECT_EQ(token->positionOf("register"), (LogPosition { 3, 17 }));
@@ -31,7 +31,7 @@
 // Guards against a token that one customer uses to act in another one's session.
 TEST(SessionToken, IsBoundToTheCustomer)
 {
-    const TokenKeys keys = deriveTokenKeys(fleetSecret, { 1 });
+    const TokenKeys keys = deriveTokenKeys(fleetSecret, { "k1" });
     const auto token = decodeToken(encodeToken(sampleToken(), keys), keys, "other");
     EXPECT_EQ(token.error().code, ErrorCode::SessionTokenInvalid);
 }
@@ -39,7 +39,7 @@
 // Guards against accepting a forged position: every changed character has to be noticed.
 TEST(SessionToken, RefusesEveryChangedCharacter)
 {
-    const TokenKeys keys = deriveTokenKeys(fleetSecret, { 1 });
+    const TokenKeys keys = deriveTokenKeys(fleetSecret, { "k1" });
     const std::string text = encodeToken(sampleToken(), keys);
     for (std::size_t i = 0; i + 1 < text.size(); ++i) {
         std::string changed = text;
@@ -53,10 +53,10 @@
 // Guards against sessions that break when the signing key is replaced.
 TEST(SessionToken, OldKeysVerifyUntilTheyAreRemoved)
 {
-    const std::string text = encodeToken(sampleToken(), deriveTokenKeys(fleetSecret, { 1 }));
-    EXPECT_TRUE(decodeToken(text, deriveTokenKeys(fleetSecret, { 2, 1 }), "acme"));
-    EXPECT_FALSE(decodeToken(text, deriveTokenKeys(fleetSecret, { 2 }), "acme"));
-    EXPECT_FALSE(decodeToken(text, deriveTokenKeys("another fleet secret of enough size", { 1 }), "acme"));
+    const std::string text = encodeToken(sampleToken(), deriveTokenKeys(fleetSecret, { "k1" }));
+    EXPECT_TRUE(decodeToken(text, deriveTokenKeys(fleetSecret, { "k2", "k1" }), "acme"));
+    EXPECT_FALSE(decodeToken(text, deriveTokenKeys(fleetSecret, { "k2" }), "acme"));
+    EXPECT_FALSE(decodeToken(text, deriveTokenKeys("another fleet secret of enough size", { "k1" }), "acme"));
 }
 
 TEST(SessionToken, NeverLowersAPosition)
--- /dev/null
+++ b/tests/auto/http/tst_connection.cpp
@@ -0,0 +1,129 @@
+#include "http/connection.h"
+
+#include <string>
+#include <thread>
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace Http;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A listening socket on the loopback address with a port that the system chose.
+class Listener {
+public:
+    Listener()
+        : m_fd(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        ::bind(m_fd, reinterpret_cast<sockaddr*>(&address), sizeof address);
+        ::listen(m_fd, 8);
+        socklen_t size = sizeof address;
+        ::getsockname(m_fd, reinterpret_cast<sockaddr*>(&address), &size);
+        m_port = ntohs(address.sin_port);
+    }
+    ~Listener() { ::close(m_fd); }
+    Listener(const Listener&) = delete;
+    Listener& operator=(const Listener&) = delete;
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
+    int accept() const { return ::accept(m_fd, nullptr, nullptr); }
+
+private:
+    int m_fd;
+    int m_port = 0;
+};
+
+void readRequest(int fd)
+{
+    std::string text;
+    char c = 0;
+    while (text.find("\r\n\r\n") == std::string::npos && ::read(fd, &c, 1) == 1)
+        text.push_back(c);
+}
+
+void answer(int fd, const std::string& body)
+{
+    const std::string text
+        = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    EXPECT_EQ(::write(fd, text.data(), text.size()), static_cast<ssize_t>(text.size()));
+}
+
+}
+
+// Guards against libcurl's own repetition of a POST on a fresh connection, which would run a statement twice.
+TEST(Connection, NeverRepeatsARequestOnAFreshConnection)
+{
+    const Listener listener;
+    std::thread server([&listener] {
+        const int first = listener.accept();
+        readRequest(first);
+        answer(first, "one");
+        readRequest(first);
+        ::close(first);
+    });
+    Connection connection(listener.address());
+    EXPECT_EQ(connection.send({ .path = "/" }).body, "one");
+    Request post { .method = Method::Post, .path = "/", .body = "{}" };
+    post.use = ConnectionUse::OnlyEstablished;
+    EXPECT_EQ(connection.send(post).status, Status::NoAnswer);
+    server.join();
+}
+
+// Guards against a false "not run" or a needless "unknown" when the connection was already closed.
+TEST(Connection, TellsAClosedConnectionFromALostAnswer)
+{
+    const Listener listener;
+    std::thread server([&listener] {
+        const int first = listener.accept();
+        readRequest(first);
+        answer(first, "one");
+        ::close(first);
+    });
+    Connection connection(listener.address());
+    EXPECT_EQ(connection.send({ .path = "/" }).body, "one");
+    server.join();
+    std::this_thread::sleep_for(50ms);
+    Request post { .method = Method::Post, .path = "/", .body = "{}" };
+    post.use = ConnectionUse::OnlyEstablished;
+    EXPECT_EQ(connection.send(post).status, Status::NotSent);
+}
+
+// Guards against an answer that comes after its time limit and reaches the next request.
+TEST(Connection, ALateAnswerReachesNoOtherRequest)
+{
+    const Listener listener;
+    std::thread server([&listener] {
+        const int first = listener.accept();
+        readRequest(first);
+        std::this_thread::sleep_for(200ms);
+        const std::string late = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate";
+        static_cast<void>(::send(first, late.data(), late.size(), MSG_NOSIGNAL));
+        const int second = listener.accept();
+        readRequest(second);
+        answer(second, "own");
+        ::close(second);
+        ::close(first);
+    });
+    Connection connection(listener.address());
+    EXPECT_EQ(connection.send({ .path = "/", .timeout = 50ms }).status, Status::NoAnswer);
+    std::this_thread::sleep_for(300ms);
+    EXPECT_EQ(connection.send({ .path = "/" }).body, "own");
+    server.join();
+}
+
+TEST(Connection, ARefusedConnectionSentNothing)
+{
+    std::string address;
+    {
+        const Listener listener;
+        address = listener.address();
+    }
+    EXPECT_EQ(Connection(address).send({ .path = "/" }).status, Status::NotSent);
+}
--- /dev/null
+++ b/tests/auto/transport/tst_peertransport.cpp
@@ -0,0 +1,166 @@
+#include "transport/peertransport.h"
+#include "wire/peer.pb.h"
+
+#include <array>
+#include <future>
+#include <string>
+#include <thread>
+
+#include <gtest/gtest.h>
+#include <zmq.hpp>
+
+using namespace Transport;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct KeyPair {
+    std::string publicKey;
+    std::string secretKey;
+};
+
+KeyPair newKeyPair()
+{
+    std::array<char, 41> publicKey {};
+    std::array<char, 41> secretKey {};
+    zmq_curve_keypair(publicKey.data(), secretKey.data());
+    return { publicKey.data(), secretKey.data() };
+}
+
+// Port 0 lets the system choose; the port is asked for with a socket that is closed again.
+std::string freeAddress()
+{
+    zmq::context_t context;
+    zmq::socket_t socket(context, zmq::socket_type::rep);
+    socket.bind("tcp://127.0.0.1:*");
+    return socket.get(zmq::sockopt::last_endpoint).substr(6);
+}
+
+Wire::Envelope pull(std::uint64_t version)
+{
+    Wire::Envelope message;
+    message.mutable_catalog_pull()->set_from_version(version);
+    return message;
+}
+
+struct Reply {
+    ReplyStatus status;
+    Wire::Envelope message;
+};
+
+Reply ask(PeerTransport& transport, const std::string& address, Wire::Envelope message,
+    std::chrono::milliseconds timeout)
+{
+    std::promise<Reply> promise;
+    transport.request(
+        address, std::move(message), timeout, [&promise](ReplyStatus status, const Wire::Envelope* reply) {
+            promise.set_value({ status, reply ? *reply : Wire::Envelope() });
+        });
+    return promise.get_future().get();
+}
+
+RequestHandler echo()
+{
+    return [](const Wire::Envelope& request, const Responder& respond) {
+        Wire::Envelope reply;
+        reply.mutable_catalog_delta()->set_version(request.catalog_pull().from_version());
+        respond(reply);
+    };
+}
+
+}
+
+TEST(PeerTransport, AnswersReachTheirOwnRequests)
+{
+    const KeyPair fleet = newKeyPair();
+    PeerTransport server({ freeAddress(), "a", 1, fleet.publicKey, fleet.secretKey }, echo());
+    const std::string address = freeAddress();
+    PeerTransport other({ address, "b", 2, fleet.publicKey, fleet.secretKey }, echo());
+    ASSERT_FALSE(server.start());
+    ASSERT_FALSE(other.start());
+    for (std::uint64_t i = 0; i < 100; ++i) {
+        const Reply reply = ask(server, address, pull(i), 10s);
+        ASSERT_EQ(reply.status, ReplyStatus::Answered);
+        EXPECT_EQ(reply.message.catalog_delta().version(), i);
+        EXPECT_EQ(reply.message.sender(), "b");
+    }
+}
+
+// Guards against a late reply that reaches another request.
+TEST(PeerTransport, DropsLateReplies)
+{
+    const KeyPair fleet = newKeyPair();
+    const std::string address = freeAddress();
+    std::promise<Responder> late;
+    std::atomic<int> requests = 0;
+    PeerTransport server({ address, "a", 1, fleet.publicKey, fleet.secretKey },
+        [&](const Wire::Envelope& request, const Responder& respond) {
+            if (requests++ == 0)
+                return late.set_value(respond);
+            echo()(request, respond);
+        });
+    PeerTransport client({ freeAddress(), "b", 2, fleet.publicKey, fleet.secretKey }, echo());
+    ASSERT_FALSE(server.start());
+    ASSERT_FALSE(client.start());
+    EXPECT_EQ(ask(client, address, pull(1), 300ms).status, ReplyStatus::NoAnswer);
+    Wire::Envelope reply;
+    reply.mutable_catalog_delta()->set_version(1);
+    late.get_future().get()(reply);
+    EXPECT_EQ(ask(client, address, pull(2), 10s).message.catalog_delta().version(), 2U);
+}
+
+// Guards against a process without the fleet's key that joins or reads the peer traffic.
+TEST(PeerTransport, TurnsAwayAStranger)
+{
+    const KeyPair fleet = newKeyPair();
+    const std::string address = freeAddress();
+    std::atomic<int> requests = 0;
+    PeerTransport server({ address, "a", 1, fleet.publicKey, fleet.secretKey },
+        [&](const Wire::Envelope&, const Responder&) { ++requests; });
+    ASSERT_FALSE(server.start());
+    zmq::context_t context;
+    const KeyPair own = newKeyPair();
+    zmq::socket_t stranger(context, zmq::socket_type::dealer);
+    stranger.set(zmq::sockopt::linger, 0);
+    stranger.set(zmq::sockopt::curve_serverkey, fleet.publicKey);
+    stranger.set(zmq::sockopt::curve_publickey, own.publicKey);
+    stranger.set(zmq::sockopt::curve_secretkey, own.secretKey);
+    stranger.connect("tcp://" + address);
+    zmq::socket_t plain(context, zmq::socket_type::dealer);
+    plain.set(zmq::sockopt::linger, 0);
+    plain.connect("tcp://" + address);
+    const std::string bytes = pull(1).SerializeAsString();
+    stranger.send(zmq::buffer(bytes));
+    plain.send(zmq::buffer(bytes));
+    while (server.counts().rejected == 0)
+        std::this_thread::sleep_for(10ms);
+    std::this_thread::sleep_for(200ms);
+    EXPECT_EQ(requests, 0);
+}
+
+// Guards against malformed bytes from a peer that stop the process or count as a request.
+TEST(PeerTransport, DropsMalformedMessages)
+{
+    const KeyPair fleet = newKeyPair();
+    const std::string address = freeAddress();
+    PeerTransport server({ address, "a", 1, fleet.publicKey, fleet.secretKey }, echo());
+    ASSERT_FALSE(server.start());
+    zmq::context_t context;
+    zmq::socket_t peer(context, zmq::socket_type::dealer);
+    peer.set(zmq::sockopt::linger, 0);
+    peer.set(zmq::sockopt::curve_serverkey, fleet.publicKey);
+    peer.set(zmq::sockopt::curve_publickey, fleet.publicKey);
+    peer.set(zmq::sockopt::curve_secretkey, fleet.secretKey);
+    peer.connect("tcp://" + address);
+    const std::string whole = pull(1).SerializeAsString();
+    for (const std::string& bytes :
+        { std::string(), std::string("\xff\xff\xff"), whole.substr(0, whole.size() - 1) })
+        peer.send(zmq::buffer(bytes));
+    peer.send(zmq::buffer(whole), zmq::send_flags::sndmore);
+    peer.send(zmq::buffer(whole));
+    while (server.counts().malformed < 4)
+        std::this_thread::sleep_for(10ms);
+    PeerTransport client({ freeAddress(), "b", 2, fleet.publicKey, fleet.secretKey }, echo());
+    ASSERT_FALSE(client.start());
+    EXPECT_EQ(ask(client, address, pull(7), 10s).message.catalog_delta().version(), 7U);
+}
