--- /dev/null
+++ b/src/libs/core/catalog/jsonwriter.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "core/catalog/documentfields.h"
+
+#include <type_traits>
+
+#include <nlohmann/json.hpp>
+
+namespace Catalog::Internal {
+
+/// Writes the fields of one object.
+class ObjectWriter {
+public:
+    template <typename Value> void field(const char* name, const Value& value, Presence, Range = {})
+    {
+        if constexpr (std::is_enum_v<Value>)
+            m_json[name] = stateName(value);
+        else
+            m_json[name] = value;
+    }
+
+    nlohmann::json take() { return std::move(m_json); }
+
+private:
+    nlohmann::json m_json = nlohmann::json::object();
+};
+
+template <typename Object> nlohmann::json writeObject(const Object& object)
+{
+    ObjectWriter writer;
+    visitFields(writer, object, std::type_identity<Object> {});
+    return writer.take();
+}
+
+/// Texts that are not UTF-8 cannot come from a parsed document; they are replaced, not thrown for.
+inline std::string jsonText(const nlohmann::json& json)
+{
+    return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+}
--- /dev/null
+++ b/tests/auto/core/catalog/tst_parsedocument.cpp
@@ -0,0 +1,95 @@
+#include "core/catalog/canonical.h"
+#include "core/catalog/parsedocument.h"
+#include "testdocuments.h"
+
+#include <random>
+
+#include <gtest/gtest.h>
+
+using namespace Catalog;
+
+namespace {
+
+Faults faultsOf(std::string_view json)
+{
+    const Checked<Document> parsed = parseDocument(json);
+    return parsed ? Faults {} : parsed.error();
+}
+
+}
+
+// Guards against fields that are written but not read, or the other way round.
+TEST(ParseDocument, ReadsWhatCanonicalTextWrites)
+{
+    Document document = TestDocuments::consistent();
+    document.keys[0].state = KeyState::Withdrawn;
+    document.upstreams[1].state = UpstreamState::Leaving;
+    document.zones[2].state = ZoneState::Out;
+    document.limits = { { "k2", "k1" }, 7, 8, 900, 2048, 2049, 10, 11 };
+    const auto parsed = parseDocument(canonicalText(document));
+    ASSERT_TRUE(parsed);
+    EXPECT_EQ(*parsed, document);
+}
+
+// Guards against a hash that depends on the order or the spacing in which an operator wrote the document.
+TEST(ParseDocument, OrderAndOmittedDefaultsDoNotChangeTheCanonicalText)
+{
+    const auto left = parseDocument(R"({"zones":[{"name":"b","region":"r"},{"name":"a","region":"r"}]})");
+    const auto right = parseDocument(
+        R"({ "zones": [ {"state":"in","region":"r","name":"a"}, {"name":"b","region":"r"} ], "limits": {} })");
+    ASSERT_TRUE(left && right);
+    EXPECT_EQ(textHash(canonicalText(*left)), textHash(canonicalText(*right)));
+}
+
+// Guards against misspelt fields that silently leave the default in force.
+TEST(ParseDocument, RefusesUnknownMissingAndRepeatedFields)
+{
+    const Faults faults
+        = faultsOf(R"({"zone":[],"customers":[{"name":"a","rate":1,"brust":2}],"limits":{"queue":1}})");
+    EXPECT_TRUE(TestDocuments::hasFault(faults, ObjectType::Document, "", "zone"));
+    EXPECT_TRUE(TestDocuments::hasFault(faults, ObjectType::Customer, "a", "brust"));
+    EXPECT_TRUE(TestDocuments::hasFault(faults, ObjectType::Customer, "a", "burst"));
+    EXPECT_TRUE(TestDocuments::hasFault(faults, ObjectType::Limits, "", "queue"));
+    EXPECT_FALSE(parseDocument(R"({"zones":[{"name":"a","region":"r","state":"out","state":"in"}]})"));
+}
+
+// Guards against values that a JSON library would convert to the wanted type.
+TEST(ParseDocument, RefusesWrongTypes)
+{
+    for (const char* rate : { "1.5", "\"1\"", "true", "null", "[]", "{}", "1e3", "18446744073709551615" }) {
+        const std::string json = R"({"customers":[{"name":"a","burst":1,"rate":)" + std::string(rate) + "}]}";
+        EXPECT_TRUE(TestDocuments::hasFault(faultsOf(json), ObjectType::Customer, "a", "rate")) << rate;
+    }
+    for (const char* json : { "[]", "1", "null", R"({"zones":{}})", R"({"zones":[1]})", R"({"limits":[]})",
+             R"({"routes":[{"name":"r","service":"s","open":1}]})",
+             R"({"services":[{"name":"s","upstreams":["a",1]}]})", R"({"services":[{"name":7}]})",
+             R"({"zones":[{"name":"a","region":"r","state":"away"}]})" })
+        EXPECT_FALSE(faultsOf(json).empty()) << json;
+}
+
+// Guards against exceptions, deep recursion and memory use from input of any kind.
+TEST(ParseDocument, SurvivesMalformedHugeAndNestedInput)
+{
+    EXPECT_FALSE(parseDocument(""));
+    EXPECT_FALSE(parseDocument("{\"zones\":[{\"name\":\"\xff\xfe\"}]}"));
+    EXPECT_FALSE(parseDocument(std::string("{\0}", 3)));
+    const std::string open(5'000'000, '[');
+    EXPECT_FALSE(parseDocument(open));
+    EXPECT_FALSE(parseDocument(open + std::string(open.size(), ']')));
+    EXPECT_FALSE(parseDocument(std::string(maxDocumentBytes + 1, ' ')));
+
+    const std::string text = canonicalText(TestDocuments::consistent());
+    std::mt19937_64 random(1);
+    for (int i = 0; i < 4000; ++i) {
+        std::string damaged = text;
+        for (int edits = 0; edits < 3; ++edits)
+            damaged[random() % damaged.size()] = static_cast<char>(random());
+        if (i % 4 == 0)
+            damaged.resize(random() % damaged.size());
+        const auto parsed = parseDocument(damaged);
+        // What is accepted has to be representable, otherwise a peer would refuse its text.
+        if (parsed) {
+            EXPECT_TRUE(parseDocument(canonicalText(*parsed)));
+        }
+    }
+}
