Check that a closed connection causes no second request

The test passed with the guard removed, because the repeated request ended in the same status. It now looks for a second connection, and fails without the guard.

--- a/tests/auto/http/tst_connection.cpp
+++ b/tests/auto/http/tst_connection.cpp
@@ -5,6 +5,7 @@
 
 #include <arpa/inet.h>
 #include <gtest/gtest.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -33,6 +34,12 @@
     Listener& operator=(const Listener&) = delete;
 
     std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
+    /// Whether another connection arrives within the time.
+    bool hasConnection(std::chrono::milliseconds wait) const
+    {
+        pollfd item { m_fd, POLLIN, 0 };
+        return ::poll(&item, 1, static_cast<int>(wait.count())) > 0;
+    }
     int accept() const { return ::accept(m_fd, nullptr, nullptr); }
 
 private:
@@ -67,6 +74,7 @@
         answer(first, "one");
         readRequest(first);
         ::close(first);
+        EXPECT_FALSE(listener.hasConnection(500ms));
     });
     Connection connection(listener.address());
     EXPECT_EQ(connection.send({ .path = "/" }).body, "one");
