--- /dev/null
+++ b/src/libs/daemon/groupmonitor.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "core/replication/group.h"
+#include "daemon/taskscope.h"
+#include "database/upstreamclient.h"
+
+#include <condition_variable>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace Daemon {
+
+/// Makes the calls that a group's decisions ask for and reports their results to the group. Owns a thread and
+/// two connections a member: one for the long poll for positions, one for single calls.
+class GroupMonitor {
+public:
+    /// `mutex` guards `group`; `changed` is notified after each report.
+    GroupMonitor(std::mutex& mutex, std::condition_variable& changed, Replication::Group& group,
+        WorkerPool& workers);
+    ~GroupMonitor();
+    GroupMonitor(const GroupMonitor&) = delete;
+    GroupMonitor& operator=(const GroupMonitor&) = delete;
+
+    /// The members to watch from now on: name and address. Call it without holding the mutex.
+    void setMembers(const std::map<std::string, std::string>& addresses);
+    /// Carries out one action on a worker thread. Call it without holding the mutex.
+    void perform(const Replication::Action& action);
+    void stop();
+
+private:
+    struct Watched;
+    using WatchedPointer = std::shared_ptr<Watched>;
+
+    void poll(const WatchedPointer& watched);
+    void probe(const WatchedPointer& watched, Replication::ConnectionKind connection);
+    void fence(const WatchedPointer& watched, std::uint64_t term);
+    void promote(const WatchedPointer& watched, const Replication::Promote& action);
+    void follow(const WatchedPointer& watched, const Replication::Follow& action);
+    void report(const Watched& watched, const Database::StatusReply& reply, bool hasRole,
+        Replication::ConnectionKind connection, Model::Time sentAt);
+    WatchedPointer find(const std::string& member) const;
+
+    std::mutex& m_mutex;
+    std::condition_variable& m_changed;
+    Replication::Group& m_group;
+    mutable std::mutex m_watchedMutex;
+    std::map<std::string, WatchedPointer> m_watched;
+    TaskScope m_tasks;
+};
+
+}
--- /dev/null
+++ b/src/libs/daemon/grouprunner.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "core/catalog/snapshot.h"
+#include "core/replication/group.h"
+#include "core/scheduling/fairqueue.h"
+#include "daemon/groupmonitor.h"
+#include "daemon/grouprequest.h"
+#include "daemon/transactiontable.h"
+#include "daemon/upstreamlink.h"
+#include "daemon/workerpool.h"
+#include "metrics/registry.h"
+
+#include <condition_variable>
+#include <list>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+
+namespace Daemon {
+
+struct GroupContext {
+    std::string service;
+    /// This host's availability zone, whose replicas are preferred for reads.
+    std::string zone;
+    /// Prefix of transaction ids, which names this process.
+    std::string transactionPrefix;
+    WorkerPool* workers = nullptr;
+    Metrics::Registry* metrics = nullptr;
+};
+
+/// Runs the statements of one group on the host that owns it. Owns the group's queue, connections, open
+/// transactions and the view of its members. `run` is called on any thread and blocks; a thread of its own
+/// carries out the periodic decisions.
+class GroupRunner {
+public:
+    GroupRunner(GroupContext context, Catalog::SnapshotPointer catalog);
+    ~GroupRunner();
+    GroupRunner(const GroupRunner&) = delete;
+    GroupRunner& operator=(const GroupRunner&) = delete;
+
+    /// Runs one request to its end and returns what is known about its effect.
+    GroupAnswer run(const GroupRequest& request);
+    /// Puts a newer catalogue in force: upstreams, weights, limits and withdrawn keys.
+    void configure(Catalog::SnapshotPointer catalog);
+    /// Refuses new work with `not_owner`; running work and open transactions go on.
+    void release();
+    /// Owns the group again after `release`.
+    void resume();
+    /// Nothing is queued, running or in an open transaction.
+    bool isIdle() const;
+
+    struct Status {
+        std::string primary;
+        std::uint64_t term = 0;
+        std::size_t queued = 0;
+        std::size_t transactions = 0;
+    };
+    Status status() const;
+
+private:
+    struct Waiter;
+    struct Assignment;
+    using Lock = std::unique_lock<std::mutex>;
+
+    GroupAnswer runStatement(const GroupRequest& request);
+    GroupAnswer runBegin(const GroupRequest& request);
+    GroupAnswer runInTransaction(const GroupRequest& request);
+    Model::Result<Assignment> await(const GroupRequest& request, Scheduling::TransactionId transaction, Lock& lock);
+    GroupAnswer finishStatement(const GroupRequest& request, const Assignment& assignment,
+        const Database::StatementReply& reply, Model::Time sentAt, Lock& lock);
+    GroupAnswer awaitConfirmation(const GroupRequest& request, const Assignment& assignment,
+        const Database::StatementReply& reply, Model::Time sentAt, Lock& lock);
+    GroupAnswer finishInTransaction(const GroupRequest& request, const OpenTransaction& transaction,
+        const Assignment& assignment, const Database::StatementReply& reply, Model::Time sentAt, Lock& lock);
+    void endUse(const Assignment& assignment, Scheduling::Completion completion);
+    void endTransaction(const std::string& id);
+
+    void tick(std::mt19937_64& generator);
+    void runTicks();
+    void dispatch(Model::Time now);
+    void assignFrom(UpstreamLink& upstream, Model::Time now);
+    bool canRun(const Waiter& waiter, const UpstreamLink& upstream, Model::Time now) const;
+    std::vector<Replication::MemberLoad> loads(Model::Time now) const;
+    Replication::ReadRequest readRequest(const Waiter& waiter) const;
+    void refuse(std::uint64_t item, Model::ErrorCode code);
+    void refuseHopeless(Model::Time now);
+    void planConnections(UpstreamLink& upstream, Model::Time now);
+    void openConnection(const std::string& upstream, const std::string& address, Scheduling::ConnectionId connection);
+    void pingConnection(const std::string& upstream, Scheduling::ConnectionId connection);
+    void expireTransactions(UpstreamLink& upstream, Model::Time now);
+    UpstreamLink* find(const std::string& upstream);
+    void applyCatalog(Model::Time now);
+    void dropRevoked();
+    bool isKeyActive(const std::string& keyName, const std::string& customer) const;
+    void updateWriteCount();
+
+    GroupContext m_context;
+    mutable std::mutex m_mutex;
+    std::condition_variable m_changed;
+    Catalog::SnapshotPointer m_catalog;
+    Replication::Group m_group;
+    Scheduling::FairQueue m_queue;
+    std::list<UpstreamLink> m_upstreams;
+    std::map<std::uint64_t, Waiter*> m_waiters;
+    TransactionTable m_transactions;
+    std::uint64_t m_nextItem = 1;
+    std::size_t m_runningWrites = 0;
+    std::size_t m_active = 0;
+    bool m_isReleased = false;
+    bool m_isStopping = false;
+    GroupMonitor m_monitor;
+    TaskScope m_tasks;
+    std::thread m_thread;
+};
+
+}
--- /dev/null
+++ b/src/libs/daemon/upstreamlink.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "core/scheduling/connectionpool.h"
+#include "database/upstreamclient.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Daemon {
+
+/// An upstream as configured.
+struct UpstreamConfig {
+    std::string name;
+    std::string address;
+    std::string zone;
+    Scheduling::PoolSettings pool;
+    Scheduling::UpstreamState state = Scheduling::UpstreamState::Active;
+};
+
+/// The connections of a group's owner to one upstream: the pool's decisions and the clients they are about.
+/// Used under the group's mutex; a client in use belongs to the thread that runs the statement.
+class UpstreamLink {
+public:
+    UpstreamLink(const UpstreamConfig& config, Model::Time now);
+
+    const std::string& name() const { return m_config.name; }
+    const std::string& address() const { return m_config.address; }
+    const std::string& zone() const { return m_config.zone; }
+    Scheduling::ConnectionPool& pool() { return m_pool; }
+    const Scheduling::ConnectionPool& pool() const { return m_pool; }
+    void configure(const UpstreamConfig& config, Model::Time now);
+
+    using ClientPointer = std::shared_ptr<Database::UpstreamClient>;
+    ClientPointer client(Scheduling::ConnectionId connection) const;
+    void addClient(Scheduling::ConnectionId connection, ClientPointer client);
+    /// Forgets the client; its TCP connection is closed with the last reference.
+    void dropClient(Scheduling::ConnectionId connection);
+
+private:
+    UpstreamConfig m_config;
+    Scheduling::ConnectionPool m_pool;
+    std::map<Scheduling::ConnectionId, ClientPointer> m_clients;
+};
+
+}
