--- /dev/null
+++ b/src/libs/core/scheduling/backoff.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "core/model/time.h"
+
+#include <optional>
+#include <random>
+
+namespace Scheduling {
+
+/// Exponential back-off with full jitter: each delay is drawn evenly from zero to a limit that doubles.
+/// Not thread-safe; belongs to one request.
+class Backoff {
+public:
+    static constexpr Model::Duration defaultBase = std::chrono::milliseconds(10);
+    static constexpr Model::Duration defaultLimit = std::chrono::seconds(1);
+
+    explicit Backoff(Model::Duration base = defaultBase, Model::Duration limit = defaultLimit);
+
+    /// When to try again; nothing if that would not be before `deadline`.
+    std::optional<Model::Time> next(Model::Time now, Model::Time deadline, std::mt19937_64& generator);
+
+private:
+    Model::Duration m_current;
+    Model::Duration m_limit;
+};
+
+}
