Add the stand-ins for a database and for the platform

Cause: the proxy meets databases and the platform's services only through published protocols, and neither a database group nor a platform is available to tests. The tests need members that can be fenced, cut off and frozen, and a store that can be down, slow or lose its answers.

`platformstandin` is the table service, object store and list of hosts. Both have `/_control` for faults and checks.

Conclusion: the I/O libraries can be written against them.

--- /dev/null
+++ b/tests/standins/platform/store.cpp
@@ -0,0 +1,156 @@
+#include "platform/store.h"
+
+#include <thread>
+
+namespace Standins {
+
+namespace {
+
+    constexpr std::chrono::milliseconds outagePollInterval { 5 };
+
+    /// The part of the path behind the prefix; empty if the path does not start with it.
+    std::string suffix(const std::string& path, const std::string& prefix)
+    {
+        return path.starts_with(prefix) ? path.substr(prefix.size()) : std::string();
+    }
+
+}
+
+Json Store::Row::toJson() const { return { { "version", version }, { "nonce", nonce }, { "value", value } }; }
+
+HttpAnswer Store::handle(const HttpRequest& request)
+{
+    if (request.path == "/_control")
+        return control(request);
+    std::unique_lock lock(m_mutex);
+    const auto delay = m_delay;
+    if (delay.count() > 0) {
+        lock.unlock();
+        std::this_thread::sleep_for(delay);
+        lock.lock();
+    }
+    while (m_outage == Outage::Hang) {
+        lock.unlock();
+        std::this_thread::sleep_for(outagePollInterval);
+        lock.lock();
+    }
+    if (m_outage == Outage::Close)
+        return lostAnswer();
+    if (m_outage == Outage::Refuse)
+        return jsonAnswer(503, { { "error", "unavailable" } });
+    return serve(request);
+}
+
+HttpAnswer Store::serve(const HttpRequest& request)
+{
+    const bool isPut = request.method == "PUT";
+    ++(isPut ? m_writes : m_reads);
+    if (const std::string key = suffix(request.path, "/table/"); !key.empty())
+        return table(request, key);
+    if (const std::string hash = suffix(request.path, "/object/"); !hash.empty())
+        return object(request, hash);
+    if (const std::string name = suffix(request.path, "/hosts/"); !name.empty())
+        return changeHost(request, name);
+    if (request.path == "/hosts")
+        return hosts();
+    return jsonAnswer(404, { { "error", "not_found" } });
+}
+
+HttpAnswer Store::table(const HttpRequest& request, const std::string& key)
+{
+    const auto found = m_rows.find(key);
+    const Row present = found == m_rows.end() ? Row {} : found->second;
+    if (request.method != "PUT")
+        return jsonAnswer(present.version == 0 ? 404 : 200, present.toJson());
+    const Json body = Json::parse(request.body);
+    if (body.at("version").get<std::uint64_t>() != present.version) {
+        ++m_conflicts;
+        return jsonAnswer(409, present.toJson());
+    }
+    const Row row { present.version + 1, body.at("nonce").get<std::string>(), body.at("value") };
+    m_rows[key] = row;
+    if (takeLoss(key))
+        return lostAnswer();
+    return jsonAnswer(200, row.toJson());
+}
+
+HttpAnswer Store::object(const HttpRequest& request, const std::string& hash)
+{
+    const auto found = m_objects.find(hash);
+    if (request.method != "PUT") {
+        if (found == m_objects.end())
+            return jsonAnswer(404, { { "error", "not_found" } });
+        return { 200, found->second };
+    }
+    if (found != m_objects.end() && found->second != request.body)
+        return jsonAnswer(409, { { "error", "immutable" } });
+    m_objects[hash] = request.body;
+    if (takeLoss(request.path))
+        return lostAnswer();
+    return jsonAnswer(200, Json::object());
+}
+
+bool Store::takeLoss(const std::string& key)
+{
+    if (m_lossesLeft == 0 || !key.starts_with(m_lossPrefix))
+        return false;
+    --m_lossesLeft;
+    ++m_lost;
+    return true;
+}
+
+HttpAnswer Store::hosts() const
+{
+    const auto visible = Clock::now() - m_hostsLag;
+    const HostsSnapshot* snapshot = &m_hosts.front();
+    for (const HostsSnapshot& candidate : m_hosts) {
+        if (candidate.since <= visible)
+            snapshot = &candidate;
+    }
+    Json list = Json::array();
+    for (const auto& [name, host] : snapshot->hosts)
+        list.push_back(host);
+    return jsonAnswer(200, { { "hosts", list } });
+}
+
+HttpAnswer Store::changeHost(const HttpRequest& request, const std::string& name)
+{
+    HostsSnapshot next { Clock::now(), m_hosts.back().hosts };
+    if (request.method == "DELETE") {
+        next.hosts.erase(name);
+    } else {
+        const Json body = Json::parse(request.body);
+        next.hosts[name] = { { "name", name }, { "address", body.at("address") }, { "zone", body.at("zone") },
+            { "state", body.value("state", "live") } };
+    }
+    m_hosts.push_back(std::move(next));
+    return jsonAnswer(200, Json::object());
+}
+
+HttpAnswer Store::control(const HttpRequest& request)
+{
+    const std::scoped_lock lock(m_mutex);
+    if (request.method != "GET") {
+        const Json body = Json::parse(request.body);
+        static const std::map<std::string, Outage> outages { { "none", Outage::None },
+            { "refuse", Outage::Refuse }, { "close", Outage::Close }, { "hang", Outage::Hang } };
+        if (body.contains("outage")) {
+            const auto found = outages.find(body["outage"].get<std::string>());
+            if (found == outages.end())
+                return jsonAnswer(400, { { "error", "invalid_request" } });
+            m_outage = found->second;
+        }
+        m_delay = std::chrono::milliseconds(body.value("delayMs", m_delay.count()));
+        m_hostsLag = std::chrono::milliseconds(body.value("hostsLagMs", m_hostsLag.count()));
+        m_lossesLeft = body.value("loseAnswers", m_lossesLeft);
+        m_lossPrefix = body.value("loseKeyPrefix", m_lossPrefix);
+    }
+    Json rows = Json::object();
+    for (const auto& [key, row] : m_rows)
+        rows[key] = row.toJson();
+    return jsonAnswer(200,
+        { { "rows", rows }, { "objects", m_objects.size() }, { "reads", m_reads }, { "writes", m_writes },
+            { "conflicts", m_conflicts }, { "lostAnswers", m_lost } });
+}
+
+}
