Add versions, deltas, adoption and publication to the catalogue

Ruled out: hashing the document alone, because two publications of equal documents could then not be told apart in the chain of versions; keeping the documents of 64 versions, which would exceed the control plane's memory; a time stamp in the document for the 60 s rule, because hosts share no clock; "not run" after a put of the row without an answer, because it may arrive late. Change: a version's hash covers number, previous hash, nonce and document. Optional fields with their default value are left out of the canonical text, so that releases with and without a new field agree on it. History keeps the ids of changed objects of 64 steps. Adoption takes only higher, consistent versions with the stated hash. Publication decides one publication step by step. MemberChangeLog records when this host saw members change; after a start or a gap of 60 s all count as just changed. Startup chooses among 3 peers or all. edits.h has the operators' shortcuts. A text limit of 4 MiB and 1,000 listed faults bound the memory that a malformed text takes.

--- /dev/null
+++ b/src/libs/core/catalog/documentindex.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <algorithm>
+#include <string_view>
+#include <vector>
+
+namespace Catalog::Internal {
+
+/// The object with a name in a list that is in rising order of the names, or nullptr.
+template <typename Object> const Object* findByName(const std::vector<Object>& objects, std::string_view name)
+{
+    const auto found = std::ranges::lower_bound(objects, name, {}, &Object::name);
+    return found != objects.end() && found->name == name ? &*found : nullptr;
+}
+
+}
--- a/src/libs/core/catalog/jsonreader.cpp
+++ b/src/libs/core/catalog/jsonreader.cpp
@@ -1,5 +1,7 @@
 #include "core/catalog/jsonreader.h"
 
+#include "core/catalog/parsedocument.h"
+
 #include <functional>
 #include <set>
 
@@ -7,7 +9,7 @@
 
 namespace {
 
-    /// A document nests four levels deep.
+    /// A published version nests five levels deep.
     constexpr int maxDepth = 8;
 
     /// Watches a parser. JSON leaves open which of two equal fields counts, so repeated ones are refused.
@@ -39,6 +41,79 @@
         std::vector<std::set<std::string>> m_fields;
     };
 
+    class DocumentReader {
+    public:
+        DocumentReader(const Json& json, Faults& faults)
+            : m_json(json)
+            , m_faults(faults)
+        {
+        }
+
+        template <typename Object> void list(const char* field, ObjectType type, std::vector<Object>& objects)
+        {
+            m_known.emplace_back(field);
+            const auto found = m_json.find(field);
+            if (found == m_json.end())
+                return;
+            if (!found->is_array())
+                return fail(field, "must be a list of objects");
+            objects.reserve(found->size());
+            for (const Json& item : *found) {
+                const std::string position = "#" + std::to_string(objects.size());
+                objects.push_back(readObject<Object>(item, type, position, m_faults));
+            }
+        }
+
+        void limits(Limits& limits)
+        {
+            m_known.emplace_back("limits");
+            const auto found = m_json.find("limits");
+            if (found != m_json.end())
+                limits = readObject<Limits>(*found, ObjectType::Limits, {}, m_faults);
+        }
+
+        void refuseUnknownFields()
+        {
+            for (const auto& [name, value] : m_json.items()) {
+                if (std::ranges::find(m_known, name) == m_known.end())
+                    fail(name, "is not a field of the document");
+            }
+        }
+
+    private:
+        void fail(const std::string& field, std::string message)
+        {
+            addFault(m_faults, { ObjectType::Document, {}, field, std::move(message) });
+        }
+
+        const Json& m_json;
+        Faults& m_faults;
+        std::vector<std::string_view> m_known;
+    };
+
+}
+
+void addFault(Faults& faults, Fault fault)
+{
+    if (faults.size() < maxParseFaults)
+        faults.push_back(std::move(fault));
+    else if (faults.size() == maxParseFaults)
+        faults.push_back({ ObjectType::Document, {}, {}, "has further faults that are not listed" });
+}
+
+Document readDocument(const Json& json, Faults& faults)
+{
+    Document document;
+    if (!json.is_object()) {
+        addFault(faults, { ObjectType::Document, {}, {}, "must be a JSON object" });
+        return document;
+    }
+    DocumentReader reader(json, faults);
+    visitLists(reader, document);
+    reader.limits(document.limits);
+    reader.refuseUnknownFields();
+    normalize(document);
+    return document;
 }
 
 std::optional<Json> parseJson(std::string_view text, std::string& problem)
--- a/src/libs/core/catalog/jsonreader.h
+++ b/src/libs/core/catalog/jsonreader.h
@@ -20,6 +20,9 @@
 /// `problem` then says which.
 std::optional<Json> parseJson(std::string_view text, std::string& problem);
 
+/// Adds a fault unless the list is full, so that an odd text cannot use up the memory.
+void addFault(Faults& faults, Fault fault);
+
 /// Reads the fields of one JSON object and adds what is wrong to a list of faults.
 class ObjectReader {
 public:
@@ -95,7 +98,7 @@
 
     void fail(const std::string& field, std::string message)
     {
-        m_faults.push_back({ m_type, m_name, field, std::move(message) });
+        addFault(m_faults, { m_type, m_name, field, std::move(message) });
     }
 
     const Json& m_json;
@@ -111,7 +114,7 @@
 {
     Object object;
     if (!json.is_object()) {
-        faults.push_back({ type, fallbackName, {}, "must be a JSON object" });
+        addFault(faults, { type, fallbackName, {}, "must be a JSON object" });
         return object;
     }
     const auto name = json.find("name");
@@ -122,4 +125,7 @@
     return object;
 }
 
+/// Reads a document and normalizes it.
+Document readDocument(const Json& json, Faults& faults);
+
 }
--- a/src/libs/core/catalog/jsonwriter.h
+++ b/src/libs/core/catalog/jsonwriter.h
@@ -25,11 +25,38 @@
     nlohmann::json m_json = nlohmann::json::object();
 };
 
+/// Removes the optional fields that have their default value.
+class DefaultRemover {
+public:
+    explicit DefaultRemover(nlohmann::json& json)
+        : m_json(json)
+    {
+    }
+
+    template <typename Value> void field(const char* name, const Value& value, Presence presence, Range = {})
+    {
+        if (presence == Presence::Required)
+            return;
+        ObjectWriter writer;
+        writer.field(name, value, presence);
+        const nlohmann::json defaults = writer.take();
+        if (m_json[name] == defaults[name])
+            m_json.erase(name);
+    }
+
+private:
+    nlohmann::json& m_json;
+};
+
 template <typename Object> nlohmann::json writeObject(const Object& object)
 {
     ObjectWriter writer;
     visitFields(writer, object, std::type_identity<Object> {});
-    return writer.take();
+    nlohmann::json json = writer.take();
+    const Object defaults;
+    DefaultRemover remover(json);
+    visitFields(remover, defaults, std::type_identity<Object> {});
+    return json;
 }
 
 /// Texts that are not UTF-8 cannot come from a parsed document; they are replaced, not thrown for.
--- a/src/libs/core/catalog/snapshot.cpp
+++ b/src/libs/core/catalog/snapshot.cpp
@@ -1,7 +1,5 @@
 #include "core/catalog/snapshot.h"
 
-#include "core/catalog/canonical.h"
-
 namespace Catalog {
 
 namespace {
@@ -31,31 +29,35 @@
 
 }
 
+std::shared_ptr<const Snapshot> Snapshot::create(Version version)
+{
+    return std::shared_ptr<const Snapshot>(new Snapshot(std::move(version)));
+}
+
 std::shared_ptr<const Snapshot> Snapshot::create(std::uint64_t version, Document document)
 {
-    return std::shared_ptr<const Snapshot>(new Snapshot(version, std::move(document)));
+    return create(Version { version, {}, {}, std::move(document) });
 }
 
-Snapshot::Snapshot(std::uint64_t version, Document document)
-    : m_version(version)
-    , m_document(std::move(document))
-    , m_hash(textHash(canonicalText(m_document)))
+Snapshot::Snapshot(Version version)
+    : m_version(std::move(version))
+    , m_hash(versionHash(m_version))
 {
-    indexByName(m_document.keys, m_keys);
-    indexByName(m_document.customers, m_customers);
-    indexByName(m_document.upstreams, m_upstreams);
-    indexByName(m_document.zones, m_zones);
-    for (const Key& key : m_document.keys) {
+    indexByName(document().keys, m_keys);
+    indexByName(document().customers, m_customers);
+    indexByName(document().upstreams, m_upstreams);
+    indexByName(document().zones, m_zones);
+    for (const Key& key : document().keys) {
         if (key.state == KeyState::Active)
             m_activeKeysByHash.emplace(key.hash, KeyEntry { &key, findCustomer(key.customer) });
     }
-    for (const Service& service : m_document.services) {
+    for (const Service& service : document().services) {
         ServiceEntry entry { &service, {} };
         for (const std::string& upstream : service.upstreams)
             entry.upstreams.push_back(findUpstream(upstream));
         m_services.emplace(service.name, std::move(entry));
     }
-    for (const Route& route : m_document.routes)
+    for (const Route& route : document().routes)
         m_routes.emplace(route.name,
             RouteEntry {
                 &route, findService(route.service), { route.customers.begin(), route.customers.end() } });
--- a/src/libs/core/catalog/snapshot.h
+++ b/src/libs/core/catalog/snapshot.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/catalog/document.h"
+#include "core/catalog/version.h"
 
 #include <cstdint>
 #include <memory>
@@ -38,17 +38,20 @@
 /// pointers that it returns live as long as it does.
 class Snapshot {
 public:
-    /// `document` has no faults.
+    /// The document has no faults.
+    static std::shared_ptr<const Snapshot> create(Version version);
     static std::shared_ptr<const Snapshot> create(std::uint64_t version, Document document);
 
     Snapshot(const Snapshot&) = delete;
     Snapshot& operator=(const Snapshot&) = delete;
 
-    std::uint64_t version() const { return m_version; }
-    /// Hash of the document's canonical text.
+    std::uint64_t version() const { return m_version.number; }
+    /// Hash of the version's canonical text.
     const std::string& hash() const { return m_hash; }
-    const Document& document() const { return m_document; }
-    const Limits& limits() const { return m_document.limits; }
+    const std::string& previousHash() const { return m_version.previousHash; }
+    const std::string& nonce() const { return m_version.nonce; }
+    const Document& document() const { return m_version.document; }
+    const Limits& limits() const { return document().limits; }
 
     /// The key with this hash if it is active; otherwise nothing.
     const KeyEntry* findActiveKey(std::string_view hash) const;
@@ -65,10 +68,9 @@
 private:
     template <typename Value> using Index = std::unordered_map<std::string_view, Value>;
 
-    Snapshot(std::uint64_t version, Document document);
+    explicit Snapshot(Version version);
 
-    std::uint64_t m_version;
-    Document m_document;
+    Version m_version;
     std::string m_hash;
     Index<KeyEntry> m_activeKeysByHash;
     Index<const Key*> m_keys;
--- /dev/null
+++ b/tests/auto/core/catalog/tst_adoption.cpp
@@ -0,0 +1,209 @@
+#include "../seeds.h"
+#include "core/catalog/adoption.h"
+#include "core/catalog/check.h"
+#include "core/catalog/edits.h"
+#include "core/catalog/startup.h"
+#include "testdocuments.h"
+
+#include <gtest/gtest.h>
+
+using namespace Catalog;
+using TestDocuments::consistent;
+
+namespace {
+
+constexpr Model::Time now {};
+
+/// A random consistent document near another one.
+Document randomEdit(Document document, std::mt19937_64& random)
+{
+    const std::string name = "c" + std::to_string(below(8, random));
+    std::erase_if(document.customers, [&](const Customer& customer) { return customer.name == name; });
+    if (onceIn(2, random))
+        document.customers.push_back({ name, 1 + static_cast<std::int64_t>(below(3, random)), 5, 1 });
+    document.zones[below(2, random)].state = onceIn(2, random) ? ZoneState::Out : ZoneState::In;
+    if (onceIn(4, random))
+        document.limits.queuedPerCustomer = 1 + static_cast<std::int64_t>(below(3, random));
+    normalize(document);
+    return document;
+}
+
+Version successor(const Snapshot& snapshot, Document document)
+{
+    return { snapshot.version() + 1, snapshot.hash(), "nonce", std::move(document) };
+}
+
+CurrentRow rowOf(const Version& version)
+{
+    return { version.number, versionHash(version), version.nonce, version.previousHash };
+}
+
+}
+
+// Guards against deltas that do not lead to exactly the announced document, from any version of the history.
+TEST(Delta, LeadsFromEachVersionToTheCurrentOne)
+{
+    forEachSeed(60, [](std::mt19937_64& random) {
+        Adoption source;
+        std::vector<SnapshotPointer> versions;
+        Version version { 1, {}, "nonce", consistent() };
+        for (int i = 0; i < 80; ++i) {
+            ASSERT_TRUE(source.offerObject(rowOf(version), canonicalText(version), now));
+            versions.push_back(source.current());
+            version = successor(*source.current(), randomEdit(version.document, random));
+            // The source itself sometimes skips a version.
+            if (onceIn(8, random))
+                version = { version.number + 1, versionHash(version), "nonce",
+                    randomEdit(version.document, random) };
+        }
+        std::size_t wholeCount = 0;
+        for (const SnapshotPointer& from : versions) {
+            Adoption target;
+            ASSERT_TRUE(target.offerDelta(makeWholeDelta(*from), now));
+            const std::optional<Delta> delta = source.history().deltaFrom(from->version());
+            if (from == source.current()) {
+                EXPECT_FALSE(delta);
+                continue;
+            }
+            wholeCount += delta->fromVersion == 0 ? 1 : 0;
+            ASSERT_TRUE(target.offerDelta(*delta, now));
+            EXPECT_EQ(target.current()->hash(), source.current()->hash());
+            EXPECT_EQ(target.current()->document(), source.current()->document());
+        }
+        // 80 versions, the current one of which needs no delta, and 64 steps back.
+        EXPECT_EQ(wholeCount, 80U - 1 - History::maxSteps);
+    });
+}
+
+// Guards against a damaged or mixed-up delta that comes into force.
+TEST(Adoption, RefusesWhatDoesNotMatchItsHash)
+{
+    forEachSeed(300, [](std::mt19937_64& random) {
+        Adoption source;
+        Adoption target;
+        const Version first { 1, {}, "nonce", consistent() };
+        source.offerObject(rowOf(first), canonicalText(first), now);
+        target.offerObject(rowOf(first), canonicalText(first), now);
+        const Version second = successor(*source.current(), randomEdit(first.document, random));
+        ASSERT_TRUE(source.offerObject(rowOf(second), canonicalText(second), now));
+        Delta delta = onceIn(2, random) ? *source.history().deltaFrom(1) : makeWholeDelta(*source.current());
+        switch (below(6, random)) {
+        case 0:
+            delta.nonce += "x";
+            break;
+        case 1:
+            delta.version += 1;
+            break;
+        case 2:
+            delta.hash = first.previousHash;
+            break;
+        case 3:
+            delta.removed.emplace_back("customer/acme");
+            break;
+        case 4:
+            delta.changed.emplace_back(R"({"customer":{"name":"new","rate":1,"burst":1}})");
+            break;
+        default:
+            delta.changed.emplace_back("{\"customer\":[");
+        }
+        const AdoptionResult result = target.offerDelta(delta, now);
+        ASSERT_FALSE(result);
+        EXPECT_NE(result.error().reason, RefusalReason::NotNewer);
+        EXPECT_EQ(target.currentVersion(), 1U);
+    });
+}
+
+// Guards against falling versions, and against deltas applied to the wrong base.
+TEST(Adoption, TakesOnlyHigherVersions)
+{
+    Adoption source;
+    Version version { 5, "h", "nonce", consistent() };
+    ASSERT_TRUE(source.offerObject(rowOf(version), canonicalText(version), now));
+    const auto reasonFor = [&](const Version& offered) {
+        return source.offerObject(rowOf(offered), canonicalText(offered), now).error().reason;
+    };
+    EXPECT_EQ(reasonFor(version), RefusalReason::NotNewer);
+    version.number = 4;
+    EXPECT_EQ(reasonFor(version), RefusalReason::NotNewer);
+    EXPECT_EQ(source.offerDelta(makeWholeDelta(*Snapshot::create(version)), now).error().reason,
+        RefusalReason::NotNewer);
+    version.number = 9;
+    Delta delta = makeDelta(6, *Snapshot::create(version), {});
+    EXPECT_EQ(source.offerDelta(delta, now).error().reason, RefusalReason::OtherBase);
+    CurrentRow row = rowOf(version);
+    row.version = 8;
+    EXPECT_EQ(
+        source.offerObject(row, canonicalText(version), now).error().reason, RefusalReason::HashMismatch);
+    row = rowOf(version);
+    EXPECT_EQ(source.offerObject(row, canonicalText(version) + " ", now).error().reason,
+        RefusalReason::HashMismatch);
+    EXPECT_EQ(source.currentVersion(), 5U);
+}
+
+// Guards against a snapshot of an inconsistent document, whose references would lead nowhere.
+TEST(Adoption, RefusesInconsistentDocuments)
+{
+    Adoption adoption;
+    Version version { 1, {}, "nonce", consistent() };
+    version.document.keys[0].customer = "missing";
+    const AdoptionResult result = adoption.offerObject(rowOf(version), canonicalText(version), now);
+    ASSERT_FALSE(result);
+    EXPECT_EQ(result.error().reason, RefusalReason::Inconsistent);
+    EXPECT_FALSE(adoption.current());
+}
+
+// Guards against a host that is behind without knowing, which fleet contact relies on.
+TEST(Adoption, KnowsSinceWhenItIsBehind)
+{
+    Adoption adoption;
+    Version version { 1, {}, "nonce", consistent() };
+    adoption.offerObject(rowOf(version), canonicalText(version), now);
+    EXPECT_FALSE(adoption.behindSince());
+    adoption.noteAnnounced(3, now + std::chrono::seconds(1));
+    adoption.noteAnnounced(2, now + std::chrono::seconds(2));
+    EXPECT_EQ(adoption.behindSince(), now + std::chrono::seconds(1));
+    version.number = 2;
+    adoption.offerObject(rowOf(version), canonicalText(version), now + std::chrono::seconds(3));
+    EXPECT_EQ(adoption.behindSince(), now + std::chrono::seconds(1));
+    version.number = 3;
+    adoption.offerObject(rowOf(version), canonicalText(version), now + std::chrono::seconds(4));
+    EXPECT_FALSE(adoption.behindSince());
+}
+
+// Guards against a start from a single peer that lags behind.
+TEST(Startup, TakesTheHighestOfThreeOrAll)
+{
+    Startup startup;
+    EXPECT_FALSE(startup.choice());
+    for (const char* peer : { "a", "b", "c", "d", "e" })
+        startup.addPeer(peer);
+    startup.noteAnswer("a", 4);
+    startup.noteAnswer("b", 0);
+    startup.noteAnswer("c", 6);
+    EXPECT_FALSE(startup.choice());
+    startup.noteAnswer("d", 5);
+    EXPECT_EQ(startup.choice(), "c");
+
+    Startup few;
+    few.addPeer("a");
+    few.addPeer("b");
+    few.noteAnswer("a", 4);
+    EXPECT_FALSE(few.choice());
+    few.noteFailure("b");
+    EXPECT_EQ(few.choice(), "a");
+}
+
+// Guards against edits that hit another object or none.
+TEST(Edits, ChangeOneObject)
+{
+    const Document document = consistent();
+    EXPECT_EQ(changedObjects(document, *withZoneState(document, "z2", ZoneState::Out)),
+        std::vector<std::string> { "zone/z2" });
+    EXPECT_EQ(changedObjects(document, *withKeyWithdrawn(document, "bolt-key")),
+        std::vector<std::string> { "key/bolt-key" });
+    EXPECT_EQ(changedObjects(document, *withKey(document, { "aa", "acme", TestDocuments::keyHash(5) })),
+        std::vector<std::string> { "key/aa" });
+    EXPECT_FALSE(withZoneState(document, "z9", ZoneState::Out));
+    EXPECT_FALSE(withKeyWithdrawn(document, "z9"));
+    EXPECT_FALSE(withKey(document, { "acme-key", "acme", TestDocuments::keyHash(5) }));
+}
--- a/tests/auto/core/catalog/tst_parsedocument.cpp
+++ b/tests/auto/core/catalog/tst_parsedocument.cpp
@@ -1,5 +1,5 @@
-#include "core/catalog/canonical.h"
 #include "core/catalog/parsedocument.h"
+#include "core/catalog/version.h"
 #include "testdocuments.h"
 
 #include <random>
