Add a TCP proxy that injects faults between processes

Cause: cut and silent connections, late, lost and reordered answers cannot be produced by stopping processes.

Ruled out: packet filters and network namespaces, which need rights and touch the whole machine. A cut direction holds its data instead of dropping it, since TCP would transmit it again once the cut is healed.

Change: `faultproxy` forwards any number of links and takes faults per link at a control port: cut one way or both, freeze present connections for good, refuse new ones, delay, lose answers after delivery, hold answers back and forward them in reverse order. Lost and held answers can be limited to requests that contain a text, so that probes do not use them up.

--- /dev/null
+++ b/tests/standins/faultproxy/main.cpp
@@ -0,0 +1,76 @@
+#include "common/program.h"
+#include "faultproxy/link.h"
+
+#include <thread>
+
+#include <tclap/CmdLine.h>
+
+using namespace Standins;
+
+namespace {
+
+using Links = std::vector<std::unique_ptr<Link>>;
+
+/// Reads `NAME=LISTEN=TARGET`.
+std::unique_ptr<Link> parseLink(const std::string& text)
+{
+    const std::size_t first = text.find('=');
+    const std::size_t second = text.find('=', first + 1);
+    if (first == std::string::npos || second == std::string::npos) {
+        std::fprintf(stderr, "not a link of the form NAME=IP:PORT=IP:PORT: %s\n", text.c_str());
+        endProcess(false);
+    }
+    auto link = std::make_unique<Link>(text.substr(0, first),
+        listenAddress(text.substr(first + 1, second - first - 1)), listenAddress(text.substr(second + 1)));
+    if (!link->isListening()) {
+        std::fprintf(stderr, "cannot listen for link %s\n", text.c_str());
+        endProcess(false);
+    }
+    return link;
+}
+
+/// `POST /_control` sets the faults of the link named by `link`, or of all links:
+/// `cutToTarget`, `cutToClient`: data of this direction waits until the cut is healed;
+/// `refuseNew`: new connections are closed at once;
+/// `freezeExisting`: the present connections stay open, but carry nothing any more;
+/// `delayMs`: each piece of data is forwarded later by this time;
+/// `loseAnswers`: the next N answers are dropped with their connection, after the request was delivered;
+/// `holdAnswers`: the next N answers are held back and then forwarded in reverse order;
+/// `match`: the two above apply only to requests that contain this text.
+HttpAnswer control(const Links& links, const HttpRequest& request)
+{
+    const Json body = request.method == "GET" ? Json::object() : Json::parse(request.body);
+    const auto name = body.value("link", std::string());
+    Json answer = Json::object();
+    for (const auto& link : links) {
+        if (name.empty() || name == link->name()) {
+            link->configure(body);
+            answer[link->name()] = link->state();
+        }
+    }
+    return jsonAnswer(answer.empty() ? 404 : 200, answer);
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    TCLAP::CmdLine command("Forwards TCP connections and injects faults");
+    TCLAP::ValueArg<std::string> controlOption(
+        "", "control", "address of the control port", false, "127.0.0.1:0", "IP:PORT", command);
+    TCLAP::MultiArg<std::string> linkOption(
+        "", "link", "name, own address and address of the target", true, "NAME=IP:PORT=IP:PORT", command);
+    command.parse(argc, argv);
+
+    blockTerminationSignals();
+    Links links;
+    for (const std::string& text : linkOption.getValue()) {
+        links.push_back(parseLink(text));
+        std::printf("link %s 127.0.0.1:%d\n", links.back()->name().c_str(), links.back()->port());
+        std::thread([link = links.back().get()] { link->run(); }).detach();
+    }
+    const Settings::Address address = listenAddress(controlOption.getValue());
+    const HttpServer server(address.ip, address.port,
+        { [&links](const HttpRequest& request) { return control(links, request); }, nullptr });
+    endProcess(serveUntilTerminated(server, address.ip));
+}
