--- /dev/null
+++ b/src/libs/daemon/catalogservice.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "core/catalog/adoption.h"
+#include "core/catalog/publication.h"
+#include "core/membership/gossip.h"
+#include "daemon/catalogholder.h"
+#include "daemon/peerservice.h"
+#include "platform/storeclient.h"
+
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace Wire {
+class CatalogDelta;
+}
+
+namespace Daemon {
+
+/// What an operator learns about a publication.
+struct PublishOutcome {
+    std::optional<Model::Error> error;
+    /// The version that was published, or the one that won; 0 if unknown.
+    std::uint64_t version = 0;
+};
+
+/// Keeps the configuration of this host up to date, from peers first and from the store as the fallback, and
+/// publishes new versions. Owns a thread and a connection to the store.
+class CatalogService {
+public:
+    /// `onAdopted` is called after each change, without any mutex held.
+    CatalogService(const std::string& storeAddress, CatalogHolder& holder, PeerService& peers,
+        std::function<void()> onAdopted);
+    ~CatalogService();
+    CatalogService(const CatalogService&) = delete;
+    CatalogService& operator=(const CatalogService&) = delete;
+
+    void start();
+    void stop();
+
+    /// A peer has a version. Does not block.
+    void claimed(const Membership::VersionClaim& claim);
+    /// The changes since a version, for a peer. Does not block on the store.
+    Wire::CatalogDelta deltaFrom(std::uint64_t version) const;
+
+    /// Publishes a checked document. Blocks until the outcome is known or the deadline passed.
+    PublishOutcome publish(
+        const Catalog::PublicationRequest& request, Catalog::PublicationMode mode, Model::Time deadline);
+    /// Runs `use` with the adoption state under its mutex.
+    void withAdoption(const std::function<void(const Catalog::Adoption&)>& use) const;
+
+private:
+    void run();
+    void pollStore();
+    void pullClaimed();
+    void pullFromPeers();
+    bool pull(const std::string& address);
+    bool adopted(const Catalog::AdoptionResult& result, const char* source);
+    void perform(Catalog::Publication& publication, Platform::StoreClient& store);
+    Model::Time nextPoll(Model::Time now);
+
+    std::string m_storeAddress;
+    CatalogHolder& m_holder;
+    PeerService& m_peers;
+    std::function<void()> m_onAdopted;
+    Platform::StoreClient m_store;
+    mutable std::mutex m_mutex;
+    Catalog::Adoption m_adoption;
+    std::mutex m_publishMutex;
+    std::mutex m_wakeMutex;
+    std::condition_variable m_wake;
+    std::optional<Membership::VersionClaim> m_claim;
+    bool m_isStopping = false;
+    bool m_isStoreAvailable = true;
+    std::mt19937_64 m_generator;
+    std::thread m_thread;
+};
+
+}
--- a/src/libs/daemon/groupmonitor.cpp
+++ b/src/libs/daemon/groupmonitor.cpp
@@ -14,17 +14,17 @@
 
 namespace {
 
-/// Shorter than the probe interval, so that the poll notices a silent connection as fast as a probe.
-constexpr milliseconds pollWait(400);
-/// A poll that gets no answer for this long counts as failed.
-constexpr milliseconds pollTimeout(900);
-constexpr milliseconds pauseAfterFailure(100);
-constexpr milliseconds callTimeout = std::chrono::duration_cast<milliseconds>(Replication::callTimeout);
-
-bool hasAnswer(const StatusReply& reply)
-{
-    return reply.status != ReplyStatus::NotSent && reply.status != ReplyStatus::NoAnswer;
-}
+    /// Shorter than the probe interval, so that the poll notices a silent connection as fast as a probe.
+    constexpr milliseconds pollWait(400);
+    /// A poll that gets no answer for this long counts as failed.
+    constexpr milliseconds pollTimeout(900);
+    constexpr milliseconds pauseAfterFailure(100);
+    constexpr milliseconds callTimeout = std::chrono::duration_cast<milliseconds>(Replication::callTimeout);
+
+    bool hasAnswer(const StatusReply& reply)
+    {
+        return reply.status != ReplyStatus::NotSent && reply.status != ReplyStatus::NoAnswer;
+    }
 
 }
 
@@ -47,8 +47,8 @@
     std::thread thread;
 };
 
-GroupMonitor::GroupMonitor(std::mutex& mutex, std::condition_variable& changed, Replication::Group& group,
-    WorkerPool& workers)
+GroupMonitor::GroupMonitor(
+    std::mutex& mutex, std::condition_variable& changed, Replication::Group& group, WorkerPool& workers)
     : m_mutex(mutex)
     , m_changed(changed)
     , m_group(group)
@@ -56,10 +56,7 @@
 {
 }
 
-GroupMonitor::~GroupMonitor()
-{
-    stop();
-}
+GroupMonitor::~GroupMonitor() { stop(); }
 
 void GroupMonitor::setMembers(const std::map<std::string, std::string>& addresses)
 {
@@ -121,8 +118,8 @@
     }
 }
 
-void GroupMonitor::report(const Watched& watched, const StatusReply& reply, bool hasRole, ConnectionKind connection,
-    Model::Time sentAt)
+void GroupMonitor::report(const Watched& watched, const StatusReply& reply, bool hasRole,
+    ConnectionKind connection, Model::Time sentAt)
 {
     {
         const std::lock_guard lock(m_mutex);
@@ -142,7 +139,8 @@
 
 void GroupMonitor::perform(const Replication::Action& action)
 {
-    const std::string& member = std::visit([](const auto& call) -> const std::string& { return call.member; }, action);
+    const std::string& member
+        = std::visit([](const auto& call) -> const std::string& { return call.member; }, action);
     const WatchedPointer watched = find(member);
     if (!watched)
         return;
@@ -186,7 +184,8 @@
         const Model::Time now = steadyNow();
         if (hasAnswer(reply))
             m_group.fenceAnswered(watched->name, term,
-                { reply.status == ReplyStatus::Done, reply.value.promisedTerm, reply.value.last }, sentAt, now);
+                { reply.status == ReplyStatus::Done, reply.value.promisedTerm, reply.value.last }, sentAt,
+                now);
         else
             m_group.fenceLost(watched->name, term, now);
     }
--- a/src/libs/daemon/groupmonitor.h
+++ b/src/libs/daemon/groupmonitor.h
@@ -19,8 +19,8 @@
 class GroupMonitor {
 public:
     /// `mutex` guards `group`; `changed` is notified after each report.
-    GroupMonitor(std::mutex& mutex, std::condition_variable& changed, Replication::Group& group,
-        WorkerPool& workers);
+    GroupMonitor(
+        std::mutex& mutex, std::condition_variable& changed, Replication::Group& group, WorkerPool& workers);
     ~GroupMonitor();
     GroupMonitor(const GroupMonitor&) = delete;
     GroupMonitor& operator=(const GroupMonitor&) = delete;
--- a/src/libs/daemon/grouprunner.cpp
+++ b/src/libs/daemon/grouprunner.cpp
@@ -23,50 +23,53 @@
 
 namespace {
 
-constexpr milliseconds tickInterval(20);
-constexpr milliseconds openTimeout(1000);
-constexpr milliseconds pingTimeout(500);
-/// Connections of an upstream that stay free of statements: the position poll, single calls, and one that a
-/// former owner or a promotion may hold at the same time.
-constexpr std::int64_t reservedConnections = 3;
-/// How often a statement that did not reach its upstream is queued again.
-constexpr int maxAttempts = 5;
-constexpr milliseconds pauseAfterStaleTerm(20);
-
-enum class StatementKind : std::uint8_t {
-    Write,
-    Read,
-    Begin,
-    InTransaction,
-};
+    constexpr milliseconds tickInterval(20);
+    constexpr milliseconds openTimeout(1000);
+    constexpr milliseconds pingTimeout(500);
+    /// Connections of an upstream that stay free of statements: the position poll, single calls, and one that
+    /// a former owner or a promotion may hold at the same time.
+    constexpr std::int64_t reservedConnections = 3;
+    /// How often a statement that did not reach its upstream is queued again.
+    constexpr int maxAttempts = 5;
+    constexpr milliseconds pauseAfterStaleTerm(20);
+
+    enum class StatementKind : std::uint8_t {
+        Write,
+        Read,
+        Begin,
+        InTransaction,
+    };
 
-std::vector<Replication::Member> membersOf(const Catalog::Snapshot& catalog, const std::string& service)
-{
-    std::vector<Replication::Member> members;
-    const Catalog::ServiceEntry* entry = catalog.findService(service);
-    if (!entry)
+    std::vector<Replication::Member> membersOf(const Catalog::Snapshot& catalog, const std::string& service)
+    {
+        std::vector<Replication::Member> members;
+        const Catalog::ServiceEntry* entry = catalog.findService(service);
+        if (!entry)
+            return members;
+        for (const Catalog::Upstream* upstream : entry->upstreams) {
+            Replication::Member member { upstream->name, upstream->zone,
+                static_cast<std::uint32_t>(upstream->slots) };
+            if (upstream->state == Catalog::UpstreamState::Leaving)
+                member.state = Replication::MemberState::Leaving;
+            else if (!catalog.isZoneIn(upstream->zone))
+                member.state = Replication::MemberState::ZoneOut;
+            members.push_back(std::move(member));
+        }
         return members;
-    for (const Catalog::Upstream* upstream : entry->upstreams) {
-        Replication::Member member { upstream->name, upstream->zone, static_cast<std::uint32_t>(upstream->slots) };
-        if (upstream->state == Catalog::UpstreamState::Leaving)
-            member.state = Replication::MemberState::Leaving;
-        else if (!catalog.isZoneIn(upstream->zone))
-            member.state = Replication::MemberState::ZoneOut;
-        members.push_back(std::move(member));
     }
-    return members;
-}
 
-UpstreamConfig configOf(const Catalog::Snapshot& catalog, const Catalog::Upstream& upstream)
-{
-    UpstreamConfig config { upstream.name, upstream.address, upstream.zone, {} };
-    config.pool.maxConnections = static_cast<int>(std::max<std::int64_t>(upstream.connections - reservedConnections, 1));
-    config.pool.slots = static_cast<int>(upstream.slots);
-    config.pool.idleTransactionTimeout = milliseconds(catalog.limits().transactionIdleMs);
-    const bool isUsable = upstream.state == Catalog::UpstreamState::Active && catalog.isZoneIn(upstream.zone);
-    config.state = isUsable ? Scheduling::UpstreamState::Active : Scheduling::UpstreamState::NoNewWork;
-    return config;
-}
+    UpstreamConfig configOf(const Catalog::Snapshot& catalog, const Catalog::Upstream& upstream)
+    {
+        UpstreamConfig config { upstream.name, upstream.address, upstream.zone, {} };
+        config.pool.maxConnections
+            = static_cast<int>(std::max<std::int64_t>(upstream.connections - reservedConnections, 1));
+        config.pool.slots = static_cast<int>(upstream.slots);
+        config.pool.idleTransactionTimeout = milliseconds(catalog.limits().transactionIdleMs);
+        const bool isUsable
+            = upstream.state == Catalog::UpstreamState::Active && catalog.isZoneIn(upstream.zone);
+        config.state = isUsable ? Scheduling::UpstreamState::Active : Scheduling::UpstreamState::NoNewWork;
+        return config;
+    }
 
 }
 
@@ -142,7 +145,8 @@
         m_queue.setWeight(customer.name, static_cast<std::uint32_t>(customer.weight));
     const Catalog::ServiceEntry* entry = m_catalog->findService(m_context.service);
     std::vector<std::string> wanted;
-    for (const Catalog::Upstream* upstream : entry ? entry->upstreams : std::vector<const Catalog::Upstream*>()) {
+    for (const Catalog::Upstream* upstream :
+        entry ? entry->upstreams : std::vector<const Catalog::Upstream*>()) {
         wanted.push_back(upstream->name);
         const UpstreamConfig config = configOf(*m_catalog, *upstream);
         UpstreamLink* link = find(upstream->name);
@@ -155,7 +159,8 @@
         else
             m_upstreams.emplace_back(config, now);
     }
-    m_upstreams.remove_if([&wanted](const UpstreamLink& link) { return !std::ranges::count(wanted, link.name()); });
+    m_upstreams.remove_if(
+        [&wanted](const UpstreamLink& link) { return !std::ranges::count(wanted, link.name()); });
     // Upstreams of this host's availability zone are offered reads first.
     m_upstreams.sort([this](const UpstreamLink& left, const UpstreamLink& right) {
         return (left.zone() == m_context.zone) > (right.zone() == m_context.zone);
@@ -269,7 +274,8 @@
         lock.unlock();
         Logging::Span span("upstream", Logging::parseTraceparent(request.traceparent));
         const Time sentAt = steadyNow();
-        const Database::Statement statement { request.sql, request.params, request.isWrite, request.requestId, false };
+        const Database::Statement statement { request.sql, request.params, request.isWrite, request.requestId,
+            false };
         const StatementReply reply = assignment->client->execute(assignment->term, statement,
             Logging::formatTraceparent(span.context()), timeLeft(request.deadline, sentAt) + milliseconds(1));
         lock.lock();
@@ -337,7 +343,8 @@
 GroupAnswer GroupRunner::runBegin(const GroupRequest& request)
 {
     Lock lock(m_mutex);
-    if (m_transactions.count(request.customer) >= static_cast<std::size_t>(m_catalog->limits().openTransactions))
+    if (m_transactions.count(request.customer)
+        >= static_cast<std::size_t>(m_catalog->limits().openTransactions))
         return refusal(ErrorCode::TooManyTransactions);
     const Scheduling::TransactionId number = m_transactions.reserveNumber();
     auto assignment = await(request, number, lock);
@@ -345,8 +352,8 @@
         return { assignment.error(), {}, {}, {}, {} };
     const milliseconds ttl(m_catalog->limits().transactionIdleMs);
     lock.unlock();
-    const StatementReply reply
-        = assignment->client->begin(assignment->term, ttl, timeLeft(request.deadline, steadyNow()) + milliseconds(1));
+    const StatementReply reply = assignment->client->begin(
+        assignment->term, ttl, timeLeft(request.deadline, steadyNow()) + milliseconds(1));
     lock.lock();
     if (reply.status != ReplyStatus::Done) {
         // A transaction that may have begun ends with its connection, so nothing ran.
@@ -379,13 +386,13 @@
     const milliseconds timeout = timeLeft(request.deadline, sentAt) + milliseconds(1);
     StatementReply reply;
     if (request.operation == Operation::Commit)
-        reply = assignment->client->commit(request.requestId, timeout);
+        reply = assignment->client->commit(transaction.term, request.requestId, timeout);
     else if (request.operation == Operation::Rollback)
         reply = assignment->client->rollback(timeout);
     else
         reply = assignment->client->execute(transaction.term,
-            { request.sql, request.params, request.isWrite, {}, true }, Logging::formatTraceparent(span.context()),
-            timeout);
+            { request.sql, request.params, request.isWrite, {}, true },
+            Logging::formatTraceparent(span.context()), timeout);
     lock.lock();
     return finishInTransaction(request, transaction, *assignment, reply, sentAt, lock);
 }
@@ -394,6 +401,11 @@
     const Assignment& assignment, const StatementReply& reply, Time sentAt, Lock& lock)
 {
     const bool isEnd = request.operation != Operation::TransactionStatement;
+    const bool isRevoked = !m_transactions.find(request.transactionId, request.customer);
+    if (isRevoked && !isEnd) {
+        endUse(assignment, Completion::Broken);
+        return refusal(ErrorCode::TransactionAborted);
+    }
     if (reply.status == ReplyStatus::StatementFailed) {
         endUse(assignment, Completion::Done);
         return refusal(ErrorCode::StatementFailed, reply.message);
@@ -422,8 +434,8 @@
                         : refusal(ErrorCode::TransactionAborted);
 }
 
-Model::Result<GroupRunner::Assignment> GroupRunner::await(const GroupRequest& request,
-    Scheduling::TransactionId transaction, Lock& lock)
+Model::Result<GroupRunner::Assignment> GroupRunner::await(
+    const GroupRequest& request, Scheduling::TransactionId transaction, Lock& lock)
 {
     const Time now = steadyNow();
     std::optional<Assignment> assignment;
@@ -499,10 +511,7 @@
         upstream->dropClient(*connection);
 }
 
-void GroupRunner::updateWriteCount()
-{
-    m_group.setWritesInProgress(m_runningWrites + m_transactions.size());
-}
+void GroupRunner::updateWriteCount() { m_group.setWritesInProgress(m_runningWrites + m_transactions.size()); }
 
 UpstreamLink* GroupRunner::find(const std::string& upstream)
 {
@@ -545,9 +554,12 @@
                     term = member.promisedTerm();
             }
             const bool isReplica = !primary || primary->member != upstream.name();
-            m_context.metrics->counter("parsleytack_reads_total", isReplica ? "by=\"replica\"" : "by=\"primary\"").add();
+            m_context.metrics
+                ->counter("parsleytack_reads_total", isReplica ? "by=\"replica\"" : "by=\"primary\"")
+                .add();
         }
-        waiter.assignment->emplace(Assignment { upstream.name(), *connection, upstream.client(*connection), term });
+        waiter.assignment->emplace(
+            Assignment { upstream.name(), *connection, upstream.client(*connection), term });
         waiter.wake.notify_all();
         if (upstream.pool().running() >= upstream.pool().slots())
             return;
@@ -560,13 +572,15 @@
         return waiter.member == upstream.name() && upstream.pool().canResume(waiter.transaction);
     if (waiter.kind == StatementKind::Read) {
         const ReadRoute route = m_group.routeRead(readRequest(waiter), loads(now), now);
-        const bool isRunnable = route.kind == ReadRoute::Kind::Replica || route.kind == ReadRoute::Kind::Primary;
+        const bool isRunnable
+            = route.kind == ReadRoute::Kind::Replica || route.kind == ReadRoute::Kind::Primary;
         return isRunnable && route.member == upstream.name() && upstream.pool().canAcquire(now);
     }
     const WriteRoute route = m_group.routeWrite(waiter.arrivedAt, now);
     if (route.kind != WriteRoute::Kind::Run || route.primary.member != upstream.name())
         return false;
-    return waiter.kind == StatementKind::Begin ? upstream.pool().canBegin(now) : upstream.pool().canAcquire(now);
+    return waiter.kind == StatementKind::Begin ? upstream.pool().canBegin(now)
+                                               : upstream.pool().canAcquire(now);
 }
 
 std::vector<Replication::MemberLoad> GroupRunner::loads(Time now) const
@@ -577,7 +591,8 @@
         if (found == m_upstreams.end())
             result.push_back({ 0, false });
         else
-            result.push_back({ static_cast<std::uint32_t>(found->pool().running()), found->pool().canAcquire(now) });
+            result.push_back(
+                { static_cast<std::uint32_t>(found->pool().running()), found->pool().canAcquire(now) });
     }
     return result;
 }
--- a/src/libs/daemon/grouprunner.h
+++ b/src/libs/daemon/grouprunner.h
@@ -68,7 +68,8 @@
     GroupAnswer runStatement(const GroupRequest& request);
     GroupAnswer runBegin(const GroupRequest& request);
     GroupAnswer runInTransaction(const GroupRequest& request);
-    Model::Result<Assignment> await(const GroupRequest& request, Scheduling::TransactionId transaction, Lock& lock);
+    Model::Result<Assignment> await(
+        const GroupRequest& request, Scheduling::TransactionId transaction, Lock& lock);
     GroupAnswer finishStatement(const GroupRequest& request, const Assignment& assignment,
         const Database::StatementReply& reply, Model::Time sentAt, Lock& lock);
     GroupAnswer awaitConfirmation(const GroupRequest& request, const Assignment& assignment,
@@ -88,7 +89,8 @@
     void refuse(std::uint64_t item, Model::ErrorCode code);
     void refuseHopeless(Model::Time now);
     void planConnections(UpstreamLink& upstream, Model::Time now);
-    void openConnection(const std::string& upstream, const std::string& address, Scheduling::ConnectionId connection);
+    void openConnection(
+        const std::string& upstream, const std::string& address, Scheduling::ConnectionId connection);
     void pingConnection(const std::string& upstream, Scheduling::ConnectionId connection);
     void expireTransactions(UpstreamLink& upstream, Model::Time now);
     UpstreamLink* find(const std::string& upstream);
--- /dev/null
+++ b/src/libs/daemon/host.cpp
@@ -0,0 +1,337 @@
+#include "daemon/host.h"
+
+#include "core/membership/ownership.h"
+#include "crypto/randombytes.h"
+#include "daemon/catalogholder.h"
+#include "daemon/catalogservice.h"
+#include "daemon/clock.h"
+#include "daemon/forwardmessages.h"
+#include "daemon/groupdirectory.h"
+#include "daemon/peerservice.h"
+#include "daemon/requestrouter.h"
+#include "daemon/storelink.h"
+#include "gateway/callerserver.h"
+#include "logging/log.h"
+#include "metrics/registry.h"
+#include "wire/peer.pb.h"
+
+#include <condition_variable>
+#include <csignal>
+
+namespace Daemon {
+
+using Membership::ContactState;
+using Model::ErrorCode;
+using Model::makeError;
+using std::chrono::milliseconds;
+
+namespace {
+
+    /// Threads for requests of other hosts; each waits for one statement.
+    constexpr std::size_t forwardThreads = 512;
+    constexpr std::size_t forwardQueue = 2048;
+    /// Threads for opening and checking connections and for calls of the replication decisions.
+    constexpr std::size_t workerThreads = 64;
+    constexpr std::size_t workerQueue = 4096;
+    /// Ownership depends on the members, the catalogue and time, so it is decided again at this interval.
+    constexpr milliseconds ownershipInterval(500);
+    /// While the balancer and the other hosts learn of the drain, requests are still served.
+    constexpr milliseconds drainNotice(1500);
+    constexpr milliseconds drainStep(50);
+    constexpr std::size_t bodyBytesWithoutCatalog = 1UL << 20U;
+
+    std::vector<Membership::Zone> zonesOf(const Catalog::Snapshot& catalog)
+    {
+        std::vector<Membership::Zone> zones;
+        for (const Catalog::Zone& zone : catalog.document().zones) {
+            const bool isOut = zone.state == Catalog::ZoneState::Out;
+            zones.push_back(
+                { zone.name, zone.region, isOut ? Membership::ZoneState::Out : Membership::ZoneState::In });
+        }
+        return zones;
+    }
+
+    std::vector<std::string> upstreamZones(const Catalog::ServiceEntry& service)
+    {
+        std::vector<std::string> zones;
+        for (const Catalog::Upstream* upstream : service.upstreams)
+            zones.push_back(upstream->zone);
+        return zones;
+    }
+
+    std::uint64_t newIncarnation()
+    {
+        const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+        const auto ms
+            = static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(sinceEpoch).count());
+        return Membership::makeIncarnation(ms, static_cast<std::uint16_t>(Crypto::randomNumber()));
+    }
+
+    std::vector<std::string> seedTexts(const Settings::HostSettings& settings)
+    {
+        std::vector<std::string> seeds;
+        for (const Settings::Address& seed : settings.seeds)
+            seeds.push_back(seed.text());
+        return seeds;
+    }
+
+}
+
+struct Host::Private {
+    explicit Private(const Settings::HostSettings& hostSettings);
+
+    Settings::HostSettings settings;
+    std::uint64_t incarnation = newIncarnation();
+    std::string transactionPrefix;
+    Metrics::Registry metrics;
+    WorkerPool forwards { forwardThreads, forwardQueue };
+    WorkerPool workers { workerThreads, workerQueue };
+    CatalogHolder holder;
+    PeerService peers;
+    GroupDirectory groups;
+    CatalogService catalog;
+    StoreLink storeLink;
+    RequestRouter router;
+    Gateway::CallerServer callers;
+
+    std::atomic<bool> isDraining = false;
+    std::atomic<bool> isRefusing = false;
+    std::atomic<bool> isSuperseded = false;
+    std::mutex ownershipMutex;
+    std::condition_variable ownershipChanged;
+    bool isOwnershipStale = true;
+    bool isStopping = false;
+    std::thread ownershipThread;
+
+    PeerHooks peerHooks();
+    RouterHooks routerHooks();
+    Gateway::CallerHooks callerHooks();
+    std::optional<Model::Error> refusalReason() const;
+    std::string ownerOf(const std::string& service) const;
+    std::string holderOf(const std::string& transactionId) const;
+    void onForward(
+        const Wire::ForwardRequest& message, const std::function<void(Wire::ForwardReply)>& respond);
+    void staleOwnership();
+    void runOwnership();
+    void updateOwnership();
+    void stopOwnership();
+};
+
+Host::Private::Private(const Settings::HostSettings& hostSettings)
+    : settings(hostSettings)
+    , transactionPrefix(settings.host + "~" + std::to_string(incarnation) + "~")
+    , holder(settings.fleetSecret)
+    , peers({ settings.peers.text(), settings.host, incarnation, settings.curvePublicKey,
+                settings.curveSecretKey },
+          settings.zone, seedTexts(settings), metrics, peerHooks())
+    , groups({ settings.host, settings.zone, transactionPrefix, &workers, &metrics })
+    , catalog(settings.store.text(), holder, peers, [this] { staleOwnership(); })
+    , storeLink(settings.store.text(), settings.host, incarnation, peers)
+    , router(holder, metrics, routerHooks())
+    , callers({ settings.callers.ip, settings.callers.port, settings.maxCallerConnections,
+                  static_cast<std::size_t>(settings.callerStackKib) * 1024 },
+          callerHooks())
+{
+}
+
+PeerHooks Host::Private::peerHooks()
+{
+    PeerHooks hooks;
+    hooks.onForward
+        = [this](const Wire::ForwardRequest& message,
+              const std::function<void(Wire::ForwardReply)>& respond) { onForward(message, respond); };
+    hooks.onDraw
+        = [](const std::string&, std::uint64_t, const Wire::DrawRequest&) { return Wire::DrawReply(); };
+    hooks.onCatalogPull = [this](std::uint64_t version) { return catalog.deltaFrom(version); };
+    hooks.onVersionClaim = [this](const Membership::VersionClaim& claim) { catalog.claimed(claim); };
+    hooks.onMembersChanged = [this] { staleOwnership(); };
+    hooks.onSuperseded = [this] {
+        isSuperseded = true;
+        std::raise(SIGTERM);
+    };
+    return hooks;
+}
+
+RouterHooks Host::Private::routerHooks()
+{
+    RouterHooks hooks;
+    hooks.refusalReason = [this] { return refusalReason(); };
+    hooks.keyedRefusalReason = [this]() -> std::optional<Model::Error> {
+        if (peers.contactState(steadyNow()) == ContactState::Isolated)
+            return makeError(ErrorCode::Isolated).value();
+        return std::nullopt;
+    };
+    hooks.admit = [](const std::string&, Model::Time) { return Model::Result<void>(); };
+    hooks.ownerOf = [this](const std::string& service) { return ownerOf(service); };
+    hooks.holderOf = [this](const std::string& transactionId) { return holderOf(transactionId); };
+    hooks.run = [this](const std::string& host, const GroupRequest& request) {
+        return host == settings.host ? groups.run(request) : peers.forward(host, request);
+    };
+    return hooks;
+}
+
+Gateway::CallerHooks Host::Private::callerHooks()
+{
+    Gateway::CallerHooks hooks;
+    hooks.serve = [this](const Gateway::CallerRequest& request) { return router.serve(request); };
+    hooks.maxBodyBytes = [this] {
+        const CatalogInForcePointer inForce = holder.current();
+        return inForce ? static_cast<std::size_t>(inForce->snapshot->limits().bodyBytes)
+                       : bodyBytesWithoutCatalog;
+    };
+    return hooks;
+}
+
+std::optional<Model::Error> Host::Private::refusalReason() const
+{
+    if (isRefusing)
+        return makeError(ErrorCode::Draining).value();
+    const CatalogInForcePointer inForce = holder.current();
+    if (!inForce)
+        return makeError(ErrorCode::NotReady).value();
+    const Catalog::Zone* zone = inForce->snapshot->findZone(settings.zone);
+    if (zone && zone->state == Catalog::ZoneState::Out)
+        return makeError(ErrorCode::ZoneOut).value();
+    return std::nullopt;
+}
+
+std::string Host::Private::ownerOf(const std::string& service) const
+{
+    const CatalogInForcePointer inForce = holder.current();
+    const Catalog::ServiceEntry* entry = inForce ? inForce->snapshot->findService(service) : nullptr;
+    if (!entry)
+        return {};
+    const std::vector<Membership::Member> members = peers.liveMembers();
+    const auto owner
+        = Membership::ownerOf(service, upstreamZones(*entry), members, zonesOf(*inForce->snapshot));
+    return owner.value_or(std::string());
+}
+
+std::string Host::Private::holderOf(const std::string& transactionId) const
+{
+    const std::size_t nameEnd = transactionId.find('~');
+    const std::size_t prefixEnd = transactionId.find('~', nameEnd + 1);
+    if (nameEnd == std::string::npos || prefixEnd == std::string::npos)
+        return {};
+    const std::string name = transactionId.substr(0, nameEnd);
+    const auto member = peers.member(name);
+    const bool isSameProcess = member && member->isLive()
+        && transactionId.substr(nameEnd + 1, prefixEnd - nameEnd - 1) == std::to_string(member->incarnation);
+    return isSameProcess ? name : std::string();
+}
+
+void Host::Private::onForward(
+    const Wire::ForwardRequest& message, const std::function<void(Wire::ForwardReply)>& respond)
+{
+    auto request = fromMessage(message, steadyNow());
+    if (!request)
+        return respond(toMessage(GroupAnswer { request.error(), {}, {}, {}, {} }));
+    const bool isPosted = forwards.post([this, respond, work = std::move(*request)] {
+        if (steadyNow() >= work.deadline)
+            return respond(toMessage(refusal(ErrorCode::DeadlineExceeded)));
+        respond(toMessage(groups.run(work)));
+    });
+    if (!isPosted)
+        respond(toMessage(refusal(isRefusing ? ErrorCode::Draining : ErrorCode::QueueFull)));
+}
+
+void Host::Private::staleOwnership()
+{
+    {
+        const std::lock_guard lock(ownershipMutex);
+        isOwnershipStale = true;
+    }
+    ownershipChanged.notify_all();
+}
+
+void Host::Private::runOwnership()
+{
+    std::unique_lock lock(ownershipMutex);
+    while (!isStopping) {
+        isOwnershipStale = false;
+        lock.unlock();
+        updateOwnership();
+        lock.lock();
+        ownershipChanged.wait_for(lock, ownershipInterval, [this] { return isStopping || isOwnershipStale; });
+    }
+}
+
+void Host::Private::updateOwnership()
+{
+    const CatalogInForcePointer inForce = holder.current();
+    if (!inForce)
+        return;
+    const std::vector<Membership::Member> members = peers.liveMembers();
+    const std::vector<Membership::Zone> zones = zonesOf(*inForce->snapshot);
+    std::vector<std::string> owned;
+    for (const Catalog::Service& service : inForce->snapshot->document().services) {
+        const Catalog::ServiceEntry* entry = inForce->snapshot->findService(service.name);
+        const auto owner = Membership::ownerOf(service.name, upstreamZones(*entry), members, zones);
+        if (owner == settings.host)
+            owned.push_back(service.name);
+    }
+    groups.update(owned, inForce->snapshot);
+}
+
+void Host::Private::stopOwnership()
+{
+    {
+        const std::lock_guard lock(ownershipMutex);
+        isStopping = true;
+    }
+    ownershipChanged.notify_all();
+    if (ownershipThread.joinable())
+        ownershipThread.join();
+}
+
+Host::Host(const Settings::HostSettings& settings)
+    : d(std::make_unique<Private>(settings))
+{
+}
+
+Host::~Host() { stop(); }
+
+std::optional<std::string> Host::start()
+{
+    if (auto error = d->peers.start())
+        return "peers: " + *error;
+    if (auto error = d->callers.start())
+        return "callers: " + *error;
+    d->storeLink.start();
+    d->catalog.start();
+    d->ownershipThread = std::thread([this] { d->runOwnership(); });
+    return std::nullopt;
+}
+
+bool Host::drain()
+{
+    d->isDraining = true;
+    d->callers.beginDrain();
+    d->peers.leave();
+    d->staleOwnership();
+    std::this_thread::sleep_for(drainNotice);
+    d->isRefusing = true;
+    const Model::Time deadline = steadyNow() + milliseconds(d->settings.drainTimeoutMs);
+    while (d->callers.running() > 0 || !d->groups.isIdle()) {
+        if (steadyNow() >= deadline)
+            return false;
+        std::this_thread::sleep_for(drainStep);
+    }
+    return true;
+}
+
+void Host::stop()
+{
+    d->stopOwnership();
+    d->callers.stop();
+    d->forwards.stop();
+    d->groups.clear();
+    d->catalog.stop();
+    d->storeLink.stop();
+    d->peers.stop();
+    d->workers.stop();
+}
+
+bool Host::isSuperseded() const { return d->isSuperseded; }
+
+}
--- /dev/null
+++ b/src/libs/daemon/storelink.cpp
@@ -0,0 +1,142 @@
+#include "daemon/storelink.h"
+
+#include "daemon/clock.h"
+#include "logging/log.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Daemon {
+
+using Platform::PutStatus;
+
+namespace {
+
+    constexpr std::chrono::milliseconds checkInterval(250);
+    constexpr std::chrono::milliseconds liveHostsInterval(5000);
+
+}
+
+StoreLink::StoreLink(
+    const std::string& storeAddress, std::string host, std::uint64_t incarnation, PeerService& peers)
+    : m_host(std::move(host))
+    , m_incarnation(incarnation)
+    , m_peers(peers)
+    , m_store(storeAddress)
+{
+}
+
+StoreLink::~StoreLink() { stop(); }
+
+void StoreLink::start()
+{
+    m_thread = std::thread([this] { run(); });
+}
+
+void StoreLink::stop()
+{
+    {
+        const std::lock_guard lock(m_stopMutex);
+        m_isStopping = true;
+    }
+    m_stopped.notify_all();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+bool StoreLink::mayServeSlots(Model::Time now)
+{
+    bool mayServe = false;
+    m_peers.withContact([&](const Membership::ContactTracker& contact) {
+        const std::lock_guard lock(m_leaseMutex);
+        mayServe = m_lease.mayServe(now, contact);
+    });
+    return mayServe;
+}
+
+std::uint64_t StoreLink::leaseGeneration()
+{
+    const std::lock_guard lock(m_leaseMutex);
+    return m_lease.generation();
+}
+
+void StoreLink::run()
+{
+    Model::Time nextList = steadyNow();
+    std::unique_lock lock(m_stopMutex);
+    while (!m_isStopping) {
+        lock.unlock();
+        const Model::Time now = steadyNow();
+        if (now >= nextList) {
+            readLiveHosts();
+            nextList = now + liveHostsInterval;
+        }
+        bool isDue = false;
+        {
+            const std::lock_guard leaseLock(m_leaseMutex);
+            isDue = m_lease.renewalDue(now);
+        }
+        if (isDue)
+            renewLease();
+        lock.lock();
+        m_stopped.wait_for(lock, checkInterval, [this] { return m_isStopping; });
+    }
+}
+
+void StoreLink::readLiveHosts()
+{
+    const Model::Time askedAt = steadyNow();
+    const auto hosts = m_store.liveHosts();
+    if (!hosts)
+        return;
+    m_peers.setLiveHosts(*hosts);
+    std::vector<std::string> roster;
+    for (const Platform::LiveHost& host : *hosts)
+        roster.push_back(host.name);
+    m_peers.withContact([&](Membership::ContactTracker& contact) {
+        contact.storeSucceeded(askedAt);
+        contact.setRoster(roster);
+    });
+}
+
+void StoreLink::renewLease()
+{
+    const Model::Time startedAt = steadyNow();
+    {
+        const std::lock_guard lock(m_leaseMutex);
+        m_lease.renewalStarted(startedAt);
+    }
+    const std::string key = "host/" + m_host;
+    const auto row = m_store.row(key);
+    const auto present
+        = row && row->version > 0 ? nlohmann::json::parse(row->value, nullptr, false) : nlohmann::json();
+    const bool isSuperseded
+        = present.is_object() && present.value("incarnation", std::uint64_t { 0 }) > m_incarnation;
+    Platform::PutResult put;
+    if (row && !isSuperseded) {
+        const nlohmann::json value { { "incarnation", m_incarnation }, { "renewal", ++m_renewalCounter } };
+        const std::string nonce = std::to_string(m_incarnation) + "/" + std::to_string(m_renewalCounter);
+        put = m_store.putRow(key, { row->version, nonce, value.dump() });
+        if (put.status == PutStatus::Unknown) {
+            // The response was lost; the row tells whether the renewal took effect.
+            const auto again = m_store.row(key);
+            if (again && again->nonce == nonce)
+                put.status = PutStatus::Done;
+        }
+    }
+    m_peers.withContact([&](Membership::ContactTracker& contact) {
+        const std::lock_guard lock(m_leaseMutex);
+        if (isSuperseded)
+            m_lease.superseded();
+        else if (put.status == PutStatus::Done)
+            m_lease.renewalSucceeded(startedAt, steadyNow(), contact);
+        else
+            m_lease.renewalFailed();
+        if (put.status == PutStatus::Done)
+            contact.storeSucceeded(startedAt);
+    });
+    if (isSuperseded)
+        Logging::write(
+            Logging::EventId::LeaseLapsed, { { "reason", "a newer process of this host holds the lease" } });
+}
+
+}
--- /dev/null
+++ b/src/libs/daemon/storelink.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "core/membership/hostlease.h"
+#include "daemon/peerservice.h"
+#include "platform/storeclient.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace Daemon {
+
+/// Renews this host's lease row and reads the platform's live-host list. Owns a thread and a connection to
+/// the store.
+class StoreLink {
+public:
+    StoreLink(
+        const std::string& storeAddress, std::string host, std::uint64_t incarnation, PeerService& peers);
+    ~StoreLink();
+    StoreLink(const StoreLink&) = delete;
+    StoreLink& operator=(const StoreLink&) = delete;
+
+    void start();
+    void stop();
+
+    /// Whether quota slots of the present lease generation may be served now.
+    bool mayServeSlots(Model::Time now);
+    std::uint64_t leaseGeneration();
+
+private:
+    void run();
+    void renewLease();
+    void readLiveHosts();
+
+    std::string m_host;
+    std::uint64_t m_incarnation;
+    PeerService& m_peers;
+    Platform::StoreClient m_store;
+    std::mutex m_leaseMutex;
+    Membership::HostLease m_lease;
+    std::uint64_t m_renewalCounter = 0;
+    std::mutex m_stopMutex;
+    std::condition_variable m_stopped;
+    bool m_isStopping = false;
+    std::thread m_thread;
+};
+
+}
--- a/src/libs/daemon/taskscope.cpp
+++ b/src/libs/daemon/taskscope.cpp
@@ -7,10 +7,7 @@
 {
 }
 
-TaskScope::~TaskScope()
-{
-    close();
-}
+TaskScope::~TaskScope() { close(); }
 
 bool TaskScope::post(std::function<void()> task)
 {
--- a/src/libs/daemon/transactiontable.cpp
+++ b/src/libs/daemon/transactiontable.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::size_t idBytes = 12;
+    constexpr std::size_t idBytes = 12;
 
 }
 
@@ -31,10 +31,7 @@
     return found == m_transactions.end() || found->second.customer != customer ? nullptr : &found->second;
 }
 
-void TransactionTable::remove(const std::string& id)
-{
-    m_transactions.erase(id);
-}
+void TransactionTable::remove(const std::string& id) { m_transactions.erase(id); }
 
 void TransactionTable::removeNumber(Scheduling::TransactionId number)
 {
--- a/src/libs/database/upstreamclient.cpp
+++ b/src/libs/database/upstreamclient.cpp
@@ -22,12 +22,13 @@
         ReplyStatus status;
     };
 
-    constexpr std::array<RefusalName, 5> refusals { {
+    constexpr std::array<RefusalName, 6> refusals { {
         { "stale_term", ReplyStatus::StaleTerm },
         { "not_primary", ReplyStatus::StaleTerm },
         { "too_many_connections", ReplyStatus::TooManyConnections },
         { "statement_failed", ReplyStatus::StatementFailed },
-        { "transaction_unknown", ReplyStatus::TransactionGone },
+        { "invalid_request", ReplyStatus::StatementFailed },
+    { "transaction_unknown", ReplyStatus::TransactionGone },
     } };
 
     ReplyStatus statusOf(const Http::Response& response, const Json& json)
@@ -123,8 +124,9 @@
 StatementReply UpstreamClient::execute(
     std::uint64_t term, const Statement& statement, const std::string& traceparent, milliseconds timeout)
 {
-    Json body { { "term", term }, { "sql", statement.sql }, { "write", statement.isWrite },
-        { "transaction", statement.isInTransaction } };
+    Json body { { "term", term }, { "sql", statement.sql }, { "write", statement.isWrite } };
+    if (statement.isInTransaction)
+        body["transaction"] = m_transaction;
     body["params"] = Json::parse(statement.params, nullptr, false);
     if (!statement.requestId.empty())
         body["requestId"] = statement.requestId;
@@ -133,21 +135,26 @@
 
 StatementReply UpstreamClient::begin(std::uint64_t term, milliseconds ttl, milliseconds timeout)
 {
-    return requestStatement(
-        "/begin", Json { { "term", term }, { "ttlMs", ttl.count() } }.dump(), {}, timeout);
+    const Json body { { "term", term }, { "ttlMs", ttl.count() } };
+    StatementReply reply = requestStatement("/begin", body.dump(), {}, timeout);
+    m_transaction = reply.transaction;
+    return reply;
 }
 
-StatementReply UpstreamClient::commit(const std::string& requestId, milliseconds timeout)
+StatementReply UpstreamClient::commit(std::uint64_t term, const std::string& requestId, milliseconds timeout)
 {
-    Json body = Json::object();
+    Json body { { "term", term }, { "transaction", m_transaction } };
     if (!requestId.empty())
         body["requestId"] = requestId;
+    m_transaction = 0;
     return requestStatement("/commit", body.dump(), {}, timeout);
 }
 
 StatementReply UpstreamClient::rollback(milliseconds timeout)
 {
-    return requestStatement("/rollback", "{}", {}, timeout);
+    const Json body { { "transaction", m_transaction } };
+    m_transaction = 0;
+    return requestStatement("/rollback", body.dump(), {}, timeout);
 }
 
 void UpstreamClient::close() { m_connection->close(); }
@@ -179,8 +186,9 @@
     }
     reply.position = { numberOf(json, "term"), numberOf(json, "position") };
     reply.message = textOf(json, "message");
-    json.erase("term");
-    json.erase("position");
+    reply.transaction = numberOf(json, "transaction");
+    for (const char* name : { "term", "position", "transaction" })
+        json.erase(name);
     reply.result = json.dump();
     return reply;
 }
--- a/src/libs/gateway/callerserver.cpp
+++ b/src/libs/gateway/callerserver.cpp
@@ -17,7 +17,7 @@
 
     constexpr std::size_t maxHeaderBytes = 16UL * 1024;
     // The HTTP library answers for itself above this size, so it is well above our own limit.
-    constexpr std::size_t connectionMemoryBytes = 64UL * 1024;
+    constexpr std::size_t connectionMemoryBytes = 40UL * 1024;
     constexpr std::size_t largestBodyBytes = 16UL * 1024 * 1024;
     constexpr unsigned idleTimeoutSeconds = 120;
 
@@ -123,7 +123,9 @@
         { MHD_OPTION_CONNECTION_TIMEOUT, idleTimeoutSeconds, nullptr },
         { MHD_OPTION_END, 0, nullptr },
     } };
-    const unsigned flags = MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_ITC;
+    // With select(), which is the default, descriptors above 1,023 cannot be served.
+    const unsigned flags
+        = MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL | MHD_USE_ITC;
     if (ulfius_start_framework_with_mhd_options(&d->instance, flags, options.data()) != U_OK) {
         ulfius_clean_instance(&d->instance);
         return "cannot listen on " + d->settings.ip + ":" + std::to_string(d->settings.port);
