Add the membership library: gossip, fleet contact, leases and ownership

A host that is cut off from 809 others declares one of them dead per second, so its view shows a majority for about 400 s, while another host may take its slots after 30 s: both would serve.

Ruled out: counting direct contacts (a host meets about 20 others in 10 s, not half of 810), and sampling (a host on the smaller side of an even partition passes a test by sample in a third of the cases).

Evidence counts only in an acknowledgement, from the time at which the ping was sent.

--- /dev/null
+++ b/src/libs/core/membership/contacttracker.cpp
@@ -0,0 +1,126 @@
+#include "core/membership/contacttracker.h"
+
+#include "core/membership/timing.h"
+
+#include <algorithm>
+#include <array>
+
+namespace Membership {
+
+namespace {
+
+    constexpr std::array<std::string_view, 3> contactStateNames { "connected", "store_outage", "isolated" };
+    /// Only the oldest entry decides; later ones matter when a version in between comes into force.
+    constexpr std::size_t maxNewerVersions = 64;
+
+}
+
+std::string_view contactStateName(ContactState state)
+{
+    return contactStateNames[static_cast<std::size_t>(state)];
+}
+
+ContactTracker::ContactTracker(std::string ownName)
+    : m_rounds(std::move(ownName))
+{
+}
+
+void ContactTracker::setRoster(const std::vector<std::string>& names) { m_rounds.setRoster(names); }
+
+void ContactTracker::storeSucceeded(Model::Time startedAt)
+{
+    m_newestSuccess = std::max(m_newestSuccess, std::optional(startedAt));
+}
+
+void ContactTracker::catalogVersionKnown(std::uint64_t version, Model::Time now)
+{
+    const std::uint64_t newest = m_newerVersions.empty() ? m_versionInForce : m_newerVersions.back().version;
+    if (version > newest && m_newerVersions.size() < maxNewerVersions)
+        m_newerVersions.push_back({ version, now });
+}
+
+void ContactTracker::catalogVersionInForce(std::uint64_t version)
+{
+    m_versionInForce = std::max(m_versionInForce, version);
+    std::erase_if(
+        m_newerVersions, [&](const KnownVersion& known) { return known.version <= m_versionInForce; });
+}
+
+ContactState ContactTracker::state(Model::Time now) const
+{
+    if (isCatalogOverdue(now))
+        return ContactState::Isolated;
+    if (m_newestSuccess && now - *m_newestSuccess < evidenceLifetime)
+        return ContactState::Connected;
+    return isMajorityPresent(now) ? ContactState::StoreOutage : ContactState::Isolated;
+}
+
+std::optional<Model::Time> ContactTracker::outageServiceUntil(Model::Time renewalStartedAt) const
+{
+    std::optional<Model::Time> until;
+    for (const CompletedRound& round : m_rounds.completed()) {
+        if (!round.newestSuccess || *round.newestSuccess <= renewalStartedAt + outageServiceMargin)
+            until = std::max(until, std::optional(round.startedAt + roundLifetime));
+    }
+    return until;
+}
+
+bool ContactTracker::majorityKnowsSuccess(Model::Time since, Model::Time now) const
+{
+    return std::ranges::any_of(m_rounds.completed(), [&](const CompletedRound& round) {
+        return round.commonSuccess && *round.commonSuccess >= since
+            && now - round.completedAt >= takeoverDelay;
+    });
+}
+
+void ContactTracker::requestRounds(Model::Time until)
+{
+    m_roundsRequestedUntil = std::max(m_roundsRequestedUntil, until);
+}
+
+void ContactTracker::startRoundIfNeeded(Model::Time now, std::mt19937_64& generator)
+{
+    const bool inDoubt = !m_newestSuccess || now - *m_newestSuccess >= doubtThreshold;
+    if (inDoubt || now < m_roundsRequestedUntil)
+        m_rounds.start(now, m_newestSuccess, generator);
+}
+
+void ContactTracker::describe(Payload& payload, Model::Time now) const
+{
+    payload.catalogVersion = m_versionInForce;
+    if (m_newestSuccess)
+        payload.storeSuccessAge = std::max(now - *m_newestSuccess, Model::Duration::zero());
+    if (m_rounds.isRunning(now))
+        payload.roundId = m_rounds.id();
+}
+
+void ContactTracker::describeRound(Payload& payload, Model::Time now) const
+{
+    payload.round = m_rounds.report(now);
+}
+
+Model::Result<void> ContactTracker::check(const Payload& payload) const
+{
+    return payload.round ? m_rounds.check(*payload.round) : Model::Result<void> {};
+}
+
+void ContactTracker::merge(const Payload& payload, Model::Time sentAt, Model::Time now)
+{
+    if (payload.storeSuccessAge)
+        storeSucceeded(sentAt - *payload.storeSuccessAge);
+    if (payload.round)
+        m_rounds.merge(*payload.round, sentAt, now, m_newestSuccess);
+}
+
+bool ContactTracker::isCatalogOverdue(Model::Time now) const
+{
+    return !m_newerVersions.empty() && now - m_newerVersions.front().knownSince > evidenceLifetime;
+}
+
+bool ContactTracker::isMajorityPresent(Model::Time now) const
+{
+    return std::ranges::any_of(m_rounds.completed(),
+        [&](const CompletedRound& round) { return now - round.startedAt < roundLifetime; });
+}
+
+}
--- /dev/null
+++ b/src/libs/core/membership/leaseobserver.cpp
@@ -0,0 +1,50 @@
+#include "core/membership/leaseobserver.h"
+
+#include "core/membership/timing.h"
+
+#include <algorithm>
+
+namespace Membership {
+
+namespace {
+
+    /// A majority has to know of a store success this long after the first read. The observed host then
+    /// learns of a success that is later than its renewal by more than `outageServiceMargin`.
+    constexpr Model::Duration successAfterFirstRead = outageServiceMargin + evidenceDateError;
+
+}
+
+void LeaseObserver::observed(const LeaseRow& row, Model::Time readStartedAt, Model::Time readFinishedAt)
+{
+    const bool continues = m_observation && m_observation->row == row
+        && readFinishedAt - m_observation->lastReadStartedAt <= leaseReadGap;
+    if (!continues)
+        m_observation = { row, readFinishedAt, readStartedAt };
+    m_observation->lastReadStartedAt = std::max(m_observation->lastReadStartedAt, readStartedAt);
+}
+
+bool LeaseObserver::needsContactRounds(Model::Time now) const
+{
+    return m_observation && now - m_observation->since >= successAfterFirstRead
+        && now - m_observation->lastReadStartedAt <= leaseReadGap;
+}
+
+bool LeaseObserver::takeoverAllowed(
+    const TakeoverCandidate& candidate, Model::Time now, const ContactTracker& contact) const
+{
+    if (contact.state(now) != ContactState::Connected)
+        return false;
+    const std::uint64_t newest
+        = std::max(candidate.knownIncarnation, m_observation ? m_observation->row.incarnation : 0);
+    if (newest > candidate.holderIncarnation)
+        return true;
+    if (!m_observation || now - m_observation->lastReadStartedAt > leaseReadGap)
+        return false;
+    // A holder that renewed its lease and acquired the slot again in between changed one of the rows.
+    if (m_observation->lastReadStartedAt < candidate.slotReadFinishedAt)
+        return false;
+    return m_observation->lastReadStartedAt - m_observation->since >= leaseObservationTime
+        && contact.majorityKnowsSuccess(m_observation->since + successAfterFirstRead, now);
+}
+
+}
--- /dev/null
+++ b/src/libs/core/membership/messages.cpp
@@ -0,0 +1,143 @@
+#include "core/membership/messages.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace Membership {
+
+namespace {
+
+    using Model::ErrorCode;
+    using Model::makeError;
+    using namespace std::chrono_literals;
+
+    constexpr std::size_t maxNameLength = 64;
+    constexpr std::uint32_t maxRefutation = 1U << 24;
+    /// Longer than any store outage; an older success has no use.
+    constexpr Model::Duration maxAge = 24h * 30;
+
+    bool isName(const std::string& text) { return !text.empty() && text.size() <= maxNameLength; }
+
+    bool isAge(Model::Duration age) { return age >= Model::Duration::zero() && age <= maxAge; }
+
+    bool isIncarnation(std::uint64_t incarnation, std::uint64_t latest)
+    {
+        return incarnation != 0 && incarnation <= latest;
+    }
+
+    Model::Result<void> validateUpdate(const MemberUpdate& update, std::uint64_t latestIncarnation)
+    {
+        if (!isName(update.name) || !isName(update.address) || !isName(update.zone))
+            return makeError(ErrorCode::InvalidRequest, "member update: name, address or zone");
+        if (!isIncarnation(update.incarnation, latestIncarnation))
+            return makeError(ErrorCode::InvalidRequest, "member update: incarnation");
+        if (update.refutation > maxRefutation)
+            return makeError(ErrorCode::InvalidRequest, "member update: refutation number");
+        if (update.state > MemberState::Leaving)
+            return makeError(ErrorCode::InvalidRequest, "member update: state");
+        return {};
+    }
+
+    Model::Result<void> validateRound(const Payload& payload)
+    {
+        const RoundReport& round = *payload.round;
+        if (round.id == 0 || round.id != payload.roundId || !isAge(round.age))
+            return makeError(ErrorCode::InvalidRequest, "contact round: id or age");
+        if (!round.storeSuccessAge)
+            return {};
+        // The sender knows of the success that the round states, so its own evidence is not older.
+        if (!isAge(*round.storeSuccessAge) || !payload.storeSuccessAge
+            || *payload.storeSuccessAge > *round.storeSuccessAge)
+            return makeError(ErrorCode::InvalidRequest, "contact round: store success age");
+        return {};
+    }
+
+    Model::Result<void> validatePayload(const Payload& payload, std::uint64_t latestIncarnation)
+    {
+        if (payload.updates.size() > maxUpdates)
+            return makeError(ErrorCode::InvalidRequest, "too many member updates");
+        for (const MemberUpdate& update : payload.updates) {
+            if (auto result = validateUpdate(update, latestIncarnation); !result)
+                return result;
+        }
+        if (payload.storeSuccessAge && !isAge(*payload.storeSuccessAge))
+            return makeError(ErrorCode::InvalidRequest, "store success age");
+        if (payload.round)
+            return validateRound(payload);
+        return {};
+    }
+
+    std::size_t varintSize(std::uint64_t value)
+    {
+        return (static_cast<std::size_t>(std::bit_width(value | 1)) + 6) / 7;
+    }
+
+    /// Size of a length-delimited field with a one-byte tag.
+    std::size_t fieldSize(std::size_t length) { return 1 + varintSize(length) + length; }
+
+    std::size_t ageSize(Model::Duration age)
+    {
+        return 1 + varintSize(static_cast<std::uint64_t>(age / Model::Duration(1ms)));
+    }
+
+    std::size_t updateSize(const MemberUpdate& update)
+    {
+        constexpr std::size_t incarnationAndState = 9 + 2;
+        return fieldSize(update.name.size()) + fieldSize(update.address.size())
+            + fieldSize(update.zone.size()) + incarnationAndState + 1 + varintSize(update.refutation);
+    }
+
+    std::size_t payloadSize(const Payload& payload)
+    {
+        std::size_t size = 1 + varintSize(payload.catalogVersion);
+        for (const MemberUpdate& update : payload.updates)
+            size += fieldSize(updateSize(update));
+        if (payload.storeSuccessAge)
+            size += ageSize(*payload.storeSuccessAge);
+        if (payload.roundId != 0)
+            size += 9;
+        if (payload.round) {
+            std::size_t roundSize = 9 + ageSize(payload.round->age) + fieldSize(ContactBitmap::byteCount);
+            if (payload.round->storeSuccessAge)
+                roundSize += ageSize(*payload.round->storeSuccessAge);
+            size += fieldSize(roundSize);
+        }
+        return size;
+    }
+
+}
+
+Model::Result<void> validate(const IncomingMessage& message, std::uint64_t latestIncarnation)
+{
+    if (!isName(message.sender) || !isIncarnation(message.incarnation, latestIncarnation))
+        return makeError(ErrorCode::InvalidRequest, "sender or its incarnation");
+    if (const auto* request = std::get_if<PingRequest>(&message.body)) {
+        if (!isName(request->targetName) || !isName(request->targetAddress))
+            return makeError(ErrorCode::InvalidRequest, "target of the ping request");
+    }
+    if (const auto* ack = std::get_if<Ack>(&message.body)) {
+        if (!isName(ack->name))
+            return makeError(ErrorCode::InvalidRequest, "name of the host that answered");
+    } else if (payloadOf(message.body).round) {
+        return makeError(ErrorCode::InvalidRequest, "contact round outside of an acknowledgement");
+    }
+    return validatePayload(payloadOf(message.body), latestIncarnation);
+}
+
+const Payload& payloadOf(const Body& body)
+{
+    return std::visit([](const auto& typed) -> const Payload& { return typed.payload; }, body);
+}
+
+std::size_t encodedSize(const OutgoingMessage& message, const std::string& sender)
+{
+    std::size_t size = fieldSize(payloadSize(payloadOf(message.body)));
+    if (const auto* request = std::get_if<PingRequest>(&message.body))
+        size += fieldSize(request->targetName.size()) + fieldSize(request->targetAddress.size());
+    if (const auto* ack = std::get_if<Ack>(&message.body))
+        size += fieldSize(ack->name.size());
+    constexpr std::size_t incarnationAndReply = 9 + 2;
+    return fieldSize(size) + 1 + varintSize(message.request) + incarnationAndReply + fieldSize(sender.size());
+}
+
+}
