--- a/tests/auto/core/scheduling/tst_connectionpool.cpp
+++ b/tests/auto/core/scheduling/tst_connectionpool.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <utility>
 
 using namespace Scheduling;
 using Model::Duration;
@@ -28,6 +29,8 @@
 public:
     explicit PoolSimulation(std::mt19937_64& generator)
         : m_generator(generator)
+        , m_settings { .maxConnections = 3 + static_cast<int>(below(6, generator)),
+            .slots = 1 + static_cast<int>(below(4, generator)) }
     {
     }
 
@@ -35,17 +38,24 @@
     {
         for (int step = 0; step < 400 && !testing::Test::HasFailure(); ++step) {
             m_now += Duration(below(onceIn(20, m_generator) ? 8'000'000 : 40'000, m_generator));
+            // A host that pauses sees time-outs of all kinds at once, in any order.
+            if (onceIn(50, m_generator)) {
+                m_now += 31s;
+                expireTransactions();
+            }
             deliverLateResponses();
             completeDue();
             expireTransactions();
             if (onceIn(40, m_generator))
                 changeState();
+            answerActions();
             if (onceIn(60, m_generator)) {
                 for (auto& [id, peer] : m_peers)
                     peer.silent = true;
             }
-            plan(below(5, m_generator));
             startWork();
+            if (!onceIn(3, m_generator))
+                plan(below(5, m_generator));
             checkLimits();
         }
         checkOpenRate();
@@ -75,25 +85,51 @@
             EXPECT_TRUE(!m_peers.contains(id) || m_peers[id].transaction == 0);
             if (action.kind == PoolActionKind::Close) {
                 m_peers.erase(id);
-            } else if (action.kind == PoolActionKind::Open) {
-                EXPECT_TRUE(m_active) << "a connection to an upstream that takes no new work";
-                m_opens.push_back(m_now);
-                if (onceIn(6, m_generator))
-                    m_pool.openFailed(id);
-                else if (m_pool.opened(id, m_now))
-                    m_peers[id] = Peer { .lastHeard = m_now, .lastUsed = m_now };
-            } else if (m_pool.pinged(id,
-                           m_peers[id].silent ? ConnectionPool::PingResult::Failed
-                                              : ConnectionPool::PingResult::Answered,
-                           m_now)) {
-                m_peers[id].lastHeard = m_now;
             } else {
-                m_lastSilence = m_now;
-                m_peers.erase(id);
+                EXPECT_TRUE(m_active) << "an action on an upstream that takes no new work";
+                m_pending.push_back(action);
+                if (action.kind == PoolActionKind::Open)
+                    m_opens.push_back(m_now);
             }
         }
     }
 
+    void answerActions()
+    {
+        for (const PoolAction& action : std::exchange(m_pending, {})) {
+            if (action.kind == PoolActionKind::Open)
+                answerOpen(action.connection);
+            else
+                answerPing(action.connection);
+        }
+    }
+
+    void answerOpen(ConnectionId id)
+    {
+        if (onceIn(6, m_generator)) {
+            m_pool.openFailed(id);
+            return;
+        }
+        const bool kept = m_pool.opened(id, m_now);
+        EXPECT_TRUE(!kept || m_active) << "kept a connection to an upstream that takes no new work";
+        if (kept)
+            m_peers[id] = Peer { .lastHeard = m_now, .lastUsed = m_now };
+    }
+
+    void answerPing(ConnectionId id)
+    {
+        Peer& peer = m_peers.at(id);
+        const auto result
+            = peer.silent ? ConnectionPool::PingResult::Failed : ConnectionPool::PingResult::Answered;
+        EXPECT_EQ(m_pool.pinged(id, result, m_now), !peer.silent);
+        if (!peer.silent) {
+            peer.lastHeard = m_now;
+            return;
+        }
+        m_lastSilence = m_now;
+        m_peers.erase(id);
+    }
+
     void startWork()
     {
         if (const auto id = m_pool.acquire(m_now))
@@ -103,7 +139,8 @@
             if (const auto id = m_pool.begin(transaction, m_now)) {
                 use(*id, transaction);
                 m_open.insert(transaction);
-                EXPECT_LE(static_cast<int>(m_open.size()), m_settings.maxConnections - m_settings.slots);
+                EXPECT_LE(static_cast<int>(m_open.size()),
+                    std::max(m_settings.maxConnections - m_settings.slots, 1));
             }
         }
         const TransactionId resumed = 1 + below(m_lastTransaction + 1, m_generator);
@@ -175,6 +212,7 @@
         m_open.erase(m_peers.at(id).transaction);
         if (m_pool.finish(id, completion, m_now)) {
             m_peers.at(id).transaction = 0;
+            m_peers.at(id).lastHeard = m_now;
             return;
         }
         m_late.push_back(id);
@@ -222,17 +260,19 @@
         for (int step = 0; step < 100 && !m_pool.canAcquire(m_now); ++step) {
             m_now += 20ms;
             plan(1);
+            answerActions();
         }
         EXPECT_TRUE(m_pool.canAcquire(m_now));
     }
 
     std::mt19937_64& m_generator;
-    PoolSettings m_settings { .maxConnections = 7, .slots = 2 };
+    PoolSettings m_settings;
     ConnectionPool m_pool { m_settings };
     std::map<ConnectionId, Peer> m_peers;
     std::map<ConnectionId, std::uint64_t> m_running;
     std::set<TransactionId> m_open;
     std::vector<ConnectionId> m_late;
+    std::vector<PoolAction> m_pending;
     std::vector<Time> m_opens;
     Time m_now { 1h };
     Time m_lastSilence;
@@ -267,3 +307,19 @@
     EXPECT_EQ(pool.plan(0, now + 60s).size(), 2U);
     EXPECT_EQ(pool.connectionCount(), 3);
 }
+
+// Guards against work that waits for the pings of silent connections to time out.
+TEST(ConnectionPool, OpensConnectionsWhileOthersArePinged)
+{
+    ConnectionPool pool({ .maxConnections = 10, .slots = 3 });
+    Time now { 1s };
+    for (const PoolAction& action : pool.plan(0, now))
+        EXPECT_TRUE(pool.opened(action.connection, now));
+    now += 10s;
+    const auto silent = pool.acquire(now);
+    ASSERT_TRUE(silent);
+    EXPECT_FALSE(pool.finish(*silent, Completion::TimedOut, now));
+    const auto actions = pool.plan(3, now);
+    EXPECT_EQ(std::ranges::count(actions, PoolActionKind::Ping, &PoolAction::kind), 4);
+    EXPECT_EQ(std::ranges::count(actions, PoolActionKind::Open, &PoolAction::kind), 3);
+}
