Add the quota decisions: buckets, token cache, slot assignment

Reports name the grant they are about and carry sums, instead of one spent and one returned amount for each draw: amounts that arrive after the grant they belong to has expired would otherwise be taken from a later grant, which creates tokens.

Buckets of a new holder refill only from one second after takeover.

--- /dev/null
+++ b/src/libs/core/quota/slotbuckets.cpp
@@ -0,0 +1,255 @@
+#include "core/quota/slotbuckets.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace Quota {
+
+namespace {
+
+    constexpr MicroTokens microsecondsPerSecond = 1'000'000;
+    // Keeps the product of elapsed seconds and rate within 64 bits.
+    constexpr Model::Duration maxRefillPeriod = std::chrono::hours(24);
+
+    ShardLimits lower(const ShardLimits& a, const ShardLimits& b)
+    {
+        return { std::min(a.rate, b.rate), std::min(a.burst, b.burst) };
+    }
+
+    // Removes `amount` of a grant; whatever leaves a bucket's outstanding tokens may go to `available`.
+    template <typename Parts, typename Release>
+    void consume(Parts& parts, MicroTokens amount, const Release& release)
+    {
+        for (auto& part : parts) {
+            const MicroTokens taken = std::min(amount, part.remaining);
+            part.remaining -= taken;
+            amount -= taken;
+            if (taken > 0)
+                release(part, taken);
+        }
+    }
+
+}
+
+bool SlotBuckets::GrantId::operator<(const GrantId& other) const
+{
+    return std::tie(entry, incarnation, sequence) < std::tie(other.entry, other.incarnation, other.sequence);
+}
+
+void SlotBuckets::setLimits(const std::string& name, const Limits& limits, Model::Time now)
+{
+    const LimitsInForce next { shardCount(limits), shardLimits(limits) };
+    const auto [found, isNew] = m_customers.try_emplace(name);
+    Customer& customer = found->second;
+    if (isNew) {
+        customer.inForce = next;
+    } else {
+        settle(customer, name, now);
+        LimitsInForce& current = customer.inForce;
+        if (customer.pending && customer.pending->limits == next)
+            return;
+        if (customer.pending || current.shards != next.shards) {
+            current = { std::min(current.shards, next.shards), lower(current.limits, next.limits) };
+            customer.pending = PendingLimits { next, now + limitsSpreadTime };
+        } else {
+            current = next;
+        }
+    }
+    updateBuckets(customer, name, now);
+}
+
+void SlotBuckets::removeCustomer(const std::string& customer) { m_customers.erase(customer); }
+
+void SlotBuckets::takeSlot(int slot, Model::Time now)
+{
+    if (holdsSlot(slot))
+        return;
+    m_slots.set(static_cast<std::size_t>(slot));
+    for (auto& [name, customer] : m_customers)
+        updateBuckets(customer, name, now);
+}
+
+void SlotBuckets::dropSlot(int slot)
+{
+    m_slots.reset(static_cast<std::size_t>(slot));
+    for (auto& [name, customer] : m_customers) {
+        const std::string& owner = name;
+        std::erase_if(
+            customer.buckets, [&](const auto& entry) { return slotOfShard(owner, entry.first) == slot; });
+    }
+}
+
+DrawReply SlotBuckets::draw(const EntryHost& entry, const DrawRequest& request, Model::Time now)
+{
+    DrawReply reply { request.sequence, {} };
+    const bool isNew = isNewRequest(entry, request.sequence, now);
+    for (const Draw& draw : request.draws) {
+        Grant& answer = reply.grants.emplace_back(Grant { draw.customer, 0, false });
+        const auto found = m_customers.find(draw.customer);
+        if (found == m_customers.end()) {
+            answer.notHolder = true;
+            continue;
+        }
+        Customer& customer = found->second;
+        settle(customer, draw.customer, now);
+        for (const GrantReport& report : draw.reports)
+            applyReport(customer, { entry.name, entry.incarnation, report.grant }, report);
+        answer.notHolder = customer.buckets.empty();
+        if (isNew) {
+            const GrantId id { entry.name, entry.incarnation, request.sequence };
+            answer.granted = grant(customer, id, draw.wanted, now);
+        }
+    }
+    return reply;
+}
+
+MicroTokens SlotBuckets::available(const std::string& name, Model::Time now)
+{
+    const auto found = m_customers.find(name);
+    if (found == m_customers.end())
+        return 0;
+    settle(found->second, name, now);
+    MicroTokens sum = 0;
+    for (const auto& [shard, bucket] : found->second.buckets)
+        sum += bucket.available;
+    return sum;
+}
+
+void SlotBuckets::forgetIdleEntries(Model::Time now)
+{
+    std::erase_if(
+        m_entries, [&](const auto& entry) { return now - entry.second.lastHeard > 10 * outstandingPeriod; });
+}
+
+bool SlotBuckets::isNewRequest(const EntryHost& host, std::uint64_t sequence, Model::Time now)
+{
+    Entry& entry = m_entries[host.name];
+    if (host.incarnation < entry.incarnation)
+        return false;
+    if (host.incarnation > entry.incarnation)
+        entry = { host.incarnation, 0, now };
+    if (sequence <= entry.lastSequence)
+        return false;
+    entry.lastSequence = sequence;
+    entry.lastHeard = now;
+    return true;
+}
+
+// Brings the buckets up to `now`, in the order of events: tokens that stop to be outstanding make room only
+// for refill that comes later.
+void SlotBuckets::settle(Customer& customer, const std::string& name, Model::Time now)
+{
+    if (customer.pending && customer.pending->at <= now) {
+        const PendingLimits pending = *std::exchange(customer.pending, std::nullopt);
+        advance(customer, pending.at);
+        customer.inForce = pending.limits;
+        updateBuckets(customer, name, pending.at);
+    }
+    advance(customer, now);
+}
+
+void SlotBuckets::advance(Customer& customer, Model::Time now)
+{
+    const auto refill = [&](Model::Time until) {
+        const ShardLimits& limits = customer.inForce.limits;
+        for (auto& [shard, bucket] : customer.buckets) {
+            if (until <= bucket.refilledAt)
+                continue;
+            const Model::Duration elapsed = std::min(until - bucket.refilledAt, maxRefillPeriod);
+            const MicroTokens seconds = elapsed.count() / microsecondsPerSecond;
+            const MicroTokens scaled
+                = elapsed.count() % microsecondsPerSecond * limits.rate + bucket.fraction;
+            const MicroTokens room = limits.burst - bucket.outstanding - bucket.available;
+            const MicroTokens gained = seconds * limits.rate + scaled / microsecondsPerSecond;
+            bucket.fraction = gained < room ? scaled % microsecondsPerSecond : 0;
+            bucket.available += std::max<MicroTokens>(std::min(gained, room), 0);
+            bucket.refilledAt = until;
+        }
+    };
+    while (!customer.expiries.empty() && customer.expiries.front().at <= now) {
+        const Expiry expiry = std::move(customer.expiries.front());
+        customer.expiries.pop_front();
+        const auto found = customer.grants.find(expiry.grant);
+        if (found == customer.grants.end())
+            continue;
+        refill(expiry.at);
+        for (const GrantPart& part : found->second.parts) {
+            const auto bucket = customer.buckets.find(part.shard);
+            if (bucket != customer.buckets.end() && bucket->second.tenure == part.tenure)
+                bucket->second.outstanding -= part.remaining;
+        }
+        customer.grants.erase(found);
+    }
+    refill(now);
+}
+
+// Creates and removes buckets according to the slots held and the limits in force.
+void SlotBuckets::updateBuckets(Customer& customer, const std::string& name, Model::Time now)
+{
+    for (int shard = 0; shard < customer.inForce.shards; ++shard) {
+        if (!holdsSlot(slotOfShard(name, shard)) || customer.buckets.contains(shard))
+            continue;
+        Bucket bucket;
+        bucket.refilledAt = now + grantValidity;
+        bucket.tenure = ++m_lastTenure;
+        customer.buckets.emplace(shard, bucket);
+    }
+    std::erase_if(
+        customer.buckets, [&](const auto& entry) { return entry.first >= customer.inForce.shards; });
+    for (auto& [shard, bucket] : customer.buckets) {
+        const MicroTokens room = customer.inForce.limits.burst - bucket.outstanding;
+        bucket.available = std::clamp<MicroTokens>(room, 0, bucket.available);
+    }
+}
+
+void SlotBuckets::applyReport(Customer& customer, const GrantId& id, const GrantReport& report)
+{
+    const auto found = customer.grants.find(id);
+    if (found == customer.grants.end())
+        return;
+    GrantRecord& record = found->second;
+    const MicroTokens spent = std::max<MicroTokens>(report.spent - record.spent, 0);
+    const MicroTokens returned = std::max<MicroTokens>(report.returned - record.returned, 0);
+    record.spent += spent;
+    record.returned += returned;
+    const auto release = [&](bool isReturn) {
+        return [&customer, isReturn](const GrantPart& part, MicroTokens amount) {
+            const auto bucket = customer.buckets.find(part.shard);
+            if (bucket == customer.buckets.end() || bucket->second.tenure != part.tenure)
+                return;
+            bucket->second.outstanding -= amount;
+            // A lower burst may have come into force meanwhile.
+            const MicroTokens room = customer.inForce.limits.burst - bucket->second.outstanding;
+            if (isReturn)
+                bucket->second.available = std::clamp<MicroTokens>(
+                    bucket->second.available + amount, 0, std::max<MicroTokens>(room, 0));
+        };
+    };
+    consume(record.parts, spent, release(false));
+    consume(record.parts, returned, release(true));
+    if (std::ranges::all_of(record.parts, [](const GrantPart& part) { return part.remaining == 0; }))
+        customer.grants.erase(found);
+}
+
+MicroTokens SlotBuckets::grant(Customer& customer, const GrantId& id, MicroTokens wanted, Model::Time now)
+{
+    GrantRecord record;
+    MicroTokens granted = 0;
+    for (auto& [shard, bucket] : customer.buckets) {
+        const MicroTokens amount = std::min(wanted - granted, bucket.available);
+        if (amount <= 0)
+            continue;
+        bucket.available -= amount;
+        bucket.outstanding += amount;
+        granted += amount;
+        record.parts.push_back({ shard, bucket.tenure, amount });
+    }
+    if (granted > 0) {
+        customer.grants.insert_or_assign(id, std::move(record));
+        customer.expiries.push_back({ now + outstandingPeriod, id });
+    }
+    return granted;
+}
+
+}
--- /dev/null
+++ b/src/libs/core/quota/tokencache.cpp
@@ -0,0 +1,370 @@
+#include "core/quota/tokencache.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace Quota {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    constexpr double microsecondsPerSecond = 1e6;
+    // Time over which demand is smoothed: shorter follows bursts faster, longer wastes fewer tokens.
+    constexpr Model::Duration demandPeriod = milliseconds(500);
+    // A batch lasts this long. Longer saves messages and holds more tokens where they may not be needed.
+    constexpr Model::Duration maxHorizon = milliseconds(500);
+    constexpr Model::Duration minHorizon = milliseconds(50);
+    // A batch is drawn while the last one still lasts this long: covers several answers that grant little.
+    constexpr Model::Duration drawAhead = milliseconds(100);
+    // A draw without an answer for this long is not counted on any more; exceeds the round trip between
+    // regions. The answer still counts if it comes.
+    constexpr Model::Duration answerPatience = milliseconds(40);
+    // Unused tokens are returned at this age, so that the report arrives before they are counted as spent.
+    constexpr Model::Duration returnAge = milliseconds(700);
+    constexpr Model::Duration minRest = milliseconds(10);
+    constexpr Model::Duration maxRest = milliseconds(2000);
+    constexpr int maxShortDraws = 8;
+
+    double seconds(Model::Duration duration)
+    {
+        return static_cast<double>(duration.count()) / microsecondsPerSecond;
+    }
+
+    MicroTokens tokens(double requests)
+    {
+        return static_cast<MicroTokens>(requests * static_cast<double>(tokensPerRequest));
+    }
+
+}
+
+void TokenCache::setLimits(const std::string& name, const Limits& limits)
+{
+    Customer& customer = m_customers[name];
+    customer.limits = limits;
+    updateSources(customer, name);
+}
+
+void TokenCache::removeCustomer(const std::string& customer) { m_customers.erase(customer); }
+
+void TokenCache::setHolders(std::span<const std::string> holders)
+{
+    m_holders.assign(holders.begin(), holders.end());
+    for (auto& [name, customer] : m_customers)
+        updateSources(customer, name);
+}
+
+Admission TokenCache::admit(const std::string& name, Attempt attempt, Model::Time now)
+{
+    const auto found = m_customers.find(name);
+    if (found == m_customers.end())
+        return Admission::UnknownCustomer;
+    Customer& customer = found->second;
+    if (attempt == Attempt::First)
+        countDemand(customer, now);
+    if (localTokens(customer, now) < tokensPerRequest) {
+        if (attempt == Attempt::First)
+            ++customer.waiting;
+        return Admission::Wait;
+    }
+    MicroTokens due = tokensPerRequest;
+    for (LocalGrant& grant : customer.grants) {
+        if (now >= grant.sentAt + grantValidity)
+            continue;
+        const MicroTokens taken = std::min(due, grant.remaining);
+        grant.remaining -= taken;
+        grant.spent += taken;
+        due -= taken;
+    }
+    if (attempt == Attempt::Again && customer.waiting > 0)
+        --customer.waiting;
+    return Admission::Admitted;
+}
+
+void TokenCache::giveUp(const std::string& name)
+{
+    const auto found = m_customers.find(name);
+    if (found != m_customers.end() && found->second.waiting > 0)
+        --found->second.waiting;
+}
+
+std::vector<OutgoingDraw> TokenCache::plan(Model::Time now, std::mt19937_64& generator)
+{
+    Requests requests;
+    for (auto& [name, customer] : m_customers) {
+        dropExpired(customer, now);
+        planReturns(customer, name, now, requests);
+        planDraws(customer, name, now, generator, requests);
+    }
+    planAlong(now, requests);
+    return finishRequests(requests, now);
+}
+
+void TokenCache::reply(const std::string& holder, const DrawReply& reply, Model::Time now)
+{
+    for (const Grant& answer : reply.grants) {
+        const auto found = m_customers.find(answer.customer);
+        if (found == m_customers.end())
+            continue;
+        Customer& customer = found->second;
+        const auto pending = std::ranges::find_if(customer.inFlight,
+            [&](const InFlight& draw) { return draw.sequence == reply.sequence && draw.holder == holder; });
+        if (pending == customer.inFlight.end())
+            continue;
+        const InFlight draw = std::move(*pending);
+        customer.inFlight.erase(pending);
+        if (answer.granted < draw.wanted)
+            restSource(customer, holder, horizon(customer.limits), now);
+        else
+            restoreSource(customer, holder);
+        if (answer.granted <= 0 || now >= draw.sentAt + grantValidity)
+            continue;
+        const auto after = std::ranges::find_if(
+            customer.grants, [&](const LocalGrant& grant) { return grant.sentAt > draw.sentAt; });
+        customer.grants.insert(after, LocalGrant { holder, draw.sequence, draw.sentAt, answer.granted });
+    }
+}
+
+std::vector<OutgoingDraw> TokenCache::returnAll(Model::Time now)
+{
+    Requests requests;
+    for (auto& [name, customer] : m_customers) {
+        customer.inFlight.clear();
+        for (LocalGrant& grant : customer.grants) {
+            grant.returned += std::exchange(grant.remaining, 0);
+            requests[grant.holder][name].customer = name;
+        }
+    }
+    return finishRequests(requests, now);
+}
+
+MicroTokens TokenCache::local(const std::string& name, Model::Time now) const
+{
+    const auto found = m_customers.find(name);
+    return found == m_customers.end() ? 0 : localTokens(found->second, now);
+}
+
+void TokenCache::countDemand(Customer& customer, Model::Time now)
+{
+    customer.demand = demandAt(customer, now) + 1 / seconds(demandPeriod);
+    customer.demandAt = now;
+}
+
+double TokenCache::demandAt(const Customer& customer, Model::Time now)
+{
+    return customer.demand * std::exp(-seconds(now - customer.demandAt) / seconds(demandPeriod));
+}
+
+// Spent tokens that are not yet reported take room in the holder's bucket. With a burst that is small
+// against the rate, batches have to be shorter, or the bucket would stop to refill.
+Model::Duration TokenCache::horizon(const Limits& limits)
+{
+    const double fillTime = static_cast<double>(limits.burst)
+        / static_cast<double>(std::max<std::uint64_t>(limits.rate, 1)) * microsecondsPerSecond;
+    const double quarter = std::min(fillTime / 4, static_cast<double>(maxHorizon.count()));
+    return std::max(Model::Duration(static_cast<Model::Duration::rep>(quarter)), minHorizon);
+}
+
+MicroTokens TokenCache::localTokens(const Customer& customer, Model::Time now)
+{
+    MicroTokens sum = 0;
+    for (const LocalGrant& grant : customer.grants) {
+        if (now < grant.sentAt + grantValidity)
+            sum += grant.remaining;
+    }
+    return sum;
+}
+
+MicroTokens TokenCache::expectedTokens(const Customer& customer, Model::Time now)
+{
+    MicroTokens sum = localTokens(customer, now);
+    for (const InFlight& draw : customer.inFlight) {
+        if (!draw.isOverdue)
+            sum += draw.wanted;
+    }
+    return sum;
+}
+
+// Below this, tokens are drawn. At a demand so low that a token would mostly expire unused, requests wait
+// for a draw of their own.
+MicroTokens TokenCache::lowMark(const Customer& customer, Model::Time now)
+{
+    const double demand = demandAt(customer, now);
+    const Model::Duration period = horizon(customer.limits);
+    const auto waiting = static_cast<MicroTokens>(customer.waiting) * tokensPerRequest;
+    if (demand * seconds(period) < 1)
+        return waiting;
+    return waiting + std::max(tokens(demand * seconds(std::min(drawAhead, period / 2))), tokensPerRequest);
+}
+
+MicroTokens TokenCache::wantedTokens(const Customer& customer, Model::Time now)
+{
+    const double demand = std::min(demandAt(customer, now), static_cast<double>(customer.limits.rate));
+    const double batch = demand * seconds(horizon(customer.limits));
+    const std::size_t waiting = std::min<std::size_t>(customer.waiting, customer.limits.burst);
+    const MicroTokens target
+        = static_cast<MicroTokens>(waiting) * tokensPerRequest + (batch < 1 ? 0 : tokens(batch));
+    return target - expectedTokens(customer, now);
+}
+
+bool TokenCache::mayDraw(const Customer& customer, const std::string& holder, Model::Time now)
+{
+    return now >= customer.sources.at(holder).notBefore
+        && std::ranges::none_of(customer.inFlight,
+            [&](const InFlight& draw) { return draw.holder == holder && !draw.isOverdue; });
+}
+
+// A holder without tokens is asked again after a rest that doubles up to the length of a batch; a silent
+// one after longer.
+void TokenCache::restSource(
+    Customer& customer, const std::string& holder, Model::Duration longest, Model::Time now)
+{
+    const auto found = customer.sources.find(holder);
+    if (found == customer.sources.end())
+        return;
+    Source& source = found->second;
+    source.shortDraws = std::min(source.shortDraws + 1, maxShortDraws);
+    source.notBefore = now + std::min(minRest * (1 << source.shortDraws), longest);
+}
+
+void TokenCache::restoreSource(Customer& customer, const std::string& holder)
+{
+    const auto found = customer.sources.find(holder);
+    if (found == customer.sources.end())
+        return;
+    found->second.shortDraws = 0;
+    found->second.notBefore = {};
+}
+
+void TokenCache::updateSources(Customer& customer, const std::string& name) const
+{
+    std::unordered_map<std::string, Source> sources;
+    if (!m_holders.empty()) {
+        for (int shard = 0; shard < shardCount(customer.limits); ++shard) {
+            const std::string& holder = m_holders[static_cast<std::size_t>(slotOfShard(name, shard))];
+            if (!holder.empty())
+                ++sources[holder].shards;
+        }
+    }
+    customer.order.clear();
+    for (auto& [holder, source] : sources) {
+        const auto known = customer.sources.find(holder);
+        if (known != customer.sources.end())
+            source = { source.shards, known->second.shortDraws, known->second.notBefore };
+        customer.order.push_back(holder);
+    }
+    std::ranges::sort(customer.order);
+    customer.sources = std::move(sources);
+}
+
+void TokenCache::dropExpired(Customer& customer, Model::Time now)
+{
+    std::erase_if(
+        customer.grants, [&](const LocalGrant& grant) { return now >= grant.sentAt + outstandingPeriod; });
+    std::erase_if(
+        customer.inFlight, [&](const InFlight& draw) { return now >= draw.sentAt + grantValidity; });
+    for (InFlight& draw : customer.inFlight) {
+        if (draw.isOverdue || now - draw.sentAt < answerPatience)
+            continue;
+        draw.isOverdue = true;
+        restSource(customer, draw.holder, maxRest, now);
+    }
+}
+
+void TokenCache::planDraws(Customer& customer, const std::string& name, Model::Time now,
+    std::mt19937_64& generator, Requests& requests)
+{
+    if (customer.order.empty() || expectedTokens(customer, now) >= lowMark(customer, now))
+        return;
+    MicroTokens wanted = wantedTokens(customer, now);
+    const ShardLimits limits = shardLimits(customer.limits);
+    std::size_t tried = 0;
+    if (customer.next >= customer.order.size())
+        customer.next = generator() % customer.order.size();
+    while (wanted > 0 && tried < customer.order.size()) {
+        const std::string& holder = customer.order[customer.next];
+        if (mayDraw(customer, holder, now)) {
+            // What the holder can have at most.
+            const MicroTokens most = limits.burst * customer.sources.at(holder).shards;
+            const MicroTokens amount = std::min(wanted, most);
+            Draw& draw = requests[holder][name];
+            draw.customer = name;
+            draw.wanted += amount;
+            wanted -= amount;
+            if (wanted <= 0)
+                break;
+        }
+        ++tried;
+        customer.next = (customer.next + 1) % customer.order.size();
+    }
+}
+
+// A message to a holder costs more than a draw in it, so customers that will soon draw do so with it.
+void TokenCache::planAlong(Model::Time now, Requests& requests)
+{
+    for (auto& [holder, draws] : requests) {
+        for (auto& [name, customer] : m_customers) {
+            if (draws.contains(name) || !customer.sources.contains(holder) || !mayDraw(customer, holder, now))
+                continue;
+            const MicroTokens wanted = wantedTokens(customer, now);
+            const MicroTokens expected = expectedTokens(customer, now);
+            if (wanted >= tokensPerRequest && wanted >= expected)
+                draws.emplace(name, Draw { name, wanted, {} });
+        }
+    }
+}
+
+void TokenCache::planReturns(Customer& customer, const std::string& name, Model::Time now, Requests& requests)
+{
+    for (LocalGrant& grant : customer.grants) {
+        const Model::Duration age = now - grant.sentAt;
+        if (age < returnAge || grant.remaining == 0)
+            continue;
+        const MicroTokens useful = tokens(demandAt(customer, now) * seconds(grantValidity - age));
+        const MicroTokens surplus = std::max<MicroTokens>(grant.remaining - useful, 0);
+        if (surplus < tokensPerRequest / 10)
+            continue;
+        grant.remaining -= surplus;
+        grant.returned += surplus;
+        requests[grant.holder][name].customer = name;
+    }
+}
+
+void TokenCache::addReports(Customer& customer, const std::string& holder, Draw& draw, Model::Time now)
+{
+    for (auto grant = customer.grants.begin(); grant != customer.grants.end();) {
+        const auto current = grant++;
+        if (current->holder != holder || current->spent + current->returned == current->reported)
+            continue;
+        draw.reports.push_back({ current->sequence, current->spent, current->returned });
+        current->reported = current->spent + current->returned;
+        if (current->remaining == 0 || now >= current->sentAt + grantValidity)
+            customer.grants.erase(current);
+    }
+}
+
+std::vector<OutgoingDraw> TokenCache::finishRequests(Requests& requests, Model::Time now)
+{
+    std::vector<OutgoingDraw> result;
+    result.reserve(requests.size());
+    for (auto& [holder, draws] : requests) {
+        // Reports of the other customers cost little more in a message that is sent anyway.
+        for (auto& [name, customer] : m_customers) {
+            Draw along { name, 0, {} };
+            Draw& draw = draws.contains(name) ? draws.at(name) : along;
+            addReports(customer, holder, draw, now);
+            if (!along.reports.empty())
+                draws.emplace(name, std::move(along));
+        }
+        OutgoingDraw& out = result.emplace_back(OutgoingDraw { holder, { ++m_lastSequence, {} } });
+        for (auto& [name, draw] : draws) {
+            if (draw.wanted > 0)
+                m_customers.at(name).inFlight.push_back({ holder, m_lastSequence, now, draw.wanted });
+            out.request.draws.push_back(std::move(draw));
+        }
+    }
+    return result;
+}
+
+}
