Simplify the fault proxy and the replication of the database stand-in

Cause: the poll loop of the fault proxy was longer than the faults it serves, and the database stand-in had a second HTTP client of its own.

Ruled out: keeping the single thread for its lower cost. Tests open a few dozen connections.

Change: two blocking threads for each connection in the fault proxy; the fault "refuse new connections", which nothing used, is gone. Replication uses the connection class of src/libs/http.

--- a/tests/standins/database/main.cpp
+++ b/tests/standins/database/main.cpp
@@ -1,7 +1,6 @@
 #include "common/program.h"
 #include "database/member.h"
 
-#include <curl/curl.h>
 #include <tclap/CmdLine.h>
 
 using namespace Standins;
@@ -34,7 +33,6 @@
 int main(int argc, char** argv)
 {
     blockTerminationSignals();
-    curl_global_init(CURL_GLOBAL_DEFAULT);
     const MemberOptions options = parseOptions(argc, argv);
     const Settings::Address address = listenAddress(options.address);
     Member member(options);
--- a/tests/standins/database/member.cpp
+++ b/tests/standins/database/member.cpp
@@ -1,8 +1,8 @@
 #include "database/member.h"
 
-#include <algorithm>
+#include "http/connection.h"
 
-#include <curl/curl.h>
+#include <algorithm>
 
 namespace Standins {
 
@@ -15,28 +15,8 @@
     constexpr milliseconds maxWait { 30000 };
     constexpr milliseconds replicationRetry { 20 };
     // The time-out is short, so that a member that is told to follow another primary does so soon.
-    constexpr long replicationWaitMs = 200;
-    constexpr long replicationTimeoutMs = 600;
-
-    std::size_t appendBody(char* data, std::size_t size, std::size_t count, void* target)
-    {
-        static_cast<std::string*>(target)->append(data, size * count);
-        return size * count;
-    }
-
-    /// The answer to a GET as JSON; discarded JSON if there is none.
-    Json fetch(CURL* curl, const std::string& url)
-    {
-        std::string body;
-        curl_easy_setopt(curl, CURLOPT_URL, url.c_str());
-        curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
-        curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, replicationTimeoutMs);
-        curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, appendBody);
-        curl_easy_setopt(curl, CURLOPT_WRITEDATA, &body);
-        if (curl_easy_perform(curl) != CURLE_OK)
-            return Json(Json::value_t::discarded);
-        return Json::parse(body, nullptr, false);
-    }
+    constexpr milliseconds replicationWait { 200 };
+    constexpr milliseconds replicationTimeout { 600 };
 
     HttpAnswer statementFailed(const std::string& message)
     {
@@ -366,18 +346,22 @@
 
 void Member::replicate()
 {
-    CURL* curl = curl_easy_init();
+    std::string connectedTo;
+    std::unique_ptr<Http::Connection> connection;
     while (true) {
         Lock lock(m_mutex);
         m_changed.wait(lock, [this] { return !m_following.empty() && !m_isCutOff && !m_isFrozen; });
         const ReplicationSource source { m_following, m_promisedTerm };
         const std::uint64_t after = m_log.lastPosition();
-        const std::string url = "http://" + source.primary + "/replicate?term=" + std::to_string(source.term)
-            + "&after=" + std::to_string(after) + "&afterTerm=" + std::to_string(m_log.lastTerm())
-            + "&lagMs=" + std::to_string(m_options.lagMs) + "&waitMs=" + std::to_string(replicationWaitMs);
+        const std::string path = "/replicate?term=" + std::to_string(source.term)
+            + "&after=" + std::to_string(after) + "&afterTerm=" + std::to_string(m_log.lastTerm()) + "&lagMs="
+            + std::to_string(m_options.lagMs) + "&waitMs=" + std::to_string(replicationWait.count());
         lock.unlock();
-        const Json answer = fetch(curl, url);
-        if (!answer.is_object() || answer.contains("error")) {
+        if (std::exchange(connectedTo, source.primary) != source.primary)
+            connection = std::make_unique<Http::Connection>(source.primary);
+        const Http::Response response = connection->send({ .path = path, .timeout = replicationTimeout });
+        const Json answer = Json::parse(response.body, nullptr, false);
+        if (!response.isAnswered() || !answer.is_object() || answer.contains("error")) {
             std::this_thread::sleep_for(replicationRetry);
             continue;
         }
--- a/tests/standins/faultproxy/link.cpp
+++ b/tests/standins/faultproxy/link.cpp
@@ -2,11 +2,10 @@
 
 #include <algorithm>
 #include <array>
+#include <thread>
 
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
-#include <poll.h>
-#include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -16,10 +15,6 @@
 
     constexpr int backlog = 1024;
     constexpr std::size_t readSize = 65536;
-    constexpr std::size_t maxPendingSize = 4194304;
-    constexpr int idlePollMs = 1000;
-    // An answer counts as whole when nothing has followed for this time.
-    constexpr std::chrono::milliseconds heldQuietTime { 20 };
 
     sockaddr_in socketAddress(const Settings::Address& address)
     {
@@ -59,7 +54,16 @@
         setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     }
 
-    short readable(bool isWanted) { return isWanted ? POLLIN : 0; }
+    bool sendAll(int socket, const std::string& data)
+    {
+        for (std::size_t sent = 0; sent < data.size();) {
+            const ssize_t size = send(socket, data.data() + sent, data.size() - sent, MSG_NOSIGNAL);
+            if (size <= 0)
+                return false;
+            sent += static_cast<std::size_t>(size);
+        }
+        return true;
+    }
 
 }
 
@@ -67,10 +71,21 @@
     : m_name(std::move(name))
     , m_target(std::move(target))
     , m_listener(listenOn(listen))
-    , m_wakeUp(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
 {
 }
 
+Link::Connection::~Connection()
+{
+    close(client);
+    close(target);
+}
+
+void Link::Connection::shutDown() const
+{
+    shutdown(client, SHUT_RDWR);
+    shutdown(target, SHUT_RDWR);
+}
+
 std::uint16_t Link::port() const
 {
     sockaddr_in bound {};
@@ -81,107 +96,91 @@
 
 void Link::run()
 {
-    std::vector<pollfd> polled;
     while (true) {
-        std::unique_lock lock(m_mutex);
-        std::erase_if(m_connections, [](const auto& connection) { return connection->isFinished; });
-        polled.assign({ { m_listener, POLLIN, 0 }, { m_wakeUp, POLLIN, 0 } });
-        for (const auto& connection : m_connections) {
-            const Direction& up = connection->toTarget;
-            const Direction& down = connection->toClient;
-            const bool readsClient = !up.isClosed && up.pendingSize < maxPendingSize;
-            const bool readsTarget
-                = !connection->isFrozen && !down.isClosed && down.pendingSize < maxPendingSize;
-            // Without a wanted event the socket is left out, since poll always reports POLLHUP.
-            polled.push_back({ readsClient ? connection->client : -1, readable(readsClient), 0 });
-            polled.push_back({ readsTarget ? connection->target : -1, readable(readsTarget), 0 });
+        const int client = accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
+        if (client < 0)
+            continue;
+        const int target = connectTo(m_target);
+        if (target < 0) {
+            close(client);
+            continue;
         }
-        const std::size_t count = m_connections.size();
-        const int timeout = pollTimeoutMs();
-        lock.unlock();
-        poll(polled.data(), polled.size(), timeout);
-        lock.lock();
-        std::uint64_t ignored = 0;
-        [[maybe_unused]] const ssize_t size = read(m_wakeUp, &ignored, sizeof ignored);
-        for (std::size_t index = 0; index < count; ++index)
-            serve(*m_connections[index], polled[2 + 2 * index].revents, polled[3 + 2 * index].revents);
-        if (polled[0].revents != 0)
-            accept();
-        releaseHeld();
-        for (const auto& connection : m_connections)
-            flush(*connection);
+        disableDelay(client);
+        disableDelay(target);
+        auto connection = std::make_shared<Connection>();
+        connection->client = client;
+        connection->target = target;
+        const std::scoped_lock lock(m_mutex);
+        ++m_opened;
+        std::erase_if(m_connections, [](const auto& pointer) { return pointer.expired(); });
+        m_connections.push_back(connection);
+        for (const Direction direction : { Direction::ToTarget, Direction::ToClient })
+            std::thread([this, connection, direction] { pump(connection, direction); }).detach();
     }
 }
 
-int Link::pollTimeoutMs() const
-{
-    if (!m_held.empty())
-        return 1;
-    const bool isWaiting = std::ranges::any_of(m_connections, [](const auto& connection) {
-        return !connection->toTarget.pending.empty() || !connection->toClient.pending.empty();
-    });
-    return isWaiting ? 1 : idlePollMs;
-}
-
-void Link::accept()
-{
-    const int client = accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
-    if (client < 0)
-        return;
-    const int target = m_refusesNew ? -1 : connectTo(m_target);
-    if (target < 0) {
-        close(client);
-        return;
-    }
-    disableDelay(client);
-    disableDelay(target);
-    auto connection = std::make_unique<Connection>();
-    connection->client = client;
-    connection->target = target;
-    m_connections.push_back(std::move(connection));
-    ++m_opened;
-}
-
-void Link::serve(Connection& connection, short clientEvents, short targetEvents)
-{
-    if (clientEvents != 0)
-        readRequest(connection);
-    if (targetEvents != 0 && !connection.isFinished)
-        readAnswer(connection);
-}
-
-bool Link::readInto(int socket, Direction& direction, std::string& data)
+void Link::pump(const std::shared_ptr<Connection>& connection, Direction direction)
 {
+    const bool isToTarget = direction == Direction::ToTarget;
+    const int from = isToTarget ? connection->client : connection->target;
     std::array<char, readSize> buffer {};
-    const ssize_t size = recv(socket, buffer.data(), buffer.size(), MSG_DONTWAIT);
-    if (size < 0 && (errno == EAGAIN || errno == EINTR))
-        return true;
-    if (size <= 0) {
-        direction.isClosed = true;
-        return false;
+    bool isOpen = true;
+    while (isOpen) {
+        const ssize_t size = recv(from, buffer.data(), buffer.size(), 0);
+        if (size <= 0)
+            break;
+        isOpen = forward(*connection, direction, { buffer.data(), static_cast<std::size_t>(size) });
     }
-    data.assign(buffer.data(), static_cast<std::size_t>(size));
-    return true;
-}
-
-void Link::readRequest(Connection& connection)
-{
-    std::string data;
-    const bool isOpen = readInto(connection.client, connection.toTarget, data);
-    if (connection.isFrozen) {
-        connection.isFinished = !isOpen;
-        if (connection.isFinished) {
-            std::erase(m_held, &connection);
-            close(connection.client);
-            close(connection.target);
+    Lock lock(m_mutex);
+    if (isOpen)
+        waitForPassage(*connection, direction, lock);
+    // The client of a frozen connection never learns that the target has closed its side.
+    if (isToTarget || !connection->isFrozen)
+        connection->shutDown();
+}
+
+bool Link::forward(Connection& connection, Direction direction, const std::string& data)
+{
+    Lock lock(m_mutex);
+    if (direction == Direction::ToTarget) {
+        if (connection.isAnswering)
+            connection.request.clear();
+        connection.isAnswering = false;
+        connection.request += data;
+    } else if (!connection.isAnswering) {
+        connection.isAnswering = true;
+        if (m_lossesLeft > 0 && matches(connection)) {
+            --m_lossesLeft;
+            ++m_lost;
+            return false;
+        }
+        if (m_holdsLeft > 0 && matches(connection)) {
+            --m_holdsLeft;
+            m_held.push_back(&connection);
+            m_changed.notify_all();
         }
-        return;
     }
-    if (connection.isAnswering)
-        connection.request.clear();
-    connection.isAnswering = false;
-    connection.request += data;
-    enqueue(connection.toTarget, std::move(data));
+    waitForPassage(connection, direction, lock);
+    const auto delay = m_delay;
+    const bool isDiscarded = connection.isFrozen;
+    lock.unlock();
+    if (delay.count() > 0)
+        std::this_thread::sleep_for(delay);
+    const int to = direction == Direction::ToTarget ? connection.target : connection.client;
+    const bool isOpen = isDiscarded || sendAll(to, data);
+    lock.lock();
+    if (direction == Direction::ToClient && std::erase(m_held, &connection) > 0)
+        m_changed.notify_all();
+    return isOpen;
+}
+
+void Link::waitForPassage(const Connection& connection, Direction direction, Lock& lock)
+{
+    m_changed.wait(lock, [&] {
+        if (connection.isFrozen)
+            return true;
+        return direction == Direction::ToTarget ? !m_cutsToTarget : !m_cutsToClient && !isHeld(connection);
+    });
 }
 
 bool Link::matches(const Connection& connection) const
@@ -189,90 +188,10 @@
     return m_match.empty() || connection.request.find(m_match) != std::string::npos;
 }
 
-void Link::readAnswer(Connection& connection)
-{
-    std::string data;
-    readInto(connection.target, connection.toClient, data);
-    const bool startsAnswer = !data.empty() && !connection.isAnswering;
-    connection.isAnswering = connection.isAnswering || !data.empty();
-    if (startsAnswer && m_lossesLeft > 0 && matches(connection)) {
-        --m_lossesLeft;
-        ++m_lost;
-        connection.toClient.isClosed = true;
-        connection.toTarget.isClosed = true;
-        return;
-    }
-    if (startsAnswer && m_holdsLeft > 0 && matches(connection)) {
-        --m_holdsLeft;
-        ++m_heldAnswers;
-        connection.isHeld = true;
-        m_held.push_back(&connection);
-    }
-    if (connection.isHeld && !data.empty())
-        m_lastHeldData = Clock::now();
-    enqueue(connection.toClient, std::move(data));
-}
-
-void Link::enqueue(Direction& direction, std::string data)
+bool Link::isHeld(const Connection& connection) const
 {
-    if (data.empty())
-        return;
-    direction.pendingSize += data.size();
-    direction.pending.push_back({ Clock::now() + m_delay, std::move(data) });
-}
-
-void Link::releaseHeld()
-{
-    if (m_held.empty() || m_holdsLeft > 0 || Clock::now() < m_lastHeldData + heldQuietTime)
-        return;
-    for (auto held = m_held.rbegin(); held != m_held.rend(); ++held) {
-        (*held)->isHeld = false;
-        flush(**held);
-    }
-    m_held.clear();
-}
-
-void Link::flush(Connection& connection)
-{
-    if (connection.isFinished || connection.isFrozen)
-        return;
-    flushDirection(connection.target, connection.toTarget, m_cutsToTarget, connection);
-    flushDirection(connection.client, connection.toClient, m_cutsToClient || connection.isHeld, connection);
-    // A held connection stays until its release, because `m_held` refers to it.
-    if (connection.isHeld || !connection.toTarget.isShutDown || !connection.toClient.isShutDown)
-        return;
-    close(connection.client);
-    close(connection.target);
-    connection.isFinished = true;
-}
-
-void Link::flushDirection(int socket, Direction& direction, bool isBlocked, Connection& connection)
-{
-    if (isBlocked || direction.isShutDown)
-        return;
-    while (!direction.pending.empty() && direction.pending.front().due <= Clock::now()) {
-        std::string& data = direction.pending.front().data;
-        const ssize_t size = send(socket, data.data(), data.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
-        if (size < 0 && (errno == EAGAIN || errno == EINTR))
-            return;
-        if (size < 0) {
-            direction.pending.clear();
-            connection.toTarget.isClosed = true;
-            connection.toClient.isClosed = true;
-            break;
-        }
-        direction.pendingSize -= static_cast<std::size_t>(size);
-        data.erase(0, static_cast<std::size_t>(size));
-        if (data.empty())
-            direction.pending.pop_front();
-    }
-    if (!direction.isClosed || !direction.pending.empty())
-        return;
-    shutdown(socket, SHUT_WR);
-    direction.isShutDown = true;
-    // The target has ended the connection: what the client sends from now on has no receiver.
-    if (&direction == &connection.toClient)
-        connection.toTarget.isClosed = true;
+    const bool isListed = std::ranges::find(m_held, &connection) != m_held.end();
+    return isListed && (m_holdsLeft > 0 || m_held.back() != &connection);
 }
 
 void Link::configure(const Json& body)
@@ -280,26 +199,29 @@
     const std::scoped_lock lock(m_mutex);
     m_cutsToTarget = body.value("cutToTarget", m_cutsToTarget);
     m_cutsToClient = body.value("cutToClient", m_cutsToClient);
-    m_refusesNew = body.value("refuseNew", m_refusesNew);
     m_delay = std::chrono::milliseconds(body.value("delayMs", m_delay.count()));
     m_match = body.value("match", m_match);
     m_lossesLeft = body.value("loseAnswers", m_lossesLeft);
     m_holdsLeft = body.value("holdAnswers", m_holdsLeft);
     if (body.value("freezeExisting", false)) {
-        for (const auto& connection : m_connections) {
-            m_frozen += connection->isFrozen ? 0 : 1;
+        for (const auto& pointer : m_connections) {
+            const auto connection = pointer.lock();
+            if (!connection || connection->isFrozen)
+                continue;
             connection->isFrozen = true;
+            ++m_frozen;
         }
     }
-    const std::uint64_t one = 1;
-    [[maybe_unused]] const ssize_t size = write(m_wakeUp, &one, sizeof one);
+    m_changed.notify_all();
 }
 
 Json Link::state() const
 {
     const std::scoped_lock lock(m_mutex);
-    return { { "connections", m_connections.size() }, { "opened", m_opened }, { "frozen", m_frozen },
-        { "lostAnswers", m_lost }, { "heldAnswers", m_heldAnswers }, { "holding", m_held.size() } };
+    const auto open
+        = std::ranges::count_if(m_connections, [](const auto& pointer) { return !pointer.expired(); });
+    return { { "connections", open }, { "opened", m_opened }, { "frozen", m_frozen },
+        { "lostAnswers", m_lost }, { "holding", m_held.size() } };
 }
 
 }
