--- a/src/libs/admin/adminserver.cpp
+++ b/src/libs/admin/adminserver.cpp
@@ -56,7 +56,7 @@
 };
 
 AdminServer::AdminServer(AdminServerSettings settings, AdminHooks hooks)
-    : d(std::make_unique<Private>(std::move(settings), std::move(hooks)))
+    : m_private(std::make_unique<Private>(std::move(settings), std::move(hooks)))
 {
 }
 
@@ -64,39 +64,40 @@
 
 std::optional<std::string> AdminServer::start()
 {
-    d->address.sin_family = AF_INET;
-    d->address.sin_port = htons(d->settings.port);
-    inet_pton(AF_INET, d->settings.ip.c_str(), &d->address.sin_addr);
-    const unsigned port = d->settings.port == 0 ? placeholderPort : d->settings.port;
-    if (ulfius_init_instance(&d->instance, port, &d->address, nullptr) != U_OK)
+    m_private->address.sin_family = AF_INET;
+    m_private->address.sin_port = htons(m_private->settings.port);
+    inet_pton(AF_INET, m_private->settings.ip.c_str(), &m_private->address.sin_addr);
+    const unsigned port = m_private->settings.port == 0 ? placeholderPort : m_private->settings.port;
+    if (ulfius_init_instance(&m_private->instance, port, &m_private->address, nullptr) != U_OK)
         return "the HTTP library cannot be initialized";
     // The library cuts a body off at its limit; one byte more tells a body over ours from one at it.
-    d->instance.max_post_body_size = d->settings.maxBodyBytes + 1;
-    d->instance.allowed_post_processor = U_POST_PROCESS_NONE;
-    d->instance.check_utf8 = 0;
-    ulfius_set_default_endpoint(&d->instance, &Private::onRequest, d.get());
+    m_private->instance.max_post_body_size = m_private->settings.maxBodyBytes + 1;
+    m_private->instance.allowed_post_processor = U_POST_PROCESS_NONE;
+    m_private->instance.check_utf8 = 0;
+    ulfius_set_default_endpoint(&m_private->instance, &Private::onRequest, m_private.get());
     std::array<MHD_OptionItem, 6> options { {
         { MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<std::intptr_t>(&mhd_request_completed), nullptr },
         { MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<std::intptr_t>(&ulfius_uri_logger), nullptr },
-        { MHD_OPTION_SOCK_ADDR, 0, &d->address },
-        { MHD_OPTION_CONNECTION_LIMIT, d->settings.maxConnections, nullptr },
+        { MHD_OPTION_SOCK_ADDR, 0, &m_private->address },
+        { MHD_OPTION_CONNECTION_LIMIT, m_private->settings.maxConnections, nullptr },
         { MHD_OPTION_CONNECTION_TIMEOUT, idleTimeoutSeconds, nullptr },
         { MHD_OPTION_END, 0, nullptr },
     } };
     const unsigned flags = MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_ITC;
-    if (ulfius_start_framework_with_mhd_options(&d->instance, flags, options.data()) != U_OK) {
-        ulfius_clean_instance(&d->instance);
-        return "cannot listen on " + d->settings.ip + ":" + std::to_string(d->settings.port);
+    if (ulfius_start_framework_with_mhd_options(&m_private->instance, flags, options.data()) != U_OK) {
+        ulfius_clean_instance(&m_private->instance);
+        return "cannot listen on " + m_private->settings.ip + ":" + std::to_string(m_private->settings.port);
     }
-    d->isStarted = true;
+    m_private->isStarted = true;
     return std::nullopt;
 }
 
 std::uint16_t AdminServer::port() const
 {
-    if (!d->isStarted)
+    if (!m_private->isStarted)
         return 0;
-    const MHD_DaemonInfo* info = MHD_get_daemon_info(d->instance.mhd_daemon, MHD_DAEMON_INFO_LISTEN_FD);
+    const MHD_DaemonInfo* info
+        = MHD_get_daemon_info(m_private->instance.mhd_daemon, MHD_DAEMON_INFO_LISTEN_FD);
     sockaddr_in bound {};
     socklen_t size = sizeof bound;
     if (!info || getsockname(info->listen_fd, reinterpret_cast<sockaddr*>(&bound), &size) != 0)
@@ -106,11 +107,11 @@
 
 void AdminServer::stop()
 {
-    if (!d->isStarted)
+    if (!m_private->isStarted)
         return;
-    d->isStarted = false;
-    ulfius_stop_framework(&d->instance);
-    ulfius_clean_instance(&d->instance);
+    m_private->isStarted = false;
+    ulfius_stop_framework(&m_private->instance);
+    ulfius_clean_instance(&m_private->instance);
 }
 
 }
--- a/src/libs/admin/adminserver.h
+++ b/src/libs/admin/adminserver.h
@@ -37,7 +37,7 @@
 
 private:
     struct Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_private;
 };
 
 }
--- a/tests/auto/admin/tst_adminserver.cpp
+++ b/tests/auto/admin/tst_adminserver.cpp
@@ -49,7 +49,7 @@
         hooks.metrics = [] { return std::string("requests_total 1\n"); };
         hooks.isHealthy = [this] { return m_isHealthy; };
         hooks.notReady = [this] { return m_error ? std::optional(m_error->error) : std::nullopt; };
-        server
+        m_server
             = std::make_unique<AdminServer>(AdminServerSettings { "127.0.0.1", 0, secret, bodyLimit }, hooks);
         ASSERT_EQ(m_server->start(), std::nullopt);
         ASSERT_NE(m_server->port(), 0);
