--- a/src/libs/daemon/catalogservice.cpp
+++ b/src/libs/daemon/catalogservice.cpp
@@ -107,9 +107,8 @@
     const auto row = m_store.row(currentRowKey);
     const auto current = row && row->version > 0 ? Catalog::parseRow(row->value) : Catalog::CurrentRow {};
     const bool isAvailable = row && current;
-    if (isAvailable != m_isStoreAvailable)
+    if (m_isStoreAvailable.exchange(isAvailable) != isAvailable)
         Logging::write(isAvailable ? Logging::EventId::StoreRecovered : Logging::EventId::StoreUnavailable);
-    m_isStoreAvailable = isAvailable;
     if (!isAvailable)
         return;
     m_peers.withContact([&](Membership::ContactTracker& contact) {
--- a/src/libs/daemon/catalogservice.h
+++ b/src/libs/daemon/catalogservice.h
@@ -7,6 +7,7 @@
 #include "daemon/peerservice.h"
 #include "platform/storeclient.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <functional>
 #include <mutex>
@@ -47,6 +48,8 @@
     /// The changes since a version, for a peer. Does not block on the store.
     Wire::CatalogDelta deltaFrom(std::uint64_t version) const;
 
+    /// Reads the store's present version and adopts it if it is newer. Blocks up to the store's time limit.
+    void refresh() { pollStore(); }
     /// Publishes a checked document. Blocks until the outcome is known or the deadline passed.
     PublishOutcome publish(
         const Catalog::PublicationRequest& request, Catalog::PublicationMode mode, Model::Time deadline);
@@ -75,7 +78,7 @@
     std::condition_variable m_wake;
     std::optional<Membership::VersionClaim> m_claim;
     bool m_isStopping = false;
-    bool m_isStoreAvailable = true;
+    std::atomic<bool> m_isStoreAvailable = true;
     std::mt19937_64 m_generator;
     std::thread m_thread;
 };
--- a/src/libs/daemon/grouprunner.cpp
+++ b/src/libs/daemon/grouprunner.cpp
@@ -478,8 +478,7 @@
     m_queue.remove(id);
     if (waiter.refusal)
         return makeError(*waiter.refusal);
-    const bool lacksPrimary = waiter.kind != StatementKind::Read && !m_group.primary(steadyNow());
-    return makeError(lacksPrimary ? ErrorCode::NoPrimary : ErrorCode::DeadlineExceeded);
+    return makeError(timeoutCode(waiter));
 }
 
 void GroupRunner::endUse(const Assignment& assignment, Completion completion)
@@ -521,20 +520,25 @@
 
 void GroupRunner::dispatch(Time now)
 {
+    if (m_queue.size() == 0)
+        return;
+    updateLoads(now);
     for (UpstreamLink& upstream : m_upstreams)
         assignFrom(upstream, now);
 }
 
 void GroupRunner::assignFrom(UpstreamLink& upstream, Time now)
 {
-    if (upstream.pool().running() >= upstream.pool().slots())
-        return;
     const auto predicate = [this, &upstream, now](const Scheduling::QueueItem& item) {
         const auto found = m_waiters.find(item.id);
-        return found != m_waiters.end() && canRun(*found->second, upstream, now);
+        return found != m_waiters.end() && runnableTerm(*found->second, upstream, now).has_value();
     };
-    while (auto item = m_queue.pop(upstream.name(), predicate, now)) {
+    while (upstream.pool().running() < upstream.pool().slots()) {
+        const auto item = m_queue.pop(upstream.name(), predicate, now);
+        if (!item)
+            return;
         Waiter& waiter = *m_waiters.at(item->id);
+        const std::uint64_t term = runnableTerm(waiter, upstream, now).value_or(0);
         std::optional<ConnectionId> connection;
         if (waiter.kind == StatementKind::Begin)
             connection = upstream.pool().begin(waiter.transaction, now);
@@ -544,57 +548,55 @@
             connection = upstream.pool().acquire(now);
         if (!connection)
             return refuse(item->id, ErrorCode::Internal);
-        const auto primary = m_group.primary(now);
-        std::uint64_t term = primary ? primary->term : 0;
         if (waiter.kind == StatementKind::Read) {
-            const std::vector<Replication::MemberLoad> memberLoads(m_group.members().size());
-            term = m_group.routeRead(readRequest(waiter), memberLoads, now).term;
-            for (const Replication::MemberView& member : m_group.members()) {
-                if (member.name() == upstream.name())
-                    term = member.promisedTerm();
-            }
-            const bool isReplica = !primary || primary->member != upstream.name();
+            const auto primary = m_group.primary(now);
+            const bool isPrimary = primary && primary->member == upstream.name();
             m_context.metrics
-                ->counter("parsleytack_reads_total", isReplica ? "by=\"replica\"" : "by=\"primary\"")
+                ->counter("parsleytack_reads_total", isPrimary ? "by=\"primary\"" : "by=\"replica\"")
                 .add();
         }
         waiter.assignment->emplace(
             Assignment { upstream.name(), *connection, upstream.client(*connection), term });
         waiter.wake.notify_all();
-        if (upstream.pool().running() >= upstream.pool().slots())
-            return;
+        updateLoads(now);
     }
 }
 
-bool GroupRunner::canRun(const Waiter& waiter, const UpstreamLink& upstream, Time now) const
+std::optional<std::uint64_t> GroupRunner::runnableTerm(
+    const Waiter& waiter, const UpstreamLink& upstream, Time now) const
 {
-    if (waiter.kind == StatementKind::InTransaction)
-        return waiter.member == upstream.name() && upstream.pool().canResume(waiter.transaction);
+    if (waiter.kind == StatementKind::InTransaction) {
+        const bool canResume
+            = waiter.member == upstream.name() && upstream.pool().canResume(waiter.transaction);
+        return canResume ? std::optional<std::uint64_t>(0) : std::nullopt;
+    }
     if (waiter.kind == StatementKind::Read) {
-        const ReadRoute route = m_group.routeRead(readRequest(waiter), loads(now), now);
+        const ReadRoute route = m_group.routeRead(readRequest(waiter), m_loads, now);
         const bool isRunnable
             = route.kind == ReadRoute::Kind::Replica || route.kind == ReadRoute::Kind::Primary;
-        return isRunnable && route.member == upstream.name() && upstream.pool().canAcquire(now);
+        if (!isRunnable || route.member != upstream.name() || !upstream.pool().canAcquire(now))
+            return std::nullopt;
+        return route.term;
     }
     const WriteRoute route = m_group.routeWrite(waiter.arrivedAt, now);
     if (route.kind != WriteRoute::Kind::Run || route.primary.member != upstream.name())
-        return false;
-    return waiter.kind == StatementKind::Begin ? upstream.pool().canBegin(now)
-                                               : upstream.pool().canAcquire(now);
+        return std::nullopt;
+    const bool isBegin = waiter.kind == StatementKind::Begin;
+    const bool hasConnection = isBegin ? upstream.pool().canBegin(now) : upstream.pool().canAcquire(now);
+    return hasConnection ? std::optional(route.primary.term) : std::nullopt;
 }
 
-std::vector<Replication::MemberLoad> GroupRunner::loads(Time now) const
+void GroupRunner::updateLoads(Time now)
 {
-    std::vector<Replication::MemberLoad> result;
+    m_loads.clear();
     for (const Replication::MemberView& member : m_group.members()) {
         const auto found = std::ranges::find(m_upstreams, member.name(), &UpstreamLink::name);
         if (found == m_upstreams.end())
-            result.push_back({ 0, false });
+            m_loads.push_back({ 0, false });
         else
-            result.push_back(
+            m_loads.push_back(
                 { static_cast<std::uint32_t>(found->pool().running()), found->pool().canAcquire(now) });
     }
-    return result;
 }
 
 Replication::ReadRequest GroupRunner::readRequest(const Waiter& waiter) const
@@ -617,14 +619,21 @@
     m_waiters.erase(found);
 }
 
+ErrorCode GroupRunner::timeoutCode(const Waiter& waiter) const
+{
+    const bool needsPrimary = waiter.kind == StatementKind::Write || waiter.kind == StatementKind::Begin;
+    return needsPrimary && !m_group.primary(steadyNow()) ? ErrorCode::NoPrimary : ErrorCode::DeadlineExceeded;
+}
+
 void GroupRunner::refuseHopeless(Time now)
 {
+    updateLoads(now);
     std::vector<std::pair<std::uint64_t, ErrorCode>> hopeless;
     for (const auto& [id, waiter] : m_waiters) {
         if (waiter->assignment->has_value())
             continue;
         if (waiter->kind == StatementKind::Read) {
-            const ReadRoute::Kind kind = m_group.routeRead(readRequest(*waiter), loads(now), now).kind;
+            const ReadRoute::Kind kind = m_group.routeRead(readRequest(*waiter), m_loads, now).kind;
             if (kind == ReadRoute::Kind::PositionLost)
                 hopeless.emplace_back(id, ErrorCode::SessionPositionLost);
             else if (kind == ReadRoute::Kind::Unavailable)
@@ -671,8 +680,10 @@
                     { "term", std::to_string(primary ? primary->term : 0) } });
             m_context.metrics->counter("parsleytack_promotions_total").add();
         }
-        for (const Scheduling::QueueItem& item : m_queue.expire(now))
-            refuse(item.id, ErrorCode::DeadlineExceeded);
+        for (const Scheduling::QueueItem& item : m_queue.expire(now)) {
+            if (const auto found = m_waiters.find(item.id); found != m_waiters.end())
+                refuse(item.id, timeoutCode(*found->second));
+        }
         refuseHopeless(now);
         for (UpstreamLink& upstream : m_upstreams) {
             expireTransactions(upstream, now);
--- a/src/libs/daemon/grouprunner.h
+++ b/src/libs/daemon/grouprunner.h
@@ -83,10 +83,14 @@
     void runTicks();
     void dispatch(Model::Time now);
     void assignFrom(UpstreamLink& upstream, Model::Time now);
-    bool canRun(const Waiter& waiter, const UpstreamLink& upstream, Model::Time now) const;
-    std::vector<Replication::MemberLoad> loads(Model::Time now) const;
+    /// The term to send if the request can run on the upstream now.
+    std::optional<std::uint64_t> runnableTerm(
+        const Waiter& waiter, const UpstreamLink& upstream, Model::Time now) const;
+    void updateLoads(Model::Time now);
     Replication::ReadRequest readRequest(const Waiter& waiter) const;
     void refuse(std::uint64_t item, Model::ErrorCode code);
+    /// Why a request is refused at its deadline.
+    Model::ErrorCode timeoutCode(const Waiter& waiter) const;
     void refuseHopeless(Model::Time now);
     void planConnections(UpstreamLink& upstream, Model::Time now);
     void openConnection(
@@ -107,6 +111,8 @@
     Scheduling::FairQueue m_queue;
     std::list<UpstreamLink> m_upstreams;
     std::map<std::uint64_t, Waiter*> m_waiters;
+    /// Load of each member of the group, as of the last dispatch.
+    std::vector<Replication::MemberLoad> m_loads;
     TransactionTable m_transactions;
     std::uint64_t m_nextItem = 1;
     std::size_t m_runningWrites = 0;
--- a/src/libs/daemon/host.cpp
+++ b/src/libs/daemon/host.cpp
@@ -1,13 +1,17 @@
 #include "daemon/host.h"
 
+#include "admin/adminserver.h"
 #include "core/membership/ownership.h"
 #include "crypto/randombytes.h"
 #include "daemon/catalogholder.h"
 #include "daemon/catalogservice.h"
 #include "daemon/clock.h"
+#include "daemon/drawmessages.h"
 #include "daemon/forwardmessages.h"
 #include "daemon/groupdirectory.h"
+#include "daemon/operatorservice.h"
 #include "daemon/peerservice.h"
+#include "daemon/quotaservice.h"
 #include "daemon/requestrouter.h"
 #include "daemon/storelink.h"
 #include "gateway/callerserver.h"
@@ -15,6 +19,7 @@
 #include "metrics/registry.h"
 #include "wire/peer.pb.h"
 
+#include <algorithm>
 #include <condition_variable>
 #include <csignal>
 
@@ -91,8 +96,11 @@
     GroupDirectory groups;
     CatalogService catalog;
     StoreLink storeLink;
+    QuotaService quota;
     RequestRouter router;
     Gateway::CallerServer callers;
+    OperatorService operatorService;
+    Admin::AdminServer operators;
 
     std::atomic<bool> isDraining = false;
     std::atomic<bool> isRefusing = false;
@@ -106,11 +114,15 @@
     PeerHooks peerHooks();
     RouterHooks routerHooks();
     Gateway::CallerHooks callerHooks();
+    Admin::AdminHooks adminHooks();
+    Admin::Status status() const;
+    std::string metricsText();
     std::optional<Model::Error> refusalReason() const;
     std::string ownerOf(const std::string& service) const;
     std::string holderOf(const std::string& transactionId) const;
     void onForward(
         const Wire::ForwardRequest& message, const std::function<void(Wire::ForwardReply)>& respond);
+    void onCatalogAdopted();
     void staleOwnership();
     void runOwnership();
     void updateOwnership();
@@ -125,12 +137,15 @@
                 settings.curveSecretKey },
           settings.zone, seedTexts(settings), metrics, peerHooks())
     , groups({ settings.host, settings.zone, transactionPrefix, &workers, &metrics })
-    , catalog(settings.store.text(), holder, peers, [this] { staleOwnership(); })
+    , catalog(settings.store.text(), holder, peers, [this] { onCatalogAdopted(); })
     , storeLink(settings.store.text(), settings.host, incarnation, peers)
+    , quota(settings.store.text(), { settings.host, incarnation }, peers, storeLink, metrics)
     , router(holder, metrics, routerHooks())
     , callers({ settings.callers.ip, settings.callers.port, settings.maxCallerConnections,
                   static_cast<std::size_t>(settings.callerStackKib) * 1024 },
           callerHooks())
+    , operatorService(holder, catalog)
+    , operators({ settings.operators.ip, settings.operators.port, settings.operatorSecret }, adminHooks())
 {
 }
 
@@ -140,8 +155,11 @@
     hooks.onForward
         = [this](const Wire::ForwardRequest& message,
               const std::function<void(Wire::ForwardReply)>& respond) { onForward(message, respond); };
-    hooks.onDraw
-        = [](const std::string&, std::uint64_t, const Wire::DrawRequest&) { return Wire::DrawReply(); };
+    hooks.onDraw = [this](const std::string& sender, std::uint64_t senderIncarnation,
+                       const Wire::DrawRequest& message) {
+        const auto request = Daemon::fromMessage(message);
+        return request ? toMessage(quota.draw({ sender, senderIncarnation }, *request)) : Wire::DrawReply();
+    };
     hooks.onCatalogPull = [this](std::uint64_t version) { return catalog.deltaFrom(version); };
     hooks.onVersionClaim = [this](const Membership::VersionClaim& claim) { catalog.claimed(claim); };
     hooks.onMembersChanged = [this] { staleOwnership(); };
@@ -161,7 +179,9 @@
             return makeError(ErrorCode::Isolated).value();
         return std::nullopt;
     };
-    hooks.admit = [](const std::string&, Model::Time) { return Model::Result<void>(); };
+    hooks.admit = [this](const std::string& customer, Model::Time deadline) {
+        return quota.admit(customer, deadline);
+    };
     hooks.ownerOf = [this](const std::string& service) { return ownerOf(service); };
     hooks.holderOf = [this](const std::string& transactionId) { return holderOf(transactionId); };
     hooks.run = [this](const std::string& host, const GroupRequest& request) {
@@ -182,6 +202,83 @@
     return hooks;
 }
 
+Admin::AdminHooks Host::Private::adminHooks()
+{
+    Admin::AdminHooks hooks;
+    hooks.publish = [this](const Admin::PublishRequest& request) { return operatorService.publish(request); };
+    hooks.check = [this](const std::string& document) { return operatorService.check(document); };
+    hooks.currentDocument = [this] { return operatorService.currentDocument(); };
+    hooks.history = [this] { return operatorService.history(); };
+    hooks.status = [this] { return status(); };
+    hooks.setZoneState = [this](const std::string& zone, Catalog::ZoneState state) {
+        return operatorService.setZoneState(zone, state);
+    };
+    hooks.grantKey = [this](const std::string& customer, const std::string& key) {
+        return operatorService.grantKey(customer, key);
+    };
+    hooks.withdrawKey = [this](const std::string& key) { return operatorService.withdrawKey(key); };
+    hooks.metrics = [this] { return metricsText(); };
+    hooks.isHealthy = [] { return true; };
+    hooks.notReady = [this]() -> std::optional<Model::Error> {
+        if (isDraining)
+            return makeError(ErrorCode::Draining).value();
+        if (auto reason = refusalReason())
+            return reason;
+        if (peers.contactState(steadyNow()) == ContactState::Isolated)
+            return makeError(ErrorCode::Isolated).value();
+        return std::nullopt;
+    };
+    return hooks;
+}
+
+Admin::Status Host::Private::status() const
+{
+    Admin::Status result;
+    result.host = settings.host;
+    result.zone = settings.zone;
+    result.contact = Membership::contactStateName(peers.contactState(steadyNow()));
+    result.version = holder.version();
+    catalog.withAdoption([&result](const Catalog::Adoption& adoption) {
+        result.announcedVersion = std::max(adoption.announcedVersion(), adoption.currentVersion());
+    });
+    for (const Membership::Member& member : peers.allMembers())
+        result.hosts.push_back({ member.name, member.zone,
+            std::string(Membership::memberStateName(
+                member.leaving && member.isLive() ? Membership::MemberState::Leaving : member.state)) });
+    const CatalogInForcePointer inForce = holder.current();
+    if (!inForce)
+        return result;
+    const std::vector<GroupDirectory::ServiceStatus> owned = groups.status();
+    for (const Catalog::Service& service : inForce->snapshot->document().services) {
+        Admin::ServiceStatus entry { service.name, ownerOf(service.name), {}, 0 };
+        const auto own = std::ranges::find(owned, service.name, &GroupDirectory::ServiceStatus::service);
+        if (own != owned.end()) {
+            entry.primary = own->status.primary;
+            entry.term = own->status.term;
+        }
+        result.services.push_back(std::move(entry));
+    }
+    return result;
+}
+
+std::string Host::Private::metricsText()
+{
+    const Transport::TransportCounts counts = peers.transportCounts();
+    metrics.counter("parsleytack_peer_bytes_total", "direction=\"sent\"")
+        .set(static_cast<std::int64_t>(counts.bytesSent));
+    metrics.counter("parsleytack_peer_bytes_total", "direction=\"received\"")
+        .set(static_cast<std::int64_t>(counts.bytesReceived));
+    metrics.counter("parsleytack_peer_messages_total", "direction=\"sent\"")
+        .set(static_cast<std::int64_t>(counts.messagesSent));
+    metrics.counter("parsleytack_peer_messages_total", "direction=\"received\"")
+        .set(static_cast<std::int64_t>(counts.messagesReceived));
+    metrics.counter("parsleytack_peer_unparsable_total").set(static_cast<std::int64_t>(counts.malformed));
+    metrics.counter("parsleytack_peer_rejected_total").set(static_cast<std::int64_t>(counts.rejected));
+    metrics.gauge("parsleytack_catalog_version").set(static_cast<std::int64_t>(holder.version()));
+    metrics.gauge("parsleytack_requests_running").set(callers.running());
+    return metrics.text();
+}
+
 std::optional<Model::Error> Host::Private::refusalReason() const
 {
     if (isRefusing)
@@ -235,6 +332,13 @@
         respond(toMessage(refusal(isRefusing ? ErrorCode::Draining : ErrorCode::QueueFull)));
 }
 
+void Host::Private::onCatalogAdopted()
+{
+    if (const CatalogInForcePointer inForce = holder.current())
+        quota.configure(*inForce->snapshot);
+    staleOwnership();
+}
+
 void Host::Private::staleOwnership()
 {
     {
@@ -251,6 +355,7 @@
         isOwnershipStale = false;
         lock.unlock();
         updateOwnership();
+        quota.membersChanged();
         lock.lock();
         ownershipChanged.wait_for(lock, ownershipInterval, [this] { return isStopping || isOwnershipStale; });
     }
@@ -295,10 +400,13 @@
 {
     if (auto error = d->peers.start())
         return "peers: " + *error;
+    if (auto error = d->operators.start())
+        return "operators: " + *error;
     if (auto error = d->callers.start())
         return "callers: " + *error;
     d->storeLink.start();
     d->catalog.start();
+    d->quota.start();
     d->ownershipThread = std::thread([this] { d->runOwnership(); });
     return std::nullopt;
 }
@@ -323,9 +431,12 @@
 void Host::stop()
 {
     d->stopOwnership();
+    d->quota.drain();
+    d->operators.stop();
     d->callers.stop();
     d->forwards.stop();
     d->groups.clear();
+    d->quota.stop();
     d->catalog.stop();
     d->storeLink.stop();
     d->peers.stop();
--- a/src/libs/daemon/peerservice.cpp
+++ b/src/libs/daemon/peerservice.cpp
@@ -112,6 +112,15 @@
     return members;
 }
 
+std::vector<Membership::Member> PeerService::allMembers() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<Membership::Member> members;
+    for (const auto& [name, member] : m_gossip.members())
+        members.push_back(member);
+    return members;
+}
+
 std::optional<Membership::Member> PeerService::member(const std::string& name) const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/libs/daemon/peerservice.h
+++ b/src/libs/daemon/peerservice.h
@@ -61,6 +61,8 @@
 
     /// Live members by name, with this host.
     std::vector<Membership::Member> liveMembers() const;
+    /// All known members, with this host and dead ones.
+    std::vector<Membership::Member> allMembers() const;
     std::optional<Membership::Member> member(const std::string& name) const;
     Membership::ContactState contactState(Model::Time now) const;
     /// Calls `use` with the contact tracker under the membership mutex.
--- /dev/null
+++ b/src/libs/daemon/quotaservice.cpp
@@ -0,0 +1,391 @@
+#include "daemon/quotaservice.h"
+
+#include "core/membership/timing.h"
+#include "core/model/rendezvous.h"
+#include "daemon/clock.h"
+#include "daemon/drawmessages.h"
+#include "logging/log.h"
+#include "wire/peer.pb.h"
+
+#include <algorithm>
+
+namespace Daemon {
+
+using Model::ErrorCode;
+using Model::makeError;
+using Quota::Admission;
+using Quota::KnownHost;
+using Quota::SlotAssignment;
+using Quota::TokenCache;
+using std::chrono::milliseconds;
+
+namespace {
+
+    constexpr milliseconds drawTimeout(500);
+    constexpr milliseconds slotInterval(1000);
+    /// After a decision with many changes the next one follows sooner, so that a new fleet serves its full
+    /// rates after a few seconds. The number of changes a decision bounds the load on the store.
+    constexpr milliseconds busySlotInterval(300);
+    /// How often the row of a slot that another host still holds is read again.
+    constexpr milliseconds rowReadInterval(2000);
+    constexpr std::size_t maxReadsPerDecision = 64;
+    constexpr milliseconds leaseReadInterval(3000);
+    constexpr milliseconds contactRoundsTime(10000);
+
+    Quota::Limits limitsOf(const Catalog::Customer& customer)
+    {
+        return { static_cast<std::uint64_t>(customer.rate), static_cast<std::uint64_t>(customer.burst) };
+    }
+
+    std::string preferredHolder(int slot, const std::vector<std::string>& live)
+    {
+        const int index = Model::rendezvousIndex("slot/" + std::to_string(slot), live);
+        return index < 0 ? std::string() : live[static_cast<std::size_t>(index)];
+    }
+
+}
+
+QuotaService::QuotaService(const std::string& storeAddress, Quota::Holder self, PeerService& peers,
+    StoreLink& storeLink, Metrics::Registry& metrics)
+    : m_self(std::move(self))
+    , m_peers(peers)
+    , m_storeLink(storeLink)
+    , m_metrics(metrics)
+    , m_store(storeAddress)
+    , m_assignment(m_self)
+{
+}
+
+QuotaService::~QuotaService() { stop(); }
+
+void QuotaService::start()
+{
+    m_drawThread = std::thread([this] { runDraws(); });
+    m_slotThread = std::thread([this] { runSlots(); });
+}
+
+void QuotaService::stop()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isStopping = true;
+    }
+    m_wakeDraws.notify_all();
+    m_wakeSlots.notify_all();
+    m_granted.notify_all();
+    for (std::thread* thread : { &m_drawThread, &m_slotThread }) {
+        if (thread->joinable())
+            thread->join();
+    }
+}
+
+void QuotaService::drain()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isDraining = true;
+    }
+    m_wakeSlots.notify_all();
+    if (m_slotThread.joinable())
+        m_slotThread.join();
+    std::vector<Quota::OutgoingDraw> returns;
+    {
+        const std::lock_guard lock(m_mutex);
+        returns = m_cache.returnAll(steadyNow());
+    }
+    sendDraws(std::move(returns));
+    decideSlots(SlotAssignment::HostState::Draining);
+}
+
+void QuotaService::configure(const Catalog::Snapshot& catalog)
+{
+    std::map<std::string, Quota::Limits> limits;
+    for (const Catalog::Customer& customer : catalog.document().customers)
+        limits.emplace(customer.name, limitsOf(customer));
+    const std::lock_guard lock(m_mutex);
+    const Model::Time now = steadyNow();
+    for (const auto& [customer, old] : m_limits) {
+        if (limits.contains(customer))
+            continue;
+        m_cache.removeCustomer(customer);
+        m_buckets.removeCustomer(customer);
+    }
+    for (const auto& [customer, value] : limits) {
+        const auto known = m_limits.find(customer);
+        if (known != m_limits.end() && known->second == value)
+            continue;
+        m_cache.setLimits(customer, value);
+        m_buckets.setLimits(customer, value, now);
+    }
+    m_limits = std::move(limits);
+}
+
+std::vector<std::string> QuotaService::liveNames() const
+{
+    std::vector<std::string> names;
+    for (const Membership::Member& member : m_peers.liveMembers()) {
+        if (!member.leaving && !member.isUnconfirmed())
+            names.push_back(member.name);
+    }
+    std::ranges::sort(names);
+    return names;
+}
+
+void QuotaService::membersChanged()
+{
+    // Entry hosts compute the holders instead of reading 1,024 rows; a host that has not taken its slot yet
+    // says so in its reply.
+    const std::vector<std::string> live = liveNames();
+    std::vector<std::string> holders;
+    for (int slot = 0; slot < Quota::slotCount; ++slot)
+        holders.push_back(preferredHolder(slot, live));
+    {
+        const std::lock_guard lock(m_mutex);
+        m_cache.setHolders(holders);
+    }
+    m_wakeDraws.notify_all();
+}
+
+Model::Result<void> QuotaService::admit(const std::string& customer, Model::Time deadline)
+{
+    std::unique_lock lock(m_mutex);
+    const Model::Time start = steadyNow();
+    Admission admission = m_cache.admit(customer, TokenCache::Attempt::First, start);
+    if (admission == Admission::Admitted)
+        return {};
+    const Model::Time until = std::min(deadline, start + TokenCache::maxWait);
+    while (admission == Admission::Wait && !m_isStopping) {
+        m_hasWaiting = true;
+        m_wakeDraws.notify_all();
+        const bool isTimedOut = m_granted.wait_until(lock, toSteady(until)) == std::cv_status::timeout;
+        admission = m_cache.admit(customer, TokenCache::Attempt::Again, steadyNow());
+        if (isTimedOut)
+            break;
+    }
+    if (admission == Admission::Admitted)
+        return {};
+    if (admission == Admission::UnknownCustomer)
+        return makeError(ErrorCode::KeyInvalid);
+    m_cache.giveUp(customer);
+    lock.unlock();
+    m_metrics.counter("parsleytack_rate_limited_total", "customer=\"" + customer + "\"").add();
+    return makeError(ErrorCode::RateLimited);
+}
+
+Quota::DrawReply QuotaService::draw(const Quota::EntryHost& entry, const Quota::DrawRequest& request)
+{
+    const Model::Time now = steadyNow();
+    const bool mayServe = m_storeLink.mayServeSlots(now);
+    Quota::DrawReply reply { request.sequence, {} };
+    if (mayServe) {
+        const std::lock_guard lock(m_mutex);
+        return m_buckets.draw(entry, request, now);
+    }
+    for (const Quota::Draw& item : request.draws)
+        reply.grants.push_back({ item.customer, 0, true });
+    return reply;
+}
+
+void QuotaService::runDraws()
+{
+    std::mt19937_64 generator(std::random_device {}());
+    std::unique_lock lock(m_mutex);
+    while (!m_isStopping) {
+        m_hasWaiting = false;
+        std::vector<Quota::OutgoingDraw> draws = m_cache.plan(steadyNow(), generator);
+        lock.unlock();
+        sendDraws(std::move(draws));
+        lock.lock();
+        m_wakeDraws.wait_for(lock, TokenCache::planInterval, [this] { return m_isStopping || m_hasWaiting; });
+    }
+}
+
+void QuotaService::sendDraws(std::vector<Quota::OutgoingDraw> draws)
+{
+    for (Quota::OutgoingDraw& draw : draws) {
+        if (draw.holder == m_self.host) {
+            const Quota::DrawReply reply = this->draw({ m_self.host, m_self.incarnation }, draw.request);
+            takeReply(draw.holder, &reply);
+            continue;
+        }
+        m_peers.draw(draw.holder, toMessage(draw.request), drawTimeout,
+            [this, holder = draw.holder](const Wire::DrawReply* message) {
+                const auto reply = message ? fromMessage(*message) : std::nullopt;
+                takeReply(holder, reply ? &*reply : nullptr);
+            });
+    }
+}
+
+void QuotaService::takeReply(const std::string& holder, const Quota::DrawReply* reply)
+{
+    if (!reply)
+        return;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_cache.reply(holder, *reply, steadyNow());
+        // A waiting request asks again, and the next holder is drawn from if that was not enough.
+        m_hasWaiting = true;
+    }
+    m_granted.notify_all();
+}
+
+void QuotaService::runSlots()
+{
+    std::unique_lock lock(m_mutex);
+    while (!m_isStopping && !m_isDraining) {
+        lock.unlock();
+        const bool isBusy = decideSlots(SlotAssignment::HostState::Serving);
+        lock.lock();
+        m_buckets.forgetIdleEntries(steadyNow());
+        m_wakeSlots.wait_for(
+            lock, isBusy ? busySlotInterval : slotInterval, [this] { return m_isStopping || m_isDraining; });
+    }
+}
+
+bool QuotaService::decideSlots(SlotAssignment::HostState state)
+{
+    checkGeneration();
+    if (state == SlotAssignment::HostState::Serving)
+        readWantedSlots(liveNames());
+    SlotAssignment::Situation present = situation(state);
+    observeLeases(present);
+    m_peers.withContact([&](const Membership::ContactTracker& contact) {
+        const Model::Time now = steadyNow();
+        for (const auto& [slot, reading] : m_rows) {
+            const Quota::Holder& holder = reading.row.holder;
+            const auto observer = m_leases.find(holder.host);
+            const auto known = std::ranges::find(present.hosts, holder.host, &KnownHost::name);
+            const std::uint64_t newest = known == present.hosts.end() ? 0 : known->incarnation;
+            if (observer != m_leases.end()
+                && observer->second.takeoverAllowed(
+                    { holder.incarnation, reading.finishedAt, newest }, now, contact))
+                present.expiredLeases.push_back(holder);
+        }
+    });
+    std::vector<Quota::SlotRow> rows;
+    for (const auto& [slot, reading] : m_rows)
+        rows.push_back(reading.row);
+    const std::vector<Quota::SlotChange> changes = m_assignment.decide(present, rows);
+    for (const Quota::SlotChange& change : changes)
+        apply(change);
+    const std::lock_guard lock(m_mutex);
+    std::int64_t held = 0;
+    for (int slot = 0; slot < Quota::slotCount; ++slot)
+        held += m_buckets.holdsSlot(slot) ? 1 : 0;
+    m_metrics.gauge("parsleytack_quota_slots_held").set(held);
+    return changes.size() >= SlotAssignment::maxTakesPerDecision;
+}
+
+void QuotaService::checkGeneration()
+{
+    const std::uint64_t generation = m_storeLink.leaseGeneration();
+    if (generation == m_generation)
+        return;
+    m_generation = generation;
+    // The lease had lapsed, so another host may have taken any slot: all are acquired again.
+    const std::lock_guard lock(m_mutex);
+    for (const auto& [slot, reading] : m_rows) {
+        m_buckets.dropSlot(slot);
+        m_unresolved.insert(slot);
+    }
+    m_rows.clear();
+}
+
+void QuotaService::readWantedSlots(const std::vector<std::string>& live)
+{
+    const Model::Time now = steadyNow();
+    std::size_t reads = 0;
+    for (int slot = 0; slot < Quota::slotCount && reads < maxReadsPerDecision; ++slot) {
+        const auto known = m_rows.find(slot);
+        const bool isWanted = preferredHolder(slot, live) == m_self.host || m_unresolved.contains(slot);
+        const bool isOwn = known != m_rows.end() && known->second.row.holder == m_self;
+        if (!isWanted && !isOwn && known != m_rows.end())
+            m_rows.erase(known);
+        if (!isWanted || isOwn || (known != m_rows.end() && now - known->second.finishedAt < rowReadInterval))
+            continue;
+        ++reads;
+        const auto reading = m_store.read(slot);
+        if (!reading)
+            return;
+        m_rows[slot] = *reading;
+        m_unresolved.erase(slot);
+        // The row still names this process from before its lease lapsed; a new epoch makes that certain.
+        if (reading->row.holder == m_self)
+            apply({ slot, reading->row.epoch, Quota::SlotChange::Kind::Take });
+    }
+}
+
+void QuotaService::observeLeases(const SlotAssignment::Situation& present)
+{
+    std::set<std::string> silent;
+    for (const auto& [slot, reading] : m_rows) {
+        const std::string& host = reading.row.holder.host;
+        const auto known = std::ranges::find(present.hosts, host, &KnownHost::name);
+        const bool isAlive = known != present.hosts.end() && known->state != KnownHost::State::Dead;
+        if (!host.empty() && host != m_self.host && !isAlive)
+            silent.insert(host);
+    }
+    std::erase_if(m_leases, [&silent](const auto& entry) { return !silent.contains(entry.first); });
+    for (const std::string& host : silent) {
+        const Model::Time start = steadyNow();
+        Model::Time& readAt = m_leaseReadAt[host];
+        Membership::LeaseObserver& observer = m_leases[host];
+        if (start - readAt >= leaseReadInterval) {
+            readAt = start;
+            if (const auto lease = m_store.readLease(host))
+                observer.observed({ lease->incarnation, lease->renewal }, start, steadyNow());
+        }
+        if (observer.needsContactRounds(steadyNow()))
+            m_peers.withContact([](Membership::ContactTracker& contact) {
+                contact.requestRounds(steadyNow() + contactRoundsTime);
+            });
+    }
+}
+
+SlotAssignment::Situation QuotaService::situation(SlotAssignment::HostState state) const
+{
+    SlotAssignment::Situation result;
+    result.state = state;
+    switch (m_peers.contactState(steadyNow())) {
+    case Membership::ContactState::Connected:
+        result.contact = Quota::StoreContact::Connected;
+        break;
+    case Membership::ContactState::StoreOutage:
+        result.contact = Quota::StoreContact::Outage;
+        break;
+    case Membership::ContactState::Isolated:
+        result.contact = Quota::StoreContact::Isolated;
+        break;
+    }
+    for (const Membership::Member& member : m_peers.allMembers()) {
+        KnownHost host { member.name, member.incarnation, KnownHost::State::Alive };
+        if (!member.isLive())
+            host.state = KnownHost::State::Dead;
+        else if (member.leaving || member.isUnconfirmed())
+            host.state = KnownHost::State::Leaving;
+        result.hosts.push_back(std::move(host));
+    }
+    return result;
+}
+
+void QuotaService::apply(const Quota::SlotChange& change)
+{
+    const bool isTake = change.kind == Quota::SlotChange::Kind::Take;
+    if (!isTake) {
+        const std::lock_guard lock(m_mutex);
+        m_buckets.dropSlot(change.slot);
+    }
+    const auto reading = m_store.change(change.slot, change.epoch, isTake ? m_self : Quota::Holder {});
+    if (!reading) {
+        m_rows.erase(change.slot);
+        m_unresolved.insert(change.slot);
+        return;
+    }
+    m_rows[change.slot] = *reading;
+    if (!isTake)
+        return;
+    const std::lock_guard lock(m_mutex);
+    m_buckets.takeSlot(change.slot, steadyNow());
+}
+
+}
--- /dev/null
+++ b/src/libs/daemon/quotaservice.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "core/catalog/snapshot.h"
+#include "core/membership/leaseobserver.h"
+#include "core/quota/slotassignment.h"
+#include "core/quota/slotbuckets.h"
+#include "core/quota/tokencache.h"
+#include "daemon/peerservice.h"
+#include "daemon/slotstore.h"
+#include "daemon/storelink.h"
+#include "metrics/registry.h"
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+
+namespace Daemon {
+
+/// Keeps the customers' rates and bursts over the whole fleet: draws tokens on the entry side, holds quota
+/// slots on the holder side. Owns two threads: one draws tokens, one takes and releases slots in the store.
+class QuotaService {
+public:
+    QuotaService(const std::string& storeAddress, Quota::Holder self, PeerService& peers,
+        StoreLink& storeLink, Metrics::Registry& metrics);
+    ~QuotaService();
+    QuotaService(const QuotaService&) = delete;
+    QuotaService& operator=(const QuotaService&) = delete;
+
+    void start();
+    void stop();
+    /// Gives all slots and unused tokens back. Blocks for the row changes.
+    void drain();
+
+    /// Puts the limits of a catalogue in force.
+    void configure(const Catalog::Snapshot& catalog);
+    /// The live members have changed.
+    void membersChanged();
+
+    /// Takes one token of the customer, waiting a bounded time. Errors: `rate_limited`, `key_invalid` if the
+    /// customer does not exist any more.
+    Model::Result<void> admit(const std::string& customer, Model::Time deadline);
+    /// Answers another host. Called on the transport's thread.
+    Quota::DrawReply draw(const Quota::EntryHost& entry, const Quota::DrawRequest& request);
+
+private:
+    void runDraws();
+    void sendDraws(std::vector<Quota::OutgoingDraw> draws);
+    void takeReply(const std::string& holder, const Quota::DrawReply* reply);
+
+    void runSlots();
+    bool decideSlots(Quota::SlotAssignment::HostState state);
+    void checkGeneration();
+    void readWantedSlots(const std::vector<std::string>& live);
+    void observeLeases(const Quota::SlotAssignment::Situation& situation);
+    Quota::SlotAssignment::Situation situation(Quota::SlotAssignment::HostState state) const;
+    void apply(const Quota::SlotChange& change);
+    std::vector<std::string> liveNames() const;
+
+    Quota::Holder m_self;
+    PeerService& m_peers;
+    StoreLink& m_storeLink;
+    Metrics::Registry& m_metrics;
+
+    std::mutex m_mutex;
+    std::condition_variable m_granted;
+    std::condition_variable m_wakeDraws;
+    Quota::TokenCache m_cache;
+    Quota::SlotBuckets m_buckets;
+    std::map<std::string, Quota::Limits> m_limits;
+    bool m_hasWaiting = false;
+    bool m_isStopping = false;
+
+    /// Used on the slot thread, and by `drain` after that thread has ended.
+    SlotStore m_store;
+    Quota::SlotAssignment m_assignment;
+    std::map<int, SlotReading> m_rows;
+    /// Slots whose row may name this host although it does not serve them; their rows are read again.
+    std::set<int> m_unresolved;
+    std::map<std::string, Membership::LeaseObserver> m_leases;
+    std::map<std::string, Model::Time> m_leaseReadAt;
+    std::uint64_t m_generation = 0;
+    std::condition_variable m_wakeSlots;
+    bool m_isDraining = false;
+
+    std::thread m_drawThread;
+    std::thread m_slotThread;
+};
+
+}
