--- a/benchmarks/datapath/loadrun.cpp
+++ b/benchmarks/datapath/loadrun.cpp
@@ -82,6 +82,7 @@
     std::vector<Worker> active = makeWorkers(settings, settings.connections);
     const auto start = Clock::now();
     std::vector<std::thread> threads;
+    threads.reserve(active.size());
     for (Worker& worker : active) {
         threads.emplace_back([&worker, &settings] {
             for (int i = 0; i < settings.requestsPerConnection; ++i)
--- a/src/libs/core/model/logposition.h
+++ b/src/libs/core/model/logposition.h
@@ -11,7 +11,8 @@
     std::uint64_t term = 0;
     std::uint64_t position = 0;
 
-    auto operator<=>(const LogPosition&) const = default;
+    // The linter takes the zero of the rewritten comparison for a pointer.
+    auto operator<=>(const LogPosition&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 }
--- a/src/libs/daemon/host.cpp
+++ b/src/libs/daemon/host.cpp
@@ -390,7 +390,7 @@
 }
 
 Host::Host(const Settings::HostSettings& settings)
-    : d(std::make_unique<Private>(settings))
+    : m_d(std::make_unique<Private>(settings))
 {
 }
 
@@ -398,29 +398,29 @@
 
 std::optional<std::string> Host::start()
 {
-    if (auto error = d->peers.start())
+    if (auto error = m_d->peers.start())
         return "peers: " + *error;
-    if (auto error = d->operators.start())
+    if (auto error = m_d->operators.start())
         return "operators: " + *error;
-    if (auto error = d->callers.start())
+    if (auto error = m_d->callers.start())
         return "callers: " + *error;
-    d->storeLink.start();
-    d->catalog.start();
-    d->quota.start();
-    d->ownershipThread = std::thread([this] { d->runOwnership(); });
+    m_d->storeLink.start();
+    m_d->catalog.start();
+    m_d->quota.start();
+    m_d->ownershipThread = std::thread([this] { m_d->runOwnership(); });
     return std::nullopt;
 }
 
 bool Host::drain()
 {
-    d->isDraining = true;
-    d->callers.beginDrain();
-    d->peers.leave();
-    d->staleOwnership();
+    m_d->isDraining = true;
+    m_d->callers.beginDrain();
+    m_d->peers.leave();
+    m_d->staleOwnership();
     std::this_thread::sleep_for(drainNotice);
-    d->isRefusing = true;
-    const Model::Time deadline = steadyNow() + milliseconds(d->settings.drainTimeoutMs);
-    while (d->callers.running() > 0 || !d->groups.isIdle()) {
+    m_d->isRefusing = true;
+    const Model::Time deadline = steadyNow() + milliseconds(m_d->settings.drainTimeoutMs);
+    while (m_d->callers.running() > 0 || !m_d->groups.isIdle()) {
         if (steadyNow() >= deadline)
             return false;
         std::this_thread::sleep_for(drainStep);
@@ -430,19 +430,19 @@
 
 void Host::stop()
 {
-    d->stopOwnership();
-    d->quota.drain();
-    d->operators.stop();
-    d->callers.stop();
-    d->forwards.stop();
-    d->groups.clear();
-    d->quota.stop();
-    d->catalog.stop();
-    d->storeLink.stop();
-    d->peers.stop();
-    d->workers.stop();
+    m_d->stopOwnership();
+    m_d->quota.drain();
+    m_d->operators.stop();
+    m_d->callers.stop();
+    m_d->forwards.stop();
+    m_d->groups.clear();
+    m_d->quota.stop();
+    m_d->catalog.stop();
+    m_d->storeLink.stop();
+    m_d->peers.stop();
+    m_d->workers.stop();
 }
 
-bool Host::isSuperseded() const { return d->isSuperseded; }
+bool Host::isSuperseded() const { return m_d->isSuperseded; }
 
 }
--- a/src/libs/daemon/operatorservice.cpp
+++ b/src/libs/daemon/operatorservice.cpp
@@ -188,7 +188,7 @@
 
 Answer<PublishedVersion> OperatorService::withdrawKey(const std::string& name)
 {
-    const auto published = publishEdit([&](Catalog::Document& document) -> std::optional<Catalog::Fault> {
+    auto published = publishEdit([&](Catalog::Document& document) -> std::optional<Catalog::Fault> {
         const auto found = std::ranges::find(document.keys, name, &Catalog::Key::name);
         if (found == document.keys.end())
             return unknownObject(ObjectType::Key, name);
--- a/src/libs/daemon/peerservice.cpp
+++ b/src/libs/daemon/peerservice.cpp
@@ -30,7 +30,7 @@
 
 }
 
-PeerService::PeerService(Transport::TransportSettings transport, const std::string& zone,
+PeerService::PeerService(const Transport::TransportSettings& transport, const std::string& zone,
     std::vector<std::string> seeds, Metrics::Registry& metrics, PeerHooks hooks)
     : m_metrics(metrics)
     , m_hooks(std::move(hooks))
@@ -81,6 +81,7 @@
 void PeerService::setLiveHosts(const std::vector<Platform::LiveHost>& hosts)
 {
     std::vector<Membership::ListedHost> listed;
+    listed.reserve(hosts.size());
     for (const Platform::LiveHost& host : hosts)
         listed.push_back({ host.name, host.address, host.zone, host.isLeaving });
     Membership::GossipOutput output;
--- a/src/libs/daemon/peerservice.h
+++ b/src/libs/daemon/peerservice.h
@@ -46,7 +46,7 @@
 /// for the membership protocol and the membership mutex.
 class PeerService {
 public:
-    PeerService(Transport::TransportSettings transport, const std::string& zone,
+    PeerService(const Transport::TransportSettings& transport, const std::string& zone,
         std::vector<std::string> seeds, Metrics::Registry& metrics, PeerHooks hooks);
     ~PeerService();
     PeerService(const PeerService&) = delete;
--- a/src/libs/daemon/quotaservice.cpp
+++ b/src/libs/daemon/quotaservice.cpp
@@ -93,7 +93,7 @@
         const std::lock_guard lock(m_mutex);
         returns = m_cache.returnAll(steadyNow());
     }
-    sendDraws(std::move(returns));
+    sendDraws(returns);
     decideSlots(SlotAssignment::HostState::Draining);
 }
 
@@ -137,6 +137,7 @@
     // says so in its reply.
     const std::vector<std::string> live = liveNames();
     std::vector<std::string> holders;
+    holders.reserve(Quota::slotCount);
     for (int slot = 0; slot < Quota::slotCount; ++slot)
         holders.push_back(preferredHolder(slot, live));
     {
@@ -194,15 +195,15 @@
         m_hasWaiting = false;
         std::vector<Quota::OutgoingDraw> draws = m_cache.plan(steadyNow(), generator);
         lock.unlock();
-        sendDraws(std::move(draws));
+        sendDraws(draws);
         lock.lock();
         m_wakeDraws.wait_for(lock, TokenCache::planInterval, [this] { return m_isStopping || m_hasWaiting; });
     }
 }
 
-void QuotaService::sendDraws(std::vector<Quota::OutgoingDraw> draws)
+void QuotaService::sendDraws(const std::vector<Quota::OutgoingDraw>& draws)
 {
-    for (Quota::OutgoingDraw& draw : draws) {
+    for (const Quota::OutgoingDraw& draw : draws) {
         if (draw.holder == m_self.host) {
             const Quota::DrawReply reply = this->draw({ m_self.host, m_self.incarnation }, draw.request);
             takeReply(draw.holder, &reply);
--- a/src/libs/daemon/quotaservice.h
+++ b/src/libs/daemon/quotaservice.h
@@ -47,7 +47,7 @@
 
 private:
     void runDraws();
-    void sendDraws(std::vector<Quota::OutgoingDraw> draws);
+    void sendDraws(const std::vector<Quota::OutgoingDraw>& draws);
     void takeReply(const std::string& holder, const Quota::DrawReply* reply);
 
     void runSlots();
--- a/src/libs/database/upstreamclient.cpp
+++ b/src/libs/database/upstreamclient.cpp
@@ -28,7 +28,7 @@
         { "too_many_connections", ReplyStatus::TooManyConnections },
         { "statement_failed", ReplyStatus::StatementFailed },
         { "invalid_request", ReplyStatus::StatementFailed },
-    { "transaction_unknown", ReplyStatus::TransactionGone },
+        { "transaction_unknown", ReplyStatus::TransactionGone },
     } };
 
     ReplyStatus statusOf(const Http::Response& response, const Json& json)
--- a/src/libs/database/upstreamclient.h
+++ b/src/libs/database/upstreamclient.h
@@ -102,7 +102,8 @@
     StatementReply begin(
         std::uint64_t term, std::chrono::milliseconds ttl, std::chrono::milliseconds timeout);
     /// Ends the transaction that `begin` opened on this connection; `term` is the term of its begin.
-    StatementReply commit(std::uint64_t term, const std::string& requestId, std::chrono::milliseconds timeout);
+    StatementReply commit(
+        std::uint64_t term, const std::string& requestId, std::chrono::milliseconds timeout);
     StatementReply rollback(std::chrono::milliseconds timeout);
 
     void close();
--- a/src/libs/gateway/callerserver.cpp
+++ b/src/libs/gateway/callerserver.cpp
@@ -93,58 +93,58 @@
 };
 
 CallerServer::CallerServer(CallerServerSettings settings, CallerHooks hooks)
-    : d(std::make_unique<Private>())
+    : m_d(std::make_unique<Private>())
 {
-    d->settings = std::move(settings);
-    d->hooks = std::move(hooks);
+    m_d->settings = std::move(settings);
+    m_d->hooks = std::move(hooks);
 }
 
 CallerServer::~CallerServer() { stop(); }
 
 std::optional<std::string> CallerServer::start()
 {
-    d->address.sin_family = AF_INET;
-    d->address.sin_port = htons(d->settings.port);
-    inet_pton(AF_INET, d->settings.ip.c_str(), &d->address.sin_addr);
-    if (ulfius_init_instance(&d->instance, d->settings.port, &d->address, nullptr) != U_OK)
+    m_d->address.sin_family = AF_INET;
+    m_d->address.sin_port = htons(m_d->settings.port);
+    inet_pton(AF_INET, m_d->settings.ip.c_str(), &m_d->address.sin_addr);
+    if (ulfius_init_instance(&m_d->instance, m_d->settings.port, &m_d->address, nullptr) != U_OK)
         return "the HTTP library cannot be initialized";
     // One byte more than the largest limit lets a body over the limit be told from one at the limit.
-    d->instance.max_post_body_size = largestBodyBytes + 1;
-    d->instance.allowed_post_processor = U_POST_PROCESS_NONE;
-    d->instance.check_utf8 = 0;
-    ulfius_add_endpoint_by_val(&d->instance, "POST", "/v1", "/*", 0, &Private::onRequest, d.get());
+    m_d->instance.max_post_body_size = largestBodyBytes + 1;
+    m_d->instance.allowed_post_processor = U_POST_PROCESS_NONE;
+    m_d->instance.check_utf8 = 0;
+    ulfius_add_endpoint_by_val(&m_d->instance, "POST", "/v1", "/*", 0, &Private::onRequest, m_d.get());
     std::array<MHD_OptionItem, 8> options { {
         { MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<std::intptr_t>(&mhd_request_completed), nullptr },
         { MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<std::intptr_t>(&ulfius_uri_logger), nullptr },
-        { MHD_OPTION_SOCK_ADDR, 0, &d->address },
-        { MHD_OPTION_CONNECTION_LIMIT, d->settings.maxConnections, nullptr },
+        { MHD_OPTION_SOCK_ADDR, 0, &m_d->address },
+        { MHD_OPTION_CONNECTION_LIMIT, m_d->settings.maxConnections, nullptr },
         { MHD_OPTION_CONNECTION_MEMORY_LIMIT, static_cast<std::intptr_t>(connectionMemoryBytes), nullptr },
-        { MHD_OPTION_THREAD_STACK_SIZE, static_cast<std::intptr_t>(d->settings.stackBytes), nullptr },
+        { MHD_OPTION_THREAD_STACK_SIZE, static_cast<std::intptr_t>(m_d->settings.stackBytes), nullptr },
         { MHD_OPTION_CONNECTION_TIMEOUT, idleTimeoutSeconds, nullptr },
         { MHD_OPTION_END, 0, nullptr },
     } };
     // With select(), which is the default, descriptors above 1,023 cannot be served.
     const unsigned flags
         = MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL | MHD_USE_ITC;
-    if (ulfius_start_framework_with_mhd_options(&d->instance, flags, options.data()) != U_OK) {
-        ulfius_clean_instance(&d->instance);
-        return "cannot listen on " + d->settings.ip + ":" + std::to_string(d->settings.port);
+    if (ulfius_start_framework_with_mhd_options(&m_d->instance, flags, options.data()) != U_OK) {
+        ulfius_clean_instance(&m_d->instance);
+        return "cannot listen on " + m_d->settings.ip + ":" + std::to_string(m_d->settings.port);
     }
-    d->isStarted = true;
+    m_d->isStarted = true;
     return std::nullopt;
 }
 
-void CallerServer::beginDrain() { d->isDraining = true; }
+void CallerServer::beginDrain() { m_d->isDraining = true; }
 
-int CallerServer::running() const { return d->runningCount; }
+int CallerServer::running() const { return m_d->runningCount; }
 
 void CallerServer::stop()
 {
-    if (!d->isStarted)
+    if (!m_d->isStarted)
         return;
-    d->isStarted = false;
-    ulfius_stop_framework(&d->instance);
-    ulfius_clean_instance(&d->instance);
+    m_d->isStarted = false;
+    ulfius_stop_framework(&m_d->instance);
+    ulfius_clean_instance(&m_d->instance);
 }
 
 }
--- a/src/libs/http/connection.cpp
+++ b/src/libs/http/connection.cpp
@@ -83,35 +83,35 @@
 };
 
 Connection::Connection(const std::string& address)
-    : d(std::make_unique<Private>())
+    : m_d(std::make_unique<Private>())
 {
     initializeCurlOnce();
-    d->baseUrl = "http://" + address;
-    d->createHandle();
+    m_d->baseUrl = "http://" + address;
+    m_d->createHandle();
 }
 
 Connection::~Connection()
 {
-    curl_easy_cleanup(d->handle);
-    curl_slist_free_all(d->headers);
+    curl_easy_cleanup(m_d->handle);
+    curl_slist_free_all(m_d->headers);
 }
 
 Response Connection::send(const Request& request)
 {
     Response response;
-    d->setRequest(request);
-    d->socketsAllowed = request.use == ConnectionUse::OpenIfNeeded ? 1 : 0;
-    curl_easy_setopt(d->handle, CURLOPT_WRITEDATA, &response.body);
-    const CURLcode result = curl_easy_perform(d->handle);
+    m_d->setRequest(request);
+    m_d->socketsAllowed = request.use == ConnectionUse::OpenIfNeeded ? 1 : 0;
+    curl_easy_setopt(m_d->handle, CURLOPT_WRITEDATA, &response.body);
+    const CURLcode result = curl_easy_perform(m_d->handle);
     if (result == CURLE_OK) {
         long code = 0;
-        curl_easy_getinfo(d->handle, CURLINFO_RESPONSE_CODE, &code);
+        curl_easy_getinfo(m_d->handle, CURLINFO_RESPONSE_CODE, &code);
         response.status = Status::Answered;
         response.code = static_cast<int>(code);
         return response;
     }
     long requestSize = 0;
-    curl_easy_getinfo(d->handle, CURLINFO_REQUEST_SIZE, &requestSize);
+    curl_easy_getinfo(m_d->handle, CURLINFO_REQUEST_SIZE, &requestSize);
     response.status = requestSize == 0 ? Status::NotSent : Status::NoAnswer;
     response.error = curl_easy_strerror(result);
     response.body.clear();
@@ -122,8 +122,8 @@
 
 void Connection::close()
 {
-    curl_easy_cleanup(d->handle);
-    d->createHandle();
+    curl_easy_cleanup(m_d->handle);
+    m_d->createHandle();
 }
 
 }
--- a/src/libs/http/connection.h
+++ b/src/libs/http/connection.h
@@ -69,7 +69,7 @@
 
 private:
     struct Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_d;
 };
 
 }
--- a/src/libs/transport/peertransport.cpp
+++ b/src/libs/transport/peertransport.cpp
@@ -24,7 +24,7 @@
 namespace {
 
     constexpr const char* zapAddress = "inproc://zeromq.zap.01";
-    constexpr std::int64_t maxMessageBytes = 4 * 1024 * 1024;
+    constexpr std::int64_t maxMessageBytes = 4L * 1024 * 1024;
     constexpr int sendQueueMessages = 10000;
     constexpr std::size_t maxSilentTimeouts = 2;
 
@@ -103,7 +103,7 @@
 };
 
 PeerTransport::PeerTransport(TransportSettings settings, RequestHandler onRequest)
-    : d(std::make_unique<Private>(std::move(settings), std::move(onRequest)))
+    : m_d(std::make_unique<Private>(std::move(settings), std::move(onRequest)))
 {
 }
 
@@ -112,55 +112,55 @@
 std::optional<std::string> PeerTransport::start()
 {
     try {
-        d->zap = zmq::socket_t(d->context, zmq::socket_type::rep);
-        d->zap.set(zmq::sockopt::linger, 0);
-        d->zap.bind(zapAddress);
-        d->router = zmq::socket_t(d->context, zmq::socket_type::router);
-        d->router.set(zmq::sockopt::linger, 0);
-        d->router.set(zmq::sockopt::maxmsgsize, maxMessageBytes);
-        d->router.set(zmq::sockopt::sndhwm, sendQueueMessages);
-        d->router.set(zmq::sockopt::curve_server, 1);
-        d->router.set(zmq::sockopt::curve_secretkey, d->settings.curveSecretKey);
-        d->router.set(zmq::sockopt::zap_domain, "fleet");
-        d->router.bind("tcp://" + d->settings.listenAddress);
+        m_d->zap = zmq::socket_t(m_d->context, zmq::socket_type::rep);
+        m_d->zap.set(zmq::sockopt::linger, 0);
+        m_d->zap.bind(zapAddress);
+        m_d->router = zmq::socket_t(m_d->context, zmq::socket_type::router);
+        m_d->router.set(zmq::sockopt::linger, 0);
+        m_d->router.set(zmq::sockopt::maxmsgsize, maxMessageBytes);
+        m_d->router.set(zmq::sockopt::sndhwm, sendQueueMessages);
+        m_d->router.set(zmq::sockopt::curve_server, 1);
+        m_d->router.set(zmq::sockopt::curve_secretkey, m_d->settings.curveSecretKey);
+        m_d->router.set(zmq::sockopt::zap_domain, "fleet");
+        m_d->router.bind("tcp://" + m_d->settings.listenAddress);
     } catch (const zmq::error_t& error) {
         return std::string(error.what());
     }
-    d->wakeFd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
-    d->thread = std::thread([this] { d->run(); });
+    m_d->wakeFd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+    m_d->thread = std::thread([this] { m_d->run(); });
     return std::nullopt;
 }
 
 void PeerTransport::stop()
 {
-    if (!d->thread.joinable())
+    if (!m_d->thread.joinable())
         return;
-    d->isStopping = true;
-    d->wake();
-    d->thread.join();
-    ::close(d->wakeFd);
+    m_d->isStopping = true;
+    m_d->wake();
+    m_d->thread.join();
+    ::close(m_d->wakeFd);
 }
 
 void PeerTransport::send(const std::string& address, Wire::Envelope message)
 {
-    d->enqueue({ address, std::move(message), {}, nullptr, {}, false });
+    m_d->enqueue({ address, std::move(message), {}, nullptr, {}, false });
 }
 
 void PeerTransport::request(
     const std::string& address, Wire::Envelope message, milliseconds timeout, ReplyHandler onReply)
 {
-    d->enqueue({ address, std::move(message), timeout, std::move(onReply), {}, false });
+    m_d->enqueue({ address, std::move(message), timeout, std::move(onReply), {}, false });
 }
 
 void PeerTransport::resetConnection(const std::string& address)
 {
-    d->enqueue({ address, {}, {}, nullptr, {}, true });
+    m_d->enqueue({ address, {}, {}, nullptr, {}, true });
 }
 
 TransportCounts PeerTransport::counts() const
 {
-    return { d->bytesSent, d->bytesReceived, d->messagesSent, d->messagesReceived, d->malformed,
-        d->rejected };
+    return { m_d->bytesSent, m_d->bytesReceived, m_d->messagesSent, m_d->messagesReceived, m_d->malformed,
+        m_d->rejected };
 }
 
 void PeerTransport::Private::enqueue(Outgoing outgoing)
