--- a/src/libs/daemon/grouprunner.cpp
+++ b/src/libs/daemon/grouprunner.cpp
@@ -386,7 +386,7 @@
     const milliseconds timeout = timeLeft(request.deadline, sentAt) + milliseconds(1);
     StatementReply reply;
     if (request.operation == Operation::Commit)
-        reply = assignment->client->commit(transaction.term, request.requestId, timeout);
+        reply = assignment->client->commit(request.requestId, timeout);
     else if (request.operation == Operation::Rollback)
         reply = assignment->client->rollback(timeout);
     else
--- a/src/libs/database/upstreamclient.cpp
+++ b/src/libs/database/upstreamclient.cpp
@@ -126,7 +126,7 @@
 {
     Json body { { "term", term }, { "sql", statement.sql }, { "write", statement.isWrite } };
     if (statement.isInTransaction)
-        body["transaction"] = m_transaction;
+        body["transaction"] = true;
     body["params"] = Json::parse(statement.params, nullptr, false);
     if (!statement.requestId.empty())
         body["requestId"] = statement.requestId;
@@ -135,26 +135,21 @@
 
 StatementReply UpstreamClient::begin(std::uint64_t term, milliseconds ttl, milliseconds timeout)
 {
-    const Json body { { "term", term }, { "ttlMs", ttl.count() } };
-    StatementReply reply = requestStatement("/begin", body.dump(), {}, timeout);
-    m_transaction = reply.transaction;
-    return reply;
+    return requestStatement(
+        "/begin", Json { { "term", term }, { "ttlMs", ttl.count() } }.dump(), {}, timeout);
 }
 
-StatementReply UpstreamClient::commit(std::uint64_t term, const std::string& requestId, milliseconds timeout)
+StatementReply UpstreamClient::commit(const std::string& requestId, milliseconds timeout)
 {
-    Json body { { "term", term }, { "transaction", m_transaction } };
+    Json body = Json::object();
     if (!requestId.empty())
         body["requestId"] = requestId;
-    m_transaction = 0;
     return requestStatement("/commit", body.dump(), {}, timeout);
 }
 
 StatementReply UpstreamClient::rollback(milliseconds timeout)
 {
-    const Json body { { "transaction", m_transaction } };
-    m_transaction = 0;
-    return requestStatement("/rollback", body.dump(), {}, timeout);
+    return requestStatement("/rollback", "{}", {}, timeout);
 }
 
 void UpstreamClient::close() { m_connection->close(); }
@@ -186,8 +181,7 @@
     }
     reply.position = { numberOf(json, "term"), numberOf(json, "position") };
     reply.message = textOf(json, "message");
-    reply.transaction = numberOf(json, "transaction");
-    for (const char* name : { "term", "position", "transaction" })
+    for (const char* name : { "term", "position" })
         json.erase(name);
     reply.result = json.dump();
     return reply;
--- a/src/libs/database/upstreamclient.h
+++ b/src/libs/database/upstreamclient.h
@@ -63,8 +63,6 @@
     Model::LogPosition position;
     /// JSON document for the caller.
     std::string result;
-    /// The database's number of a transaction that was begun.
-    std::uint64_t transaction = 0;
     std::string message;
 };
 
@@ -101,9 +99,9 @@
     /// `ttl`: the database rolls the transaction back after this time without a statement.
     StatementReply begin(
         std::uint64_t term, std::chrono::milliseconds ttl, std::chrono::milliseconds timeout);
-    /// Ends the transaction that `begin` opened on this connection; `term` is the term of its begin.
-    StatementReply commit(
-        std::uint64_t term, const std::string& requestId, std::chrono::milliseconds timeout);
+    /// Ends the transaction that `begin` opened on this connection. A fence rolls all transactions back, so a
+    /// commit never takes effect in another term than its begin.
+    StatementReply commit(const std::string& requestId, std::chrono::milliseconds timeout);
     StatementReply rollback(std::chrono::milliseconds timeout);
 
     void close();
@@ -115,8 +113,6 @@
         const std::string& traceparent, std::chrono::milliseconds timeout);
 
     std::unique_ptr<Http::Connection> m_connection;
-    /// The database's number of the open transaction; 0 without one.
-    std::uint64_t m_transaction = 0;
 };
 
 }
