--- a/src/libs/core/replication/group.cpp
+++ b/src/libs/core/replication/group.cpp
@@ -231,7 +231,7 @@
         if (&member != primary && member.promisedTerm() == primary->promisedTerm())
             progressAt = std::max(progressAt, member.progressAt());
     }
-    m_stall.update(primary->lastEntry(), m_quorum.confirmed(), progressAt, now);
+    m_stall.update(primary->promisedTerm(), primary->lastEntry(), m_quorum.confirmed(), progressAt, now);
 }
 
 void Group::updateAvailability(Model::Time now)
@@ -250,6 +250,7 @@
     case Promotion::State::Promoting:
         return;
     case Promotion::State::Succeeded:
+        m_stalledPrimary.clear();
         for (MemberView& member : m_members)
             member.requestProbe();
         break;
@@ -277,23 +278,23 @@
         backOff(now, generator);
     if (m_backOffUntil && now < *m_backOffUntil)
         return;
-    startPromotion(primary ? primary->name() : std::string(), {}, now, generator);
+    startPromotion(primary ? primary->name() : std::string(), now, generator);
 }
 
 void Group::considerReplacing(const MemberView& primary, Model::Time now, Generator& generator)
 {
-    const std::size_t others = reachableCount(now) - (primary.isReachable(now) ? 1 : 0);
-    if (m_stall.isStalled(now) && others >= majorityOf(m_members.size())) {
+    m_stalledPrimary = m_stall.isSuspected(now) ? primary.name() : std::string();
+    if (m_stall.isStalled(now) && mayAvoid(primary.name(), now)) {
         m_stall.replaced();
-        startPromotion(primary.name(), primary.name(), now, generator);
+        startPromotion(primary.name(), now, generator);
         return;
     }
     if (isTermSplit(primary, now)) {
-        startPromotion(primary.name(), {}, now, generator);
+        startPromotion(primary.name(), now, generator);
         return;
     }
     if (m_switchover.update(primary, m_members, m_writesInProgress, now) == Switchover::Step::Promote)
-        startPromotion(primary.name(), {}, now, generator);
+        startPromotion(primary.name(), now, generator);
 }
 
 /// A fence that did not lead to a promotion leaves its members at a term that refuses the primary's
@@ -318,11 +319,21 @@
             [&](const MemberView& member) { return member.isReachable(now) || member.isFailed(now); });
 }
 
-void Group::startPromotion(std::string previous, std::string avoided, Model::Time now, Generator& generator)
+/// Whether the other members are enough for a promotion.
+bool Group::mayAvoid(const std::string& member, Model::Time now) const
+{
+    const auto others = std::ranges::count_if(m_members, [&](const MemberView& other) {
+        return other.name() != member && other.isActive() && other.isReachable(now);
+    });
+    return static_cast<std::size_t>(others) >= majorityOf(m_members.size());
+}
+
+void Group::startPromotion(std::string previous, Model::Time now, Generator& generator)
 {
     m_backOffUntil.reset();
     m_termSplitSince.reset();
     m_highestTerm = nextTerm(m_highestTerm, generator);
+    std::string avoided = mayAvoid(m_stalledPrimary, now) ? m_stalledPrimary : std::string();
     m_promotion.emplace(m_highestTerm, m_members, std::move(previous), std::move(avoided), now);
 }
 
--- a/src/libs/core/replication/group.h
+++ b/src/libs/core/replication/group.h
@@ -104,7 +104,8 @@
     void considerReplacing(const MemberView& primary, Model::Time now, Generator& generator);
     bool isTermSplit(const MemberView& primary, Model::Time now);
     bool mayPromote(Model::Time now) const;
-    void startPromotion(std::string previous, std::string avoided, Model::Time now, Generator& generator);
+    void startPromotion(std::string previous, Model::Time now, Generator& generator);
+    bool mayAvoid(const std::string& member, Model::Time now) const;
     void backOff(Model::Time now, Generator& generator);
     void joinMembers(std::vector<Action>& actions, Model::Time now);
 
@@ -113,6 +114,9 @@
     AckQuorum m_quorum;
     Freshness m_freshness;
     StallDetector m_stall;
+    /// The primary from which nothing replicates, until another one is promoted. Kept while there is no
+    /// primary, because another owner may have fenced it for this reason.
+    std::string m_stalledPrimary;
     Switchover m_switchover;
     std::optional<Promotion> m_promotion;
     std::size_t m_writesInProgress = 0;
--- a/src/libs/core/replication/promotion.cpp
+++ b/src/libs/core/replication/promotion.cpp
@@ -48,9 +48,11 @@
 
 void Promotion::responseLost(const std::string& name)
 {
-    Step& lost = m_state == State::Promoting ? m_promote : step(name);
-    if (lost.member == name && lost.call == CallState::Sent)
-        lost.call = CallState::Unknown;
+    if (m_state == State::Promoting && name == m_candidate && m_promote.call == CallState::Sent)
+        m_promote.call = CallState::Unknown;
+    // A fence is repeated at once: if it took effect, the refusal names this attempt's term.
+    if (m_state == State::Fencing && step(name).call == CallState::Sent)
+        step(name).call = CallState::Due;
 }
 
 void Promotion::advance(std::vector<MemberView>& members, std::vector<Action>& actions, Model::Time now)
@@ -64,8 +66,11 @@
 void Promotion::advanceFencing(
     std::vector<MemberView>& members, std::vector<Action>& actions, Model::Time now)
 {
-    if (mayChoose(members, now)) {
-        choose(members, now);
+    if (std::optional<std::string> chosen = choice(members, now)) {
+        m_candidate = std::move(*chosen);
+        m_promote.member = m_candidate;
+        m_phaseStartedAt = now;
+        m_state = State::Promoting;
         return;
     }
     if (now - m_phaseStartedAt >= fencingLimit) {
@@ -83,33 +88,29 @@
     }
 }
 
-bool Promotion::mayChoose(std::span<const MemberView> members, Model::Time now) const
-{
-    const auto fenced = std::ranges::count(m_fences, CallState::Done, &Step::call);
-    if (static_cast<std::size_t>(fenced) < majorityOf(members.size()))
-        return false;
-    if (now - m_phaseStartedAt >= stragglerLimit)
-        return true;
-    return std::ranges::all_of(members, [&](const MemberView& member) {
-        const auto fence = std::ranges::find(m_fences, member.name(), &Step::member);
-        return fence->call == CallState::Done || member.isFailed(now);
-    });
-}
-
-void Promotion::choose(std::span<const MemberView> members, Model::Time now)
+std::optional<std::string> Promotion::choice(std::span<const MemberView> members, Model::Time now) const
 {
+    const auto isPreferred
+        = [this](const MemberView& member) { return member.isActive() && member.name() != m_avoided; };
     std::vector<FencedMember> fenced;
+    fenced.reserve(members.size());
+    bool isComplete = true;
     for (const MemberView& member : members) {
-        const Step& fence = step(member.name());
-        if (fence.call != CallState::Done)
-            continue;
-        fenced.push_back({ member.name(), fence.lastEntry, member.isActive() && member.name() != m_avoided,
-            member.name() == m_previousPrimary });
+        const auto fence = std::ranges::find(m_fences, member.name(), &Step::member);
+        if (fence->call == CallState::Done)
+            fenced.push_back(
+                { member.name(), fence->lastEntry, isPreferred(member), member.name() == m_previousPrimary });
+        else if (!member.isFailed(now))
+            isComplete = false;
     }
-    m_candidate = *chooseCandidate(fenced, members.size());
-    m_promote.member = m_candidate;
-    m_phaseStartedAt = now;
-    m_state = State::Promoting;
+    std::optional<std::string> chosen = chooseCandidate(fenced, members.size());
+    if (!chosen || *chosen == m_avoided)
+        return std::nullopt;
+    if (isComplete || now - m_phaseStartedAt >= fencingLimit)
+        return chosen;
+    // A primary that is to be moved is not chosen again because the response of a replica was lost.
+    const bool maySettle = isPreferred(*std::ranges::find(members, *chosen, &MemberView::name));
+    return maySettle && now - m_phaseStartedAt >= stragglerLimit ? chosen : std::nullopt;
 }
 
 void Promotion::advancePromoting(
@@ -125,6 +126,7 @@
     m_promote.call = CallState::Sent;
     m_promote.sentAt = now;
     std::vector<std::string> names;
+    names.reserve(members.size());
     for (const MemberView& member : members)
         names.push_back(member.name());
     actions.emplace_back(Promote { m_candidate, m_term, std::move(names) });
--- a/src/libs/core/replication/promotion.h
+++ b/src/libs/core/replication/promotion.h
@@ -24,7 +24,7 @@
         TimedOut,
     };
 
-    /// `avoided` names a primary that is not preferred although it answers; it may be empty.
+    /// `avoided` names a primary that answers but must not be chosen again; it may be empty.
     Promotion(std::uint64_t term, std::span<const MemberView> members, std::string previousPrimary,
         std::string avoided, Model::Time now);
 
@@ -63,8 +63,8 @@
     void expire(Step& step, MemberView& view, Model::Time now);
     void advanceFencing(std::vector<MemberView>& members, std::vector<Action>& actions, Model::Time now);
     void advancePromoting(std::vector<MemberView>& members, std::vector<Action>& actions, Model::Time now);
-    bool mayChoose(std::span<const MemberView> members, Model::Time now) const;
-    void choose(std::span<const MemberView> members, Model::Time now);
+    /// The member to promote, as soon as waiting for further fences is of no use.
+    std::optional<std::string> choice(std::span<const MemberView> members, Model::Time now) const;
 
     std::uint64_t m_term;
     std::string m_previousPrimary;
--- a/src/libs/core/replication/stalldetector.cpp
+++ b/src/libs/core/replication/stalldetector.cpp
@@ -1,12 +1,16 @@
 #include "core/replication/stalldetector.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Replication {
 
-void StallDetector::update(
-    Model::LogPosition last, Model::LogPosition confirmed, Model::Time progressAt, Model::Time now)
+void StallDetector::update(std::uint64_t term, Model::LogPosition last, Model::LogPosition confirmed,
+    Model::Time progressAt, Model::Time now)
 {
+    // A new primary has not stalled because the one before it had.
+    if (std::exchange(m_term, term) != term)
+        m_stalledSince.reset();
     if (confirmed.term == last.term && confirmed > m_confirmed) {
         m_confirmed = confirmed;
         m_limit = stallLimit;
--- a/src/libs/core/replication/timing.h
+++ b/src/libs/core/replication/timing.h
@@ -39,6 +39,7 @@
 /// A primary from which no majority replicates for this long is replaced. It doubles with every
 /// replacement that did not help, so that replicas with a long delay do not cause a change each time.
 constexpr Model::Duration stallLimit = 4s;
+constexpr Model::Duration stallSuspicionLimit = 1s;
 constexpr Model::Duration stallLimitMaximum = 64s;
 /// A member with a higher term than the primary's is left to the host that fenced it for this long.
 constexpr Model::Duration termSplitLimit = 1500ms;
