Ramp zones up, keep sessions in transactions, log all events

A transaction reads on the primary that this host knows, which may have been replaced; begin and the statements now wait until that member has the session's position. A read that gets no answer is tried once more within its deadline. raise() sent the end signal of a superseded process to a thread that blocks it, so the process would not have ended; the signal now goes to the process.

--- a/src/libs/daemon/grouprunner.cpp
+++ b/src/libs/daemon/grouprunner.cpp
@@ -33,6 +33,23 @@
     constexpr int maxAttempts = 5;
     constexpr milliseconds pauseAfterStaleTerm(20);
 
+    Completion completionOf(ReplyStatus status)
+    {
+        switch (status) {
+        case ReplyStatus::Done:
+        case ReplyStatus::StaleTerm:
+        case ReplyStatus::StatementFailed:
+            return Completion::Done;
+        case ReplyStatus::NoAnswer:
+            return Completion::TimedOut;
+        case ReplyStatus::NotSent:
+        case ReplyStatus::TooManyConnections:
+        case ReplyStatus::TransactionGone:
+            break;
+        }
+        return Completion::Broken;
+    }
+
     enum class StatementKind : std::uint8_t {
         Write,
         Read,
@@ -68,6 +85,8 @@
         const bool isUsable
             = upstream.state == Catalog::UpstreamState::Active && catalog.isZoneIn(upstream.zone);
         config.state = isUsable ? Scheduling::UpstreamState::Active : Scheduling::UpstreamState::NoNewWork;
+        using ZoneState = Scheduling::Ramp::ZoneState;
+        config.zoneState = catalog.isZoneIn(upstream.zone) ? ZoneState::In : ZoneState::Out;
         return config;
     }
 
@@ -276,17 +295,21 @@
         const Time sentAt = steadyNow();
         const Database::Statement statement { request.sql, request.params, request.isWrite, request.requestId,
             false };
+        // A read that got no answer is tried once more, so its first attempt leaves time for that.
+        const bool mayRepeat = !request.isWrite && attempt == 0;
+        const milliseconds left = timeLeft(request.deadline, sentAt) + milliseconds(1);
         const StatementReply reply = assignment->client->execute(assignment->term, statement,
-            Logging::formatTraceparent(span.context()), timeLeft(request.deadline, sentAt) + milliseconds(1));
+            Logging::formatTraceparent(span.context()), mayRepeat ? left / 2 : left);
         lock.lock();
         if (request.isWrite) {
             --m_runningWrites;
             updateWriteCount();
         }
         const bool didNotRun = reply.status == ReplyStatus::NotSent || reply.status == ReplyStatus::StaleTerm;
-        if (!didNotRun || attempt + 1 == maxAttempts)
+        const bool isRepeated = didNotRun || (mayRepeat && reply.status == ReplyStatus::NoAnswer);
+        if (!isRepeated || attempt + 1 == maxAttempts)
             return finishStatement(request, *assignment, reply, sentAt, lock);
-        endUse(*assignment, reply.status == ReplyStatus::NotSent ? Completion::Broken : Completion::Done);
+        endUse(*assignment, completionOf(reply.status));
         m_group.observeFailure(assignment->upstream, Replication::ConnectionKind::Established, steadyNow());
         // The view of the members is out of date; the probe that the failure asks for brings a new one.
         m_changed.wait_for(lock, pauseAfterStaleTerm);
@@ -297,34 +320,25 @@
 GroupAnswer GroupRunner::finishStatement(const GroupRequest& request, const Assignment& assignment,
     const StatementReply& reply, Time sentAt, Lock& lock)
 {
-    const Time now = steadyNow();
-    GroupAnswer answer;
-    answer.upstream = assignment.upstream;
+    endUse(assignment, completionOf(reply.status));
     switch (reply.status) {
     case ReplyStatus::Done:
-        endUse(assignment, Completion::Done);
         if (request.isWrite)
             return awaitConfirmation(request, assignment, reply, sentAt, lock);
-        answer.result = reply.result;
-        return answer;
+        return { std::nullopt, reply.result, {}, {}, assignment.upstream };
     case ReplyStatus::StatementFailed:
-        endUse(assignment, Completion::Done);
         return refusal(ErrorCode::StatementFailed, reply.message);
     case ReplyStatus::NoAnswer:
-        endUse(assignment, Completion::TimedOut);
-        m_group.observeFailure(assignment.upstream, Replication::ConnectionKind::Established, now);
+        m_group.observeFailure(assignment.upstream, Replication::ConnectionKind::Established, steadyNow());
         m_context.metrics->counter("parsleytack_upstream_silent_total").add();
         return refusal(ErrorCode::OutcomeUnknown);
     case ReplyStatus::StaleTerm:
-        endUse(assignment, Completion::Done);
-        return refusal(ErrorCode::NoPrimary);
     case ReplyStatus::NotSent:
     case ReplyStatus::TooManyConnections:
     case ReplyStatus::TransactionGone:
         break;
     }
-    endUse(assignment, Completion::Broken);
-    return refusal(ErrorCode::NoPrimary, "the upstream cannot be reached");
+    return refusal(ErrorCode::NoPrimary, "the upstream cannot be reached or has another term");
 }
 
 GroupAnswer GroupRunner::awaitConfirmation(const GroupRequest& request, const Assignment& assignment,
@@ -566,8 +580,8 @@
     const Waiter& waiter, const UpstreamLink& upstream, Time now) const
 {
     if (waiter.kind == StatementKind::InTransaction) {
-        const bool canResume
-            = waiter.member == upstream.name() && upstream.pool().canResume(waiter.transaction);
+        const bool canResume = waiter.member == upstream.name()
+            && upstream.pool().canResume(waiter.transaction) && hasSessionPosition(waiter, upstream);
         return canResume ? std::optional<std::uint64_t>(0) : std::nullopt;
     }
     if (waiter.kind == StatementKind::Read) {
@@ -581,11 +595,21 @@
     const WriteRoute route = m_group.routeWrite(waiter.arrivedAt, now);
     if (route.kind != WriteRoute::Kind::Run || route.primary.member != upstream.name())
         return std::nullopt;
+    // A transaction reads on the primary, which may be one that was replaced without this host knowing.
     const bool isBegin = waiter.kind == StatementKind::Begin;
+    if (isBegin && !hasSessionPosition(waiter, upstream))
+        return std::nullopt;
     const bool hasConnection = isBegin ? upstream.pool().canBegin(now) : upstream.pool().canAcquire(now);
     return hasConnection ? std::optional(route.primary.term) : std::nullopt;
 }
 
+bool GroupRunner::hasSessionPosition(const Waiter& waiter, const UpstreamLink& upstream) const
+{
+    const auto members = m_group.members();
+    const auto found = std::ranges::find(members, upstream.name(), &Replication::MemberView::name);
+    return found != members.end() && found->lastEntry() >= waiter.request->sessionPosition;
+}
+
 void GroupRunner::updateLoads(Time now)
 {
     m_loads.clear();
@@ -594,8 +618,8 @@
         if (found == m_upstreams.end())
             m_loads.push_back({ 0, false });
         else
-            m_loads.push_back(
-                { static_cast<std::uint32_t>(found->pool().running()), found->pool().canAcquire(now) });
+            m_loads.push_back({ static_cast<std::uint32_t>(found->pool().running()),
+                found->pool().canAcquire(now) && found->admitsRead(now, m_generator) });
     }
 }
 
@@ -651,7 +675,6 @@
 
 void GroupRunner::runTicks()
 {
-    std::mt19937_64 generator(std::random_device {}());
     while (true) {
         {
             Lock lock(m_mutex);
@@ -659,18 +682,19 @@
             if (m_isStopping)
                 return;
         }
-        tick(generator);
+        tick();
     }
 }
 
-void GroupRunner::tick(std::mt19937_64& generator)
+void GroupRunner::tick()
 {
     std::vector<Replication::Action> actions;
     {
         const Lock lock(m_mutex);
         const Time now = steadyNow();
         const bool wasPromoting = m_group.isPromoting();
-        actions = m_group.nextActions(now, generator);
+        reportSuspicion();
+        actions = m_group.nextActions(now, m_generator);
         if (!wasPromoting && m_group.isPromoting())
             Logging::write(Logging::EventId::PromotionStarted, { { "service", m_context.service } });
         if (wasPromoting && !m_group.isPromoting()) {
@@ -695,6 +719,20 @@
         m_monitor.perform(action);
 }
 
+void GroupRunner::reportSuspicion()
+{
+    const auto isSuspected = [](const Replication::MemberView& member) {
+        return member.role() == Replication::Role::Primary && member.isSuspected();
+    };
+    const auto members = m_group.members();
+    const auto found = std::ranges::find_if(members, isSuspected);
+    const bool isNowSuspected = found != members.end();
+    if (isNowSuspected && !m_isPrimarySuspected)
+        Logging::write(Logging::EventId::PrimarySuspected,
+            { { "service", m_context.service }, { "upstream", found->name() } });
+    m_isPrimarySuspected = isNowSuspected;
+}
+
 void GroupRunner::expireTransactions(UpstreamLink& upstream, Time now)
 {
     for (const Scheduling::ExpiredTransaction& expired : upstream.pool().expireTransactions(now)) {
@@ -739,6 +777,7 @@
         return;
     if (reply.status != ReplyStatus::Done) {
         upstream->pool().openFailed(connection);
+        Logging::write(Logging::EventId::ConnectionFailed, { { "upstream", name } });
         if (reply.status == ReplyStatus::NotSent || reply.status == ReplyStatus::NoAnswer)
             m_group.observeFailure(name, Replication::ConnectionKind::New, now);
         return;
--- a/src/libs/daemon/grouprunner.h
+++ b/src/libs/daemon/grouprunner.h
@@ -79,13 +79,15 @@
     void endUse(const Assignment& assignment, Scheduling::Completion completion);
     void endTransaction(const std::string& id);
 
-    void tick(std::mt19937_64& generator);
+    void tick();
+    void reportSuspicion();
     void runTicks();
     void dispatch(Model::Time now);
     void assignFrom(UpstreamLink& upstream, Model::Time now);
     /// The term to send if the request can run on the upstream now.
     std::optional<std::uint64_t> runnableTerm(
         const Waiter& waiter, const UpstreamLink& upstream, Model::Time now) const;
+    bool hasSessionPosition(const Waiter& waiter, const UpstreamLink& upstream) const;
     void updateLoads(Model::Time now);
     Replication::ReadRequest readRequest(const Waiter& waiter) const;
     void refuse(std::uint64_t item, Model::ErrorCode code);
@@ -114,9 +116,11 @@
     /// Load of each member of the group, as of the last dispatch.
     std::vector<Replication::MemberLoad> m_loads;
     TransactionTable m_transactions;
+    std::mt19937_64 m_generator { std::random_device {}() };
     std::uint64_t m_nextItem = 1;
     std::size_t m_runningWrites = 0;
     std::size_t m_active = 0;
+    bool m_isPrimarySuspected = false;
     bool m_isReleased = false;
     bool m_isStopping = false;
     GroupMonitor m_monitor;
--- a/src/libs/daemon/host.cpp
+++ b/src/libs/daemon/host.cpp
@@ -23,6 +23,8 @@
 #include <condition_variable>
 #include <csignal>
 
+#include <unistd.h>
+
 namespace Daemon {
 
 using Membership::ContactState;
@@ -110,6 +112,9 @@
     bool isOwnershipStale = true;
     bool isStopping = false;
     std::thread ownershipThread;
+    /// Used on the ownership thread.
+    Membership::ContactState lastContact = Membership::ContactState::Isolated;
+    std::uint64_t lastRejected = 0;
 
     PeerHooks peerHooks();
     RouterHooks routerHooks();
@@ -126,6 +131,7 @@
     void staleOwnership();
     void runOwnership();
     void updateOwnership();
+    void reportChanges();
     void stopOwnership();
 };
 
@@ -165,7 +171,8 @@
     hooks.onMembersChanged = [this] { staleOwnership(); };
     hooks.onSuperseded = [this] {
         isSuperseded = true;
-        std::raise(SIGTERM);
+        // A signal to the process, not to this thread, reaches the thread that waits for it.
+        ::kill(::getpid(), SIGTERM);
     };
     return hooks;
 }
@@ -356,6 +363,7 @@
         lock.unlock();
         updateOwnership();
         quota.membersChanged();
+        reportChanges();
         lock.lock();
         ownershipChanged.wait_for(lock, ownershipInterval, [this] { return isStopping || isOwnershipStale; });
     }
@@ -378,6 +386,21 @@
     groups.update(owned, inForce->snapshot);
 }
 
+void Host::Private::reportChanges()
+{
+    const ContactState contact = peers.contactState(steadyNow());
+    if (contact != lastContact)
+        Logging::write(Logging::EventId::ContactChanged,
+            { { "from", std::string(Membership::contactStateName(lastContact)) },
+                { "to", std::string(Membership::contactStateName(contact)) } });
+    lastContact = contact;
+    const std::uint64_t rejected = peers.transportCounts().rejected;
+    if (rejected > lastRejected)
+        Logging::write(
+            Logging::EventId::PeerRejected, { { "count", std::to_string(rejected - lastRejected) } });
+    lastRejected = rejected;
+}
+
 void Host::Private::stopOwnership()
 {
     {
--- a/src/libs/daemon/quotaservice.cpp
+++ b/src/libs/daemon/quotaservice.cpp
@@ -267,8 +267,18 @@
     for (const auto& [slot, reading] : m_rows)
         rows.push_back(reading.row);
     const std::vector<Quota::SlotChange> changes = m_assignment.decide(present, rows);
-    for (const Quota::SlotChange& change : changes)
-        apply(change);
+    std::size_t taken = 0;
+    std::size_t released = 0;
+    for (const Quota::SlotChange& change : changes) {
+        const bool isDone = apply(change);
+        const bool isTake = change.kind == Quota::SlotChange::Kind::Take;
+        taken += isDone && isTake ? 1 : 0;
+        released += isDone && !isTake ? 1 : 0;
+    }
+    if (taken > 0)
+        Logging::write(Logging::EventId::SlotTaken, { { "count", std::to_string(taken) } });
+    if (released > 0)
+        Logging::write(Logging::EventId::SlotReleased, { { "count", std::to_string(released) } });
     const std::lock_guard lock(m_mutex);
     std::int64_t held = 0;
     for (int slot = 0; slot < Quota::slotCount; ++slot)
@@ -289,6 +299,8 @@
         m_buckets.dropSlot(slot);
         m_unresolved.insert(slot);
     }
+    if (!m_rows.empty())
+        Logging::write(Logging::EventId::SlotLost, { { "count", std::to_string(m_rows.size()) } });
     m_rows.clear();
 }
 
@@ -369,7 +381,7 @@
     return result;
 }
 
-void QuotaService::apply(const Quota::SlotChange& change)
+bool QuotaService::apply(const Quota::SlotChange& change)
 {
     const bool isTake = change.kind == Quota::SlotChange::Kind::Take;
     if (!isTake) {
@@ -380,13 +392,14 @@
     if (!reading) {
         m_rows.erase(change.slot);
         m_unresolved.insert(change.slot);
-        return;
+        return false;
     }
     m_rows[change.slot] = *reading;
-    if (!isTake)
-        return;
-    const std::lock_guard lock(m_mutex);
-    m_buckets.takeSlot(change.slot, steadyNow());
+    if (isTake) {
+        const std::lock_guard lock(m_mutex);
+        m_buckets.takeSlot(change.slot, steadyNow());
+    }
+    return true;
 }
 
 }
--- a/src/libs/daemon/quotaservice.h
+++ b/src/libs/daemon/quotaservice.h
@@ -56,7 +56,8 @@
     void readWantedSlots(const std::vector<std::string>& live);
     void observeLeases(const Quota::SlotAssignment::Situation& situation);
     Quota::SlotAssignment::Situation situation(Quota::SlotAssignment::HostState state) const;
-    void apply(const Quota::SlotChange& change);
+    /// Returns whether the change took effect.
+    bool apply(const Quota::SlotChange& change);
     std::vector<std::string> liveNames() const;
 
     Quota::Holder m_self;
--- a/src/libs/daemon/upstreamlink.cpp
+++ b/src/libs/daemon/upstreamlink.cpp
@@ -5,6 +5,7 @@
 UpstreamLink::UpstreamLink(const UpstreamConfig& config, Model::Time now)
     : m_config(config)
     , m_pool(config.pool)
+    , m_ramp(config.zoneState)
 {
     configure(config, now);
 }
@@ -14,6 +15,7 @@
     m_config = config;
     m_pool.setSettings(config.pool, now);
     m_pool.setState(config.state);
+    m_ramp.setState(config.zoneState, now);
 }
 
 UpstreamLink::ClientPointer UpstreamLink::client(Scheduling::ConnectionId connection) const
--- a/src/libs/daemon/upstreamlink.h
+++ b/src/libs/daemon/upstreamlink.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "core/scheduling/connectionpool.h"
+#include "core/scheduling/ramp.h"
 #include "database/upstreamclient.h"
 
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 
 namespace Daemon {
@@ -17,6 +19,7 @@
     std::string zone;
     Scheduling::PoolSettings pool;
     Scheduling::UpstreamState state = Scheduling::UpstreamState::Active;
+    Scheduling::Ramp::ZoneState zoneState = Scheduling::Ramp::ZoneState::In;
 };
 
 /// The connections of a group's owner to one upstream: the pool's decisions and the clients they are about.
@@ -31,6 +34,12 @@
     Scheduling::ConnectionPool& pool() { return m_pool; }
     const Scheduling::ConnectionPool& pool() const { return m_pool; }
     void configure(const UpstreamConfig& config, Model::Time now);
+    /// Whether the upstream is a candidate for one read now; false for a part of the reads while its
+    /// availability zone ramps up after it came back.
+    bool admitsRead(Model::Time now, std::mt19937_64& generator) const
+    {
+        return m_ramp.admits(now, generator);
+    }
 
     using ClientPointer = std::shared_ptr<Database::UpstreamClient>;
     ClientPointer client(Scheduling::ConnectionId connection) const;
@@ -41,6 +50,7 @@
 private:
     UpstreamConfig m_config;
     Scheduling::ConnectionPool m_pool;
+    Scheduling::Ramp m_ramp;
     std::map<Scheduling::ConnectionId, ClientPointer> m_clients;
 };
 
--- a/src/tools/parsleytackd/main.cpp
+++ b/src/tools/parsleytackd/main.cpp
@@ -77,6 +77,8 @@
         const Arguments arguments = parseArguments(argc, argv);
         const auto settings = Settings::loadHostSettings(arguments.settingsFile);
         if (!settings) {
+            Logging::configure({});
+            Logging::write(Logging::EventId::SettingsInvalid, { { "reason", settings.error().message } });
             std::cerr << settings.error().message << '\n';
             return exitWith(ExitCode::SettingsInvalid);
         }
