--- a/tests/auto/core/catalog/tst_parsedocument.cpp
+++ b/tests/auto/core/catalog/tst_parsedocument.cpp
@@ -77,8 +77,15 @@
     EXPECT_FALSE(parseDocument(open));
     EXPECT_FALSE(parseDocument(open + std::string(open.size(), ']')));
     EXPECT_FALSE(parseDocument(std::string(maxDocumentBytes + 1, ' ')));
+    const Faults nested = faultsOf(R"({"a":[[[[[[[[[1]]]]]]]]]})");
+    ASSERT_EQ(nested.size(), 1U);
+    EXPECT_EQ(nested[0].message, "the JSON text is nested too deeply");
 
     const std::string text = canonicalText(TestDocuments::consistent());
+    std::string unknownFields = "{";
+    for (int i = 0; i < 100000; ++i)
+        unknownFields += "\"f" + std::to_string(i) + "\":0,";
+    EXPECT_LE(faultsOf(unknownFields + "\"\":0}").size(), maxParseFaults + 1);
     std::mt19937_64 random(1);
     for (int i = 0; i < 4000; ++i) {
         std::string damaged = text;
--- a/tests/auto/core/model/tst_errorcode.cpp
+++ b/tests/auto/core/model/tst_errorcode.cpp
@@ -1,3 +1,4 @@
+#include "../../doctable.h"
 #include "core/model/errorcode.h"
 #include "core/model/result.h"
 
@@ -31,3 +32,18 @@
     EXPECT_EQ(result.error().code, ErrorCode::RateLimited);
     EXPECT_EQ(result.error().message, result.error().code.message());
 }
+
+// Guards against a page that tells callers other codes, statuses or outcomes than they receive.
+TEST(ErrorCode, PageMatchesTheTable)
+{
+    const auto rows = readDocTable("errors.md");
+    ASSERT_EQ(rows.size(), errorTable().size());
+    for (std::size_t i = 0; i < rows.size(); ++i) {
+        const ErrorInfo& info = errorTable()[i];
+        ASSERT_EQ(rows[i].size(), 5U);
+        EXPECT_EQ(rows[i][0], "`" + std::string(info.name) + "`");
+        EXPECT_EQ(rows[i][1], std::to_string(info.httpStatus));
+        EXPECT_EQ(rows[i][2], outcomeName(info.outcome));
+        EXPECT_EQ(rows[i][3], info.description);
+    }
+}
