Count majorities by a versioned roster, and spread only news

Cause: a roster that follows the live-host list shrinks to the side of a partition that has the store; that side would count a majority and take slots that the other side still serves during its store outage. Hosts of a fleet that starts also queued every first contact as news: at 810 hosts a death was known to half of them only 26 s after the crash.

Ruled out: bounding the difference of two rosters by assumption, because an availability zone or region can leave the list at once.

Change: the roster is a store row with a version and the names before; a round counts majorities of both, and the row changes only when a majority knows the present version. The store link reads and replaces the row, the messages carry the version. Listed hosts that answer are no news; a sender that missed a death is corrected; a completed round stops its exchanges; members are hashed.

--- a/src/libs/core/membership/contactbitmap.cpp
+++ b/src/libs/core/membership/contactbitmap.cpp
@@ -18,6 +18,12 @@
         m_words[i] |= other.m_words[i];
 }
 
+void ContactBitmap::subtract(const ContactBitmap& other)
+{
+    for (std::size_t i = 0; i < m_words.size(); ++i)
+        m_words[i] &= ~other.m_words[i];
+}
+
 std::size_t ContactBitmap::countCommon(const ContactBitmap& other) const
 {
     std::size_t count = 0;
--- a/src/libs/core/membership/contactbitmap.h
+++ b/src/libs/core/membership/contactbitmap.h
@@ -23,6 +23,7 @@
 
     void add(std::string_view name);
     void merge(const ContactBitmap& other);
+    void subtract(const ContactBitmap& other);
     /// The number of bits that are also set in `other`.
     std::size_t countCommon(const ContactBitmap& other) const;
     const Words& words() const { return m_words; }
--- a/src/libs/core/membership/contactround.cpp
+++ b/src/libs/core/membership/contactround.cpp
@@ -3,6 +3,7 @@
 #include "core/membership/timing.h"
 
 #include <algorithm>
+#include <set>
 
 namespace Membership {
 
@@ -21,13 +22,32 @@
 {
 }
 
-void ContactRounds::setRoster(const std::vector<std::string>& names)
+void ContactRounds::setRoster(const Roster& roster)
 {
-    m_roster = {};
-    for (const std::string& name : names)
-        m_roster.add(name);
-    m_rosterSize = names.size();
-    m_inRoster = std::ranges::find(names, m_ownName) != names.end();
+    if (roster.version <= m_roster.version)
+        return;
+    m_roster = roster;
+    rosterVersionKnown(roster.version);
+    const std::set<std::string> previous(roster.previousNames.begin(), roster.previousNames.end());
+    ContactBitmap added;
+    m_names = m_previousNames = {};
+    for (const std::string& name : roster.names) {
+        m_names.add(name);
+        (previous.contains(name) ? m_previousNames : added).add(name);
+    }
+    m_previousNames.subtract(added);
+    addSelf();
+}
+
+void ContactRounds::rosterVersionKnown(std::uint64_t version)
+{
+    m_newestRosterVersion = std::max(m_newestRosterVersion, version);
+}
+
+void ContactRounds::takePart()
+{
+    m_takesPart = true;
+    addSelf();
 }
 
 void ContactRounds::start(
@@ -37,14 +57,16 @@
         return;
     const std::uint64_t number = (m_round.id >> roundNumberShift) + 1;
     const std::uint64_t randomBits = generator() >> roundNumberShift;
-    m_round = { number << roundNumberShift | randomBits, now, newestSuccess, {} };
+    m_round = { number << roundNumberShift | randomBits, now, newestSuccess, m_newestRosterVersion, {} };
     addSelf();
     complete(now, newestSuccess);
 }
 
-Model::Result<void> ContactRounds::check(const RoundReport& report) const
+Model::Result<void> ContactRounds::check(const Payload& payload) const
 {
-    const std::uint64_t number = report.id >> roundNumberShift;
+    if (m_newestRosterVersion != 0 && payload.rosterVersion > m_newestRosterVersion + maxRoundsAhead)
+        return Model::makeError(Model::ErrorCode::InvalidRequest, "roster version");
+    const std::uint64_t number = payload.round ? payload.round->id >> roundNumberShift : 0;
     const std::uint64_t ownNumber = m_round.id >> roundNumberShift;
     if (ownNumber != 0 && number > ownNumber + maxRoundsAhead)
         return Model::makeError(Model::ErrorCode::InvalidRequest, "contact round: number");
@@ -61,12 +83,13 @@
     if (report.storeSuccessAge)
         commonSuccess = sentAt - *report.storeSuccessAge;
     if (report.id > m_round.id) {
-        m_round = { report.id, startedAt, commonSuccess, {} };
+        m_round = { report.id, startedAt, commonSuccess, report.rosterVersion, {} };
         addSelf();
     }
     // Both are lower bounds of the same instant, so the later one is the better.
     m_round.startedAt = std::max(m_round.startedAt, startedAt);
     m_round.commonSuccess = std::max(m_round.commonSuccess, commonSuccess);
+    m_round.rosterVersion = std::max(m_round.rosterVersion, report.rosterVersion);
     m_round.hosts.merge(report.hosts);
     complete(now, newestSuccess);
 }
@@ -75,7 +98,8 @@
 {
     if (!isRunning(now))
         return std::nullopt;
-    RoundReport report { m_round.id, now - m_round.startedAt, std::nullopt, m_round.hosts };
+    RoundReport report { m_round.id, now - m_round.startedAt, std::nullopt, m_round.rosterVersion,
+        m_round.hosts };
     if (m_round.commonSuccess)
         report.storeSuccessAge = now - *m_round.commonSuccess;
     return report;
@@ -90,19 +114,35 @@
 {
     std::erase_if(m_completed,
         [&](const CompletedRound& round) { return now - round.completedAt > completedRetention; });
-    if (!m_completed.empty() && m_completed.back().id == m_round.id) {
+    if (isCompleted()) {
         m_completed.back().startedAt = m_round.startedAt;
         return;
     }
-    if (m_round.hosts.countCommon(m_roster) * 2 <= m_rosterSize)
+    if (!isMajorityPresent())
         return;
-    m_completed.push_back({ m_round.id, m_round.startedAt, now, m_round.commonSuccess, newestSuccess });
+    m_completed.push_back(
+        { m_round.id, m_roster.version, m_round.startedAt, now, m_round.commonSuccess, newestSuccess });
+}
+
+bool ContactRounds::isMajorityPresent() const
+{
+    // With a roster that is not the newest, or hosts in the round that may not know it, two hosts could
+    // count majorities that have no host in common.
+    if (m_roster.version < m_newestRosterVersion || m_round.rosterVersion < m_roster.version)
+        return false;
+    const auto isMajority = [this](const ContactBitmap& of, const std::vector<std::string>& names) {
+        return m_round.hosts.countCommon(of) * 2 > names.size();
+    };
+    return isMajority(m_names, m_roster.names)
+        && (m_roster.previousNames.empty() || isMajority(m_previousNames, m_roster.previousNames));
 }
 
 void ContactRounds::addSelf()
 {
     // A host outside of the roster would count for a member of it that shares its bit.
-    if (m_inRoster)
+    const bool isMember = m_roster.version == m_newestRosterVersion
+        && std::ranges::find(m_roster.names, m_ownName) != m_roster.names.end();
+    if (m_takesPart && isMember && m_round.id != 0)
         m_round.hosts.add(m_ownName);
 }
 
--- a/src/libs/core/membership/contactround.h
+++ b/src/libs/core/membership/contactround.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/membership/messages.h"
+#include "core/membership/roster.h"
 
 #include <deque>
 #include <random>
@@ -11,6 +12,8 @@
 /// A round in which a majority of the roster took part.
 struct CompletedRound {
     std::uint64_t id = 0;
+    /// The version of the roster whose majority took part. Every host of the majority knows of it.
+    std::uint64_t rosterVersion = 0;
     /// Lower bound of the time at which the round started.
     Model::Time startedAt;
     Model::Time completedAt;
@@ -28,11 +31,18 @@
 public:
     explicit ContactRounds(std::string ownName);
 
-    void setRoster(const std::vector<std::string>& names);
+    /// Ignores a version that is not newer than the present one.
+    void setRoster(const Roster& roster);
+    const Roster& roster() const { return m_roster; }
+    void rosterVersionKnown(std::uint64_t version);
+    std::uint64_t newestRosterVersion() const { return m_newestRosterVersion; }
+    /// Lets this host take part in rounds. Until a process has reached the store itself, it may have
+    /// forgotten what its predecessor knew when it took part in a round.
+    void takePart();
     /// Starts a round unless a present one is younger than `roundInterval`.
     void start(Model::Time now, std::optional<Model::Time> newestSuccess, std::mt19937_64& generator);
     /// Whether the round of a report may be merged. Errors: `InvalidRequest`.
-    Model::Result<void> check(const RoundReport& report) const;
+    Model::Result<void> check(const Payload& payload) const;
     /// Merges a report from an acknowledgement of a message that was sent at `sentAt`. `newestSuccess`
     /// includes the evidence that came with the report.
     void merge(const RoundReport& report, Model::Time sentAt, Model::Time now,
@@ -40,6 +50,7 @@
 
     std::optional<RoundReport> report(Model::Time now) const;
     bool isRunning(Model::Time now) const;
+    bool isCompleted() const { return !m_completed.empty() && m_completed.back().id == m_round.id; }
     std::uint64_t id() const { return m_round.id; }
     /// The rounds of the last minute that a majority took part in.
     const std::deque<CompletedRound>& completed() const { return m_completed; }
@@ -49,16 +60,21 @@
         std::uint64_t id = 0;
         Model::Time startedAt;
         std::optional<Model::Time> commonSuccess;
+        std::uint64_t rosterVersion = 0;
         ContactBitmap hosts;
     };
 
     void complete(Model::Time now, std::optional<Model::Time> newestSuccess);
     void addSelf();
+    bool isMajorityPresent() const;
 
     std::string m_ownName;
-    ContactBitmap m_roster;
-    std::size_t m_rosterSize = 0;
-    bool m_inRoster = false;
+    Roster m_roster;
+    std::uint64_t m_newestRosterVersion = 0;
+    ContactBitmap m_names;
+    /// Bits that only names of the previous version have which are in the present one as well.
+    ContactBitmap m_previousNames;
+    bool m_takesPart = false;
     Round m_round;
     std::deque<CompletedRound> m_completed;
 };
--- a/src/libs/core/membership/contacttracker.cpp
+++ b/src/libs/core/membership/contacttracker.cpp
@@ -12,6 +12,8 @@
     constexpr std::array<std::string_view, 3> contactStateNames { "connected", "store_outage", "isolated" };
     /// Only the oldest entry decides; later ones matter when a version in between comes into force.
     constexpr std::size_t maxNewerVersions = 64;
+    /// At 490 changes per day no host is behind by as many versions.
+    constexpr std::uint64_t maxVersionsAhead = 1U << 20;
 
 }
 
@@ -25,11 +27,29 @@
 {
 }
 
-void ContactTracker::setRoster(const std::vector<std::string>& names) { m_rounds.setRoster(names); }
+void ContactTracker::setRoster(const Roster& roster, Model::Time readStartedAt)
+{
+    // A host that uses a roster knows of a store success that is not older than the roster.
+    successKnown(readStartedAt);
+    m_rounds.setRoster(roster);
+}
+
+bool ContactTracker::rosterChangeAllowed(Model::Time now) const
+{
+    return state(now) == ContactState::Connected && roster().version == newestRosterVersion()
+        && std::ranges::any_of(m_rounds.completed(),
+            [&](const CompletedRound& round) { return round.rosterVersion == roster().version; });
+}
 
 void ContactTracker::storeSucceeded(Model::Time startedAt)
 {
-    m_newestSuccess = std::max(m_newestSuccess, std::optional(startedAt));
+    successKnown(startedAt);
+    m_rounds.takePart();
+}
+
+void ContactTracker::successKnown(Model::Time time)
+{
+    m_newestSuccess = std::max(m_newestSuccess, std::optional(time));
 }
 
 void ContactTracker::catalogVersionKnown(std::uint64_t version, Model::Time now)
@@ -68,8 +88,8 @@
 bool ContactTracker::majorityKnowsSuccess(Model::Time since, Model::Time now) const
 {
     return std::ranges::any_of(m_rounds.completed(), [&](const CompletedRound& round) {
-        return round.commonSuccess && *round.commonSuccess >= since
-            && now - round.completedAt >= takeoverDelay;
+        return round.rosterVersion == newestRosterVersion() && round.commonSuccess
+            && *round.commonSuccess >= since && now - round.completedAt >= takeoverDelay;
     });
 }
 
@@ -88,6 +108,7 @@
 void ContactTracker::describe(Payload& payload, Model::Time now) const
 {
     payload.catalogVersion = m_versionInForce;
+    payload.rosterVersion = m_rounds.newestRosterVersion();
     if (m_newestSuccess)
         payload.storeSuccessAge = std::max(now - *m_newestSuccess, Model::Duration::zero());
     if (m_rounds.isRunning(now))
@@ -101,13 +122,16 @@
 
 Model::Result<void> ContactTracker::check(const Payload& payload) const
 {
-    return payload.round ? m_rounds.check(*payload.round) : Model::Result<void> {};
+    if (m_versionInForce != 0 && payload.catalogVersion > m_versionInForce + maxVersionsAhead)
+        return Model::makeError(Model::ErrorCode::InvalidRequest, "catalogue version");
+    return m_rounds.check(payload);
 }
 
 void ContactTracker::merge(const Payload& payload, Model::Time sentAt, Model::Time now)
 {
     if (payload.storeSuccessAge)
-        storeSucceeded(sentAt - *payload.storeSuccessAge);
+        successKnown(sentAt - *payload.storeSuccessAge);
+    m_rounds.rosterVersionKnown(payload.rosterVersion);
     if (payload.round)
         m_rounds.merge(*payload.round, sentAt, now, m_newestSuccess);
 }
--- a/src/libs/core/membership/contacttracker.h
+++ b/src/libs/core/membership/contacttracker.h
@@ -22,13 +22,18 @@
 public:
     explicit ContactTracker(std::string ownName);
 
-    /// Names of the hosts with a lease.
-    void setRoster(const std::vector<std::string>& names);
-    /// A read or write of the store that started at `startedAt` succeeded.
+    /// The roster as read from the store by a read that started at `readStartedAt`, or received from a
+    /// peer: then that is the time at which the peer was asked less the age of its newest store success.
+    void setRoster(const Roster& roster, Model::Time readStartedAt);
+    const Roster& roster() const { return m_rounds.roster(); }
+    /// Higher than the version of `roster` if this host has to ask a peer or the store for a newer one.
+    std::uint64_t newestRosterVersion() const { return m_rounds.newestRosterVersion(); }
+    /// Whether the roster's row may be replaced by its next version: a majority knows the present one.
+    bool rosterChangeAllowed(Model::Time now) const;
+    /// A read or write of the store by this host succeeded that started at `startedAt`.
     void storeSucceeded(Model::Time startedAt);
     void catalogVersionKnown(std::uint64_t version, Model::Time now);
     void catalogVersionInForce(std::uint64_t version);
-    std::uint64_t catalogVersionInForce() const { return m_versionInForce; }
 
     ContactState state(Model::Time now) const;
     /// The newest store success that is known, of this host or of a peer; a lower bound of its time.
@@ -45,12 +50,13 @@
     void requestRounds(Model::Time until);
     /// Starts a contact round if one is due. Called on each tick of `Gossip`.
     void startRoundIfNeeded(Model::Time now, std::mt19937_64& generator);
-    bool isRoundRunning(Model::Time now) const { return m_rounds.isRunning(now); }
+    /// Whether a round is running that this host has not seen a majority in.
+    bool needsExchange(Model::Time now) const { return m_rounds.isRunning(now) && !m_rounds.isCompleted(); }
 
-    /// Fills the fields of a message that concern the catalogue and the store.
+    /// Fills the fields of a message that concern the catalogue, the roster and the store.
     void describe(Payload& payload, Model::Time now) const;
     void describeRound(Payload& payload, Model::Time now) const;
-    /// Whether the peer's round can be merged; called before any change. Errors: `InvalidRequest`.
+    /// Whether the peer's statements are plausible; called before any change. Errors: `InvalidRequest`.
     Model::Result<void> check(const Payload& payload) const;
     /// Merges what a peer stated in an acknowledgement of a message that was sent at `sentAt`.
     void merge(const Payload& payload, Model::Time sentAt, Model::Time now);
@@ -62,6 +68,7 @@
         Model::Time knownSince;
     };
 
+    void successKnown(Model::Time time);
     bool isCatalogOverdue(Model::Time now) const;
     bool isMajorityPresent(Model::Time now) const;
 
--- a/src/libs/core/membership/gossip.cpp
+++ b/src/libs/core/membership/gossip.cpp
@@ -18,6 +18,8 @@
     /// an update.
     constexpr std::size_t repairUpdates = 2;
     constexpr int retransmissionFactor = 4;
+    /// With more unconfirmed members than this fraction, all room in a message is used for the repair.
+    constexpr std::size_t startingFraction = 10;
     constexpr std::size_t maxSeedsAtOnce = 3;
     /// Allowed difference of the wall clocks of two hosts when their processes started.
     constexpr std::uint64_t maxClockDifferenceMs = 3'600'000;
@@ -68,7 +70,8 @@
         member.zone = host.zone;
         member.leaving = host.leaving;
         member.stateSince = now;
-        m_liveNamesValid = false;
+        ++m_unconfirmedCount;
+        m_liveMembersValid = false;
         output.events.push_back({ Kind::Joined, host.name, 0 });
     }
     std::vector<std::string> unlisted;
@@ -92,7 +95,7 @@
     startDueProbe(now, generator, output);
     contactSeeds(now, generator, output);
     m_contact.startRoundIfNeeded(now, generator);
-    if (m_contact.isRoundRunning(now) && now >= m_nextExchangeAt) {
+    if (m_contact.needsExchange(now) && now >= m_nextExchangeAt) {
         m_nextExchangeAt = now + exchangeInterval;
         exchangeWithRandomMember(now, generator, output);
     }
@@ -168,7 +171,7 @@
 {
     if (m_seeds.empty() || now < m_nextSeedContactAt)
         return;
-    const bool isAlone = liveNames().empty();
+    const bool isAlone = liveMembers().empty();
     m_nextSeedContactAt = now + (isAlone ? probeInterval : seedInterval);
     const std::size_t count = std::min(isAlone ? maxSeedsAtOnce : 1, m_seeds.size());
     for (std::size_t i = 0; i < count; ++i) {
@@ -194,12 +197,14 @@
 
 void Gossip::removeMember(const std::string& name, GossipOutput& output)
 {
-    output.events.push_back({ Kind::Removed, name, findMember(name)->incarnation });
+    const Member& member = *findMember(name);
+    output.events.push_back({ Kind::Removed, name, member.incarnation });
+    m_unconfirmedCount -= member.isUnconfirmed() ? 1 : 0;
     m_updates.remove(name);
     m_suspects.erase(name);
     m_dead.erase(name);
     m_members.erase(name);
-    m_liveNamesValid = false;
+    m_liveMembersValid = false;
 }
 
 void Gossip::sendProbe(const Member& target, Model::Time now, Generator& generator, GossipOutput& output)
@@ -383,9 +388,10 @@
     auto [entry, isNew] = m_members.try_emplace(update.name);
     Member& member = entry->second;
     if (!isNew && !supersedes(update, member)) {
-        // The sender follows a process that has ended; one message corrects it.
-        if (update.incarnation < member.incarnation)
-            m_updates.add(update.name);
+        // The sender follows a process that has ended, or missed the death; it is corrected.
+        const bool missedDeath = member.state == MemberState::Dead && update.state != MemberState::Dead;
+        if (update.incarnation < member.incarnation || missedDeath)
+            m_updates.addIfAbsent(update.name);
         return;
     }
     const Member before = member;
@@ -395,7 +401,16 @@
     // A process that is first heard of counts as alive before the state of the update.
     member.state = isNewIncarnation ? MemberState::Alive : before.state;
     indexState(member);
-    m_updates.add(update.name);
+    if (isNew)
+        m_liveMembersValid = false;
+    else if (before.isUnconfirmed())
+        --m_unconfirmedCount;
+    // A suspicion that was refuted and raised again has its full time.
+    if (member.state == MemberState::Suspect)
+        member.stateSince = now;
+    // That a listed host is alive is no news; otherwise the start of a whole fleet delays other updates.
+    if (!before.isUnconfirmed() || isNew || update.state != MemberState::Alive)
+        m_updates.add(update.name);
     if (isNew)
         output.events.push_back({ Kind::Joined, update.name, update.incarnation });
     else if (isNewIncarnation && !before.isUnconfirmed())
@@ -449,39 +464,42 @@
 
 void Gossip::indexState(const Member& member)
 {
+    const bool wasDead = m_dead.erase(member.name) > 0;
     m_suspects.erase(member.name);
-    m_dead.erase(member.name);
     if (member.state == MemberState::Suspect)
         m_suspects.insert(member.name);
     if (member.state == MemberState::Dead)
         m_dead.insert(member.name);
-    m_liveNamesValid = false;
+    if (wasDead == member.isLive())
+        m_liveMembersValid = false;
 }
 
 Payload Gossip::payloadFor(std::string_view receiver, Model::Time now, Generator& generator)
 {
     Payload payload;
     m_contact.describe(payload, now);
-    const auto add = [&](const std::string& name) {
-        const Member* member = findMember(name);
-        const auto isIncluded
-            = std::ranges::find(payload.updates, name, &MemberUpdate::name) != payload.updates.end();
-        if (member && !member->isUnconfirmed() && !isIncluded && payload.updates.size() < maxUpdates)
+    const auto add = [&](const Member* member) {
+        const auto isSame = [&](const MemberUpdate& update) { return update.name == member->name; };
+        if (member && !member->isUnconfirmed() && payload.updates.size() < maxUpdates
+            && std::ranges::none_of(payload.updates, isSame))
             payload.updates.push_back(*member);
     };
     const Member* peer = findMember(receiver);
     // The receiver may not know this host, or may have been told that it is dead.
     if (!peer || peer->isUnconfirmed() || peer->state != MemberState::Alive)
-        add(m_name);
+        add(&self());
     // A receiver that is suspected or held dead can refute only what it is told.
     if (peer && peer->state != MemberState::Alive)
-        add(peer->name);
+        add(peer);
     for (const std::string& name : m_updates.take(maxUpdates - payload.updates.size(), transmissionLimit()))
-        add(name);
-    for (std::size_t i = 0; i < repairUpdates; ++i) {
-        if (const Member* member = randomLiveMember(generator))
-            add(member->name);
-    }
+        add(findMember(name));
+    // While this host has unconfirmed members, others probably have them as well: a fleet that starts.
+    const bool isStarting = m_unconfirmedCount > m_members.size() / startingFraction;
+    const std::size_t wanted = isStarting ? maxUpdates : payload.updates.size() + repairUpdates;
+    // A host that joined with an old live-host list learns of dead members only in this way.
+    add(randomDeadMember(generator));
+    for (std::size_t draw = 0; draw < 2 * maxUpdates && payload.updates.size() < wanted; ++draw)
+        add(randomLiveMember(generator));
     return payload;
 }
 
@@ -493,26 +511,26 @@
     return retransmissionFactor * digits;
 }
 
-const std::vector<std::string>& Gossip::liveNames()
+const std::vector<const Member*>& Gossip::liveMembers()
 {
-    if (m_liveNamesValid)
-        return m_liveNames;
-    m_liveNames.clear();
+    if (m_liveMembersValid)
+        return m_liveMembers;
+    m_liveMembers.clear();
     for (const auto& [name, member] : m_members) {
         if (member.isLive() && name != m_name)
-            m_liveNames.push_back(name);
+            m_liveMembers.push_back(&member);
     }
-    m_liveNamesValid = true;
-    return m_liveNames;
+    m_liveMembersValid = true;
+    return m_liveMembers;
 }
 
 const Member* Gossip::randomLiveMember(Generator& generator, std::string_view except)
 {
-    const std::vector<std::string>& names = liveNames();
-    if (names.empty())
+    const std::vector<const Member*>& members = liveMembers();
+    if (members.empty())
         return nullptr;
-    const std::string& name = names[randomIndex(names.size(), generator)];
-    return name == except ? nullptr : findMember(name);
+    const Member* member = members[randomIndex(members.size(), generator)];
+    return member->name == except ? nullptr : member;
 }
 
 const Member* Gossip::nextProbeTarget(Generator& generator)
@@ -526,7 +544,8 @@
             if (member && member->isLive() && !m_probes.contains(name))
                 return member;
         }
-        m_probeOrder = liveNames();
+        for (const Member* member : liveMembers())
+            m_probeOrder.push_back(member->name);
         std::ranges::shuffle(m_probeOrder, generator);
     }
     return nullptr;
--- a/src/libs/core/membership/gossip.h
+++ b/src/libs/core/membership/gossip.h
@@ -93,7 +93,7 @@
     GossipOutput leave(Model::Time now, Generator& generator);
 
     /// All known members by name, with this host, including dead ones.
-    const std::map<std::string, Member, std::less<>>& members() const { return m_members; }
+    const MemberMap& members() const { return m_members; }
     const Member& self() const { return m_members.find(m_name)->second; }
 
 private:
@@ -159,7 +159,7 @@
 
     Payload payloadFor(std::string_view receiver, Model::Time now, Generator& generator);
     int transmissionLimit() const;
-    const std::vector<std::string>& liveNames();
+    const std::vector<const Member*>& liveMembers();
     const Member* randomLiveMember(Generator& generator, std::string_view except = {});
     const Member* nextProbeTarget(Generator& generator);
     const Member* randomDeadMember(Generator& generator) const;
@@ -170,10 +170,11 @@
     ContactTracker& m_contact;
     std::uint64_t m_lastRequest = 0;
 
-    std::map<std::string, Member, std::less<>> m_members;
-    /// Names of the live members without this host; rebuilt after a change.
-    std::vector<std::string> m_liveNames;
-    bool m_liveNamesValid = false;
+    MemberMap m_members;
+    /// The live members without this host; rebuilt after a change.
+    std::vector<const Member*> m_liveMembers;
+    bool m_liveMembersValid = false;
+    std::size_t m_unconfirmedCount = 0;
     std::set<std::string> m_suspects;
     std::set<std::string> m_dead;
     UpdateQueue m_updates;
--- a/src/libs/core/membership/member.h
+++ b/src/libs/core/membership/member.h
@@ -3,8 +3,10 @@
 #include "core/model/time.h"
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 
 namespace Membership {
 
@@ -46,6 +48,16 @@
     bool isUnconfirmed() const { return incarnation == 0; }
 };
 
+/// Hash for look-up by `std::string_view`.
+struct NameHash {
+    using is_transparent = void; // NOLINT(readability-identifier-naming): prescribed by the standard
+
+    std::size_t operator()(std::string_view name) const { return std::hash<std::string_view>()(name); }
+};
+
+/// Members by name.
+using MemberMap = std::unordered_map<std::string, Member, NameHash, std::equal_to<>>;
+
 /// Start time in ms since the Unix epoch << 16 | 16 random bits.
 std::uint64_t makeIncarnation(std::uint64_t unixMilliseconds, std::uint16_t randomBits);
 std::uint64_t incarnationMilliseconds(std::uint64_t incarnation);
--- a/src/libs/core/membership/messages.cpp
+++ b/src/libs/core/membership/messages.cpp
@@ -43,9 +43,11 @@
         const RoundReport& round = *payload.round;
         if (round.id == 0 || round.id != payload.roundId || !isAge(round.age))
             return makeError(ErrorCode::InvalidRequest, "contact round: id or age");
+        // The sender knows everything that the round states, so its own statements are not older.
+        if (round.rosterVersion > payload.rosterVersion)
+            return makeError(ErrorCode::InvalidRequest, "contact round: roster version");
         if (!round.storeSuccessAge)
             return {};
-        // The sender knows of the success that the round states, so its own evidence is not older.
         if (!isAge(*round.storeSuccessAge) || !payload.storeSuccessAge
             || *payload.storeSuccessAge > *round.storeSuccessAge)
             return makeError(ErrorCode::InvalidRequest, "contact round: store success age");
@@ -89,7 +91,7 @@
 
     std::size_t payloadSize(const Payload& payload)
     {
-        std::size_t size = 1 + varintSize(payload.catalogVersion);
+        std::size_t size = 2 + varintSize(payload.catalogVersion) + varintSize(payload.rosterVersion);
         for (const MemberUpdate& update : payload.updates)
             size += fieldSize(updateSize(update));
         if (payload.storeSuccessAge)
@@ -97,7 +99,8 @@
         if (payload.roundId != 0)
             size += 9;
         if (payload.round) {
-            std::size_t roundSize = 9 + ageSize(payload.round->age) + fieldSize(ContactBitmap::byteCount);
+            std::size_t roundSize = 9 + ageSize(payload.round->age) + fieldSize(ContactBitmap::byteCount) + 1
+                + varintSize(payload.round->rosterVersion);
             if (payload.round->storeSuccessAge)
                 roundSize += ageSize(*payload.round->storeSuccessAge);
             size += fieldSize(roundSize);
--- a/src/libs/core/membership/messages.h
+++ b/src/libs/core/membership/messages.h
@@ -26,6 +26,9 @@
     /// Age of the newest store success that was known to the host that started the round. Every host in
     /// the bitmap knows of that success.
     std::optional<Model::Duration> storeSuccessAge;
+    /// The newest roster version known to the host that started the round, and thus to every host in the
+    /// bitmap.
+    std::uint64_t rosterVersion = 0;
     ContactBitmap hosts;
 };
 
@@ -33,6 +36,8 @@
 struct Payload {
     std::vector<MemberUpdate> updates;
     std::uint64_t catalogVersion = 0;
+    /// The newest roster version that the sender knows of, 0 if none.
+    std::uint64_t rosterVersion = 0;
     /// Upper bound of the age of the newest store success that the sender knows of.
     std::optional<Model::Duration> storeSuccessAge;
     /// The sender's present contact round, 0 if none.
--- a/src/libs/core/membership/updatequeue.cpp
+++ b/src/libs/core/membership/updatequeue.cpp
@@ -11,6 +11,12 @@
     m_entries.push_back({ name, 0, m_nextSequence++ });
 }
 
+void UpdateQueue::addIfAbsent(const std::string& name)
+{
+    if (std::ranges::find(m_entries, name, &Entry::name) == m_entries.end())
+        m_entries.push_back({ name, 0, m_nextSequence++ });
+}
+
 void UpdateQueue::remove(std::string_view name)
 {
     std::erase_if(m_entries, [&](const Entry& entry) { return entry.name == name; });
--- a/src/libs/core/membership/updatequeue.h
+++ b/src/libs/core/membership/updatequeue.h
@@ -13,6 +13,7 @@
 public:
     /// Adds a member, or restarts its count after a change.
     void add(const std::string& name);
+    void addIfAbsent(const std::string& name);
     void remove(std::string_view name);
     /// Returns up to `count` names with the fewest transmissions, older entries first, and counts a
     /// transmission for each. An entry that reaches `limit` transmissions is removed.
--- a/src/libs/daemon/gossipmessages.cpp
+++ b/src/libs/daemon/gossipmessages.cpp
@@ -36,6 +36,7 @@
         round.set_age_ms(toAgeMs(report.age));
         if (report.storeSuccessAge)
             round.set_store_success_age_ms(toAgeMs(*report.storeSuccessAge));
+        round.set_roster_version(report.rosterVersion);
         round.set_hosts(report.hosts.words().data(), ContactBitmap::byteCount);
     }
 
@@ -54,6 +55,7 @@
         if (payload.storeSuccessAge)
             gossip.set_store_success_age_ms(toAgeMs(*payload.storeSuccessAge));
         gossip.set_round_id(payload.roundId);
+        gossip.set_roster_version(payload.rosterVersion);
         if (payload.round)
             fillRound(*payload.round, *gossip.mutable_round());
     }
@@ -67,6 +69,7 @@
         report.age = fromAgeMs(round.age_ms());
         if (round.has_store_success_age_ms())
             report.storeSuccessAge = fromAgeMs(round.store_success_age_ms());
+        report.rosterVersion = round.roster_version();
         ContactBitmap::Words words {};
         std::memcpy(words.data(), round.hosts().data(), ContactBitmap::byteCount);
         report.hosts = ContactBitmap(words);
@@ -86,6 +89,7 @@
         if (gossip.has_store_success_age_ms())
             payload.storeSuccessAge = fromAgeMs(gossip.store_success_age_ms());
         payload.roundId = gossip.round_id();
+        payload.rosterVersion = gossip.roster_version();
         if (gossip.has_round()) {
             payload.round = readRound(gossip.round());
             if (!payload.round)
--- a/src/libs/daemon/storelink.cpp
+++ b/src/libs/daemon/storelink.cpp
@@ -13,6 +13,20 @@
 
     constexpr std::chrono::milliseconds checkInterval(250);
     constexpr std::chrono::milliseconds liveHostsInterval(5000);
+    constexpr std::chrono::milliseconds rosterReadInterval(30000);
+    /// Longer than the check interval, so that rounds go on until the change of the roster is allowed.
+    constexpr std::chrono::milliseconds contactRoundsTime(2000);
+    constexpr auto rosterKey = "roster";
+
+    /// The row's version is the roster's. A row that cannot be read counts as absent.
+    Membership::Roster parseRoster(const Platform::Row& row)
+    {
+        const auto json = nlohmann::json::parse(row.value, nullptr, false);
+        if (row.version == 0 || !json.is_object())
+            return {};
+        return { row.version, json.value("names", std::vector<std::string>()),
+            json.value("previous", std::vector<std::string>()) };
+    }
 
 }
 
@@ -77,6 +91,7 @@
         }
         if (isDue)
             renewLease();
+        updateRoster();
         lock.lock();
         m_stopped.wait_for(lock, checkInterval, [this] { return m_isStopping; });
     }
@@ -89,13 +104,44 @@
     if (!hosts)
         return;
     m_peers.setLiveHosts(*hosts);
-    std::vector<std::string> roster;
-    for (const Platform::LiveHost& host : *hosts)
-        roster.push_back(host.name);
+    m_peers.withContact([&](Membership::ContactTracker& contact) { contact.storeSucceeded(askedAt); });
+}
+
+void StoreLink::updateRoster()
+{
+    const Model::Time askedAt = steadyNow();
+    Membership::Roster present;
+    bool isBehind = false;
+    m_peers.withContact([&](const Membership::ContactTracker& contact) {
+        present = contact.roster();
+        isBehind = present.version < contact.newestRosterVersion();
+    });
+    if (isBehind || askedAt >= m_nextRosterRead) {
+        const auto row = m_store.row(rosterKey);
+        if (!row)
+            return;
+        m_nextRosterRead = askedAt + rosterReadInterval;
+        present = parseRoster(*row);
+        m_peers.withContact([&](Membership::ContactTracker& contact) {
+            contact.storeSucceeded(askedAt);
+            contact.setRoster(present, askedAt);
+        });
+    }
+    const auto next = Membership::nextRoster(present, m_peers.allMembers(), m_host);
+    if (!next)
+        return;
+    bool isAllowed = present.version == 0;
     m_peers.withContact([&](Membership::ContactTracker& contact) {
-        contact.storeSucceeded(askedAt);
-        contact.setRoster(roster);
+        contact.requestRounds(askedAt + contactRoundsTime);
+        isAllowed = isAllowed || contact.rosterChangeAllowed(askedAt);
     });
+    if (!isAllowed)
+        return;
+    const std::string nonce = std::to_string(m_incarnation) + "/roster";
+    const nlohmann::json value { { "names", next->names }, { "previous", next->previousNames } };
+    m_store.putRow(rosterKey, { present.version, nonce, value.dump() });
+    // Whether it took effect or another host was faster, the row tells.
+    m_nextRosterRead = askedAt;
 }
 
 void StoreLink::renewLease()
--- a/src/libs/daemon/storelink.h
+++ b/src/libs/daemon/storelink.h
@@ -33,6 +33,8 @@
     void run();
     void renewLease();
     void readLiveHosts();
+    /// Reads the roster's row when it may have changed, and replaces it when hosts came or went.
+    void updateRoster();
 
     std::string m_host;
     std::uint64_t m_incarnation;
@@ -41,6 +43,7 @@
     std::mutex m_leaseMutex;
     Membership::HostLease m_lease;
     std::uint64_t m_renewalCounter = 0;
+    Model::Time m_nextRosterRead;
     std::mutex m_stopMutex;
     std::condition_variable m_stopped;
     bool m_isStopping = false;
--- a/tests/auto/core/membership/fleet.cpp
+++ b/tests/auto/core/membership/fleet.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+constexpr std::string_view addressPrefix = "host-";
+constexpr std::size_t firstNumber = 100;
+
 std::vector<std::string> namesOf(const std::vector<SimulatedHost>& hosts)
 {
     std::vector<std::string> names(hosts.size());
@@ -22,12 +25,13 @@
 {
     for (std::size_t i = 0; i < hosts.size(); ++i) {
         SimulatedHost& host = hosts[i];
-        host.name = "host-" + std::to_string(100 + i);
+        host.name = std::string(addressPrefix) + std::to_string(firstNumber + i);
         host.zone = "zone-" + std::to_string(i % 4);
         host.clockOffset = std::chrono::seconds(std::uniform_int_distribution(0, 1000)(generator));
         host.clockRate = std::uniform_real_distribution(1 - options.drift, 1 + options.drift)(generator);
         slots.push_back({ host.name, 0, 1 });
     }
+    roster = { 1, namesOf(hosts), {} };
     for (SimulatedHost& host : hosts) {
         restart(host);
         at(now + Duration(static_cast<std::int64_t>(generator() % 200'000)), [this, &host] { tick(host); });
@@ -36,17 +40,19 @@
 
 void Fleet::at(Time time, std::function<void()> action)
 {
-    m_queue.push({ time, m_sequence++, std::move(action) });
+    m_queue.push_back({ time, m_sequence++, std::move(action) });
+    std::push_heap(m_queue.begin(), m_queue.end());
 }
 
 void Fleet::run(Duration duration)
 {
     const Time end = now + duration;
-    while (!m_queue.empty() && m_queue.top().time <= end) {
-        now = m_queue.top().time;
-        const auto action = m_queue.top().action;
-        m_queue.pop();
-        action();
+    while (!m_queue.empty() && m_queue.front().time <= end) {
+        std::pop_heap(m_queue.begin(), m_queue.end());
+        const Event event = std::move(m_queue.back());
+        m_queue.pop_back();
+        now = event.time;
+        event.action();
         if (check)
             check();
     }
@@ -63,7 +69,6 @@
         static_cast<std::uint16_t>(generator()));
     host.gossip.reset();
     host.contact = std::make_unique<ContactTracker>(host.name);
-    host.contact->setRoster(namesOf(hosts));
     const LocalHost self { host.name, host.name + ":7000", host.zone, host.incarnation };
     host.gossip = std::make_unique<Gossip>(self, local, *host.contact);
     std::vector<ListedHost> listed;
@@ -115,17 +120,15 @@
     for (OutgoingMessage& message : output.messages) {
         ++from.sentMessages;
         from.sentBytes += encodedSize(message, from.name);
-        const auto to = std::ranges::find_if(
-            hosts, [&](const SimulatedHost& host) { return host.name + ":7000" == message.address; });
-        if (to == hosts.end())
-            continue;
+        const std::size_t index = std::stoul(message.address.substr(addressPrefix.size())) - firstNumber;
+        SimulatedHost& to = hosts[index];
         const IncomingMessage incoming { from.name, from.incarnation, message.request,
             std::move(message.body) };
         const int copies = options.duplicates > 0 && chance(options.duplicates) ? 2 : 1;
         for (int copy = 0; copy < copies; ++copy) {
-            if (from.mute || from.group != to->group || (options.loss > 0 && chance(options.loss)))
+            if (from.mute || from.group != to.group || (options.loss > 0 && chance(options.loss)))
                 continue;
-            at(now + delay(), [this, &host = *to, incarnation = to->incarnation, incoming] {
+            at(now + delay(), [this, &host = to, incarnation = to.incarnation, incoming] {
                 deliver(host, incarnation, incoming);
             });
         }
@@ -141,10 +144,13 @@
         return;
     }
     auto output = to.gossip->handle(message, to.localTime(now), generator);
-    if (output)
-        send(to, std::move(*output));
-    else
+    if (!output) {
         ++errors;
+        return;
+    }
+    send(to, std::move(*output));
+    if (to.contact->roster().version < to.contact->newestRosterVersion())
+        pullRoster(to, message.sender);
 }
 
 void Fleet::accessStore(
@@ -191,11 +197,19 @@
 void Fleet::observeLeases(SimulatedHost& host)
 {
     auto slotRows = std::make_shared<std::vector<SlotRow>>();
+    auto rosterRow = std::make_shared<Roster>();
     accessStore(
-        host, [this, slotRows] { *slotRows = slots; },
-        [this, &host, slotRows](bool done, Time) {
+        host,
+        [this, slotRows, rosterRow] {
+            *slotRows = slots;
+            *rosterRow = roster;
+        },
+        [this, &host, slotRows, rosterRow](bool done, Time rowsReadAt) {
             if (!done)
                 return;
+            host.contact->storeSucceeded(rowsReadAt);
+            host.contact->setRoster(*rosterRow, rowsReadAt);
+            changeRoster(host);
             host.slotRows = *slotRows;
             host.slotRowsReadAt = host.localTime(now);
             auto leases = std::make_shared<std::map<std::string, LeaseRow>>();
@@ -211,6 +225,43 @@
         });
 }
 
+void Fleet::changeRoster(SimulatedHost& host)
+{
+    const Time local = host.localTime(now);
+    Roster next { host.contact->roster().version + 1, {}, host.contact->roster().names };
+    for (const std::string& name : next.previousNames) {
+        const auto known = host.gossip->members().find(name);
+        const bool isGone = known == host.gossip->members().end()
+            || (!known->second.isLive() && local - known->second.stateSince > 10s);
+        if (!isGone)
+            next.names.push_back(name);
+    }
+    if (std::ranges::find(next.names, host.name) == next.names.end())
+        next.names.push_back(host.name);
+    if (next.names == next.previousNames)
+        return;
+    host.contact->requestRounds(local + 5s);
+    if (!host.contact->rosterChangeAllowed(local))
+        return;
+    accessStore(
+        host,
+        [this, next] {
+            if (roster.version + 1 == next.version)
+                roster = next;
+        },
+        [](bool, Time) {});
+}
+
+void Fleet::pullRoster(SimulatedHost& host, const std::string& peerName)
+{
+    const auto peer = std::ranges::find(hosts, peerName, &SimulatedHost::name);
+    const Time askedAt = host.localTime(now);
+    const Time peerNow = peer->localTime(now);
+    const auto success = peer->contact->newestStoreSuccess();
+    if (peer->running && peer->group == host.group && success)
+        host.contact->setRoster(peer->contact->roster(), askedAt - (peerNow - *success));
+}
+
 void Fleet::acquireSlots(SimulatedHost& host)
 {
     const Time local = host.localTime(now);
@@ -258,14 +309,16 @@
         && host.lease.mayServe(host.localTime(now), *host.contact);
 }
 
-std::vector<SimulatedHost*> Fleet::servingHosts(int slot)
+std::vector<int> Fleet::holderCounts() const
 {
-    std::vector<SimulatedHost*> serving;
-    for (SimulatedHost& host : hosts) {
-        if (mayServe(host, slot))
-            serving.push_back(&host);
+    std::vector<int> counts(slots.size());
+    for (const SimulatedHost& host : hosts) {
+        if (!host.running || !host.lease.mayServe(host.localTime(now), *host.contact))
+            continue;
+        for (const auto& [slot, generation] : host.heldSlots)
+            counts[static_cast<std::size_t>(slot)] += generation == host.lease.generation() ? 1 : 0;
     }
-    return serving;
+    return counts;
 }
 
 ContactState Fleet::contactState(const SimulatedHost& host) const
--- a/tests/auto/core/membership/fleet.h
+++ b/tests/auto/core/membership/fleet.h
@@ -7,7 +7,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <set>
 
 /// Simulated time of the whole fleet; each host has its own clock with an offset and a rate.
@@ -87,7 +86,8 @@
     void at(Time time, std::function<void()> action);
 
     bool mayServe(const SimulatedHost& host, int slot) const;
-    std::vector<SimulatedHost*> servingHosts(int slot);
+    /// The number of hosts that may serve each slot now.
+    std::vector<int> holderCounts() const;
     Membership::ContactState contactState(const SimulatedHost& host) const;
     const Membership::Member* viewOf(const SimulatedHost& host, const SimulatedHost& other) const;
     /// Whether all running hosts hold exactly the running hosts for live.
@@ -98,6 +98,7 @@
     Time now { 1h };
     std::vector<SimulatedHost> hosts;
     std::vector<SlotRow> slots;
+    Membership::Roster roster;
     /// Called after each event.
     std::function<void()> check;
     std::uint64_t errors = 0;
@@ -121,12 +122,15 @@
         SimulatedHost& host, std::function<void()> effect, const std::function<void(bool, Time)>& done);
     void renewLease(SimulatedHost& host);
     void observeLeases(SimulatedHost& host);
+    void changeRoster(SimulatedHost& host);
+    void pullRoster(SimulatedHost& host, const std::string& peerName);
     void acquireSlots(SimulatedHost& host);
     void acquire(SimulatedHost& host, int slot, std::uint64_t version);
     Duration delay();
     bool chance(double probability) { return std::bernoulli_distribution(probability)(generator); }
 
     std::map<std::string, Membership::LeaseRow> m_leases;
-    std::priority_queue<Event> m_queue;
+    /// A heap; `std::priority_queue` would copy each event that it returns.
+    std::vector<Event> m_queue;
     std::uint64_t m_sequence = 0;
 };
--- a/tests/auto/core/membership/tst_fleet.cpp
+++ b/tests/auto/core/membership/tst_fleet.cpp
@@ -2,6 +2,7 @@
 
 #include "core/membership/ownership.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <mutex>
 #include <thread>
@@ -15,9 +16,11 @@
 constexpr std::uint64_t threadCount = 4;
 
 /// Runs `scenario` for many seeds. A scenario returns what went wrong, or nothing. MEMBERSHIP_SEED runs a
-/// single seed.
+/// single seed, MEMBERSHIP_SEEDS another number of them.
 void runSeeds(std::uint64_t count, const std::function<std::string(std::uint64_t)>& scenario)
 {
+    if (const char* seeds = std::getenv("MEMBERSHIP_SEEDS"))
+        count = std::strtoull(seeds, nullptr, 10);
     if (const char* single = std::getenv("MEMBERSHIP_SEED")) {
         EXPECT_EQ(scenario(std::strtoull(single, nullptr, 10)), "");
         return;
@@ -134,13 +137,12 @@
         Fleet fleet(options);
         std::string failure;
         fleet.check = [&] {
-            for (std::size_t slot = 0; slot < fleet.slots.size() && failure.empty(); ++slot) {
-                const auto serving = fleet.servingHosts(static_cast<int>(slot));
-                if (serving.size() > 1) {
-                    failure = "slot " + std::to_string(slot) + " is served by " + serving[0]->name + " and "
-                        + serving[1]->name + " at " + std::to_string((fleet.now - Time(1h)) / Duration(1ms))
-                        + " ms";
-                }
+            if (!failure.empty())
+                return;
+            for (const int holders : fleet.holderCounts()) {
+                if (holders > 1)
+                    failure
+                        = "two holders at " + std::to_string((fleet.now - Time(1h)) / Duration(1ms)) + " ms";
             }
         };
         Time start = fleet.now + 5s;
@@ -165,10 +167,142 @@
             if (ownersOf(host) != ownersOf(fleet.hosts.front()))
                 return "owners differ";
         }
-        for (std::size_t slot = 0; slot < fleet.slots.size(); ++slot) {
-            if (fleet.servingHosts(static_cast<int>(slot)).size() != 1)
-                return "slot " + std::to_string(slot) + " has no holder";
+        for (const int holders : fleet.holderCounts()) {
+            if (holders != 1)
+                return "a slot has no holder";
         }
         return {};
     });
 }
+
+// Guards against hosts that stop, or slots that move, because of a store outage that hits everyone.
+TEST(FleetSimulation, NoHostStopsDuringAStoreOutage)
+{
+    runSeeds(400, [](std::uint64_t seed) -> std::string {
+        FleetOptions options { .hosts = 3 + static_cast<int>(seed % 5), .seed = seed, .loss = 0.03 };
+        options.lostStoreResponses = 0.05;
+        options.drift = 0.01;
+        Fleet fleet(options);
+        const auto reach = [&](bool reachesStore) {
+            for (SimulatedHost& host : fleet.hosts)
+                host.reachesStore = reachesStore;
+        };
+        fleet.run(20s + Duration(static_cast<std::int64_t>(fleet.generator() % 10'000'000)));
+        std::string failure;
+        const std::vector<SlotRow> slotsBefore = fleet.slots;
+        fleet.check = [&] {
+            const bool isIsolated = std::ranges::any_of(fleet.hosts, [&](const SimulatedHost& host) {
+                return fleet.contactState(host) == ContactState::Isolated;
+            });
+            if (isIsolated || std::ranges::count(fleet.holderCounts(), 1) != std::ssize(fleet.slots))
+                failure = (isIsolated ? "isolated at " : "not served at ")
+                    + std::to_string((fleet.now - Time(1h)) / 1ms);
+        };
+        reach(false);
+        fleet.run(60s);
+        if (fleet.contactState(fleet.hosts.front()) != ContactState::StoreOutage)
+            return "the outage is not noticed";
+        reach(true);
+        fleet.run(40s);
+        for (std::size_t i = 0; i < fleet.slots.size(); ++i) {
+            if (fleet.slots[i].version != slotsBefore[i].version)
+                return "a slot was acquired again";
+        }
+        return failure;
+    });
+}
+
+// Guards against a host that serves callers or slots although nothing confirms its information.
+TEST(FleetSimulation, HostCutOffFromEveryoneIsIsolatedWithinTheBound)
+{
+    runSeeds(200, [](std::uint64_t seed) -> std::string {
+        Fleet fleet({ .hosts = 3 + static_cast<int>(seed % 5), .seed = seed, .loss = 0.03, .drift = 0.01 });
+        fleet.run(20s + Duration(static_cast<std::int64_t>(fleet.generator() % 10'000'000)));
+        SimulatedHost& host = fleet.hosts.front();
+        host.group = 1;
+        host.reachesStore = false;
+        const Time start = fleet.now;
+        std::string failure;
+        fleet.check = [&] {
+            // The bound is 10 s on the host's own clock, which may be slow by 1 %.
+            if (fleet.now - start > 10200ms && fleet.contactState(host) != ContactState::Isolated)
+                failure = "not isolated";
+            const auto others = std::ranges::count_if(fleet.hosts, [&](const SimulatedHost& each) {
+                return fleet.contactState(each) == ContactState::Connected;
+            });
+            if (fleet.now - start > 12s && others != std::ssize(fleet.hosts) - 1)
+                failure = "others are not connected";
+        };
+        fleet.run(60s);
+        if (std::ranges::count(fleet.holderCounts(), 1) != std::ssize(fleet.slots))
+            return "the slot did not move to another host";
+        fleet.check = nullptr;
+        host.group = 0;
+        host.reachesStore = true;
+        fleet.run(50s);
+        fleet.options.loss = 0;
+        fleet.run(10s);
+        return fleet.hasConverged() ? failure : "views have not converged";
+    });
+}
+
+// Guards against dead hosts that are not found, and live ones that are lost, in a larger fleet.
+TEST(FleetSimulation, DeadHostsAreFoundAndLiveOnesKept)
+{
+    runSeeds(60, [](std::uint64_t seed) -> std::string {
+        Fleet fleet(
+            { .hosts = 25, .seed = seed, .withStore = false, .loss = 0.05, .duplicates = 0.1, .late = 0.05 });
+        fleet.run(10s);
+        for (std::size_t i = 0; i < 3; ++i)
+            fleet.crash(fleet.hosts[i * 7]);
+        SimulatedHost& paused = fleet.hosts[5];
+        fleet.pause(paused, 8s);
+        fleet.run(20s);
+        fleet.restart(fleet.hosts[7]);
+        fleet.run(30s);
+        fleet.options.loss = fleet.options.late = 0;
+        fleet.run(10s);
+        const auto restarted = std::ranges::count_if(fleet.hosts[1].events,
+            [](const MemberEvent& event) { return event.kind == MemberEventKind::Restarted; });
+        if (restarted != 1)
+            return "the new incarnation was not reported once";
+        return fleet.hasConverged() ? "" : "views have not converged";
+    });
+}
+
+// Guards against traffic that grows with the fleet or exceeds the budget of docs/design.md 2.4.
+TEST(FleetSimulation, TrafficAt810HostsIsWithinTheBudget)
+{
+    // TCP, IP, ZeroMQ and CURVE headers of one message.
+    constexpr double framing = 130;
+    constexpr double bytesPerSecond = 7000;
+    for (const bool isOutage : { false, true }) {
+        Fleet fleet({ .hosts = 810, .seed = 1, .withStore = false });
+        const auto tellSuccess = [&] {
+            for (SimulatedHost& host : fleet.hosts)
+                host.contact->storeSucceeded(host.localTime(fleet.now));
+        };
+        tellSuccess();
+        fleet.run(2s);
+        if (!isOutage)
+            tellSuccess();
+        for (SimulatedHost& host : fleet.hosts)
+            host.sentBytes = host.sentMessages = 0;
+        if (isOutage)
+            fleet.run(3s);
+        const double seconds = 4;
+        for (SimulatedHost& host : fleet.hosts)
+            host.sentBytes = host.sentMessages = 0;
+        fleet.run(4s);
+        double messages = 0;
+        double bytes = 0;
+        for (const SimulatedHost& host : fleet.hosts) {
+            messages += static_cast<double>(host.sentMessages) / 810 / seconds;
+            bytes += static_cast<double>(host.sentBytes) / 810 / seconds;
+        }
+        std::printf("outage %d: %.2f messages/s, %.0f bytes/s, with framing %.0f\n", isOutage, messages,
+            bytes, bytes + messages * framing);
+        EXPECT_LE(bytes + messages * framing, bytesPerSecond) << "outage: " << isOutage;
+        EXPECT_LE(messages, isOutage ? 24 : 3);
+    }
+}
