Test the quota buckets and the token cache; fix two ways to exceed a limit

With rules removed from a scratch copy, the simulation of a whole fleet found two faults that had been there before. A process that started while limits changed used the new number of shards at once, beside hosts that still used the old one: it now grants nothing for the 17 s that a change needs. A slot that was taken after limits had come due refilled from before it was taken: due limits now come into force first.

--- a/src/libs/core/quota/slotassignment.cpp
+++ b/src/libs/core/quota/slotassignment.cpp
@@ -22,11 +22,12 @@
 
 }
 
-bool mayServeSlots(std::optional<Model::Time> renewalStarted, StoreContact contact, Model::Time now)
+bool mayServeSlots(const LeaseState& lease, StoreContact contact, Model::Time now)
 {
-    if (!renewalStarted)
+    if (!lease.renewalStarted)
         return false;
-    return contact == StoreContact::Outage || now - *renewalStarted < leasePeriod - leaseMargin;
+    const Model::Time takeover = contact == StoreContact::Outage ? lease.lastStoreSuccess : now;
+    return takeover - *lease.renewalStarted < leasePeriod - leaseMargin;
 }
 
 SlotAssignment::SlotAssignment(Holder self)
@@ -35,11 +36,12 @@
 }
 
 std::vector<SlotChange> SlotAssignment::decide(
-    const Situation& situation, std::span<const SlotRow> rows) const
+    const Situation& situation, std::span<const SlotRow> rows, Model::Time now) const
 {
     std::vector<SlotChange> changes;
     if (situation.contact != StoreContact::Connected)
         return changes;
+    const bool hasLease = mayServeSlots(situation.lease, situation.contact, now);
     const std::vector<std::string> live = liveNames(situation.hosts);
     std::size_t takes = 0;
     std::size_t releases = 0;
@@ -57,7 +59,7 @@
         if (isOwn && !belongsHere && wanted >= 0) {
             changes.push_back({ row.slot, row.epoch, SlotChange::Kind::Release });
             ++releases;
-        } else if (!isOwn && belongsHere && mayTake(situation, row.holder)) {
+        } else if (hasLease && !isOwn && belongsHere && mayTake(situation, row.holder)) {
             changes.push_back({ row.slot, row.epoch, SlotChange::Kind::Take });
             ++takes;
         }
--- a/src/libs/core/quota/slotbuckets.cpp
+++ b/src/libs/core/quota/slotbuckets.cpp
@@ -37,15 +37,22 @@
     return std::tie(entry, incarnation, sequence) < std::tie(other.entry, other.incarnation, other.sequence);
 }
 
+SlotBuckets::SlotBuckets(Model::Time started)
+    : m_refillFrom(started + limitsSpreadTime)
+{
+}
+
 void SlotBuckets::setLimits(const std::string& name, const Limits& limits, Model::Time now)
 {
     const LimitsInForce next { shardCount(limits), shardLimits(limits) };
     const auto [found, isNew] = m_customers.try_emplace(name);
     Customer& customer = found->second;
     if (isNew) {
+        for (int shard = 0; shard < maxShards; ++shard)
+            customer.slots.push_back(slotOfShard(name, shard));
         customer.inForce = next;
     } else {
-        settle(customer, name, now);
+        settle(customer, now);
         LimitsInForce& current = customer.inForce;
         if (customer.pending && customer.pending->limits == next)
             return;
@@ -56,7 +63,7 @@
             current = next;
         }
     }
-    updateBuckets(customer, name, now);
+    updateBuckets(customer, now);
 }
 
 void SlotBuckets::removeCustomer(const std::string& customer) { m_customers.erase(customer); }
@@ -65,18 +72,22 @@
 {
     if (holdsSlot(slot))
         return;
+    // Limits that are due come into force first: their buckets would otherwise refill from before the slot
+    // was taken.
+    for (auto& [name, customer] : m_customers)
+        settle(customer, now);
     m_slots.set(static_cast<std::size_t>(slot));
     for (auto& [name, customer] : m_customers)
-        updateBuckets(customer, name, now);
+        updateBuckets(customer, now);
 }
 
 void SlotBuckets::dropSlot(int slot)
 {
     m_slots.reset(static_cast<std::size_t>(slot));
     for (auto& [name, customer] : m_customers) {
-        const std::string& owner = name;
-        std::erase_if(
-            customer.buckets, [&](const auto& entry) { return slotOfShard(owner, entry.first) == slot; });
+        const std::vector<int>& slots = customer.slots;
+        std::erase_if(customer.buckets,
+            [&](const auto& entry) { return slots[static_cast<std::size_t>(entry.first)] == slot; });
     }
 }
 
@@ -92,7 +103,7 @@
             continue;
         }
         Customer& customer = found->second;
-        settle(customer, draw.customer, now);
+        settle(customer, now);
         for (const GrantReport& report : draw.reports)
             applyReport(customer, { entry.name, entry.incarnation, report.grant }, report);
         answer.notHolder = customer.buckets.empty();
@@ -109,7 +120,7 @@
     const auto found = m_customers.find(name);
     if (found == m_customers.end())
         return 0;
-    settle(found->second, name, now);
+    settle(found->second, now);
     MicroTokens sum = 0;
     for (const auto& [shard, bucket] : found->second.buckets)
         sum += bucket.available;
@@ -138,42 +149,26 @@
 
 // Brings the buckets up to `now`, in the order of events: tokens that stop to be outstanding make room only
 // for refill that comes later.
-void SlotBuckets::settle(Customer& customer, const std::string& name, Model::Time now)
+void SlotBuckets::settle(Customer& customer, Model::Time now)
 {
     if (customer.pending && customer.pending->at <= now) {
         const PendingLimits pending = *std::exchange(customer.pending, std::nullopt);
         advance(customer, pending.at);
         customer.inForce = pending.limits;
-        updateBuckets(customer, name, pending.at);
+        updateBuckets(customer, pending.at);
     }
     advance(customer, now);
 }
 
 void SlotBuckets::advance(Customer& customer, Model::Time now)
 {
-    const auto refill = [&](Model::Time until) {
-        const ShardLimits& limits = customer.inForce.limits;
-        for (auto& [shard, bucket] : customer.buckets) {
-            if (until <= bucket.refilledAt)
-                continue;
-            const Model::Duration elapsed = std::min(until - bucket.refilledAt, maxRefillPeriod);
-            const MicroTokens seconds = elapsed.count() / microsecondsPerSecond;
-            const MicroTokens scaled
-                = elapsed.count() % microsecondsPerSecond * limits.rate + bucket.fraction;
-            const MicroTokens room = limits.burst - bucket.outstanding - bucket.available;
-            const MicroTokens gained = seconds * limits.rate + scaled / microsecondsPerSecond;
-            bucket.fraction = gained < room ? scaled % microsecondsPerSecond : 0;
-            bucket.available += std::max<MicroTokens>(std::min(gained, room), 0);
-            bucket.refilledAt = until;
-        }
-    };
     while (!customer.expiries.empty() && customer.expiries.front().at <= now) {
         const Expiry expiry = std::move(customer.expiries.front());
         customer.expiries.pop_front();
         const auto found = customer.grants.find(expiry.grant);
         if (found == customer.grants.end())
             continue;
-        refill(expiry.at);
+        refill(customer, expiry.at);
         for (const GrantPart& part : found->second.parts) {
             const auto bucket = customer.buckets.find(part.shard);
             if (bucket != customer.buckets.end() && bucket->second.tenure == part.tenure)
@@ -181,17 +176,34 @@
         }
         customer.grants.erase(found);
     }
-    refill(now);
+    refill(customer, now);
+}
+
+void SlotBuckets::refill(Customer& customer, Model::Time until)
+{
+    const ShardLimits& limits = customer.inForce.limits;
+    for (auto& [shard, bucket] : customer.buckets) {
+        if (until <= bucket.refilledAt)
+            continue;
+        const Model::Duration elapsed = std::min(until - bucket.refilledAt, maxRefillPeriod);
+        const MicroTokens seconds = elapsed.count() / microsecondsPerSecond;
+        const MicroTokens scaled = elapsed.count() % microsecondsPerSecond * limits.rate + bucket.fraction;
+        const MicroTokens room = limits.burst - bucket.outstanding - bucket.available;
+        const MicroTokens gained = seconds * limits.rate + scaled / microsecondsPerSecond;
+        bucket.fraction = gained < room ? scaled % microsecondsPerSecond : 0;
+        bucket.available += std::max<MicroTokens>(std::min(gained, room), 0);
+        bucket.refilledAt = until;
+    }
 }
 
 // Creates and removes buckets according to the slots held and the limits in force.
-void SlotBuckets::updateBuckets(Customer& customer, const std::string& name, Model::Time now)
+void SlotBuckets::updateBuckets(Customer& customer, Model::Time now)
 {
     for (int shard = 0; shard < customer.inForce.shards; ++shard) {
-        if (!holdsSlot(slotOfShard(name, shard)) || customer.buckets.contains(shard))
+        if (!holdsSlot(customer.slots[static_cast<std::size_t>(shard)]) || customer.buckets.contains(shard))
             continue;
         Bucket bucket;
-        bucket.refilledAt = now + grantValidity;
+        bucket.refilledAt = std::max(now + grantValidity, m_refillFrom);
         bucket.tenure = ++m_lastTenure;
         customer.buckets.emplace(shard, bucket);
     }
--- a/src/libs/core/quota/slotbuckets.h
+++ b/src/libs/core/quota/slotbuckets.h
@@ -24,6 +24,10 @@
     /// How long a change of limits may need to be in force on all hosts.
     static constexpr Model::Duration limitsSpreadTime = std::chrono::seconds(17);
 
+    /// Buckets refill only from `limitsSpreadTime` after `started`, the start of the process: it does not
+    /// know whether other hosts still use earlier limits.
+    explicit SlotBuckets(Model::Time started);
+
     /// Puts limits in force. If the number of shards changes, then only what lowers the limits of a shard
     /// takes effect at once, and the rest after `limitsSpreadTime`: hosts that still use the old number
     /// would otherwise admit more than both limits together with those that use the new one.
@@ -88,6 +92,8 @@
         Model::Time at;
     };
     struct Customer {
+        /// The slot of each shard that there may be.
+        std::vector<int> slots;
         LimitsInForce inForce;
         std::optional<PendingLimits> pending;
         std::map<int, Bucket> buckets;
@@ -102,12 +108,14 @@
     };
 
     bool isNewRequest(const EntryHost& entry, std::uint64_t sequence, Model::Time now);
-    void settle(Customer& customer, const std::string& name, Model::Time now);
-    void advance(Customer& customer, Model::Time now);
-    void updateBuckets(Customer& customer, const std::string& name, Model::Time now);
-    void applyReport(Customer& customer, const GrantId& id, const GrantReport& report);
-    MicroTokens grant(Customer& customer, const GrantId& id, MicroTokens wanted, Model::Time now);
+    void settle(Customer& customer, Model::Time now);
+    static void advance(Customer& customer, Model::Time now);
+    static void refill(Customer& customer, Model::Time until);
+    void updateBuckets(Customer& customer, Model::Time now);
+    static void applyReport(Customer& customer, const GrantId& id, const GrantReport& report);
+    static MicroTokens grant(Customer& customer, const GrantId& id, MicroTokens wanted, Model::Time now);
 
+    Model::Time m_refillFrom;
     std::bitset<slotCount> m_slots;
     std::unordered_map<std::string, Customer> m_customers;
     std::unordered_map<std::string, Entry> m_entries;
--- /dev/null
+++ b/tests/auto/core/quota/tst_tokencache.cpp
@@ -0,0 +1,164 @@
+#include "core/quota/tokencache.h"
+#include "fleet.h"
+
+#include <algorithm>
+#include <set>
+
+#include <gtest/gtest.h>
+
+using namespace Quota;
+using Model::Time;
+using QuotaSimulation::Counters;
+using QuotaSimulation::Fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string customer = "customer";
+using enum TokenCache::Attempt;
+
+// A cache whose only holder grants all that is wanted, as told by the test.
+struct Cache {
+    Cache()
+    {
+        tokens.setLimits(customer, { 1000, 1000 });
+        tokens.setHolders(std::vector<std::string>(slotCount, "holder"));
+    }
+
+    DrawRequest draw(Time now)
+    {
+        EXPECT_EQ(tokens.admit(customer, First, now), Admission::Wait);
+        const auto requests = tokens.plan(now, generator);
+        return requests.empty() ? DrawRequest {} : requests.front().request;
+    }
+
+    static DrawReply grantAll(const DrawRequest& request)
+    {
+        return { request.sequence, { { customer, request.draws.front().wanted, false } } };
+    }
+
+    TokenCache tokens;
+    std::mt19937_64 generator { 1 };
+};
+
+// One customer's requests at an even pace, all or part of them to host 0.
+Counters runSkewed(Fleet& fleet, const Limits& limits, int hosts, std::uint64_t skewPercent, int load)
+{
+    std::mt19937_64 generator(1);
+    double due = 0;
+    const auto run = [&](Model::Duration period) {
+        const Time end = fleet.now() + period;
+        while (fleet.now() < end) {
+            fleet.advance(1ms);
+            for (due += static_cast<double>(limits.rate) * load / 100 / 1000; due >= 1; due -= 1) {
+                const bool first = generator() % 100 < skewPercent;
+                fleet.request(
+                    first ? 0 : static_cast<int>(generator() % static_cast<std::uint64_t>(hosts)), customer);
+            }
+        }
+    };
+    fleet.setLimits(customer, limits);
+    fleet.advance(5s);
+    run(2s);
+    fleet.resetCounters();
+    run(10s);
+    return fleet.counters();
+}
+
+}
+
+// Guards against tokens that are spent after their expiry, counted from when they were asked for.
+TEST(TokenCache, TokensExpireASecondAfterTheRequest)
+{
+    Cache cache;
+    const Time sent { 10s };
+    const auto request = cache.draw(sent);
+    cache.tokens.reply("holder", Cache::grantAll(request), sent + 600ms);
+    EXPECT_EQ(cache.tokens.local(customer, sent + 999ms), tokensPerRequest);
+    EXPECT_EQ(cache.tokens.local(customer, sent + 1s), 0);
+    EXPECT_EQ(cache.tokens.admit(customer, Again, sent + 1s), Admission::Wait);
+
+    const Time second = sent + 2s;
+    const auto late = cache.draw(second);
+    cache.tokens.reply("holder", Cache::grantAll(late), second + 1s);
+    EXPECT_EQ(cache.tokens.local(customer, second), 0);
+}
+
+// Guards against tokens from replies that come twice, from another holder, or that nobody asked for.
+TEST(TokenCache, CountsEachReplyOnce)
+{
+    Cache cache;
+    const Time now { 10s };
+    const auto reply = Cache::grantAll(cache.draw(now));
+    cache.tokens.reply("other", reply, now);
+    cache.tokens.reply("holder", { reply.sequence + 1, reply.grants }, now);
+    EXPECT_EQ(cache.tokens.local(customer, now), 0);
+    cache.tokens.reply("holder", reply, now);
+    cache.tokens.reply("holder", reply, now);
+    EXPECT_EQ(cache.tokens.local(customer, now), tokensPerRequest);
+}
+
+// Guards against tokens that are both returned and kept, and against unused ones that are lost.
+TEST(TokenCache, ReturnsUnusedTokens)
+{
+    Cache cache;
+    Time now { 10s };
+    for (int i = 0; i < 10; ++i)
+        cache.tokens.admit(customer, First, now);
+    const auto request = cache.draw(now);
+    cache.tokens.reply("holder", Cache::grantAll(request), now);
+    const MicroTokens granted = request.draws.front().wanted;
+    EXPECT_EQ(cache.tokens.admit(customer, Again, now), Admission::Admitted);
+    for (int i = 0; i < 10; ++i)
+        cache.tokens.giveUp(customer);
+    now += 900ms;
+    const auto requests = cache.tokens.plan(now, cache.generator);
+    ASSERT_EQ(requests.size(), 1U);
+    const GrantReport& report = requests.front().request.draws.front().reports.front();
+    EXPECT_EQ(report.grant, request.sequence);
+    EXPECT_EQ(report.spent, tokensPerRequest);
+    EXPECT_GT(report.returned, granted / 2);
+    EXPECT_EQ(report.spent + report.returned + cache.tokens.local(customer, now), granted);
+}
+
+// Guards against a draw to a silent holder that keeps requests waiting although others have tokens.
+TEST(TokenCache, AsksAnotherHolderAfterSilence)
+{
+    Cache cache;
+    std::vector<std::string> holders(slotCount, "silent");
+    for (std::size_t i = 0; i < holders.size(); i += 2)
+        holders[i] = "holder";
+    cache.tokens.setHolders(holders);
+    std::set<std::string> asked;
+    for (Model::Duration at {}; at <= 60ms; at += 20ms) {
+        cache.tokens.admit(customer, First, Time { 10s } + at);
+        for (const auto& draw : cache.tokens.plan(Time { 10s } + at, cache.generator))
+            asked.insert(draw.holder);
+    }
+    EXPECT_EQ(asked.size(), 2U);
+}
+
+// Guards against wrongful refusals and waits when a customer within its rate sends to one host only. An even
+// split of the rate would refuse 8 of 9 requests there.
+TEST(TokenCache, SkewedTrafficWithinTheRateIsServedWithoutWaiting)
+{
+    for (const Limits limits : { Limits { 900, 900 }, Limits { 900, 90 }, Limits { 30, 30 } }) {
+        Fleet fleet({});
+        const Counters counters = runSkewed(fleet, limits, 9, 100, 90);
+        EXPECT_EQ(counters.refusedWrongly, 0U) << "burst " << limits.burst;
+        // A burst of a tenth of a second allows only batches too short to be always drawn ahead.
+        if (limits.burst >= limits.rate) {
+            EXPECT_LE(counters.waited * 100, counters.admitted) << "rate " << limits.rate;
+        }
+    }
+}
+
+// Guards against a rate that cannot be used up, because tokens are held, lost or reported too late.
+TEST(TokenCache, OverloadUsesTheWholeRate)
+{
+    for (const std::uint64_t skew : { 0U, 100U }) {
+        Fleet fleet({});
+        const Counters counters = runSkewed(fleet, { 900, 300 }, 9, skew, 300);
+        EXPECT_GE(counters.admitted, 900U * 10 * 95 / 100) << "skew " << skew;
+    }
+}
