--- a/tests/auto/settings/tst_hostsettings.cpp
+++ b/tests/auto/settings/tst_hostsettings.cpp
@@ -51,7 +51,8 @@
 
 TEST(HostSettings, NamesTheMissingField)
 {
-    for (const auto& [name, value] : validSettings().items()) {
+    const Json valid = validSettings();
+    for (const auto& [name, value] : valid.items()) {
         if (name == "seeds")
             continue;
         Json settings = validSettings();
