--- a/tests/auto/core/catalog/tst_check.cpp
+++ b/tests/auto/core/catalog/tst_check.cpp
@@ -1,7 +1,10 @@
 #include "core/catalog/check.h"
+#include "core/catalog/parsedocument.h"
 #include "testdocuments.h"
 
+#include <fstream>
 #include <functional>
+#include <iterator>
 
 #include <gtest/gtest.h>
 
@@ -156,3 +159,17 @@
         EXPECT_TRUE(hasFault(check(document), ObjectType::Upstream, "db0-z1", "address")) << address;
     }
 }
+
+// Guards against an example in the operators' page that hosts refuse.
+TEST(Check, ExampleOfTheOperatorsPage)
+{
+    std::ifstream file(std::string(PARSLEYTACK_DOCS_DIR) + "/operations.md");
+    const std::string page { std::istreambuf_iterator<char>(file), {} };
+    const std::string opening = "```json\n";
+    const std::size_t begin = page.find(opening);
+    ASSERT_NE(begin, std::string::npos);
+    const std::size_t end = page.find("```", begin + opening.size());
+    const auto document = parseDocument(page.substr(begin + opening.size(), end - begin - opening.size()));
+    ASSERT_TRUE(document) << checkFailed(document.error()).message;
+    EXPECT_EQ(check(*document), Faults {});
+}
