--- a/src/libs/daemon/quotaservice.cpp
+++ b/src/libs/daemon/quotaservice.cpp
@@ -93,7 +93,7 @@
         const std::lock_guard lock(m_mutex);
         returns = m_cache.returnAll(steadyNow());
     }
-    sendDraws(std::move(returns));
+    sendDraws(returns);
     decideSlots(SlotAssignment::HostState::Draining);
 }
 
@@ -137,6 +137,7 @@
     // says so in its reply.
     const std::vector<std::string> live = liveNames();
     std::vector<std::string> holders;
+    holders.reserve(Quota::slotCount);
     for (int slot = 0; slot < Quota::slotCount; ++slot)
         holders.push_back(preferredHolder(slot, live));
     {
@@ -194,15 +195,15 @@
         m_hasWaiting = false;
         std::vector<Quota::OutgoingDraw> draws = m_cache.plan(steadyNow(), generator);
         lock.unlock();
-        sendDraws(std::move(draws));
+        sendDraws(draws);
         lock.lock();
         m_wakeDraws.wait_for(lock, TokenCache::planInterval, [this] { return m_isStopping || m_hasWaiting; });
     }
 }
 
-void QuotaService::sendDraws(std::vector<Quota::OutgoingDraw> draws)
+void QuotaService::sendDraws(const std::vector<Quota::OutgoingDraw>& draws)
 {
-    for (Quota::OutgoingDraw& draw : draws) {
+    for (const Quota::OutgoingDraw& draw : draws) {
         if (draw.holder == m_self.host) {
             const Quota::DrawReply reply = this->draw({ m_self.host, m_self.incarnation }, draw.request);
             takeReply(draw.holder, &reply);
@@ -266,8 +267,18 @@
     for (const auto& [slot, reading] : m_rows)
         rows.push_back(reading.row);
     const std::vector<Quota::SlotChange> changes = m_assignment.decide(present, rows);
-    for (const Quota::SlotChange& change : changes)
-        apply(change);
+    std::size_t taken = 0;
+    std::size_t released = 0;
+    for (const Quota::SlotChange& change : changes) {
+        const bool isDone = apply(change);
+        const bool isTake = change.kind == Quota::SlotChange::Kind::Take;
+        taken += isDone && isTake ? 1 : 0;
+        released += isDone && !isTake ? 1 : 0;
+    }
+    if (taken > 0)
+        Logging::write(Logging::EventId::SlotTaken, { { "count", std::to_string(taken) } });
+    if (released > 0)
+        Logging::write(Logging::EventId::SlotReleased, { { "count", std::to_string(released) } });
     const std::lock_guard lock(m_mutex);
     std::int64_t held = 0;
     for (int slot = 0; slot < Quota::slotCount; ++slot)
@@ -288,6 +299,8 @@
         m_buckets.dropSlot(slot);
         m_unresolved.insert(slot);
     }
+    if (!m_rows.empty())
+        Logging::write(Logging::EventId::SlotLost, { { "count", std::to_string(m_rows.size()) } });
     m_rows.clear();
 }
 
@@ -368,7 +381,7 @@
     return result;
 }
 
-void QuotaService::apply(const Quota::SlotChange& change)
+bool QuotaService::apply(const Quota::SlotChange& change)
 {
     const bool isTake = change.kind == Quota::SlotChange::Kind::Take;
     if (!isTake) {
@@ -379,13 +392,14 @@
     if (!reading) {
         m_rows.erase(change.slot);
         m_unresolved.insert(change.slot);
-        return;
+        return false;
     }
     m_rows[change.slot] = *reading;
-    if (!isTake)
-        return;
-    const std::lock_guard lock(m_mutex);
-    m_buckets.takeSlot(change.slot, steadyNow());
+    if (isTake) {
+        const std::lock_guard lock(m_mutex);
+        m_buckets.takeSlot(change.slot, steadyNow());
+    }
+    return true;
 }
 
 }
