Let a new host serve its quota slots at once in a running fleet

A bucket grants nothing for 17 s after its process started, because other hosts may still use earlier limits of a customer. A new host now asks up to three peers how long the version has been in force with them, and counts that time; a restart in a running fleet costs no grants. Without any peer, and unless it is the first version, the 17 s stay.

--- a/src/libs/daemon/catalogservice.cpp
+++ b/src/libs/daemon/catalogservice.cpp
@@ -203,8 +203,14 @@
         return false;
     }
     const std::uint64_t version = (*result)->version();
+    if (m_holder.version() == 0)
+        learnAge(version);
     if (!m_holder.adopt(*result))
         return false;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_adoptedAt = steadyNow();
+    }
     m_peers.withContact(
         [version](Membership::ContactTracker& contact) { contact.catalogVersionInForce(version); });
     Logging::write(
@@ -217,12 +223,43 @@
 {
     const std::lock_guard lock(m_mutex);
     const auto delta = m_adoption.history().deltaFrom(version);
-    if (delta)
-        return toMessage(*delta);
-    Wire::CatalogDelta none;
-    none.set_from_version(version);
-    none.set_version(m_adoption.currentVersion());
-    return none;
+    Wire::CatalogDelta message;
+    if (delta) {
+        message = toMessage(*delta);
+    } else {
+        message.set_from_version(version);
+        message.set_version(m_adoption.currentVersion());
+    }
+    const auto age = std::chrono::floor<std::chrono::milliseconds>(steadyNow() - m_adoptedAt);
+    message.set_in_force_ms(static_cast<std::uint64_t>(age.count()));
+    return message;
+}
+
+Model::Duration CatalogService::initialAge() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_initialAge;
+}
+
+void CatalogService::learnAge(std::uint64_t version)
+{
+    // Before the first version there were no other limits.
+    constexpr Model::Duration longAge = std::chrono::hours(1);
+    Model::Duration age = version == 1 ? longAge : Model::Duration(0);
+    std::size_t asked = 0;
+    for (const Membership::Member& member : m_peers.liveMembers()) {
+        if (age >= longAge || asked == startPeers)
+            break;
+        const auto reply = m_peers.pullCatalog(member.address, version);
+        if (!reply)
+            continue;
+        ++asked;
+        if (reply->version() == version)
+            age = std::max<Model::Duration>(
+                age, std::min<Model::Duration>(std::chrono::milliseconds(reply->in_force_ms()), longAge));
+    }
+    const std::lock_guard lock(m_mutex);
+    m_initialAge = age;
 }
 
 void CatalogService::withAdoption(const std::function<void(const Catalog::Adoption&)>& use) const
--- a/src/libs/daemon/catalogservice.h
+++ b/src/libs/daemon/catalogservice.h
@@ -53,6 +53,8 @@
     /// Publishes a checked document. Blocks until the outcome is known or the deadline passed.
     PublishOutcome publish(
         const Catalog::PublicationRequest& request, Catalog::PublicationMode mode, Model::Time deadline);
+    /// How long the version with which this host started is known to have been in force on the others.
+    Model::Duration initialAge() const;
     /// Runs `use` with the adoption state under its mutex.
     void withAdoption(const std::function<void(const Catalog::Adoption&)>& use) const;
 
@@ -65,6 +67,7 @@
     bool adopted(const Catalog::AdoptionResult& result, const char* source);
     void perform(Catalog::Publication& publication, Platform::StoreClient& store);
     Model::Time nextPoll(Model::Time now);
+    void learnAge(std::uint64_t version);
 
     std::string m_storeAddress;
     CatalogHolder& m_holder;
@@ -73,6 +76,8 @@
     Platform::StoreClient m_store;
     mutable std::mutex m_mutex;
     Catalog::Adoption m_adoption;
+    Model::Time m_adoptedAt;
+    Model::Duration m_initialAge {};
     std::mutex m_publishMutex;
     std::mutex m_wakeMutex;
     std::condition_variable m_wake;
--- a/src/libs/daemon/host.cpp
+++ b/src/libs/daemon/host.cpp
@@ -342,7 +342,7 @@
 void Host::Private::onCatalogAdopted()
 {
     if (const CatalogInForcePointer inForce = holder.current())
-        quota.configure(*inForce->snapshot);
+        quota.configure(*inForce->snapshot, catalog.initialAge());
     staleOwnership();
 }
 
--- a/src/libs/daemon/quotaservice.cpp
+++ b/src/libs/daemon/quotaservice.cpp
@@ -51,6 +51,7 @@
     , m_peers(peers)
     , m_storeLink(storeLink)
     , m_metrics(metrics)
+    , m_buckets(steadyNow())
     , m_store(storeAddress)
     , m_assignment(m_self)
 {
@@ -97,13 +98,17 @@
     decideSlots(SlotAssignment::HostState::Draining);
 }
 
-void QuotaService::configure(const Catalog::Snapshot& catalog)
+void QuotaService::configure(const Catalog::Snapshot& catalog, Model::Duration inForceFor)
 {
     std::map<std::string, Quota::Limits> limits;
     for (const Catalog::Customer& customer : catalog.document().customers)
         limits.emplace(customer.name, limitsOf(customer));
     const std::lock_guard lock(m_mutex);
     const Model::Time now = steadyNow();
+    // Slots are taken only after the first catalogue, so no bucket is lost here.
+    if (!m_isConfigured)
+        m_buckets = Quota::SlotBuckets(now - inForceFor);
+    m_isConfigured = true;
     for (const auto& [customer, old] : m_limits) {
         if (limits.contains(customer))
             continue;
@@ -234,8 +239,9 @@
 {
     std::unique_lock lock(m_mutex);
     while (!m_isStopping && !m_isDraining) {
+        const bool isConfigured = m_isConfigured;
         lock.unlock();
-        const bool isBusy = decideSlots(SlotAssignment::HostState::Serving);
+        const bool isBusy = isConfigured && decideSlots(SlotAssignment::HostState::Serving);
         lock.lock();
         m_buckets.forgetIdleEntries(steadyNow());
         m_wakeSlots.wait_for(
@@ -266,7 +272,7 @@
     std::vector<Quota::SlotRow> rows;
     for (const auto& [slot, reading] : m_rows)
         rows.push_back(reading.row);
-    const std::vector<Quota::SlotChange> changes = m_assignment.decide(present, rows);
+    const std::vector<Quota::SlotChange> changes = m_assignment.decide(present, rows, steadyNow());
     std::size_t taken = 0;
     std::size_t released = 0;
     for (const Quota::SlotChange& change : changes) {
@@ -359,7 +365,10 @@
 {
     SlotAssignment::Situation result;
     result.state = state;
-    switch (m_peers.contactState(steadyNow())) {
+    const Model::Time now = steadyNow();
+    if (m_storeLink.mayServeSlots(now))
+        result.lease = { now, now };
+    switch (m_peers.contactState(now)) {
     case Membership::ContactState::Connected:
         result.contact = Quota::StoreContact::Connected;
         break;
--- a/src/libs/daemon/quotaservice.h
+++ b/src/libs/daemon/quotaservice.h
@@ -35,7 +35,8 @@
     void drain();
 
     /// Puts the limits of a catalogue in force.
-    void configure(const Catalog::Snapshot& catalog);
+    /// `inForceFor`: how long the limits are known to have been in force on the other hosts.
+    void configure(const Catalog::Snapshot& catalog, Model::Duration inForceFor);
     /// The live members have changed.
     void membersChanged();
 
@@ -70,6 +71,7 @@
     std::condition_variable m_wakeDraws;
     Quota::TokenCache m_cache;
     Quota::SlotBuckets m_buckets;
+    bool m_isConfigured = false;
     std::map<std::string, Quota::Limits> m_limits;
     bool m_hasWaiting = false;
     bool m_isStopping = false;
