Make slot leases safe after a lapse, in an outage, and with late changes

The test of slot assignment, with late and lost changes, pauses and outages, found two holders of one slot in four ways: a host that had been paused renewed its lease and served slots that others had taken; a host resumed during an outage and served what had been taken before it; a renewal that took effect late counted from its start; and a change by another host that was still under way took effect after the holder had read its own row.

HolderLease now remembers the slots taken under an unbroken lease only. After a lapse a host takes its own rows again, which raises their epoch and defeats changes under way; reading them, as tried first, does not. In an outage the lease has to have been valid when the store last answered anyone. A host without a lease takes nothing, as nobody could see that lease expire.

--- a/src/libs/core/quota/slotassignment.cpp
+++ b/src/libs/core/quota/slotassignment.cpp
@@ -22,26 +22,18 @@
 
 }
 
-bool mayServeSlots(const LeaseState& lease, StoreContact contact, Model::Time now)
-{
-    if (!lease.renewalStarted)
-        return false;
-    const Model::Time takeover = contact == StoreContact::Outage ? lease.lastStoreSuccess : now;
-    return takeover - *lease.renewalStarted < leasePeriod - leaseMargin;
-}
-
 SlotAssignment::SlotAssignment(Holder self)
     : m_self(std::move(self))
 {
 }
 
-std::vector<SlotChange> SlotAssignment::decide(
-    const Situation& situation, std::span<const SlotRow> rows, Model::Time now) const
+std::vector<SlotChange> SlotAssignment::decide(const Situation& situation, const HolderLease& lease,
+    std::span<const SlotRow> rows, Model::Time now) const
 {
     std::vector<SlotChange> changes;
     if (situation.contact != StoreContact::Connected)
         return changes;
-    const bool hasLease = mayServeSlots(situation.lease, situation.contact, now);
+    const bool hasLease = lease.isValid(situation.contact, now);
     const std::vector<std::string> live = liveNames(situation.hosts);
     std::size_t takes = 0;
     std::size_t releases = 0;
@@ -52,14 +44,16 @@
                 changes.push_back({ row.slot, row.epoch, SlotChange::Kind::Release });
             continue;
         }
-        if (isOwn ? releases >= maxReleasesPerDecision : takes >= maxTakesPerDecision)
+        if (isOwn && lease.holds(row.slot) ? releases >= maxReleasesPerDecision
+                                           : takes >= maxTakesPerDecision)
             continue;
         const int wanted = Model::rendezvousIndex("slot/" + std::to_string(row.slot), live);
         const bool belongsHere = wanted >= 0 && live[static_cast<std::size_t>(wanted)] == m_self.host;
         if (isOwn && !belongsHere && wanted >= 0) {
             changes.push_back({ row.slot, row.epoch, SlotChange::Kind::Release });
             ++releases;
-        } else if (hasLease && !isOwn && belongsHere && mayTake(situation, row.holder)) {
+        } else if (hasLease && belongsHere
+            && (isOwn ? !lease.holds(row.slot) : mayTake(situation, row.holder))) {
             changes.push_back({ row.slot, row.epoch, SlotChange::Kind::Take });
             ++takes;
         }
--- a/src/libs/core/quota/slotassignment.h
+++ b/src/libs/core/quota/slotassignment.h
@@ -1,10 +1,8 @@
 #pragma once
 
-#include "core/model/time.h"
-#include "core/quota/shards.h"
+#include "core/quota/holderlease.h"
 
 #include <cstdint>
-#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -47,29 +45,6 @@
         = Kind::Take;
 };
 
-enum class StoreContact : std::uint8_t {
-    /// Rows may be changed.
-    Connected,
-    /// The store is down for everybody, so nobody can take a slot.
-    Outage,
-    Isolated,
-};
-
-constexpr Model::Duration leasePeriod = std::chrono::seconds(30);
-constexpr Model::Duration leaseMargin = std::chrono::seconds(5);
-
-struct LeaseState {
-    /// When the host began its last successful lease renewal; empty before the first one.
-    std::optional<Model::Time> renewalStarted;
-    /// The newest successful store access of any host that this host has heard of since it last ran without
-    /// a pause.
-    Model::Time lastStoreSuccess;
-};
-
-/// Whether a host may serve the slots it holds. In an outage nobody can take a slot, but one may have been
-/// taken before: so the lease has to have been valid when the store last answered anyone.
-bool mayServeSlots(const LeaseState& lease, StoreContact contact, Model::Time now);
-
 /// Decides which slots a host takes and releases. It changes nothing itself.
 class SlotAssignment {
 public:
@@ -84,16 +59,16 @@
     struct Situation {
         StoreContact contact = StoreContact::Isolated;
         HostState state = HostState::Serving;
-        /// A host without a valid lease takes no slots: nobody could see its lease expire.
-        LeaseState lease;
         std::vector<KnownHost> hosts;
         /// Holders whose lease counts as expired; see `LeaseWatch`.
         std::vector<Holder> expiredLeases;
     };
-    /// The changes to try now, given the rows as last read. To be called about once a second. The I/O layer
-    /// serves exactly the slots whose row, as last read, names this process.
-    std::vector<SlotChange> decide(
-        const Situation& situation, std::span<const SlotRow> rows, Model::Time now) const;
+    /// The changes to try now, given the rows as last read. To be called about once a second. A host without
+    /// a valid lease takes no slots, as nobody could see its lease expire. A slot whose row names this
+    /// process, but that was not taken under the present lease, is taken again: that also defeats a change by
+    /// another host that is still under way.
+    std::vector<SlotChange> decide(const Situation& situation, const HolderLease& lease,
+        std::span<const SlotRow> rows, Model::Time now) const;
 
 private:
     bool mayTake(const Situation& situation, const Holder& holder) const;
--- a/tests/auto/core/quota/tst_slotassignment.cpp
+++ b/tests/auto/core/quota/tst_slotassignment.cpp
@@ -1,9 +1,12 @@
 #include "../seeds.h"
+#include "core/quota/holderlease.h"
 #include "core/quota/leasewatch.h"
 #include "core/quota/slotassignment.h"
 
 #include <algorithm>
 #include <array>
+#include <utility>
+#include <vector>
 
 using namespace Quota;
 using Model::Duration;
@@ -26,10 +29,18 @@
     Time pausedUntil;
     bool isAlive = true;
     bool isDraining = false;
-    std::optional<Time> renewalStarted;
+    HolderLease lease;
     Time nextRenewal;
     LeaseWatch watch;
-    std::array<bool, slots> served {};
+};
+
+// A conditional change of a row on its way.
+struct Put {
+    std::size_t host = 0;
+    Holder self;
+    SlotChange change;
+    Time started;
+    Time effectAt;
 };
 
 // Hosts with clocks of their own, which renew leases in a store that is down at times, whose answers may be
@@ -71,10 +82,6 @@
     Holder self(std::size_t i) const { return { "host" + std::to_string(i), m_processes[i].incarnation }; }
     Time localTime(const Process& process) const { return m_now + process.clockOffset; }
     bool isStoreUp() const { return m_now >= m_storeDownUntil; }
-    LeaseState lease(const Process& process) const
-    {
-        return { process.renewalStarted, m_lastStoreSuccess + process.clockOffset };
-    }
     StoreContact contact() const { return isStoreUp() ? StoreContact::Connected : StoreContact::Outage; }
 
     void causeFaults()
@@ -101,8 +108,10 @@
         m_now += 1s;
         if (isStoreUp())
             m_lastStoreSuccess = m_now;
+        for (const Put& put : std::exchange(m_puts, {}))
+            takeEffect(put);
         for (std::size_t i = 0; i < hostCount; ++i) {
-            if (m_processes[i].isAlive && m_now >= m_processes[i].pausedUntil)
+            if (isRunning(i))
                 act(i);
         }
         for (int slot = 0; slot < slots; ++slot)
@@ -113,15 +122,15 @@
     {
         Process& process = m_processes[i];
         const Time now = localTime(process);
+        process.lease.storeSeen(m_lastStoreSuccess + process.clockOffset);
         if (!isStoreUp()) {
             process.watch.interrupt();
             return;
         }
         if (now >= process.nextRenewal) {
             m_leases[i] = { process.incarnation, m_leases[i].counter + 1 };
-            // The answer of one in four is lost.
             if (m_isCalm || !onceIn(4, m_generator))
-                process.renewalStarted = now;
+                process.lease.renewed(now, now);
             process.nextRenewal = now + 10s;
         }
         for (std::size_t other = 0; other < hostCount; ++other) {
@@ -130,21 +139,24 @@
                 process.watch.observe(holder, m_leases[other].counter, now);
         }
         SlotAssignment::Situation situation { contact(),
-            process.isDraining ? SlotAssignment::HostState::Draining : SlotAssignment::HostState::Serving,
-            lease(process), {}, process.watch.expired(now) };
+            process.isDraining ? SlotAssignment::HostState::Draining : SlotAssignment::HostState::Serving, {},
+            process.watch.expired(now) };
         for (std::size_t other = 0; other < hostCount; ++other)
             situation.hosts.push_back(known(other));
         if (!onceIn(3, m_generator))
-            readRows(i);
-        for (const SlotChange& change : SlotAssignment(self(i)).decide(situation, m_read[i], now))
-            apply(i, change);
+            m_read[i] = m_rows;
+        for (const SlotChange& change :
+            SlotAssignment(self(i)).decide(situation, process.lease, m_read[i], now)) {
+            if (change.kind == SlotChange::Kind::Release)
+                process.lease.slotLost(change.slot);
+            const auto delay = std::chrono::seconds(below(onceIn(8, m_generator) ? 40 : 2, m_generator));
+            m_puts.push_back({ i, self(i), change, now, m_now + delay });
+        }
     }
 
-    void readRows(std::size_t i)
+    bool isRunning(std::size_t i) const
     {
-        m_read[i] = m_rows;
-        for (std::size_t slot = 0; slot < slots; ++slot)
-            m_processes[i].served[slot] = m_rows[slot].holder == self(i);
+        return m_processes[i].isAlive && m_now >= m_processes[i].pausedUntil;
     }
 
     KnownHost known(std::size_t i) const
@@ -157,26 +169,32 @@
         return { self(i).host, process.incarnation, state };
     }
 
-    void apply(std::size_t i, const SlotChange& change)
+    void takeEffect(const Put& put)
     {
-        const auto slot = static_cast<std::size_t>(change.slot);
-        SlotRow& row = m_rows[slot];
-        const bool takes = change.kind == SlotChange::Kind::Take;
-        if (!takes)
-            m_processes[i].served[slot] = false;
-        if (row.epoch != change.epoch)
+        if (m_now < put.effectAt || !isStoreUp()) {
+            m_puts.push_back(put);
             return;
-        row = { change.slot, takes ? self(i) : Holder {}, row.epoch + 1 };
-        m_processes[i].served[slot] = takes;
+        }
+        SlotRow& row = m_rows[static_cast<std::size_t>(put.change.slot)];
+        if (row.epoch != put.change.epoch)
+            return;
+        const bool takes = put.change.kind == SlotChange::Kind::Take;
+        row = { put.change.slot, takes ? put.self : Holder {}, row.epoch + 1 };
+        // The answer may be lost, or come to a process that has ended.
+        if (takes && put.self == self(put.host) && isRunning(put.host)
+            && (m_isCalm || !onceIn(4, m_generator)))
+            m_processes[put.host].lease.slotTaken(put.change.slot, put.started);
     }
 
     int servers(int slot) const
     {
-        return static_cast<int>(std::ranges::count_if(m_processes, [&](const Process& process) {
-            return process.isAlive && process.served[static_cast<std::size_t>(slot)]
-                && mayServeSlots({ process.renewalStarted, m_lastStoreSuccess + process.clockOffset },
-                    contact(), localTime(process));
-        }));
+        int count = 0;
+        for (std::size_t i = 0; i < hostCount; ++i) {
+            const Process& process = m_processes[i];
+            if (isRunning(i) && process.lease.mayServe(slot, contact(), localTime(process)))
+                ++count;
+        }
+        return count;
     }
 
     std::mt19937_64& m_generator;
@@ -184,6 +202,7 @@
     std::array<Lease, hostCount> m_leases;
     std::array<SlotRow, slots> m_rows;
     std::array<std::array<SlotRow, slots>, hostCount> m_read;
+    std::vector<Put> m_puts;
     Time m_now { 10h };
     Time m_storeDownUntil;
     Time m_lastStoreSuccess;
@@ -198,3 +217,57 @@
 {
     forEachSeed(1000, [](std::mt19937_64& generator) { AssignmentSimulation(generator).run(); });
 }
+
+// Guards against serving slots that others may have taken, after a slow renewal, a change from before the
+// lease lapsed, or an outage; and against an outage that stops all service.
+TEST(HolderLease, CoversOnlySlotsTakenUnderAnUnbrokenLease)
+{
+    HolderLease lease;
+    lease.renewed(Time { 100s }, Time { 101s });
+    lease.slotTaken(1, Time { 102s });
+    EXPECT_TRUE(lease.mayServe(1, StoreContact::Connected, Time { 124s }));
+    EXPECT_FALSE(lease.mayServe(1, StoreContact::Connected, Time { 125s }));
+    lease.storeSeen(Time { 124s });
+    EXPECT_TRUE(lease.mayServe(1, StoreContact::Outage, Time { 1h }));
+    lease.storeSeen(Time { 125s });
+    EXPECT_FALSE(lease.mayServe(1, StoreContact::Outage, Time { 1h }));
+    lease.renewed(Time { 124s }, Time { 126s });
+    EXPECT_FALSE(lease.holds(1));
+    lease.slotTaken(2, Time { 123s });
+    EXPECT_FALSE(lease.holds(2));
+}
+
+// Guards against taking the slots of a host whose lease may have been renewed unseen.
+TEST(LeaseWatch, NeedsThirtySecondsOfUnbrokenObservation)
+{
+    const Holder holder { "host", 1 };
+    const auto watch = [&](std::initializer_list<int> seconds, int interruptedAt) {
+        LeaseWatch result;
+        for (const int at : seconds) {
+            if (at == interruptedAt)
+                result.interrupt();
+            result.observe(holder, 7, Time { std::chrono::seconds(at) });
+        }
+        return result;
+    };
+    EXPECT_EQ(watch({ 0, 10, 20, 30 }, -1).expired(Time { 31s }).size(), 1U);
+    EXPECT_TRUE(watch({ 0, 10, 20, 29 }, -1).expired(Time { 31s }).empty());
+    EXPECT_TRUE(watch({ 0, 10, 20, 30 }, 10).expired(Time { 31s }).empty());
+    EXPECT_TRUE(watch({ 0, 13, 20, 30 }, -1).expired(Time { 31s }).empty());
+    EXPECT_TRUE(watch({ 0, 10, 20, 30 }, -1).expired(Time { 43s }).empty());
+}
+
+// Guards against changes of rows while their effect cannot be known, and by a host that could not lose them.
+TEST(SlotAssignment, NeedsTheStoreAndALeaseToTake)
+{
+    const SlotAssignment assignment({ "host", 1 });
+    SlotAssignment::Situation situation { StoreContact::Connected, SlotAssignment::HostState::Serving,
+        { { "host", 1, KnownHost::State::Alive } }, {} };
+    const std::array<SlotRow, 1> rows { SlotRow { 5, {}, 9 } };
+    HolderLease lease;
+    EXPECT_TRUE(assignment.decide(situation, lease, rows, Time { 100s }).empty());
+    lease.renewed(Time { 100s }, Time { 100s });
+    EXPECT_EQ(assignment.decide(situation, lease, rows, Time { 100s }).size(), 1U);
+    situation.contact = StoreContact::Outage;
+    EXPECT_TRUE(assignment.decide(situation, lease, rows, Time { 100s }).empty());
+}
