--- a/tests/auto/core/catalog/tst_publication.cpp
+++ b/tests/auto/core/catalog/tst_publication.cpp
@@ -271,6 +271,7 @@
                 ASSERT_TRUE(tookEffect) << attempt->request.nonce << " was told done";
                 EXPECT_EQ(attempt->told->version, accepted->version);
                 const auto version = parseVersion(m_store.objects[accepted->hash]);
+                ASSERT_TRUE(version);
                 EXPECT_EQ(version->document, attempt->request.document);
             } else if (attempt->told->error->info().outcome == Model::Outcome::NotRun) {
                 EXPECT_FALSE(tookEffect) << attempt->request.nonce << ": " << attempt->told->error->message;
