Serve quota slots only under the lease generation that took them

A change of a slot's row that was under way when the lease lapsed could be counted under the next lease, while another host takes the slot. Takes and draws now compare the generation under the buckets' mutex.

--- a/src/libs/daemon/quotaservice.cpp
+++ b/src/libs/daemon/quotaservice.cpp
@@ -183,9 +183,12 @@
     const Model::Time now = steadyNow();
     const bool mayServe = m_storeLink.mayServeSlots(now);
     Quota::DrawReply reply { request.sequence, {} };
+    const std::uint64_t generation = m_storeLink.leaseGeneration();
     if (mayServe) {
         const std::lock_guard lock(m_mutex);
-        return m_buckets.draw(entry, request, now);
+        // After a lapse of the lease, other hosts may hold the slots that this one took before.
+        if (generation == m_generation)
+            return m_buckets.draw(entry, request, now);
     }
     for (const Quota::Draw& item : request.draws)
         reply.grants.push_back({ item.customer, 0, true });
@@ -269,10 +272,13 @@
                 present.expiredLeases.push_back(holder);
         }
     });
+    const Model::Time now = steadyNow();
+    if (m_storeLink.mayServeSlots(now))
+        m_lease.renewed(now, now);
     std::vector<Quota::SlotRow> rows;
     for (const auto& [slot, reading] : m_rows)
         rows.push_back(reading.row);
-    const std::vector<Quota::SlotChange> changes = m_assignment.decide(present, rows, steadyNow());
+    const std::vector<Quota::SlotChange> changes = m_assignment.decide(present, m_lease, rows, now);
     std::size_t taken = 0;
     std::size_t released = 0;
     for (const Quota::SlotChange& change : changes) {
@@ -296,11 +302,12 @@
 void QuotaService::checkGeneration()
 {
     const std::uint64_t generation = m_storeLink.leaseGeneration();
+    const std::lock_guard lock(m_mutex);
     if (generation == m_generation)
         return;
     m_generation = generation;
+    m_lease = Quota::HolderLease();
     // The lease had lapsed, so another host may have taken any slot: all are acquired again.
-    const std::lock_guard lock(m_mutex);
     for (const auto& [slot, reading] : m_rows) {
         m_buckets.dropSlot(slot);
         m_unresolved.insert(slot);
@@ -328,9 +335,6 @@
             return;
         m_rows[slot] = *reading;
         m_unresolved.erase(slot);
-        // The row still names this process from before its lease lapsed; a new epoch makes that certain.
-        if (reading->row.holder == m_self)
-            apply({ slot, reading->row.epoch, Quota::SlotChange::Kind::Take });
     }
 }
 
@@ -365,10 +369,7 @@
 {
     SlotAssignment::Situation result;
     result.state = state;
-    const Model::Time now = steadyNow();
-    if (m_storeLink.mayServeSlots(now))
-        result.lease = { now, now };
-    switch (m_peers.contactState(now)) {
+    switch (m_peers.contactState(steadyNow())) {
     case Membership::ContactState::Connected:
         result.contact = Quota::StoreContact::Connected;
         break;
@@ -393,7 +394,10 @@
 bool QuotaService::apply(const Quota::SlotChange& change)
 {
     const bool isTake = change.kind == Quota::SlotChange::Kind::Take;
+    const Model::Time started = steadyNow();
+    const std::uint64_t generation = m_storeLink.leaseGeneration();
     if (!isTake) {
+        m_lease.slotLost(change.slot);
         const std::lock_guard lock(m_mutex);
         m_buckets.dropSlot(change.slot);
     }
@@ -404,10 +408,14 @@
         return false;
     }
     m_rows[change.slot] = *reading;
-    if (isTake) {
-        const std::lock_guard lock(m_mutex);
-        m_buckets.takeSlot(change.slot, steadyNow());
-    }
+    if (!isTake)
+        return true;
+    const std::lock_guard lock(m_mutex);
+    // A change that was under way when the lease lapsed does not count.
+    if (generation != m_generation)
+        return false;
+    m_lease.slotTaken(change.slot, started);
+    m_buckets.takeSlot(change.slot, steadyNow());
     return true;
 }
 
--- a/src/libs/daemon/quotaservice.h
+++ b/src/libs/daemon/quotaservice.h
@@ -72,6 +72,8 @@
     Quota::TokenCache m_cache;
     Quota::SlotBuckets m_buckets;
     bool m_isConfigured = false;
+    /// Lease generation under which the slots in `m_buckets` were taken.
+    std::uint64_t m_generation = 0;
     std::map<std::string, Quota::Limits> m_limits;
     bool m_hasWaiting = false;
     bool m_isStopping = false;
@@ -84,7 +86,8 @@
     std::set<int> m_unresolved;
     std::map<std::string, Membership::LeaseObserver> m_leases;
     std::map<std::string, Model::Time> m_leaseReadAt;
-    std::uint64_t m_generation = 0;
+    /// Slots taken under the present lease generation; whether the lease holds is the store link's to say.
+    Quota::HolderLease m_lease;
     std::condition_variable m_wakeSlots;
     bool m_isDraining = false;
 
