End calls to a replaced or failed upstream at once

A write that was on its way when the primary froze waited for its whole deadline of 5 s, although the promotion was over after 1.6 s. Once a majority has promised a higher term, the write can no longer be confirmed, so its connection is shut down and the caller is told that the outcome is unknown; a write with a request id is then repeated on the new primary. Shorter time-outs were ruled out: slow statements would be cut.

--- a/src/libs/daemon/grouprunner.cpp
+++ b/src/libs/daemon/grouprunner.cpp
@@ -110,6 +110,32 @@
     ConnectionId connection = 0;
     UpstreamLink::ClientPointer client;
     std::uint64_t term = 0;
+    /// The call is of no use in a later term.
+    bool isTermBound = true;
+};
+
+/// Registers a call for as long as it runs without the mutex.
+class GroupRunner::RunningCall {
+public:
+    RunningCall(GroupRunner& runner, const Assignment& assignment, Lock& lock)
+        : m_runner(runner)
+        , m_lock(lock)
+        , m_position(runner.m_calls.insert(runner.m_calls.end(), &assignment))
+    {
+        m_lock.unlock();
+    }
+    ~RunningCall()
+    {
+        m_lock.lock();
+        m_runner.m_calls.erase(m_position);
+    }
+    RunningCall(const RunningCall&) = delete;
+    RunningCall& operator=(const RunningCall&) = delete;
+
+private:
+    GroupRunner& m_runner;
+    Lock& m_lock;
+    std::list<const Assignment*>::iterator m_position;
 };
 
 GroupRunner::GroupRunner(GroupContext context, Catalog::SnapshotPointer catalog)
@@ -290,17 +316,11 @@
             ++m_runningWrites;
             updateWriteCount();
         }
-        lock.unlock();
-        Logging::Span span("upstream", Logging::parseTraceparent(request.traceparent));
-        const Time sentAt = steadyNow();
-        const Database::Statement statement { request.sql, request.params, request.isWrite, request.requestId,
-            false };
         // A read that got no answer is tried once more, so its first attempt leaves time for that.
         const bool mayRepeat = !request.isWrite && attempt == 0;
+        const Time sentAt = steadyNow();
         const milliseconds left = timeLeft(request.deadline, sentAt) + milliseconds(1);
-        const StatementReply reply = assignment->client->execute(assignment->term, statement,
-            Logging::formatTraceparent(span.context()), mayRepeat ? left / 2 : left);
-        lock.lock();
+        const StatementReply reply = callStatement(request, *assignment, mayRepeat ? left / 2 : left, lock);
         if (request.isWrite) {
             --m_runningWrites;
             updateWriteCount();
@@ -317,6 +337,34 @@
     return refusal(ErrorCode::NoPrimary);
 }
 
+StatementReply GroupRunner::callStatement(
+    const GroupRequest& request, const Assignment& assignment, milliseconds timeout, Lock& lock)
+{
+    const RunningCall call(*this, assignment, lock);
+    Logging::Span span("upstream", Logging::parseTraceparent(request.traceparent));
+    if (request.operation == Operation::Commit)
+        return assignment.client->commit(request.requestId, timeout);
+    if (request.operation == Operation::Rollback)
+        return assignment.client->rollback(timeout);
+    const bool isInTransaction = request.operation == Operation::TransactionStatement;
+    const Database::Statement statement { request.sql, request.params, request.isWrite, request.requestId,
+        isInTransaction };
+    return assignment.client->execute(
+        assignment.term, statement, Logging::formatTraceparent(span.context()), timeout);
+}
+
+void GroupRunner::abortHopelessCalls(Time now)
+{
+    const auto members = m_group.members();
+    for (const Assignment* call : m_calls) {
+        const auto member = std::ranges::find(members, call->upstream, &Replication::MemberView::name);
+        const bool isFailed = member != members.end() && member->isFailed(now);
+        // Reads carry the term of a replica's last report; for them only a failed member counts.
+        if (isFailed || (call->isTermBound && Replication::isSuperseded(call->term, members)))
+            call->client->abort();
+    }
+}
+
 GroupAnswer GroupRunner::finishStatement(const GroupRequest& request, const Assignment& assignment,
     const StatementReply& reply, Time sentAt, Lock& lock)
 {
@@ -394,20 +442,10 @@
     auto assignment = await(request, transaction.number, lock);
     if (!assignment)
         return { assignment.error(), {}, {}, {}, {} };
-    lock.unlock();
-    Logging::Span span("upstream", Logging::parseTraceparent(request.traceparent));
+    assignment->term = transaction.term;
     const Time sentAt = steadyNow();
     const milliseconds timeout = timeLeft(request.deadline, sentAt) + milliseconds(1);
-    StatementReply reply;
-    if (request.operation == Operation::Commit)
-        reply = assignment->client->commit(request.requestId, timeout);
-    else if (request.operation == Operation::Rollback)
-        reply = assignment->client->rollback(timeout);
-    else
-        reply = assignment->client->execute(transaction.term,
-            { request.sql, request.params, request.isWrite, {}, true },
-            Logging::formatTraceparent(span.context()), timeout);
-    lock.lock();
+    const StatementReply reply = callStatement(request, *assignment, timeout, lock);
     return finishInTransaction(request, transaction, *assignment, reply, sentAt, lock);
 }
 
@@ -435,10 +473,8 @@
     if (!isClean)
         m_group.observeFailure(assignment.upstream, Replication::ConnectionKind::Established, steadyNow());
     if (request.operation == Operation::Commit) {
-        Assignment committed = assignment;
-        committed.term = transaction.term;
         if (isClean)
-            return awaitConfirmation(request, committed, reply, sentAt, lock);
+            return awaitConfirmation(request, assignment, reply, sentAt, lock);
         if (reply.status == ReplyStatus::NoAnswer)
             return refusal(ErrorCode::OutcomeUnknown);
     }
@@ -569,8 +605,9 @@
                 ->counter("parsleytack_reads_total", isPrimary ? "by=\"primary\"" : "by=\"replica\"")
                 .add();
         }
+        const bool isRead = waiter.kind == StatementKind::Read;
         waiter.assignment->emplace(
-            Assignment { upstream.name(), *connection, upstream.client(*connection), term });
+            Assignment { upstream.name(), *connection, upstream.client(*connection), term, !isRead });
         waiter.wake.notify_all();
         updateLoads(now);
     }
@@ -709,6 +746,7 @@
                 refuse(item.id, timeoutCode(*found->second));
         }
         refuseHopeless(now);
+        abortHopelessCalls(now);
         for (UpstreamLink& upstream : m_upstreams) {
             expireTransactions(upstream, now);
             planConnections(upstream, now);
--- a/src/libs/daemon/grouprunner.h
+++ b/src/libs/daemon/grouprunner.h
@@ -63,6 +63,7 @@
 private:
     struct Waiter;
     struct Assignment;
+    class RunningCall;
     using Lock = std::unique_lock<std::mutex>;
 
     GroupAnswer runStatement(const GroupRequest& request);
@@ -70,6 +71,9 @@
     GroupAnswer runInTransaction(const GroupRequest& request);
     Model::Result<Assignment> await(
         const GroupRequest& request, Scheduling::TransactionId transaction, Lock& lock);
+    /// Makes the call without the mutex, and takes the mutex again.
+    Database::StatementReply callStatement(const GroupRequest& request, const Assignment& assignment,
+        std::chrono::milliseconds timeout, Lock& lock);
     GroupAnswer finishStatement(const GroupRequest& request, const Assignment& assignment,
         const Database::StatementReply& reply, Model::Time sentAt, Lock& lock);
     GroupAnswer awaitConfirmation(const GroupRequest& request, const Assignment& assignment,
@@ -77,6 +81,8 @@
     GroupAnswer finishInTransaction(const GroupRequest& request, const OpenTransaction& transaction,
         const Assignment& assignment, const Database::StatementReply& reply, Model::Time sentAt, Lock& lock);
     void endUse(const Assignment& assignment, Scheduling::Completion completion);
+    /// Ends the calls whose answer can no longer be used: their term was superseded, or their member failed.
+    void abortHopelessCalls(Model::Time now);
     void endTransaction(const std::string& id);
 
     void tick();
@@ -115,6 +121,8 @@
     std::map<std::uint64_t, Waiter*> m_waiters;
     /// Load of each member of the group, as of the last dispatch.
     std::vector<Replication::MemberLoad> m_loads;
+    /// Statements that were sent and not yet answered.
+    std::list<const Assignment*> m_calls;
     TransactionTable m_transactions;
     std::mt19937_64 m_generator { std::random_device {}() };
     std::uint64_t m_nextItem = 1;
--- a/src/libs/database/upstreamclient.cpp
+++ b/src/libs/database/upstreamclient.cpp
@@ -154,6 +154,8 @@
 
 void UpstreamClient::close() { m_connection->close(); }
 
+void UpstreamClient::abort() { m_connection->abort(); }
+
 StatusReply UpstreamClient::requestStatus(
     const std::string& path, const std::string& body, milliseconds timeout)
 {
--- a/src/libs/database/upstreamclient.h
+++ b/src/libs/database/upstreamclient.h
@@ -105,6 +105,8 @@
     StatementReply rollback(std::chrono::milliseconds timeout);
 
     void close();
+    /// Ends a call that runs on another thread; it then gets no answer. Any thread may call it.
+    void abort();
 
 private:
     StatusReply requestStatus(
--- a/src/libs/http/connection.cpp
+++ b/src/libs/http/connection.cpp
@@ -33,6 +33,9 @@
     std::string baseUrl;
     CURL* handle = nullptr;
     int socketsAllowed = 0;
+    std::mutex socketMutex;
+    /// The open socket, or -1. Guarded by the mutex, so that `abort` never shuts down a reused descriptor.
+    int socket = -1;
     curl_slist* headers = nullptr;
 
     // libcurl repeats a request on a fresh connection if a reused one turns out to be closed, even a POST
@@ -43,7 +46,18 @@
         if (d->socketsAllowed == 0)
             return CURL_SOCKET_BAD;
         --d->socketsAllowed;
-        return ::socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+        const std::lock_guard lock(d->socketMutex);
+        d->socket = ::socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+        return d->socket;
+    }
+
+    static int closeSocket(void* self, curl_socket_t socket)
+    {
+        auto* d = static_cast<Private*>(self);
+        const std::lock_guard lock(d->socketMutex);
+        if (d->socket == socket)
+            d->socket = -1;
+        return ::close(socket);
     }
 
     void createHandle()
@@ -57,6 +71,8 @@
         curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
         curl_easy_setopt(handle, CURLOPT_OPENSOCKETFUNCTION, &Private::openSocket);
         curl_easy_setopt(handle, CURLOPT_OPENSOCKETDATA, this);
+        curl_easy_setopt(handle, CURLOPT_CLOSESOCKETFUNCTION, &Private::closeSocket);
+        curl_easy_setopt(handle, CURLOPT_CLOSESOCKETDATA, this);
         curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &appendBody);
     }
 
@@ -120,6 +136,13 @@
     return response;
 }
 
+void Connection::abort()
+{
+    const std::lock_guard lock(m_d->socketMutex);
+    if (m_d->socket >= 0)
+        ::shutdown(m_d->socket, SHUT_RDWR);
+}
+
 void Connection::close()
 {
     curl_easy_cleanup(m_d->handle);
--- a/src/libs/http/connection.h
+++ b/src/libs/http/connection.h
@@ -66,6 +66,8 @@
     Response send(const Request& request);
     /// Closes the TCP connection; the next request with `OpenIfNeeded` opens a new one.
     void close();
+    /// Ends a request that runs on another thread; it then returns `NoAnswer`. Any thread may call it.
+    void abort();
 
 private:
     struct Private;
--- a/tests/auto/http/tst_connection.cpp
+++ b/tests/auto/http/tst_connection.cpp
@@ -135,3 +135,20 @@
     }
     EXPECT_EQ(Connection(address).send({ .path = "/" }).status, Status::NotSent);
 }
+
+// Guards against callers that wait out their whole deadline for an upstream that was replaced.
+TEST(Connection, AnAbortedRequestEndsAtOnce)
+{
+    const Listener listener;
+    Connection connection(listener.address());
+    std::thread aborter([&] {
+        const int first = listener.accept();
+        readRequest(first);
+        connection.abort();
+        char c = 0;
+        EXPECT_EQ(::read(first, &c, 1), 0);
+        ::close(first);
+    });
+    EXPECT_EQ(connection.send({ .path = "/", .timeout = 60s }).status, Status::NoAnswer);
+    aborter.join();
+}
