Test the replication rules that a removal did not show

Cause: of 38 rules removed one at a time on a scratch copy, the removal of new-connection probes before failure, the repeated fence, the term split, the exclusion of a stalled primary, the write hold without a majority or during a stall, the superseded primary and the end of an attempt on a member change failed no test.

Change: one test for each of them. The library is unchanged.

--- a/tests/auto/core/replication/tst_bounds.cpp
+++ b/tests/auto/core/replication/tst_bounds.cpp
@@ -34,6 +34,16 @@
     }
 }
 
+// Guards against sending writes to a primary that cannot confirm them: only those of the first second, at
+// one statement every 20 ms, have an unknown outcome.
+TEST(Bounds, CutOffPrimaryLeavesFewUnknownOutcomes)
+{
+    for (const Deployment& deployment : deployments()) {
+        const FailoverResult result = runFailover(deployment, Mode::Proposed, Fault::CutOff, 1);
+        EXPECT_LE(result.unknown, static_cast<std::uint64_t>(stallSuspicionLimit / 20ms) + 5);
+    }
+}
+
 // The baseline has to show the losses that the confirmation prevents; otherwise the comparison is void.
 TEST(Bounds, AcknowledgementWithoutConfirmationLosesWrites)
 {
--- a/tests/auto/core/replication/tst_group.cpp
+++ b/tests/auto/core/replication/tst_group.cpp
@@ -2,6 +2,8 @@
 #include "core/replication/group.h"
 #include "core/replication/timing.h"
 
+#include <algorithm>
+
 #include <gtest/gtest.h>
 
 using namespace Replication;
@@ -143,6 +145,27 @@
     EXPECT_FALSE(group.primary(now).has_value());
 }
 
+// Guards against taking a member for failed before a new connection to it has failed.
+TEST_F(GroupTest, SilenceWithoutAFailedNewConnectionIsNoFailure)
+{
+    for (const Model::Time end = now + 3s; now < end; now += 100ms) {
+        report("b", 1, { 1, 1 });
+        report("c", 1, { 1, 1 });
+        act();
+    }
+    EXPECT_FALSE(group.isPromoting());
+}
+
+// Guards against sending writes that cannot be confirmed: their outcome would be unknown.
+TEST_F(GroupTest, WritesWaitWithoutAReachableMajority)
+{
+    now += silenceLimit;
+    report("a", 1, { 1, 1 }, Role::Primary);
+    EXPECT_EQ(group.routeWrite(now, now).kind, WriteRoute::Kind::Wait);
+    report("c", 1, { 1, 1 });
+    EXPECT_EQ(group.routeWrite(now, now).kind, WriteRoute::Kind::Run);
+}
+
 // Guards the bound of the wait: after 8 s without a primary writes are refused at once.
 TEST_F(GroupTest, WritesAreRefusedAfterTheBound)
 {
@@ -179,6 +202,78 @@
     EXPECT_EQ(follows.back().term, term);
 }
 
+// Guards against an attempt that ends because the response of one fence was lost or never reported.
+TEST_F(GroupTest, LostFenceIsRepeated)
+{
+    failureOfA(2s, ConnectionKind::New);
+    ASSERT_EQ(fences.size(), 3U);
+    group.fenceLost("c", fences[0].term, now);
+    act();
+    ASSERT_EQ(fences.size(), 4U);
+    EXPECT_EQ(fences[3].member, "c");
+    // The call took effect; its refusal names the term, and the status the last entry.
+    group.fenceAnswered("c", fences[0].term, { false, fences[0].term, {} }, now, now);
+    group.fenceAnswered("b", fences[0].term, { true, fences[0].term, { 1, 1 } }, now, now);
+    act();
+    EXPECT_TRUE(promotes.empty());
+    EXPECT_TRUE(std::ranges::any_of(probes, [](const Probe& probe) { return probe.member == "c"; }));
+    report("c", fences[0].term, { 1, 2 });
+    act();
+    ASSERT_EQ(promotes.size(), 1U);
+    EXPECT_EQ(promotes[0].member, "c");
+}
+
+// Guards against promoting a primary again from which nothing replicates.
+TEST_F(GroupTest, StalledPrimaryIsNotPromotedAgain)
+{
+    for (const Model::Time end = now + stallLimit + 1s; now < end && fences.empty(); now += 100ms) {
+        report("a", 1, { 1, 9 }, Role::Primary);
+        report("b", 1, { 1, 1 });
+        report("c", 1, { 1, 1 });
+        act();
+    }
+    ASSERT_EQ(fences.size(), 3U);
+    const std::uint64_t term = fences[0].term;
+    group.fenceAnswered("a", term, { true, term, { 1, 9 } }, now, now);
+    group.fenceAnswered("b", term, { true, term, { 1, 1 } }, now, now);
+    for (const Model::Time end = now + fencingLimit; now <= end; now += 100ms)
+        act();
+    EXPECT_TRUE(promotes.empty());
+}
+
+// Guards invariant 2: a primary that another host has replaced takes no writes, although it answers.
+TEST_F(GroupTest, PrimaryIsLostWhenAMajorityPromisedAHigherTerm)
+{
+    report("b", 7, { 1, 1 });
+    EXPECT_TRUE(group.primary(now).has_value());
+    report("c", 7, { 1, 1 });
+    EXPECT_FALSE(group.primary(now).has_value());
+    EXPECT_EQ(group.routeWrite(now, now).kind, WriteRoute::Kind::Wait);
+}
+
+// Guards against a majority that is counted among the members of an older configuration.
+TEST_F(GroupTest, MemberChangeEndsAnAttempt)
+{
+    failureOfA(2s, ConnectionKind::New);
+    ASSERT_TRUE(group.isPromoting());
+    group.replaceMembers({ { "a", "za" }, { "b", "zb" }, { "c", "zc" }, { "d", "zd" } }, now);
+    EXPECT_FALSE(group.isPromoting());
+}
+
+// Guards against a member that stays at a higher term and can no longer follow the primary.
+TEST_F(GroupTest, TermSplitLeadsToANewTerm)
+{
+    for (const Model::Time end = now + termSplitLimit + 100ms; now < end; now += 100ms) {
+        EXPECT_FALSE(group.isPromoting());
+        report("a", 1, { 1, 1 }, Role::Primary);
+        report("b", 7, { 1, 1 });
+        report("c", 1, { 1, 1 });
+        act();
+    }
+    ASSERT_EQ(fences.size(), 3U);
+    EXPECT_GT(fences[0].term, 7U);
+}
+
 // Guards the back-off of a host that lost a race: it neither promotes nor starts again for 100 ms.
 TEST_F(GroupTest, RefusedFenceBacksOff)
 {
