Refuse publications that are based on a version this host does not have

Cause: a host that was behind skipped the rule on member changes, because it could compare the document only with the version in force, and then published successfully, since the store's row had the expected version. Ruled out: leaving it to the publication, which compares numbers only. Change: Adoption::checkNext decides; the daemon calls it. A first attempt is refused with check_failed, a repetition only resolves the outcome. Conclusion: the rule on member changes holds on hosts that lag behind too.

--- a/src/libs/core/catalog/adoption.cpp
+++ b/src/libs/core/catalog/adoption.cpp
@@ -1,6 +1,7 @@
 #include "core/catalog/adoption.h"
 
 #include "core/catalog/check.h"
+#include "core/catalog/checkchange.h"
 
 #include <algorithm>
 
@@ -27,6 +28,20 @@
 
 }
 
+Faults Adoption::checkNext(const Document& next, std::uint64_t basedOn, Model::Time now) const
+{
+    Faults faults = check(next);
+    if (!faults.empty() || basedOn < currentVersion())
+        return faults;
+    // Without the version itself, changes to the members of services cannot be judged.
+    if (basedOn > currentVersion())
+        return { { ObjectType::Document, {}, {},
+            "this host does not have version " + std::to_string(basedOn) + " yet; try again" } };
+    if (current())
+        faults = checkChange(current()->document(), next, m_memberChanges, now);
+    return faults;
+}
+
 AdoptionResult Adoption::offerObject(const CurrentRow& row, std::string_view text, Model::Time now)
 {
     if (row.version <= currentVersion())
--- a/src/libs/core/catalog/adoption.h
+++ b/src/libs/core/catalog/adoption.h
@@ -42,6 +42,10 @@
     const History& history() const { return m_history; }
     const MemberChangeLog& memberChanges() const { return m_memberChanges; }
 
+    /// Everything that forbids to publish a document that is based on a version. If that version is not the
+    /// one in force, a later one is, and the publication itself reports the conflict.
+    Faults checkNext(const Document& next, std::uint64_t basedOn, Model::Time now) const;
+
     /// Content of the store object that the row names.
     AdoptionResult offerObject(const CurrentRow& row, std::string_view text, Model::Time now);
     /// Answer of a peer to a pull.
--- a/src/libs/daemon/operatorservice.cpp
+++ b/src/libs/daemon/operatorservice.cpp
@@ -1,7 +1,5 @@
 #include "daemon/operatorservice.h"
 
-#include "core/catalog/check.h"
-#include "core/catalog/checkchange.h"
 #include "core/catalog/parsedocument.h"
 #include "crypto/base64url.h"
 #include "crypto/randombytes.h"
@@ -57,14 +55,9 @@
 Catalog::Faults OperatorService::faultsOf(
     const Catalog::Document& document, std::uint64_t expectedVersion) const
 {
-    Catalog::Faults faults = Catalog::check(document);
-    if (!faults.empty() || expectedVersion == 0)
-        return faults;
+    Catalog::Faults faults;
     m_catalog.withAdoption([&](const Catalog::Adoption& adoption) {
-        // With another version in force, the publication itself reports the conflict.
-        if (adoption.currentVersion() == expectedVersion)
-            faults = Catalog::checkChange(
-                adoption.current()->document(), document, adoption.memberChanges(), steadyNow());
+        faults = adoption.checkNext(document, expectedVersion, steadyNow());
     });
     return faults;
 }
--- a/tests/auto/core/catalog/tst_adoption.cpp
+++ b/tests/auto/core/catalog/tst_adoption.cpp
@@ -151,6 +151,24 @@
     EXPECT_FALSE(adoption.current());
 }
 
+// Guards against a host that is behind and therefore publishes without the rule on member changes.
+TEST(Adoption, ChecksTheNextDocumentAgainstTheVersionItIsBasedOn)
+{
+    Adoption adoption;
+    const Version version { 5, "h", "nonce", consistent() };
+    EXPECT_TRUE(adoption.checkNext(version.document, 0, now).empty());
+    EXPECT_FALSE(adoption.checkNext(version.document, 5, now).empty());
+    adoption.offerObject(rowOf(version), canonicalText(version), now);
+    EXPECT_TRUE(adoption.checkNext(version.document, 5, now).empty());
+    EXPECT_FALSE(adoption.checkNext(version.document, 6, now).empty());
+    Document next = version.document;
+    next.services[0].upstreams.pop_back();
+    EXPECT_FALSE(adoption.checkNext(next, 5, now).empty());
+    EXPECT_TRUE(adoption.checkNext(next, 4, now).empty());
+    next.keys[0].customer = "missing";
+    EXPECT_FALSE(adoption.checkNext(next, 4, now).empty());
+}
+
 // Guards against a host that is behind without knowing, which fleet contact relies on.
 TEST(Adoption, KnowsSinceWhenItIsBehind)
 {
