Compute owners and slot holders only when members or catalogue change

Each request hashed all live members, and each second 1,024 slots were hashed over them: at 810 hosts that is 830,000 hashes for the slots alone. Owners are now kept in a table that is rebuilt at membership events, at new catalogues and every 5 s.

--- a/src/libs/daemon/host.cpp
+++ b/src/libs/daemon/host.cpp
@@ -40,8 +40,10 @@
     /// Threads for opening and checking connections and for calls of the replication decisions.
     constexpr std::size_t workerThreads = 64;
     constexpr std::size_t workerQueue = 4096;
-    /// Ownership depends on the members, the catalogue and time, so it is decided again at this interval.
-    constexpr milliseconds ownershipInterval(500);
+    /// Ownership is decided again at each event of the membership and each new catalogue, and at this
+    /// interval.
+    constexpr milliseconds ownershipInterval(5000);
+    constexpr milliseconds reportInterval(500);
     /// While the balancer and the other hosts learn of the drain, requests are still served.
     constexpr milliseconds drainNotice(1500);
     constexpr milliseconds drainStep(50);
@@ -107,9 +109,11 @@
     std::atomic<bool> isDraining = false;
     std::atomic<bool> isRefusing = false;
     std::atomic<bool> isSuperseded = false;
-    std::mutex ownershipMutex;
+    mutable std::mutex ownershipMutex;
     std::condition_variable ownershipChanged;
     bool isOwnershipStale = true;
+    /// Owner of each service, so that a request costs one look-up and not a hash for each host.
+    std::map<std::string, std::string> owners;
     bool isStopping = false;
     std::thread ownershipThread;
     /// Used on the ownership thread.
@@ -301,14 +305,9 @@
 
 std::string Host::Private::ownerOf(const std::string& service) const
 {
-    const CatalogInForcePointer inForce = holder.current();
-    const Catalog::ServiceEntry* entry = inForce ? inForce->snapshot->findService(service) : nullptr;
-    if (!entry)
-        return {};
-    const std::vector<Membership::Member> members = peers.liveMembers();
-    const auto owner
-        = Membership::ownerOf(service, upstreamZones(*entry), members, zonesOf(*inForce->snapshot));
-    return owner.value_or(std::string());
+    const std::lock_guard lock(ownershipMutex);
+    const auto found = owners.find(service);
+    return found == owners.end() ? std::string() : found->second;
 }
 
 std::string Host::Private::holderOf(const std::string& transactionId) const
@@ -357,15 +356,20 @@
 
 void Host::Private::runOwnership()
 {
+    Model::Time nextUpdate = steadyNow();
     std::unique_lock lock(ownershipMutex);
     while (!isStopping) {
+        const bool isDue = isOwnershipStale || steadyNow() >= nextUpdate;
         isOwnershipStale = false;
         lock.unlock();
-        updateOwnership();
-        quota.membersChanged();
+        if (isDue) {
+            updateOwnership();
+            quota.membersChanged();
+            nextUpdate = steadyNow() + ownershipInterval;
+        }
         reportChanges();
         lock.lock();
-        ownershipChanged.wait_for(lock, ownershipInterval, [this] { return isStopping || isOwnershipStale; });
+        ownershipChanged.wait_for(lock, reportInterval, [this] { return isStopping || isOwnershipStale; });
     }
 }
 
@@ -376,12 +380,19 @@
         return;
     const std::vector<Membership::Member> members = peers.liveMembers();
     const std::vector<Membership::Zone> zones = zonesOf(*inForce->snapshot);
+    std::map<std::string, std::string> next;
     std::vector<std::string> owned;
     for (const Catalog::Service& service : inForce->snapshot->document().services) {
         const Catalog::ServiceEntry* entry = inForce->snapshot->findService(service.name);
         const auto owner = Membership::ownerOf(service.name, upstreamZones(*entry), members, zones);
         if (owner == settings.host)
             owned.push_back(service.name);
+        if (owner)
+            next.emplace(service.name, *owner);
+    }
+    {
+        const std::lock_guard lock(ownershipMutex);
+        owners = std::move(next);
     }
     groups.update(owned, inForce->snapshot);
 }
--- a/src/libs/daemon/quotaservice.cpp
+++ b/src/libs/daemon/quotaservice.cpp
@@ -141,6 +141,12 @@
     // Entry hosts compute the holders instead of reading 1,024 rows; a host that has not taken its slot yet
     // says so in its reply.
     const std::vector<std::string> live = liveNames();
+    {
+        const std::lock_guard lock(m_mutex);
+        if (live == m_holdersFor)
+            return;
+        m_holdersFor = live;
+    }
     std::vector<std::string> holders;
     holders.reserve(Quota::slotCount);
     for (int slot = 0; slot < Quota::slotCount; ++slot)
@@ -256,7 +262,7 @@
 {
     checkGeneration();
     if (state == SlotAssignment::HostState::Serving)
-        readWantedSlots(liveNames());
+        readWantedSlots();
     SlotAssignment::Situation present = situation(state);
     observeLeases(present);
     m_peers.withContact([&](const Membership::ContactTracker& contact) {
@@ -317,19 +323,37 @@
     m_rows.clear();
 }
 
-void QuotaService::readWantedSlots(const std::vector<std::string>& live)
+void QuotaService::updateWanted()
 {
+    std::vector<std::string> live = liveNames();
+    if (live == m_wantedFor)
+        return;
+    m_wantedFor = std::move(live);
+    m_wanted.clear();
+    for (int slot = 0; slot < Quota::slotCount; ++slot) {
+        if (preferredHolder(slot, m_wantedFor) == m_self.host)
+            m_wanted.push_back(slot);
+    }
+}
+
+void QuotaService::readWantedSlots()
+{
+    updateWanted();
+    std::set<int> wanted(m_wanted.begin(), m_wanted.end());
+    wanted.insert(m_unresolved.begin(), m_unresolved.end());
+    std::erase_if(m_rows, [&](const auto& entry) {
+        return !wanted.contains(entry.first) && entry.second.row.holder != m_self;
+    });
     const Model::Time now = steadyNow();
     std::size_t reads = 0;
-    for (int slot = 0; slot < Quota::slotCount && reads < maxReadsPerDecision; ++slot) {
+    for (const int slot : wanted) {
         const auto known = m_rows.find(slot);
-        const bool isWanted = preferredHolder(slot, live) == m_self.host || m_unresolved.contains(slot);
-        const bool isOwn = known != m_rows.end() && known->second.row.holder == m_self;
-        if (!isWanted && !isOwn && known != m_rows.end())
-            m_rows.erase(known);
-        if (!isWanted || isOwn || (known != m_rows.end() && now - known->second.finishedAt < rowReadInterval))
+        const bool isFresh = known != m_rows.end()
+            && (known->second.row.holder == m_self || now - known->second.finishedAt < rowReadInterval);
+        if (isFresh)
             continue;
-        ++reads;
+        if (++reads > maxReadsPerDecision)
+            return;
         const auto reading = m_store.read(slot);
         if (!reading)
             return;
--- a/src/libs/daemon/quotaservice.h
+++ b/src/libs/daemon/quotaservice.h
@@ -54,7 +54,8 @@
     void runSlots();
     bool decideSlots(Quota::SlotAssignment::HostState state);
     void checkGeneration();
-    void readWantedSlots(const std::vector<std::string>& live);
+    void readWantedSlots();
+    void updateWanted();
     void observeLeases(const Quota::SlotAssignment::Situation& situation);
     Quota::SlotAssignment::Situation situation(Quota::SlotAssignment::HostState state) const;
     /// Returns whether the change took effect.
@@ -75,12 +76,17 @@
     /// Lease generation under which the slots in `m_buckets` were taken.
     std::uint64_t m_generation = 0;
     std::map<std::string, Quota::Limits> m_limits;
+    /// The live members for which the holders of the slots were computed last.
+    std::vector<std::string> m_holdersFor;
     bool m_hasWaiting = false;
     bool m_isStopping = false;
 
     /// Used on the slot thread, and by `drain` after that thread has ended.
     SlotStore m_store;
     Quota::SlotAssignment m_assignment;
+    /// The slots that this host should hold, for the live members that follow.
+    std::vector<int> m_wanted;
+    std::vector<std::string> m_wantedFor;
     std::map<int, SlotReading> m_rows;
     /// Slots whose row may name this host although it does not serve them; their rows are read again.
     std::set<int> m_unresolved;
