Count the takeover's majority at the last read of the lease row

Cause: a lease row may have been read up to 5 s before the takeover. The rule asked that a majority has known of a later success for 9 s at the time of the takeover; at the time of the read that could be 4 s. A holder that renewed in between and was still entitled to serve, by a contact round that had started before, kept its slots while the other host took them.

Change: the 9 s end at the start of the last read. Request numbers count from the incarnation, so that no late acknowledgement to an older process counts for the newer one.

--- a/src/libs/core/membership/contacttracker.cpp
+++ b/src/libs/core/membership/contacttracker.cpp
@@ -83,11 +83,11 @@
     return until;
 }
 
-bool ContactTracker::majorityKnowsSuccess(Model::Time since, Model::Time now) const
+bool ContactTracker::majorityKnowsSuccess(Model::Time since, Model::Time time) const
 {
     return std::ranges::any_of(m_rounds.completed(), [&](const CompletedRound& round) {
         return round.rosterVersion == newestRosterVersion() && round.commonSuccess
-            && *round.commonSuccess >= since && now - round.completedAt >= takeoverDelay;
+            && *round.commonSuccess >= since && time - round.completedAt >= takeoverDelay;
     });
 }
 
--- a/src/libs/core/membership/contacttracker.h
+++ b/src/libs/core/membership/contacttracker.h
@@ -48,8 +48,8 @@
     /// slots without a renewal, because a majority knows of no store access with which another host
     /// could have taken them. Nothing if it may not.
     std::optional<Model::Time> outageServiceUntil(Model::Time renewalStartedAt) const;
-    /// Whether a majority has known for `takeoverDelay` of a store success not older than `since`.
-    bool majorityKnowsSuccess(Model::Time since, Model::Time now) const;
+    /// Whether a majority had known for `takeoverDelay` at `time` of a store success not older than `since`.
+    bool majorityKnowsSuccess(Model::Time since, Model::Time time) const;
 
     /// Keeps contact rounds going until the given time, beside the ones during doubt about the store.
     void requestRounds(Model::Time until);
--- a/src/libs/core/membership/gossip.h
+++ b/src/libs/core/membership/gossip.h
@@ -73,8 +73,9 @@
 
     Gossip(LocalHost self, Model::Time startedAt, ContactTracker& contact);
 
-    /// Source of request numbers, which are unique in this incarnation. The I/O layer replaces the
-    /// default counter by the one of all its envelopes.
+    /// Source of request numbers. No two incarnations of a host may use the same one, or a late
+    /// acknowledgement to the older process would count for the newer. The default counts from the
+    /// incarnation.
     std::function<std::uint64_t()> nextRequest;
 
     /// Peer addresses from the settings.
@@ -168,7 +169,7 @@
     std::string m_name;
     Model::Time m_startedAt;
     ContactTracker& m_contact;
-    std::uint64_t m_lastRequest = 0;
+    std::uint64_t m_lastRequest;
 
     MemberMap m_members;
     /// The live members without this host; rebuilt after a change.
--- a/src/libs/core/membership/leaseobserver.cpp
+++ b/src/libs/core/membership/leaseobserver.cpp
@@ -43,8 +43,11 @@
     // A holder that renewed its lease and acquired the slot again in between changed one of the rows.
     if (m_observation->lastReadStartedAt < candidate.slotReadFinishedAt)
         return false;
+    // The majority counts at the last read: a holder that renewed its lease after it and was entitled to
+    // serve at that time keeps its slots.
     return m_observation->lastReadStartedAt - m_observation->since >= leaseObservationTime
-        && contact.majorityKnowsSuccess(m_observation->since + successAfterFirstRead, now);
+        && contact.majorityKnowsSuccess(
+            m_observation->since + successAfterFirstRead, m_observation->lastReadStartedAt);
 }
 
 }
--- a/tests/auto/core/membership/tst_rules.cpp
+++ b/tests/auto/core/membership/tst_rules.cpp
@@ -178,8 +178,8 @@
 
     ContactTracker old("a"), other("b"), newer("c");
     old.setRoster(threeHosts, start - 20s, RosterSource::Store);
-    other.setRoster(threeHosts, start - 20s, RosterSource::Store);
-    newer.setRoster({ 2, { "a", "b", "c", "d" }, { "a", "b", "c" } }, start - 20s, RosterSource::Store);
+    for (ContactTracker* host : { &other, &newer })
+        host->setRoster({ 2, { "a", "b", "c", "d" }, { "a", "b", "c" } }, start - 20s, RosterSource::Store);
     runRound({ &newer, &old, &other }, start);
     EXPECT_EQ(old.state(start), ContactState::Isolated) << "a newer roster is known";
     EXPECT_EQ(old.newestRosterVersion(), 2U);
@@ -274,9 +274,12 @@
     EXPECT_FALSE(allowed(-10s, 18s, 20s, 30s)) << "observed for less than 30 s";
     EXPECT_FALSE(allowed(-10s, 16s, 20s, 32s)) << "the majority knows only of earlier successes";
     EXPECT_FALSE(allowed(-10s, 24s, 20s, 32s)) << "the majority has known for less than 9 s";
+    EXPECT_FALSE(allowed(34s, 24s, 20s, 36s)) << "nor had it known for 9 s at the last read";
     EXPECT_FALSE(allowed(10s, 18s, 20s, 32s)) << "a gap in the observation";
     EXPECT_FALSE(allowed(-10s, 18s, 33s, 32s)) << "the slot was read after the lease";
     EXPECT_TRUE(allowed(-10s, 60s, 0s, 4s, 6)) << "the holder's process has ended";
+    EXPECT_FALSE(LeaseObserver().takeoverAllowed({ 5, start, 6 }, start, ContactTracker("a")))
+        << "not connected";
 }
 
 // Guards against older information that replaces newer, and against unreported restarts.
