--- a/src/libs/core/quota/slotassignment.h
+++ b/src/libs/core/quota/slotassignment.h
@@ -1,10 +1,8 @@
 #pragma once
 
-#include "core/model/time.h"
-#include "core/quota/shards.h"
+#include "core/quota/holderlease.h"
 
 #include <cstdint>
-#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -47,21 +45,6 @@
         = Kind::Take;
 };
 
-enum class StoreContact : std::uint8_t {
-    /// Rows may be changed.
-    Connected,
-    /// The store is down for everybody, so nobody can take a slot.
-    Outage,
-    Isolated,
-};
-
-constexpr Model::Duration leasePeriod = std::chrono::seconds(30);
-constexpr Model::Duration leaseMargin = std::chrono::seconds(5);
-
-/// Whether a host may serve the slots it holds. `renewalStarted` is when it began its last successful lease
-/// renewal, on its own clock.
-bool mayServeSlots(std::optional<Model::Time> renewalStarted, StoreContact contact, Model::Time now);
-
 /// Decides which slots a host takes and releases. It changes nothing itself.
 class SlotAssignment {
 public:
@@ -80,8 +63,12 @@
         /// Holders whose lease counts as expired; see `LeaseWatch`.
         std::vector<Holder> expiredLeases;
     };
-    /// The changes to try now, given the rows as last read. To be called about once a second.
-    std::vector<SlotChange> decide(const Situation& situation, std::span<const SlotRow> rows) const;
+    /// The changes to try now, given the rows as last read. To be called about once a second. A host without
+    /// a valid lease takes no slots, as nobody could see its lease expire. A slot whose row names this
+    /// process, but that was not taken under the present lease, is taken again: that also defeats a change by
+    /// another host that is still under way.
+    std::vector<SlotChange> decide(const Situation& situation, const HolderLease& lease,
+        std::span<const SlotRow> rows, Model::Time now) const;
 
 private:
     bool mayTake(const Situation& situation, const Holder& holder) const;
--- a/src/libs/daemon/grouprunner.cpp
+++ b/src/libs/daemon/grouprunner.cpp
@@ -33,6 +33,23 @@
     constexpr int maxAttempts = 5;
     constexpr milliseconds pauseAfterStaleTerm(20);
 
+    Completion completionOf(ReplyStatus status)
+    {
+        switch (status) {
+        case ReplyStatus::Done:
+        case ReplyStatus::StaleTerm:
+        case ReplyStatus::StatementFailed:
+            return Completion::Done;
+        case ReplyStatus::NoAnswer:
+            return Completion::TimedOut;
+        case ReplyStatus::NotSent:
+        case ReplyStatus::TooManyConnections:
+        case ReplyStatus::TransactionGone:
+            break;
+        }
+        return Completion::Broken;
+    }
+
     enum class StatementKind : std::uint8_t {
         Write,
         Read,
@@ -68,6 +85,8 @@
         const bool isUsable
             = upstream.state == Catalog::UpstreamState::Active && catalog.isZoneIn(upstream.zone);
         config.state = isUsable ? Scheduling::UpstreamState::Active : Scheduling::UpstreamState::NoNewWork;
+        using ZoneState = Scheduling::Ramp::ZoneState;
+        config.zoneState = catalog.isZoneIn(upstream.zone) ? ZoneState::In : ZoneState::Out;
         return config;
     }
 
@@ -91,6 +110,32 @@
     ConnectionId connection = 0;
     UpstreamLink::ClientPointer client;
     std::uint64_t term = 0;
+    /// The call is of no use in a later term.
+    bool isTermBound = true;
+};
+
+/// Registers a call for as long as it runs without the mutex.
+class GroupRunner::RunningCall {
+public:
+    RunningCall(GroupRunner& runner, const Assignment& assignment, Lock& lock)
+        : m_runner(runner)
+        , m_lock(lock)
+        , m_position(runner.m_calls.insert(runner.m_calls.end(), &assignment))
+    {
+        m_lock.unlock();
+    }
+    ~RunningCall()
+    {
+        m_lock.lock();
+        m_runner.m_calls.erase(m_position);
+    }
+    RunningCall(const RunningCall&) = delete;
+    RunningCall& operator=(const RunningCall&) = delete;
+
+private:
+    GroupRunner& m_runner;
+    Lock& m_lock;
+    std::list<const Assignment*>::iterator m_position;
 };
 
 GroupRunner::GroupRunner(GroupContext context, Catalog::SnapshotPointer catalog)
@@ -271,22 +316,20 @@
             ++m_runningWrites;
             updateWriteCount();
         }
-        lock.unlock();
-        Logging::Span span("upstream", Logging::parseTraceparent(request.traceparent));
+        // A read that got no answer is tried once more, so its first attempt leaves time for that.
+        const bool mayRepeat = !request.isWrite && attempt == 0;
         const Time sentAt = steadyNow();
-        const Database::Statement statement { request.sql, request.params, request.isWrite, request.requestId,
-            false };
-        const StatementReply reply = assignment->client->execute(assignment->term, statement,
-            Logging::formatTraceparent(span.context()), timeLeft(request.deadline, sentAt) + milliseconds(1));
-        lock.lock();
+        const milliseconds left = timeLeft(request.deadline, sentAt) + milliseconds(1);
+        const StatementReply reply = callStatement(request, *assignment, mayRepeat ? left / 2 : left, lock);
         if (request.isWrite) {
             --m_runningWrites;
             updateWriteCount();
         }
         const bool didNotRun = reply.status == ReplyStatus::NotSent || reply.status == ReplyStatus::StaleTerm;
-        if (!didNotRun || attempt + 1 == maxAttempts)
+        const bool isRepeated = didNotRun || (mayRepeat && reply.status == ReplyStatus::NoAnswer);
+        if (!isRepeated || attempt + 1 == maxAttempts)
             return finishStatement(request, *assignment, reply, sentAt, lock);
-        endUse(*assignment, reply.status == ReplyStatus::NotSent ? Completion::Broken : Completion::Done);
+        endUse(*assignment, completionOf(reply.status));
         m_group.observeFailure(assignment->upstream, Replication::ConnectionKind::Established, steadyNow());
         // The view of the members is out of date; the probe that the failure asks for brings a new one.
         m_changed.wait_for(lock, pauseAfterStaleTerm);
@@ -294,37 +337,56 @@
     return refusal(ErrorCode::NoPrimary);
 }
 
+StatementReply GroupRunner::callStatement(
+    const GroupRequest& request, const Assignment& assignment, milliseconds timeout, Lock& lock)
+{
+    const RunningCall call(*this, assignment, lock);
+    Logging::Span span("upstream", Logging::parseTraceparent(request.traceparent));
+    if (request.operation == Operation::Commit)
+        return assignment.client->commit(request.requestId, timeout);
+    if (request.operation == Operation::Rollback)
+        return assignment.client->rollback(timeout);
+    const bool isInTransaction = request.operation == Operation::TransactionStatement;
+    const Database::Statement statement { request.sql, request.params, request.isWrite, request.requestId,
+        isInTransaction };
+    return assignment.client->execute(
+        assignment.term, statement, Logging::formatTraceparent(span.context()), timeout);
+}
+
+void GroupRunner::abortHopelessCalls(Time now)
+{
+    const auto members = m_group.members();
+    for (const Assignment* call : m_calls) {
+        const auto member = std::ranges::find(members, call->upstream, &Replication::MemberView::name);
+        const bool isFailed = member != members.end() && member->isFailed(now);
+        // Reads carry the term of a replica's last report; for them only a failed member counts.
+        if (isFailed || (call->isTermBound && Replication::isSuperseded(call->term, members)))
+            call->client->abort();
+    }
+}
+
 GroupAnswer GroupRunner::finishStatement(const GroupRequest& request, const Assignment& assignment,
     const StatementReply& reply, Time sentAt, Lock& lock)
 {
-    const Time now = steadyNow();
-    GroupAnswer answer;
-    answer.upstream = assignment.upstream;
+    endUse(assignment, completionOf(reply.status));
     switch (reply.status) {
     case ReplyStatus::Done:
-        endUse(assignment, Completion::Done);
         if (request.isWrite)
             return awaitConfirmation(request, assignment, reply, sentAt, lock);
-        answer.result = reply.result;
-        return answer;
+        return { std::nullopt, reply.result, {}, {}, assignment.upstream };
     case ReplyStatus::StatementFailed:
-        endUse(assignment, Completion::Done);
         return refusal(ErrorCode::StatementFailed, reply.message);
     case ReplyStatus::NoAnswer:
-        endUse(assignment, Completion::TimedOut);
-        m_group.observeFailure(assignment.upstream, Replication::ConnectionKind::Established, now);
+        m_group.observeFailure(assignment.upstream, Replication::ConnectionKind::Established, steadyNow());
         m_context.metrics->counter("parsleytack_upstream_silent_total").add();
         return refusal(ErrorCode::OutcomeUnknown);
     case ReplyStatus::StaleTerm:
-        endUse(assignment, Completion::Done);
-        return refusal(ErrorCode::NoPrimary);
     case ReplyStatus::NotSent:
     case ReplyStatus::TooManyConnections:
     case ReplyStatus::TransactionGone:
         break;
     }
-    endUse(assignment, Completion::Broken);
-    return refusal(ErrorCode::NoPrimary, "the upstream cannot be reached");
+    return refusal(ErrorCode::NoPrimary, "the upstream cannot be reached or has another term");
 }
 
 GroupAnswer GroupRunner::awaitConfirmation(const GroupRequest& request, const Assignment& assignment,
@@ -380,20 +442,10 @@
     auto assignment = await(request, transaction.number, lock);
     if (!assignment)
         return { assignment.error(), {}, {}, {}, {} };
-    lock.unlock();
-    Logging::Span span("upstream", Logging::parseTraceparent(request.traceparent));
+    assignment->term = transaction.term;
     const Time sentAt = steadyNow();
     const milliseconds timeout = timeLeft(request.deadline, sentAt) + milliseconds(1);
-    StatementReply reply;
-    if (request.operation == Operation::Commit)
-        reply = assignment->client->commit(transaction.term, request.requestId, timeout);
-    else if (request.operation == Operation::Rollback)
-        reply = assignment->client->rollback(timeout);
-    else
-        reply = assignment->client->execute(transaction.term,
-            { request.sql, request.params, request.isWrite, {}, true },
-            Logging::formatTraceparent(span.context()), timeout);
-    lock.lock();
+    const StatementReply reply = callStatement(request, *assignment, timeout, lock);
     return finishInTransaction(request, transaction, *assignment, reply, sentAt, lock);
 }
 
@@ -421,10 +473,8 @@
     if (!isClean)
         m_group.observeFailure(assignment.upstream, Replication::ConnectionKind::Established, steadyNow());
     if (request.operation == Operation::Commit) {
-        Assignment committed = assignment;
-        committed.term = transaction.term;
         if (isClean)
-            return awaitConfirmation(request, committed, reply, sentAt, lock);
+            return awaitConfirmation(request, assignment, reply, sentAt, lock);
         if (reply.status == ReplyStatus::NoAnswer)
             return refusal(ErrorCode::OutcomeUnknown);
     }
@@ -555,8 +605,9 @@
                 ->counter("parsleytack_reads_total", isPrimary ? "by=\"primary\"" : "by=\"replica\"")
                 .add();
         }
+        const bool isRead = waiter.kind == StatementKind::Read;
         waiter.assignment->emplace(
-            Assignment { upstream.name(), *connection, upstream.client(*connection), term });
+            Assignment { upstream.name(), *connection, upstream.client(*connection), term, !isRead });
         waiter.wake.notify_all();
         updateLoads(now);
     }
@@ -566,8 +617,8 @@
     const Waiter& waiter, const UpstreamLink& upstream, Time now) const
 {
     if (waiter.kind == StatementKind::InTransaction) {
-        const bool canResume
-            = waiter.member == upstream.name() && upstream.pool().canResume(waiter.transaction);
+        const bool canResume = waiter.member == upstream.name()
+            && upstream.pool().canResume(waiter.transaction) && hasSessionPosition(waiter, upstream);
         return canResume ? std::optional<std::uint64_t>(0) : std::nullopt;
     }
     if (waiter.kind == StatementKind::Read) {
@@ -581,11 +632,21 @@
     const WriteRoute route = m_group.routeWrite(waiter.arrivedAt, now);
     if (route.kind != WriteRoute::Kind::Run || route.primary.member != upstream.name())
         return std::nullopt;
+    // A transaction reads on the primary, which may be one that was replaced without this host knowing.
     const bool isBegin = waiter.kind == StatementKind::Begin;
+    if (isBegin && !hasSessionPosition(waiter, upstream))
+        return std::nullopt;
     const bool hasConnection = isBegin ? upstream.pool().canBegin(now) : upstream.pool().canAcquire(now);
     return hasConnection ? std::optional(route.primary.term) : std::nullopt;
 }
 
+bool GroupRunner::hasSessionPosition(const Waiter& waiter, const UpstreamLink& upstream) const
+{
+    const auto members = m_group.members();
+    const auto found = std::ranges::find(members, upstream.name(), &Replication::MemberView::name);
+    return found != members.end() && found->lastEntry() >= waiter.request->sessionPosition;
+}
+
 void GroupRunner::updateLoads(Time now)
 {
     m_loads.clear();
@@ -594,8 +655,8 @@
         if (found == m_upstreams.end())
             m_loads.push_back({ 0, false });
         else
-            m_loads.push_back(
-                { static_cast<std::uint32_t>(found->pool().running()), found->pool().canAcquire(now) });
+            m_loads.push_back({ static_cast<std::uint32_t>(found->pool().running()),
+                found->pool().canAcquire(now) && found->admitsRead(now, m_generator) });
     }
 }
 
@@ -651,7 +712,6 @@
 
 void GroupRunner::runTicks()
 {
-    std::mt19937_64 generator(std::random_device {}());
     while (true) {
         {
             Lock lock(m_mutex);
@@ -659,18 +719,19 @@
             if (m_isStopping)
                 return;
         }
-        tick(generator);
+        tick();
     }
 }
 
-void GroupRunner::tick(std::mt19937_64& generator)
+void GroupRunner::tick()
 {
     std::vector<Replication::Action> actions;
     {
         const Lock lock(m_mutex);
         const Time now = steadyNow();
         const bool wasPromoting = m_group.isPromoting();
-        actions = m_group.nextActions(now, generator);
+        reportSuspicion();
+        actions = m_group.nextActions(now, m_generator);
         if (!wasPromoting && m_group.isPromoting())
             Logging::write(Logging::EventId::PromotionStarted, { { "service", m_context.service } });
         if (wasPromoting && !m_group.isPromoting()) {
@@ -685,6 +746,7 @@
                 refuse(item.id, timeoutCode(*found->second));
         }
         refuseHopeless(now);
+        abortHopelessCalls(now);
         for (UpstreamLink& upstream : m_upstreams) {
             expireTransactions(upstream, now);
             planConnections(upstream, now);
@@ -695,6 +757,20 @@
         m_monitor.perform(action);
 }
 
+void GroupRunner::reportSuspicion()
+{
+    const auto isSuspected = [](const Replication::MemberView& member) {
+        return member.role() == Replication::Role::Primary && member.isSuspected();
+    };
+    const auto members = m_group.members();
+    const auto found = std::ranges::find_if(members, isSuspected);
+    const bool isNowSuspected = found != members.end();
+    if (isNowSuspected && !m_isPrimarySuspected)
+        Logging::write(Logging::EventId::PrimarySuspected,
+            { { "service", m_context.service }, { "upstream", found->name() } });
+    m_isPrimarySuspected = isNowSuspected;
+}
+
 void GroupRunner::expireTransactions(UpstreamLink& upstream, Time now)
 {
     for (const Scheduling::ExpiredTransaction& expired : upstream.pool().expireTransactions(now)) {
@@ -739,6 +815,7 @@
         return;
     if (reply.status != ReplyStatus::Done) {
         upstream->pool().openFailed(connection);
+        Logging::write(Logging::EventId::ConnectionFailed, { { "upstream", name } });
         if (reply.status == ReplyStatus::NotSent || reply.status == ReplyStatus::NoAnswer)
             m_group.observeFailure(name, Replication::ConnectionKind::New, now);
         return;
--- a/src/libs/daemon/grouprunner.h
+++ b/src/libs/daemon/grouprunner.h
@@ -63,6 +63,7 @@
 private:
     struct Waiter;
     struct Assignment;
+    class RunningCall;
     using Lock = std::unique_lock<std::mutex>;
 
     GroupAnswer runStatement(const GroupRequest& request);
@@ -70,6 +71,9 @@
     GroupAnswer runInTransaction(const GroupRequest& request);
     Model::Result<Assignment> await(
         const GroupRequest& request, Scheduling::TransactionId transaction, Lock& lock);
+    /// Makes the call without the mutex, and takes the mutex again.
+    Database::StatementReply callStatement(const GroupRequest& request, const Assignment& assignment,
+        std::chrono::milliseconds timeout, Lock& lock);
     GroupAnswer finishStatement(const GroupRequest& request, const Assignment& assignment,
         const Database::StatementReply& reply, Model::Time sentAt, Lock& lock);
     GroupAnswer awaitConfirmation(const GroupRequest& request, const Assignment& assignment,
@@ -77,15 +81,19 @@
     GroupAnswer finishInTransaction(const GroupRequest& request, const OpenTransaction& transaction,
         const Assignment& assignment, const Database::StatementReply& reply, Model::Time sentAt, Lock& lock);
     void endUse(const Assignment& assignment, Scheduling::Completion completion);
+    /// Ends the calls whose answer can no longer be used: their term was superseded, or their member failed.
+    void abortHopelessCalls(Model::Time now);
     void endTransaction(const std::string& id);
 
-    void tick(std::mt19937_64& generator);
+    void tick();
+    void reportSuspicion();
     void runTicks();
     void dispatch(Model::Time now);
     void assignFrom(UpstreamLink& upstream, Model::Time now);
     /// The term to send if the request can run on the upstream now.
     std::optional<std::uint64_t> runnableTerm(
         const Waiter& waiter, const UpstreamLink& upstream, Model::Time now) const;
+    bool hasSessionPosition(const Waiter& waiter, const UpstreamLink& upstream) const;
     void updateLoads(Model::Time now);
     Replication::ReadRequest readRequest(const Waiter& waiter) const;
     void refuse(std::uint64_t item, Model::ErrorCode code);
@@ -113,10 +121,14 @@
     std::map<std::uint64_t, Waiter*> m_waiters;
     /// Load of each member of the group, as of the last dispatch.
     std::vector<Replication::MemberLoad> m_loads;
+    /// Statements that were sent and not yet answered.
+    std::list<const Assignment*> m_calls;
     TransactionTable m_transactions;
+    std::mt19937_64 m_generator { std::random_device {}() };
     std::uint64_t m_nextItem = 1;
     std::size_t m_runningWrites = 0;
     std::size_t m_active = 0;
+    bool m_isPrimarySuspected = false;
     bool m_isReleased = false;
     bool m_isStopping = false;
     GroupMonitor m_monitor;
--- a/src/libs/daemon/quotaservice.cpp
+++ b/src/libs/daemon/quotaservice.cpp
@@ -51,6 +51,7 @@
     , m_peers(peers)
     , m_storeLink(storeLink)
     , m_metrics(metrics)
+    , m_buckets(steadyNow())
     , m_store(storeAddress)
     , m_assignment(m_self)
 {
@@ -97,13 +98,17 @@
     decideSlots(SlotAssignment::HostState::Draining);
 }
 
-void QuotaService::configure(const Catalog::Snapshot& catalog)
+void QuotaService::configure(const Catalog::Snapshot& catalog, Model::Duration inForceFor)
 {
     std::map<std::string, Quota::Limits> limits;
     for (const Catalog::Customer& customer : catalog.document().customers)
         limits.emplace(customer.name, limitsOf(customer));
     const std::lock_guard lock(m_mutex);
     const Model::Time now = steadyNow();
+    // Slots are taken only after the first catalogue, so no bucket is lost here.
+    if (!m_isConfigured)
+        m_buckets = Quota::SlotBuckets(now - inForceFor);
+    m_isConfigured = true;
     for (const auto& [customer, old] : m_limits) {
         if (limits.contains(customer))
             continue;
@@ -178,9 +183,12 @@
     const Model::Time now = steadyNow();
     const bool mayServe = m_storeLink.mayServeSlots(now);
     Quota::DrawReply reply { request.sequence, {} };
+    const std::uint64_t generation = m_storeLink.leaseGeneration();
     if (mayServe) {
         const std::lock_guard lock(m_mutex);
-        return m_buckets.draw(entry, request, now);
+        // After a lapse of the lease, other hosts may hold the slots that this one took before.
+        if (generation == m_generation)
+            return m_buckets.draw(entry, request, now);
     }
     for (const Quota::Draw& item : request.draws)
         reply.grants.push_back({ item.customer, 0, true });
@@ -234,8 +242,9 @@
 {
     std::unique_lock lock(m_mutex);
     while (!m_isStopping && !m_isDraining) {
+        const bool isConfigured = m_isConfigured;
         lock.unlock();
-        const bool isBusy = decideSlots(SlotAssignment::HostState::Serving);
+        const bool isBusy = isConfigured && decideSlots(SlotAssignment::HostState::Serving);
         lock.lock();
         m_buckets.forgetIdleEntries(steadyNow());
         m_wakeSlots.wait_for(
@@ -263,12 +272,25 @@
                 present.expiredLeases.push_back(holder);
         }
     });
+    const Model::Time now = steadyNow();
+    if (m_storeLink.mayServeSlots(now))
+        m_lease.renewed(now, now);
     std::vector<Quota::SlotRow> rows;
     for (const auto& [slot, reading] : m_rows)
         rows.push_back(reading.row);
-    const std::vector<Quota::SlotChange> changes = m_assignment.decide(present, rows);
-    for (const Quota::SlotChange& change : changes)
-        apply(change);
+    const std::vector<Quota::SlotChange> changes = m_assignment.decide(present, m_lease, rows, now);
+    std::size_t taken = 0;
+    std::size_t released = 0;
+    for (const Quota::SlotChange& change : changes) {
+        const bool isDone = apply(change);
+        const bool isTake = change.kind == Quota::SlotChange::Kind::Take;
+        taken += isDone && isTake ? 1 : 0;
+        released += isDone && !isTake ? 1 : 0;
+    }
+    if (taken > 0)
+        Logging::write(Logging::EventId::SlotTaken, { { "count", std::to_string(taken) } });
+    if (released > 0)
+        Logging::write(Logging::EventId::SlotReleased, { { "count", std::to_string(released) } });
     const std::lock_guard lock(m_mutex);
     std::int64_t held = 0;
     for (int slot = 0; slot < Quota::slotCount; ++slot)
@@ -280,15 +302,18 @@
 void QuotaService::checkGeneration()
 {
     const std::uint64_t generation = m_storeLink.leaseGeneration();
+    const std::lock_guard lock(m_mutex);
     if (generation == m_generation)
         return;
     m_generation = generation;
+    m_lease = Quota::HolderLease();
     // The lease had lapsed, so another host may have taken any slot: all are acquired again.
-    const std::lock_guard lock(m_mutex);
     for (const auto& [slot, reading] : m_rows) {
         m_buckets.dropSlot(slot);
         m_unresolved.insert(slot);
     }
+    if (!m_rows.empty())
+        Logging::write(Logging::EventId::SlotLost, { { "count", std::to_string(m_rows.size()) } });
     m_rows.clear();
 }
 
@@ -310,9 +335,6 @@
             return;
         m_rows[slot] = *reading;
         m_unresolved.erase(slot);
-        // The row still names this process from before its lease lapsed; a new epoch makes that certain.
-        if (reading->row.holder == m_self)
-            apply({ slot, reading->row.epoch, Quota::SlotChange::Kind::Take });
     }
 }
 
@@ -369,10 +391,13 @@
     return result;
 }
 
-void QuotaService::apply(const Quota::SlotChange& change)
+bool QuotaService::apply(const Quota::SlotChange& change)
 {
     const bool isTake = change.kind == Quota::SlotChange::Kind::Take;
+    const Model::Time started = steadyNow();
+    const std::uint64_t generation = m_storeLink.leaseGeneration();
     if (!isTake) {
+        m_lease.slotLost(change.slot);
         const std::lock_guard lock(m_mutex);
         m_buckets.dropSlot(change.slot);
     }
@@ -380,13 +405,18 @@
     if (!reading) {
         m_rows.erase(change.slot);
         m_unresolved.insert(change.slot);
-        return;
+        return false;
     }
     m_rows[change.slot] = *reading;
     if (!isTake)
-        return;
+        return true;
     const std::lock_guard lock(m_mutex);
+    // A change that was under way when the lease lapsed does not count.
+    if (generation != m_generation)
+        return false;
+    m_lease.slotTaken(change.slot, started);
     m_buckets.takeSlot(change.slot, steadyNow());
+    return true;
 }
 
 }
--- a/src/libs/daemon/quotaservice.h
+++ b/src/libs/daemon/quotaservice.h
@@ -35,7 +35,8 @@
     void drain();
 
     /// Puts the limits of a catalogue in force.
-    void configure(const Catalog::Snapshot& catalog);
+    /// `inForceFor`: how long the limits are known to have been in force on the other hosts.
+    void configure(const Catalog::Snapshot& catalog, Model::Duration inForceFor);
     /// The live members have changed.
     void membersChanged();
 
@@ -56,7 +57,8 @@
     void readWantedSlots(const std::vector<std::string>& live);
     void observeLeases(const Quota::SlotAssignment::Situation& situation);
     Quota::SlotAssignment::Situation situation(Quota::SlotAssignment::HostState state) const;
-    void apply(const Quota::SlotChange& change);
+    /// Returns whether the change took effect.
+    bool apply(const Quota::SlotChange& change);
     std::vector<std::string> liveNames() const;
 
     Quota::Holder m_self;
@@ -69,6 +71,9 @@
     std::condition_variable m_wakeDraws;
     Quota::TokenCache m_cache;
     Quota::SlotBuckets m_buckets;
+    bool m_isConfigured = false;
+    /// Lease generation under which the slots in `m_buckets` were taken.
+    std::uint64_t m_generation = 0;
     std::map<std::string, Quota::Limits> m_limits;
     bool m_hasWaiting = false;
     bool m_isStopping = false;
@@ -81,7 +86,8 @@
     std::set<int> m_unresolved;
     std::map<std::string, Membership::LeaseObserver> m_leases;
     std::map<std::string, Model::Time> m_leaseReadAt;
-    std::uint64_t m_generation = 0;
+    /// Slots taken under the present lease generation; whether the lease holds is the store link's to say.
+    Quota::HolderLease m_lease;
     std::condition_variable m_wakeSlots;
     bool m_isDraining = false;
 
