Draw less often, and let tokens for waiting requests expire early

Draws broke the budget of 7 KB per second. Where hosts have little traffic of a customer, spent tokens that were not yet reported filled the buckets, so that requests within the rate were refused.

A draw now states how long its grant is to be valid: tokens for waiting requests 200 ms, a batch its expected time and 300 ms. Batches last half of the time in which the burst refills, or a quarter at a host with more than a quarter of the customer's rate; that host also asks several holders at once. After a short grant the next holder is asked at once.

--- a/benchmarks/quota/fleet.cpp
+++ b/benchmarks/quota/fleet.cpp
@@ -34,7 +34,8 @@
     {
         std::uint64_t size = 1 + varintSize(request.sequence);
         for (const Quota::Draw& draw : request.draws) {
-            std::uint64_t drawSize = nestedSize(draw.customer.size()) + fieldSize(draw.wanted);
+            std::uint64_t drawSize = nestedSize(draw.customer.size()) + fieldSize(draw.wanted)
+                + fieldSize(draw.validity / milliseconds(1));
             for (const Quota::GrantReport& report : draw.reports) {
                 drawSize += nestedSize(
                     1 + varintSize(report.grant) + fieldSize(report.spent) + fieldSize(report.returned));
@@ -230,8 +231,11 @@
         return;
     }
     if (message.isReply) {
-        if (message.entryIncarnation == receiver.incarnation)
-            receiver.cache.reply(host(message.from).name, message.reply, localTime(receiver));
+        if (message.entryIncarnation != receiver.incarnation)
+            return;
+        const auto effect = receiver.cache.reply(host(message.from).name, message.reply, localTime(receiver));
+        if (effect == Quota::TokenCache::ReplyEffect::PlanNow)
+            receiver.nextPlan = m_now;
         return;
     }
     const Quota::EntryHost entry { host(message.from).name, message.entryIncarnation };
@@ -267,8 +271,10 @@
         const int holder = std::stoi(draw.holder.substr(4));
         if (holder == index) {
             const Quota::EntryHost self { entry.name, entry.incarnation };
-            entry.cache.reply(
-                draw.holder, entry.buckets.draw(self, draw.request, localTime(entry)), localTime(entry));
+            const Quota::DrawReply reply = entry.buckets.draw(self, draw.request, localTime(entry));
+            if (entry.cache.reply(draw.holder, reply, localTime(entry))
+                == Quota::TokenCache::ReplyEffect::PlanNow)
+                entry.nextPlan = m_now;
             continue;
         }
         send({ m_now, 0, index, holder, entry.incarnation, false, std::move(draw.request), {} });
--- a/src/libs/core/quota/draw.h
+++ b/src/libs/core/quota/draw.h
@@ -9,11 +9,12 @@
 
 namespace Quota {
 
-/// How long an entry host may spend a grant, counted from when it sent the request.
-constexpr Model::Duration grantValidity = std::chrono::seconds(1);
-/// How long the holder counts a grant, from when it answered, unless it is reported earlier. The excess
-/// over the validity covers clocks that run at different speeds.
-constexpr Model::Duration outstandingPeriod = std::chrono::milliseconds(1500);
+/// The longest time that an entry host may spend a grant, counted from when it sent the request.
+constexpr Model::Duration maxGrantValidity = std::chrono::seconds(1);
+
+/// How long the holder counts a grant, from when it answered, unless it is reported earlier. The excess over
+/// the validity covers clocks that run at different speeds.
+constexpr Model::Duration outstandingPeriod(Model::Duration validity) { return validity * 3 / 2; }
 
 /// A process that draws tokens. A restarted one has a higher incarnation.
 struct EntryHost {
@@ -33,6 +34,10 @@
 struct Draw {
     std::string customer;
     MicroTokens wanted = 0;
+    /// How long the grant is to be valid; `maxGrantValidity` at most. Tokens for requests that wait are
+    /// spent at once: with a short validity they do not keep the bucket from refilling until they are
+    /// reported.
+    Model::Duration validity = maxGrantValidity;
     std::vector<GrantReport> reports;
 };
 
--- a/src/libs/core/quota/slotbuckets.cpp
+++ b/src/libs/core/quota/slotbuckets.cpp
@@ -109,7 +109,7 @@
         answer.notHolder = customer.buckets.empty();
         if (isNew) {
             const GrantId id { entry.name, entry.incarnation, request.sequence };
-            answer.granted = grant(customer, id, draw.wanted, now);
+            answer.granted = grant(customer, id, draw, now);
         }
     }
     return reply;
@@ -129,8 +129,9 @@
 
 void SlotBuckets::forgetIdleEntries(Model::Time now)
 {
-    std::erase_if(
-        m_entries, [&](const auto& entry) { return now - entry.second.lastHeard > 10 * outstandingPeriod; });
+    std::erase_if(m_entries, [&](const auto& entry) {
+        return now - entry.second.lastHeard > 10 * outstandingPeriod(maxGrantValidity);
+    });
 }
 
 bool SlotBuckets::isNewRequest(const EntryHost& host, std::uint64_t sequence, Model::Time now)
@@ -162,13 +163,12 @@
 
 void SlotBuckets::advance(Customer& customer, Model::Time now)
 {
-    while (!customer.expiries.empty() && customer.expiries.front().at <= now) {
-        const Expiry expiry = std::move(customer.expiries.front());
-        customer.expiries.pop_front();
-        const auto found = customer.grants.find(expiry.grant);
+    while (!customer.expiries.empty() && customer.expiries.begin()->first <= now) {
+        const auto expiry = customer.expiries.extract(customer.expiries.begin());
+        const auto found = customer.grants.find(expiry.mapped());
         if (found == customer.grants.end())
             continue;
-        refill(customer, expiry.at);
+        refill(customer, expiry.key());
         for (const GrantPart& part : found->second.parts) {
             const auto bucket = customer.buckets.find(part.shard);
             if (bucket != customer.buckets.end() && bucket->second.tenure == part.tenure)
@@ -203,7 +203,7 @@
         if (!holdsSlot(customer.slots[static_cast<std::size_t>(shard)]) || customer.buckets.contains(shard))
             continue;
         Bucket bucket;
-        bucket.refilledAt = std::max(now + grantValidity, m_refillFrom);
+        bucket.refilledAt = std::max(now + maxGrantValidity, m_refillFrom);
         bucket.tenure = ++m_lastTenure;
         customer.buckets.emplace(shard, bucket);
     }
@@ -244,12 +244,12 @@
         customer.grants.erase(found);
 }
 
-MicroTokens SlotBuckets::grant(Customer& customer, const GrantId& id, MicroTokens wanted, Model::Time now)
+MicroTokens SlotBuckets::grant(Customer& customer, const GrantId& id, const Draw& draw, Model::Time now)
 {
     GrantRecord record;
     MicroTokens granted = 0;
     for (auto& [shard, bucket] : customer.buckets) {
-        const MicroTokens amount = std::min(wanted - granted, bucket.available);
+        const MicroTokens amount = std::min(draw.wanted - granted, bucket.available);
         if (amount <= 0)
             continue;
         bucket.available -= amount;
@@ -259,7 +259,8 @@
     }
     if (granted > 0) {
         customer.grants.insert_or_assign(id, std::move(record));
-        customer.expiries.push_back({ now + outstandingPeriod, id });
+        const Model::Duration validity = std::clamp(draw.validity, Model::Duration::zero(), maxGrantValidity);
+        customer.expiries.emplace(now + outstandingPeriod(validity), id);
     }
     return granted;
 }
--- a/src/libs/core/quota/slotbuckets.h
+++ b/src/libs/core/quota/slotbuckets.h
@@ -3,7 +3,6 @@
 #include "core/quota/draw.h"
 
 #include <bitset>
-#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -34,7 +33,7 @@
     void setLimits(const std::string& customer, const Limits& limits, Model::Time now);
     void removeCustomer(const std::string& customer);
 
-    /// Starts to serve a slot, with empty buckets. They refill only from `grantValidity` later, when no
+    /// Starts to serve a slot, with empty buckets. They refill only from `maxGrantValidity` later, when no
     /// entry host can spend grants of the previous holder any more.
     void takeSlot(int slot, Model::Time now);
     /// Forgets the slot; to be called before its row is released.
@@ -77,10 +76,6 @@
         MicroTokens returned = 0;
         std::vector<GrantPart> parts;
     };
-    struct Expiry {
-        Model::Time at;
-        GrantId grant;
-    };
     struct LimitsInForce {
         int shards = 0;
         ShardLimits limits;
@@ -98,8 +93,7 @@
         std::optional<PendingLimits> pending;
         std::map<int, Bucket> buckets;
         std::map<GrantId, GrantRecord> grants;
-        /// In the order of `at`.
-        std::deque<Expiry> expiries;
+        std::multimap<Model::Time, GrantId> expiries;
     };
     struct Entry {
         std::uint64_t incarnation = 0;
@@ -113,7 +107,7 @@
     static void refill(Customer& customer, Model::Time until);
     void updateBuckets(Customer& customer, Model::Time now);
     static void applyReport(Customer& customer, const GrantId& id, const GrantReport& report);
-    static MicroTokens grant(Customer& customer, const GrantId& id, MicroTokens wanted, Model::Time now);
+    static MicroTokens grant(Customer& customer, const GrantId& id, const Draw& draw, Model::Time now);
 
     Model::Time m_refillFrom;
     std::bitset<slotCount> m_slots;
--- a/src/libs/core/quota/tokencache.cpp
+++ b/src/libs/core/quota/tokencache.cpp
@@ -14,15 +14,21 @@
     // Time over which demand is smoothed: shorter follows bursts faster, longer wastes fewer tokens.
     constexpr Model::Duration demandPeriod = milliseconds(500);
     // A batch lasts this long. Longer saves messages and holds more tokens where they may not be needed.
-    constexpr Model::Duration maxHorizon = milliseconds(500);
+    constexpr Model::Duration maxHorizon = milliseconds(700);
     constexpr Model::Duration minHorizon = milliseconds(50);
     // A batch is drawn while the last one still lasts this long: covers several answers that grant little.
-    constexpr Model::Duration drawAhead = milliseconds(100);
+    constexpr Model::Duration drawAhead = milliseconds(60);
     // A draw without an answer for this long is not counted on any more; exceeds the round trip between
     // regions. The answer still counts if it comes.
     constexpr Model::Duration answerPatience = milliseconds(40);
-    // Unused tokens are returned at this age, so that the report arrives before they are counted as spent.
-    constexpr Model::Duration returnAge = milliseconds(700);
+    // Unused tokens are returned this long before they expire, so that the report arrives in time.
+    constexpr Model::Duration returnAhead = milliseconds(200);
+    // A batch that is spent more slowly than expected stays valid for this much longer than it should last.
+    constexpr Model::Duration validityReserve = milliseconds(300);
+    // Tokens for requests that wait.
+    constexpr Model::Duration shortValidity = milliseconds(200);
+    // A host with more than this part (its inverse) of a customer's rate draws shorter batches.
+    constexpr double largePart = 4;
     constexpr Model::Duration minRest = milliseconds(10);
     constexpr Model::Duration maxRest = milliseconds(2000);
     constexpr int maxShortDraws = 8;
@@ -70,7 +76,7 @@
     }
     MicroTokens due = tokensPerRequest;
     for (LocalGrant& grant : customer.grants) {
-        if (now >= grant.sentAt + grantValidity)
+        if (now >= grant.expiresAt)
             continue;
         const MicroTokens taken = std::min(due, grant.remaining);
         grant.remaining -= taken;
@@ -101,8 +107,9 @@
     return finishRequests(requests, now);
 }
 
-void TokenCache::reply(const std::string& holder, const DrawReply& reply, Model::Time now)
+TokenCache::ReplyEffect TokenCache::reply(const std::string& holder, const DrawReply& reply, Model::Time now)
 {
+    ReplyEffect effect = ReplyEffect::None;
     for (const Grant& answer : reply.grants) {
         const auto found = m_customers.find(answer.customer);
         if (found == m_customers.end())
@@ -114,16 +121,21 @@
             continue;
         const InFlight draw = std::move(*pending);
         customer.inFlight.erase(pending);
-        if (answer.granted < draw.wanted)
-            restSource(customer, holder, horizon(customer.limits), now);
-        else
+        if (answer.granted < draw.wanted) {
+            restSource(customer, holder, horizon(customer, now), now);
+            effect = ReplyEffect::PlanNow;
+        } else {
             restoreSource(customer, holder);
-        if (answer.granted <= 0 || now >= draw.sentAt + grantValidity)
+        }
+        if (answer.granted <= 0 || now >= draw.sentAt + draw.validity)
             continue;
+        const Model::Time expiresAt = draw.sentAt + draw.validity;
         const auto after = std::ranges::find_if(
-            customer.grants, [&](const LocalGrant& grant) { return grant.sentAt > draw.sentAt; });
-        customer.grants.insert(after, LocalGrant { holder, draw.sequence, draw.sentAt, answer.granted });
+            customer.grants, [&](const LocalGrant& grant) { return grant.expiresAt > expiresAt; });
+        customer.grants.insert(
+            after, LocalGrant { holder, draw.sequence, expiresAt, expiresAt - returnAhead, answer.granted });
     }
+    return effect;
 }
 
 std::vector<OutgoingDraw> TokenCache::returnAll(Model::Time now)
@@ -158,19 +170,21 @@
 
 // Spent tokens that are not yet reported take room in the holder's bucket. With a burst that is small
 // against the rate, batches have to be shorter, or the bucket would stop to refill.
-Model::Duration TokenCache::horizon(const Limits& limits)
+Model::Duration TokenCache::horizon(const Customer& customer, Model::Time now)
 {
+    const Limits& limits = customer.limits;
+    const bool isLargePart = demandAt(customer, now) * largePart > static_cast<double>(limits.rate);
     const double fillTime = static_cast<double>(limits.burst)
         / static_cast<double>(std::max<std::uint64_t>(limits.rate, 1)) * microsecondsPerSecond;
-    const double quarter = std::min(fillTime / 4, static_cast<double>(maxHorizon.count()));
-    return std::max(Model::Duration(static_cast<Model::Duration::rep>(quarter)), minHorizon);
+    const double part = std::min(fillTime / (isLargePart ? 4 : 2), static_cast<double>(maxHorizon.count()));
+    return std::max(Model::Duration(static_cast<Model::Duration::rep>(part)), minHorizon);
 }
 
 MicroTokens TokenCache::localTokens(const Customer& customer, Model::Time now)
 {
     MicroTokens sum = 0;
     for (const LocalGrant& grant : customer.grants) {
-        if (now < grant.sentAt + grantValidity)
+        if (now < grant.expiresAt)
             sum += grant.remaining;
     }
     return sum;
@@ -191,17 +205,17 @@
 MicroTokens TokenCache::lowMark(const Customer& customer, Model::Time now)
 {
     const double demand = demandAt(customer, now);
-    const Model::Duration period = horizon(customer.limits);
+    const Model::Duration period = horizon(customer, now);
     const auto waiting = static_cast<MicroTokens>(customer.waiting) * tokensPerRequest;
     if (demand * seconds(period) < 1)
         return waiting;
-    return waiting + std::max(tokens(demand * seconds(std::min(drawAhead, period / 2))), tokensPerRequest);
+    return waiting + std::max(tokens(demand * seconds(std::min(drawAhead, period / 4))), tokensPerRequest);
 }
 
 MicroTokens TokenCache::wantedTokens(const Customer& customer, Model::Time now)
 {
     const double demand = std::min(demandAt(customer, now), static_cast<double>(customer.limits.rate));
-    const double batch = demand * seconds(horizon(customer.limits));
+    const double batch = demand * seconds(horizon(customer, now));
     const std::size_t waiting = std::min<std::size_t>(customer.waiting, customer.limits.burst);
     const MicroTokens target
         = static_cast<MicroTokens>(waiting) * tokensPerRequest + (batch < 1 ? 0 : tokens(batch));
@@ -215,6 +229,26 @@
             [&](const InFlight& draw) { return draw.holder == holder && !draw.isOverdue; });
 }
 
+Model::Duration TokenCache::validity(const Customer& customer, Model::Time now)
+{
+    const Model::Duration period = horizon(customer, now);
+    if (demandAt(customer, now) * seconds(period) < 1)
+        return shortValidity;
+    return std::min(period + validityReserve, maxGrantValidity);
+}
+
+// What a holder may have: all of its burst if requests wait, or else about what it refills during a batch, so
+// that a host with a large part of the customer's traffic asks several holders at once.
+MicroTokens TokenCache::supply(const Customer& customer, const std::string& holder, Model::Time now)
+{
+    const ShardLimits limits = shardLimits(customer.limits);
+    const int shards = customer.sources.at(holder).shards;
+    if (customer.waiting > 0)
+        return limits.burst * shards;
+    const double refill = static_cast<double>(limits.rate * shards) * seconds(horizon(customer, now));
+    return std::clamp(static_cast<MicroTokens>(2 * refill), tokensPerRequest, limits.burst * shards);
+}
+
 // A holder without tokens is asked again after a rest that doubles up to the length of a batch; a silent
 // one after longer.
 void TokenCache::restSource(
@@ -260,10 +294,10 @@
 
 void TokenCache::dropExpired(Customer& customer, Model::Time now)
 {
+    std::erase_if(customer.grants,
+        [&](const LocalGrant& grant) { return now >= grant.expiresAt + maxGrantValidity / 2; });
     std::erase_if(
-        customer.grants, [&](const LocalGrant& grant) { return now >= grant.sentAt + outstandingPeriod; });
-    std::erase_if(
-        customer.inFlight, [&](const InFlight& draw) { return now >= draw.sentAt + grantValidity; });
+        customer.inFlight, [&](const InFlight& draw) { return now >= draw.sentAt + draw.validity; });
     for (InFlight& draw : customer.inFlight) {
         if (draw.isOverdue || now - draw.sentAt < answerPatience)
             continue;
@@ -278,26 +312,33 @@
     if (customer.order.empty() || expectedTokens(customer, now) >= lowMark(customer, now))
         return;
     MicroTokens wanted = wantedTokens(customer, now);
-    const ShardLimits limits = shardLimits(customer.limits);
-    std::size_t tried = 0;
     if (customer.next >= customer.order.size())
         customer.next = generator() % customer.order.size();
-    while (wanted > 0 && tried < customer.order.size()) {
-        const std::string& holder = customer.order[customer.next];
-        if (mayDraw(customer, holder, now)) {
-            // What the holder can have at most.
-            const MicroTokens most = limits.burst * customer.sources.at(holder).shards;
-            const MicroTokens amount = std::min(wanted, most);
-            Draw& draw = requests[holder][name];
-            draw.customer = name;
-            draw.wanted += amount;
-            wanted -= amount;
-            if (wanted <= 0)
-                break;
-        }
-        ++tried;
-        customer.next = (customer.next + 1) % customer.order.size();
+    // Another customer draws from these anyway.
+    for (const auto& [holder, draws] : requests) {
+        if (customer.sources.contains(holder))
+            addDraw(customer, name, holder, wanted, now, requests);
     }
+    for (std::size_t tried = 0; tried < customer.order.size() && wanted > 0; ++tried) {
+        addDraw(customer, name, customer.order[customer.next], wanted, now, requests);
+        if (wanted > 0)
+            customer.next = (customer.next + 1) % customer.order.size();
+    }
+}
+
+void TokenCache::addDraw(Customer& customer, const std::string& name, const std::string& holder,
+    MicroTokens& wanted, Model::Time now, Requests& requests)
+{
+    if (wanted <= 0 || !mayDraw(customer, holder, now))
+        return;
+    Draw& draw = requests[holder][name];
+    if (draw.wanted > 0)
+        return;
+    const MicroTokens amount = std::min(wanted, supply(customer, holder, now));
+    draw.customer = name;
+    draw.wanted = amount;
+    draw.validity = validity(customer, now);
+    wanted -= amount;
 }
 
 // A message to a holder costs more than a draw in it, so customers that will soon draw do so with it.
@@ -310,7 +351,7 @@
             const MicroTokens wanted = wantedTokens(customer, now);
             const MicroTokens expected = expectedTokens(customer, now);
             if (wanted >= tokensPerRequest && wanted >= expected)
-                draws.emplace(name, Draw { name, wanted, {} });
+                draws.emplace(name, Draw { name, wanted, validity(customer, now), {} });
         }
     }
 }
@@ -318,10 +359,10 @@
 void TokenCache::planReturns(Customer& customer, const std::string& name, Model::Time now, Requests& requests)
 {
     for (LocalGrant& grant : customer.grants) {
-        const Model::Duration age = now - grant.sentAt;
-        if (age < returnAge || grant.remaining == 0)
+        if (now < grant.returnsAt || grant.remaining == 0)
             continue;
-        const MicroTokens useful = tokens(demandAt(customer, now) * seconds(grantValidity - age));
+        const Model::Duration left = std::max(grant.expiresAt - now, Model::Duration::zero());
+        const MicroTokens useful = tokens(demandAt(customer, now) * seconds(left));
         const MicroTokens surplus = std::max<MicroTokens>(grant.remaining - useful, 0);
         if (surplus < tokensPerRequest / 10)
             continue;
@@ -339,7 +380,7 @@
             continue;
         draw.reports.push_back({ current->sequence, current->spent, current->returned });
         current->reported = current->spent + current->returned;
-        if (current->remaining == 0 || now >= current->sentAt + grantValidity)
+        if (current->remaining == 0 || now >= current->expiresAt)
             customer.grants.erase(current);
     }
 }
@@ -351,7 +392,7 @@
     for (auto& [holder, draws] : requests) {
         // Reports of the other customers cost little more in a message that is sent anyway.
         for (auto& [name, customer] : m_customers) {
-            Draw along { name, 0, {} };
+            Draw along { name, 0, maxGrantValidity, {} };
             Draw& draw = draws.contains(name) ? draws.at(name) : along;
             addReports(customer, holder, draw, now);
             if (!along.reports.empty())
@@ -360,7 +401,8 @@
         OutgoingDraw& out = result.emplace_back(OutgoingDraw { holder, { ++m_lastSequence, {} } });
         for (auto& [name, draw] : draws) {
             if (draw.wanted > 0)
-                m_customers.at(name).inFlight.push_back({ holder, m_lastSequence, now, draw.wanted });
+                m_customers.at(name).inFlight.push_back(
+                    { holder, m_lastSequence, now, draw.validity, draw.wanted });
             out.request.draws.push_back(std::move(draw));
         }
     }
--- a/src/libs/core/quota/tokencache.h
+++ b/src/libs/core/quota/tokencache.h
@@ -39,8 +39,7 @@
 public:
     /// How long a request waits for tokens before it is refused with `rate_limited`.
     static constexpr Model::Duration maxWait = std::chrono::milliseconds(100);
-    /// How often `plan` has to be called; also after `admit` returned `Wait` and after replies while
-    /// requests wait.
+    /// How often `plan` has to be called; also after `admit` returned `Wait` and after `PlanNow`.
     static constexpr Model::Duration planInterval = std::chrono::milliseconds(20);
 
     void setLimits(const std::string& customer, const Limits& limits);
@@ -56,8 +55,13 @@
 
     /// The requests to send now.
     std::vector<OutgoingDraw> plan(Model::Time now, std::mt19937_64& generator);
+    enum class ReplyEffect : std::uint8_t {
+        None,
+        /// Less was granted than wanted: another holder is to be asked at once.
+        PlanNow,
+    };
     /// Takes over the tokens of a reply. Replies that come late, twice, or without a request count nothing.
-    void reply(const std::string& holder, const DrawReply& reply, Model::Time now);
+    ReplyEffect reply(const std::string& holder, const DrawReply& reply, Model::Time now);
 
     /// Returns all tokens, for a host that drains.
     std::vector<OutgoingDraw> returnAll(Model::Time now);
@@ -69,7 +73,9 @@
     struct LocalGrant {
         std::string holder;
         std::uint64_t sequence;
-        Model::Time sentAt;
+        Model::Time expiresAt;
+        /// When unused tokens are returned.
+        Model::Time returnsAt;
         MicroTokens remaining;
         MicroTokens spent = 0;
         MicroTokens returned = 0;
@@ -79,6 +85,7 @@
         std::string holder;
         std::uint64_t sequence;
         Model::Time sentAt;
+        Model::Duration validity;
         MicroTokens wanted;
         /// No longer counted on.
         bool isOverdue = false;
@@ -96,7 +103,7 @@
         std::unordered_map<std::string, Source> sources;
         /// Index in `order` of the holder to draw from next; beyond the end until one is chosen at random.
         std::size_t next = std::numeric_limits<std::size_t>::max();
-        /// In the order of `sentAt`, so that the first one expires first.
+        /// In the order of expiry.
         std::list<LocalGrant> grants;
         std::list<InFlight> inFlight;
         std::size_t waiting = 0;
@@ -108,7 +115,9 @@
 
     static void countDemand(Customer& customer, Model::Time now);
     static double demandAt(const Customer& customer, Model::Time now);
-    static Model::Duration horizon(const Limits& limits);
+    static Model::Duration horizon(const Customer& customer, Model::Time now);
+    static Model::Duration validity(const Customer& customer, Model::Time now);
+    static MicroTokens supply(const Customer& customer, const std::string& holder, Model::Time now);
     static MicroTokens localTokens(const Customer& customer, Model::Time now);
     static MicroTokens expectedTokens(const Customer& customer, Model::Time now);
     static MicroTokens lowMark(const Customer& customer, Model::Time now);
@@ -121,6 +130,8 @@
 
     void updateSources(Customer& customer, const std::string& name) const;
     static void dropExpired(Customer& customer, Model::Time now);
+    static void addDraw(Customer& customer, const std::string& name, const std::string& holder,
+        MicroTokens& wanted, Model::Time now, Requests& requests);
     static void planDraws(Customer& customer, const std::string& name, Model::Time now,
         std::mt19937_64& generator, Requests& requests);
     void planAlong(Model::Time now, Requests& requests);
--- a/tests/auto/core/quota/tst_slotbuckets.cpp
+++ b/tests/auto/core/quota/tst_slotbuckets.cpp
@@ -19,7 +19,7 @@
 struct HeldGrant {
     std::size_t holder;
     std::uint64_t sequence;
-    Time sentAt;
+    Time expiresAt;
     MicroTokens remaining;
     MicroTokens spent = 0;
     MicroTokens returned = 0;
@@ -29,7 +29,8 @@
 struct Entry {
     EntryHost self;
     std::uint64_t lastSequence = 0;
-    std::map<std::uint64_t, Time> sent;
+    /// When the grant of each request expires.
+    std::map<std::uint64_t, Time> expiries;
     std::vector<HeldGrant> grants;
 };
 
@@ -73,7 +74,7 @@
         steps(120);
         m_holders[1].setLimits(customer, m_limits[1], m_now);
         m_usesNew[1] = true;
-        const Time settled = m_now + SlotBuckets::limitsSpreadTime + outstandingPeriod;
+        const Time settled = m_now + SlotBuckets::limitsSpreadTime + outstandingPeriod(maxGrantValidity);
         if (onceIn(2, m_generator))
             m_silentUntil = settled;
         steps(100);
@@ -142,7 +143,9 @@
         Entry& entry = m_entries[index];
         Message message { index, below(2, m_generator), entry.self.incarnation, { ++entry.lastSequence, {} },
             std::nullopt };
-        Draw draw { customer, static_cast<MicroTokens>(below(20'000'000, m_generator)), {} };
+        const Duration validity
+            = onceIn(2, m_generator) ? maxGrantValidity : Duration(below(1'000'000, m_generator));
+        Draw draw { customer, static_cast<MicroTokens>(below(20'000'000, m_generator)), validity, {} };
         for (HeldGrant& grant : entry.grants) {
             if (grant.holder != message.holder || onceIn(2, m_generator))
                 continue;
@@ -155,7 +158,7 @@
             draw.reports.push_back({ grant.sequence, grant.spent, grant.returned });
         }
         message.request.draws.push_back(std::move(draw));
-        entry.sent[entry.lastSequence] = m_now;
+        entry.expiries[entry.lastSequence] = m_now + validity;
         post(message);
     }
 
@@ -189,23 +192,23 @@
 
     void accept(Entry& entry, const Message& message)
     {
-        const auto sent = entry.sent.extract(message.reply->sequence);
-        if (sent.empty() || m_now >= sent.mapped() + grantValidity)
+        const auto expiry = entry.expiries.extract(message.reply->sequence);
+        if (expiry.empty() || m_now >= expiry.mapped())
             return;
-        entry.grants.push_back({ message.holder, message.reply->sequence, sent.mapped(),
+        entry.grants.push_back({ message.holder, message.reply->sequence, expiry.mapped(),
             message.reply->grants.front().granted, 0, 0, onceIn(2, m_generator) });
     }
 
     void spend(Entry& entry)
     {
         for (HeldGrant& grant : entry.grants) {
-            const Duration age = m_now - grant.sentAt;
-            if (age >= grantValidity || (grant.isSpentLate && age < 900ms) || grant.remaining == 0)
+            const Duration left = grant.expiresAt - m_now;
+            if (left <= 0s || (grant.isSpentLate && left > 100ms) || grant.remaining == 0)
                 continue;
             m_spendings.push_back({ m_now, grant.remaining });
             grant.spent += std::exchange(grant.remaining, 0);
         }
-        std::erase_if(entry.grants, [&](const HeldGrant& grant) { return m_now - grant.sentAt > 5s; });
+        std::erase_if(entry.grants, [&](const HeldGrant& grant) { return m_now - grant.expiresAt > 4s; });
     }
 
     std::mt19937_64& m_generator;
@@ -270,7 +273,7 @@
     buckets.setLimits(customer, { 100, 2 }, Time { 100s });
     buckets.takeSlot(slotOfShard(customer, 0), Time { 100s });
     const auto granted = [&](std::uint64_t incarnation, std::uint64_t sequence) {
-        const DrawRequest request { sequence, { { customer, tokensPerRequest / 4, {} } } };
+        const DrawRequest request { sequence, { { customer, tokensPerRequest / 4, 1s, {} } } };
         return buckets.draw({ "entry", incarnation }, request, Time { 110s }).grants.front().granted;
     };
     EXPECT_EQ(granted(2, 5), tokensPerRequest / 4);
--- a/tests/auto/core/quota/tst_tokencache.cpp
+++ b/tests/auto/core/quota/tst_tokencache.cpp
@@ -68,19 +68,22 @@
 }
 
 // Guards against tokens that are spent after their expiry, counted from when they were asked for.
-TEST(TokenCache, TokensExpireASecondAfterTheRequest)
+TEST(TokenCache, TokensExpireAfterTheRequest)
 {
     Cache cache;
     const Time sent { 10s };
     const auto request = cache.draw(sent);
-    cache.tokens.reply("holder", Cache::grantAll(request), sent + 600ms);
-    EXPECT_EQ(cache.tokens.local(customer, sent + 999ms), tokensPerRequest);
-    EXPECT_EQ(cache.tokens.local(customer, sent + 1s), 0);
-    EXPECT_EQ(cache.tokens.admit(customer, Again, sent + 1s), Admission::Wait);
+    const Draw& draw = request.draws.front();
+    EXPECT_LE(draw.validity, maxGrantValidity);
+    const Time expiry = sent + draw.validity;
+    cache.tokens.reply("holder", Cache::grantAll(request), sent + draw.validity / 2);
+    EXPECT_EQ(cache.tokens.local(customer, expiry - 1us), draw.wanted);
+    EXPECT_EQ(cache.tokens.local(customer, expiry), 0);
+    EXPECT_EQ(cache.tokens.admit(customer, Again, expiry), Admission::Wait);
 
     const Time second = sent + 2s;
     const auto late = cache.draw(second);
-    cache.tokens.reply("holder", Cache::grantAll(late), second + 1s);
+    cache.tokens.reply("holder", Cache::grantAll(late), second + late.draws.front().validity);
     EXPECT_EQ(cache.tokens.local(customer, second), 0);
 }
 
@@ -89,13 +92,14 @@
 {
     Cache cache;
     const Time now { 10s };
-    const auto reply = Cache::grantAll(cache.draw(now));
+    const auto request = cache.draw(now);
+    const auto reply = Cache::grantAll(request);
     cache.tokens.reply("other", reply, now);
     cache.tokens.reply("holder", { reply.sequence + 1, reply.grants }, now);
     EXPECT_EQ(cache.tokens.local(customer, now), 0);
     cache.tokens.reply("holder", reply, now);
     cache.tokens.reply("holder", reply, now);
-    EXPECT_EQ(cache.tokens.local(customer, now), tokensPerRequest);
+    EXPECT_EQ(cache.tokens.local(customer, now), request.draws.front().wanted);
 }
 
 // Guards against tokens that are both returned and kept, and against unused ones that are lost.
@@ -111,7 +115,7 @@
     EXPECT_EQ(cache.tokens.admit(customer, Again, now), Admission::Admitted);
     for (int i = 0; i < 10; ++i)
         cache.tokens.giveUp(customer);
-    now += 900ms;
+    now += request.draws.front().validity - 100ms;
     const auto requests = cache.tokens.plan(now, cache.generator);
     ASSERT_EQ(requests.size(), 1U);
     const GrantReport& report = requests.front().request.draws.front().reports.front();
