Wake the group's periodic decisions only when they are urgent

Each queued request and each position report woke the thread that decides on promotions, connections and time-outs; under load that cost more than the statements. Larger pools were ruled out: the execution slots are the limit.

--- a/src/libs/daemon/groupmonitor.cpp
+++ b/src/libs/daemon/groupmonitor.cpp
@@ -48,10 +48,10 @@
 };
 
 GroupMonitor::GroupMonitor(
-    std::mutex& mutex, std::condition_variable& changed, Replication::Group& group, WorkerPool& workers)
+    std::mutex& mutex, Replication::Group& group, std::function<void()> onReport, WorkerPool& workers)
     : m_mutex(mutex)
-    , m_changed(changed)
     , m_group(group)
+    , m_onReport(std::move(onReport))
     , m_tasks(workers)
 {
 }
@@ -134,7 +134,7 @@
             m_group.observeFailure(watched.name, connection, now);
         }
     }
-    m_changed.notify_all();
+    m_onReport();
 }
 
 void GroupMonitor::perform(const Replication::Action& action)
@@ -189,7 +189,7 @@
         else
             m_group.fenceLost(watched->name, term, now);
     }
-    m_changed.notify_all();
+    m_onReport();
 }
 
 void GroupMonitor::promote(const WatchedPointer& watched, const Replication::Promote& action)
@@ -210,7 +210,7 @@
         else
             m_group.promoteLost(watched->name, action.term);
     }
-    m_changed.notify_all();
+    m_onReport();
 }
 
 void GroupMonitor::follow(const WatchedPointer& watched, const Replication::Follow& action)
@@ -230,7 +230,7 @@
         else
             m_group.followLost(watched->name, now);
     }
-    m_changed.notify_all();
+    m_onReport();
 }
 
 }
--- a/src/libs/daemon/groupmonitor.h
+++ b/src/libs/daemon/groupmonitor.h
@@ -4,7 +4,7 @@
 #include "daemon/taskscope.h"
 #include "database/upstreamclient.h"
 
-#include <condition_variable>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -18,9 +18,9 @@
 /// two connections a member: one for the long poll for positions, one for single calls.
 class GroupMonitor {
 public:
-    /// `mutex` guards `group`; `changed` is notified after each report.
+    /// `mutex` guards `group`; `onReport` is called after each report, without the mutex.
     GroupMonitor(
-        std::mutex& mutex, std::condition_variable& changed, Replication::Group& group, WorkerPool& workers);
+        std::mutex& mutex, Replication::Group& group, std::function<void()> onReport, WorkerPool& workers);
     ~GroupMonitor();
     GroupMonitor(const GroupMonitor&) = delete;
     GroupMonitor& operator=(const GroupMonitor&) = delete;
@@ -45,8 +45,8 @@
     WatchedPointer find(const std::string& member) const;
 
     std::mutex& m_mutex;
-    std::condition_variable& m_changed;
     Replication::Group& m_group;
+    std::function<void()> m_onReport;
     mutable std::mutex m_watchedMutex;
     std::map<std::string, WatchedPointer> m_watched;
     TaskScope m_tasks;
--- a/src/libs/daemon/grouprunner.cpp
+++ b/src/libs/daemon/grouprunner.cpp
@@ -144,7 +144,8 @@
     , m_group(membersOf(*m_catalog, m_context.service), steadyNow())
     , m_queue(static_cast<std::size_t>(m_catalog->limits().queuedPerCustomer))
     , m_transactions(m_context.transactionPrefix)
-    , m_monitor(m_mutex, m_changed, m_group, *m_context.workers)
+    , m_monitor(
+          m_mutex, m_group, [this] { onReport(); }, *m_context.workers)
     , m_tasks(*m_context.workers)
 {
     configure(m_catalog);
@@ -159,7 +160,7 @@
         while (!m_waiters.empty())
             refuse(m_waiters.begin()->first, ErrorCode::Draining);
     }
-    m_changed.notify_all();
+    m_tickDue.notify_all();
     m_thread.join();
     m_tasks.close();
     m_monitor.stop();
@@ -179,7 +180,7 @@
         dropRevoked();
     }
     m_monitor.setMembers(addresses);
-    m_changed.notify_all();
+    m_tickDue.notify_all();
 }
 
 void GroupRunner::applyCatalog(Time now)
@@ -332,7 +333,7 @@
         endUse(*assignment, completionOf(reply.status));
         m_group.observeFailure(assignment->upstream, Replication::ConnectionKind::Established, steadyNow());
         // The view of the members is out of date; the probe that the failure asks for brings a new one.
-        m_changed.wait_for(lock, pauseAfterStaleTerm);
+        m_reported.wait_for(lock, pauseAfterStaleTerm);
     }
     return refusal(ErrorCode::NoPrimary);
 }
@@ -396,7 +397,7 @@
         = m_group.observeWrite(assignment.upstream, assignment.term, reply.position, sentAt, steadyNow());
     const auto isDecided
         = [this, needed] { return m_group.confirmation(needed) != Replication::Confirmation::Pending; };
-    const bool isInTime = m_changed.wait_until(lock, toSteady(request.deadline), isDecided);
+    const bool isInTime = m_reported.wait_until(lock, toSteady(request.deadline), isDecided);
     if (!isInTime || !m_group.isConfirmed(needed))
         return refusal(ErrorCode::OutcomeUnknown, "the write was not confirmed by a majority in time");
     return { std::nullopt, reply.result, needed, {}, assignment.upstream };
@@ -518,8 +519,6 @@
         return tl::unexpected(pushed.error());
     m_waiters[id] = &waiter;
     dispatch(now);
-    if (!assignment && !waiter.refusal)
-        m_changed.notify_all();
     waiter.wake.wait_until(lock, toSteady(request.deadline),
         [&] { return assignment.has_value() || waiter.refusal.has_value(); });
     m_waiters.erase(id);
@@ -710,12 +709,26 @@
         refuse(id, code);
 }
 
+void GroupRunner::onReport()
+{
+    bool isUrgent = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        isUrgent = m_group.isPromoting() || m_group.isHoldingWrites() || !m_group.primary(steadyNow());
+    }
+    m_reported.notify_all();
+    // Under load there are thousands of reports a second; a tick for each would cost more than the
+    // statements.
+    if (isUrgent)
+        m_tickDue.notify_all();
+}
+
 void GroupRunner::runTicks()
 {
     while (true) {
         {
             Lock lock(m_mutex);
-            m_changed.wait_for(lock, tickInterval);
+            m_tickDue.wait_for(lock, tickInterval);
             if (m_isStopping)
                 return;
         }
--- a/src/libs/daemon/grouprunner.h
+++ b/src/libs/daemon/grouprunner.h
@@ -88,6 +88,7 @@
     void tick();
     void reportSuspicion();
     void runTicks();
+    void onReport();
     void dispatch(Model::Time now);
     void assignFrom(UpstreamLink& upstream, Model::Time now);
     /// The term to send if the request can run on the upstream now.
@@ -113,7 +114,9 @@
 
     GroupContext m_context;
     mutable std::mutex m_mutex;
-    std::condition_variable m_changed;
+    /// Notified after each report of a member, for writes that wait for their confirmation.
+    std::condition_variable m_reported;
+    std::condition_variable m_tickDue;
     Catalog::SnapshotPointer m_catalog;
     Replication::Group m_group;
     Scheduling::FairQueue m_queue;
