Draw from the own buckets first, and size batches by the host's part of the traffic

Nine hosts still sent 12.0 KB of draws per second each. A count of messages showed that most draws went to other hosts although the own buckets had tokens, and that customers with less than two requests in a batch drew tokens that expired.

The own buckets are now asked first, which needs no message. Below two requests in a batch, requests wait for a draw of their own. Batches last a quarter, a third or half of the refill time of the burst, by the host's part of the customer's rate.

--- a/benchmarks/quota/fleet.cpp
+++ b/benchmarks/quota/fleet.cpp
@@ -81,6 +81,7 @@
 {
     for (int i = 0; i < settings.hosts; ++i) {
         host(i).name = "host" + std::to_string(i);
+        host(i).cache = Quota::TokenCache(host(i).name);
         host(i).clockOffset = std::chrono::seconds(m_generator() % 1000);
         host(i).nextPlan = m_now + Model::Duration(m_generator() % 20'000);
     }
@@ -148,7 +149,7 @@
     Host& started = host(index);
     started.isAlive = true;
     ++started.incarnation;
-    started.cache = {};
+    started.cache = Quota::TokenCache(started.name);
     started.buckets = Quota::SlotBuckets(localTime(started));
     for (const auto& [customer, limits] : m_limits)
         setLimits(index, customer, limits);
--- a/benchmarks/quota/fleet.h
+++ b/benchmarks/quota/fleet.h
@@ -90,7 +90,7 @@
     struct Host {
         std::string name;
         std::uint64_t incarnation = 1;
-        Quota::TokenCache cache;
+        Quota::TokenCache cache { {} };
         Quota::SlotBuckets buckets { Model::Time {} };
         bool isAlive = true;
         Model::Time pausedUntil;
--- a/src/libs/core/quota/tokencache.cpp
+++ b/src/libs/core/quota/tokencache.cpp
@@ -27,8 +27,12 @@
     constexpr Model::Duration validityReserve = milliseconds(300);
     // Tokens for requests that wait.
     constexpr Model::Duration shortValidity = milliseconds(200);
-    // A host with more than this part (its inverse) of a customer's rate draws shorter batches.
-    constexpr double largePart = 4;
+    // A host with a larger part of a customer's rate draws shorter batches, as it empties the buckets; one
+    // with a smaller part longer ones, as there are many such hosts and each message counts.
+    constexpr double largePart = 1.0 / 4;
+    constexpr double smallPart = 1.0 / 64;
+    // At a demand below this in a batch, tokens would mostly expire unused: requests wait for their own.
+    constexpr double minBatch = 2;
     constexpr Model::Duration minRest = milliseconds(10);
     constexpr Model::Duration maxRest = milliseconds(2000);
     constexpr int maxShortDraws = 8;
@@ -45,6 +49,11 @@
 
 }
 
+TokenCache::TokenCache(std::string self)
+    : m_self(std::move(self))
+{
+}
+
 void TokenCache::setLimits(const std::string& name, const Limits& limits)
 {
     Customer& customer = m_customers[name];
@@ -122,7 +131,8 @@
         const InFlight draw = std::move(*pending);
         customer.inFlight.erase(pending);
         if (answer.granted < draw.wanted) {
-            restSource(customer, holder, horizon(customer, now), now);
+            // The own buckets rest just long enough for others to be asked.
+            restSource(customer, holder, holder == m_self ? planInterval : horizon(customer, now), now);
             effect = ReplyEffect::PlanNow;
         } else {
             restoreSource(customer, holder);
@@ -173,10 +183,12 @@
 Model::Duration TokenCache::horizon(const Customer& customer, Model::Time now)
 {
     const Limits& limits = customer.limits;
-    const bool isLargePart = demandAt(customer, now) * largePart > static_cast<double>(limits.rate);
+    const double demand = demandAt(customer, now);
+    const auto rate = static_cast<double>(limits.rate);
+    const double divisor = demand > rate * largePart ? 4 : demand > rate * smallPart ? 3 : 2;
     const double fillTime = static_cast<double>(limits.burst)
         / static_cast<double>(std::max<std::uint64_t>(limits.rate, 1)) * microsecondsPerSecond;
-    const double part = std::min(fillTime / (isLargePart ? 4 : 2), static_cast<double>(maxHorizon.count()));
+    const double part = std::min(fillTime / divisor, static_cast<double>(maxHorizon.count()));
     return std::max(Model::Duration(static_cast<Model::Duration::rep>(part)), minHorizon);
 }
 
@@ -207,7 +219,7 @@
     const double demand = demandAt(customer, now);
     const Model::Duration period = horizon(customer, now);
     const auto waiting = static_cast<MicroTokens>(customer.waiting) * tokensPerRequest;
-    if (demand * seconds(period) < 1)
+    if (demand * seconds(period) < minBatch)
         return waiting;
     return waiting + std::max(tokens(demand * seconds(std::min(drawAhead, period / 4))), tokensPerRequest);
 }
@@ -218,7 +230,7 @@
     const double batch = demand * seconds(horizon(customer, now));
     const std::size_t waiting = std::min<std::size_t>(customer.waiting, customer.limits.burst);
     const MicroTokens target
-        = static_cast<MicroTokens>(waiting) * tokensPerRequest + (batch < 1 ? 0 : tokens(batch));
+        = static_cast<MicroTokens>(waiting) * tokensPerRequest + (batch < minBatch ? 0 : tokens(batch));
     return target - expectedTokens(customer, now);
 }
 
@@ -232,7 +244,7 @@
 Model::Duration TokenCache::validity(const Customer& customer, Model::Time now)
 {
     const Model::Duration period = horizon(customer, now);
-    if (demandAt(customer, now) * seconds(period) < 1)
+    if (demandAt(customer, now) * seconds(period) < minBatch)
         return shortValidity;
     return std::min(period + validityReserve, maxGrantValidity);
 }
@@ -314,6 +326,8 @@
     MicroTokens wanted = wantedTokens(customer, now);
     if (customer.next >= customer.order.size())
         customer.next = generator() % customer.order.size();
+    if (customer.sources.contains(m_self))
+        addDraw(customer, name, m_self, wanted, now, requests);
     // Another customer draws from these anyway.
     for (const auto& [holder, draws] : requests) {
         if (customer.sources.contains(holder))
@@ -350,7 +364,7 @@
                 continue;
             const MicroTokens wanted = wantedTokens(customer, now);
             const MicroTokens expected = expectedTokens(customer, now);
-            if (wanted >= tokensPerRequest && wanted >= expected)
+            if (wanted >= tokensPerRequest / 2 && wanted >= expected)
                 draws.emplace(name, Draw { name, wanted, validity(customer, now), {} });
         }
     }
--- a/src/libs/core/quota/tokencache.h
+++ b/src/libs/core/quota/tokencache.h
@@ -42,6 +42,9 @@
     /// How often `plan` has to be called; also after `admit` returned `Wait` and after `PlanNow`.
     static constexpr Model::Duration planInterval = std::chrono::milliseconds(20);
 
+    /// `self` is the name of the own host as a holder. Its buckets are asked first, as that needs no message.
+    explicit TokenCache(std::string self);
+
     void setLimits(const std::string& customer, const Limits& limits);
     void removeCustomer(const std::string& customer);
     /// The holder of each slot, empty if there is none; `slotCount` names.
@@ -132,13 +135,14 @@
     static void dropExpired(Customer& customer, Model::Time now);
     static void addDraw(Customer& customer, const std::string& name, const std::string& holder,
         MicroTokens& wanted, Model::Time now, Requests& requests);
-    static void planDraws(Customer& customer, const std::string& name, Model::Time now,
-        std::mt19937_64& generator, Requests& requests);
+    void planDraws(Customer& customer, const std::string& name, Model::Time now, std::mt19937_64& generator,
+        Requests& requests);
     void planAlong(Model::Time now, Requests& requests);
     static void planReturns(Customer& customer, const std::string& name, Model::Time now, Requests& requests);
     static void addReports(Customer& customer, const std::string& holder, Draw& draw, Model::Time now);
     std::vector<OutgoingDraw> finishRequests(Requests& requests, Model::Time now);
 
+    std::string m_self;
     std::map<std::string, Customer> m_customers;
     std::vector<std::string> m_holders;
     std::uint64_t m_lastSequence = 0;
