Show operators from which version a step of the history leads

Cause: a host that skips versions lists the changes of all of them under the last one, which looked like one publication; and a refused check listed its faults twice. Change: fromVersion in the answer and a column of the tool's table; with a table of faults, the message is not printed as well. Conclusion: none of the commands changed its exit code.

--- a/src/libs/admin/adminformat.cpp
+++ b/src/libs/admin/adminformat.cpp
@@ -57,8 +57,8 @@
     Json json = done();
     json["versions"] = Json::array();
     for (const HistoryEntry& entry : history)
-        json["versions"].push_back({ { "version", entry.version }, { "hash", entry.hash },
-            { "nonce", entry.nonce }, { "objects", entry.objects } });
+        json["versions"].push_back({ { "version", entry.version }, { "fromVersion", entry.fromVersion },
+            { "hash", entry.hash }, { "nonce", entry.nonce }, { "objects", entry.objects } });
     return text(json);
 }
 
--- a/src/libs/admin/adminhooks.h
+++ b/src/libs/admin/adminhooks.h
@@ -54,6 +54,8 @@
     std::string nonce;
     /// `TYPE/NAME` of the objects that were added, changed or removed.
     std::vector<std::string> objects;
+    /// The version that the host had in force before, which is not always the next lower one.
+    std::uint64_t fromVersion = 0;
 };
 
 struct GrantedKey {
--- a/src/libs/daemon/operatorservice.cpp
+++ b/src/libs/daemon/operatorservice.cpp
@@ -119,7 +119,7 @@
     std::vector<Admin::HistoryEntry> entries;
     m_catalog.withAdoption([&entries](const Catalog::Adoption& adoption) {
         for (const Catalog::HistoryStep& step : adoption.history().steps())
-            entries.push_back({ step.version, step.hash, step.nonce, step.objectIds });
+            entries.push_back({ step.version, step.hash, step.nonce, step.objectIds, step.fromVersion });
     });
     std::ranges::reverse(entries);
     return entries;
--- a/src/tools/parsleytack/run.cpp
+++ b/src/tools/parsleytack/run.cpp
@@ -150,11 +150,14 @@
         void writeRefusal(const Reply& reply, const char* what)
         {
             const std::string code = fieldText(reply.json, "code");
-            m_streams.err << what << (code.empty() ? "" : " (" + code + ")") << ": " << reply.message << '\n';
+            const bool hasFaults = reply.json.is_object() && reply.json.contains("faults");
+            // The message repeats the faults in one text, which the table shows more clearly.
+            const bool isTable = hasFaults && m_arguments.format == OutputFormat::Table;
+            m_streams.err << what << (code.empty() ? "" : " (" + code + ")")
+                          << (isTable ? "" : ": " + reply.message) << '\n';
             if (reply.json.is_object() && reply.json.contains("version"))
                 m_streams.err << "version " << fieldText(reply.json, "version") << " won\n";
-            if (m_arguments.format == OutputFormat::Table && reply.json.is_object()
-                && reply.json.contains("faults"))
+            if (isTable)
                 writeList(m_streams.out, reply.json["faults"], { "type", "name", "field", "message" });
         }
 
@@ -191,7 +194,7 @@
         void writeHistory(const Json& json)
         {
             writeList(m_streams.out, json.value("versions", Json::array()),
-                { "version", "hash", "nonce", "objects" });
+                { "version", "fromVersion", "hash", "nonce", "objects" });
         }
 
         void writeStatus(const Json& json)
--- a/tests/auto/admin/fakeoperators.h
+++ b/tests/auto/admin/fakeoperators.h
@@ -36,7 +36,9 @@
             return answer(std::uint64_t { 7 });
         };
         hooks.currentDocument = [] { return CurrentDocument { 7, "h", R"({"zones":[{"name":"z1"}]})" }; };
-        hooks.history = [] { return std::vector<HistoryEntry> { { 7, "h", "n", { "zone/a", "key/b" } } }; };
+        hooks.history = [] {
+            return std::vector<HistoryEntry> { { 7, "h", "n", { "zone/a", "key/b" }, 5 } };
+        };
         hooks.status = [] {
             return Status { "host1", "z1", "connected", 7, 8, { { "host2", "z\x1b[2J", "alive" } },
                 { { "db", "host2", "db-a", 3 } } };
--- a/tests/auto/admin/tst_adminserver.cpp
+++ b/tests/auto/admin/tst_adminserver.cpp
@@ -146,6 +146,7 @@
     EXPECT_EQ(Json::parse(send(Method::Get, "/v1/document").body)["document"],
         Json::parse(R"({"zones":[{"name":"z1"}]})"));
     EXPECT_EQ(Json::parse(send(Method::Get, "/v1/history").body)["versions"][0]["objects"][0], "zone/a");
+    EXPECT_EQ(Json::parse(send(Method::Get, "/v1/history").body)["versions"][0]["fromVersion"], 5);
     EXPECT_EQ(Json::parse(send(Method::Get, "/v1/status").body)["services"][0]["primary"], "db-a");
     EXPECT_EQ(Json::parse(send(Method::Post, "/v1/check", "{}").body)["version"], 7);
     send(Method::Put, "/v1/zones/z1/out");
