--- a/src/libs/daemon/quotaservice.cpp
+++ b/src/libs/daemon/quotaservice.cpp
@@ -51,6 +51,7 @@
     , m_peers(peers)
     , m_storeLink(storeLink)
     , m_metrics(metrics)
+    , m_cache(m_self.host)
     , m_buckets(steadyNow())
     , m_store(storeAddress)
     , m_assignment(m_self)
--- a/src/libs/settings/hostsettings.h
+++ b/src/libs/settings/hostsettings.h
@@ -37,8 +37,8 @@
     std::string curveSecretKey;
     /// Empty for standard output.
     std::string logFile;
-    /// Share of the traces begun on this host that are logged, from 0 to 1. A caller's `traceparent` decides for
-    /// its own trace.
+    /// Share of the traces begun on this host that are logged, from 0 to 1. A caller's `traceparent` decides
+    /// for its own trace.
     double traceSampleRate = 0.01;
     int maxCallerConnections = 4096;
     /// Stack of the thread that serves a caller's connection, in KiB.
--- a/tests/auto/settings/tst_hostsettings.cpp
+++ b/tests/auto/settings/tst_hostsettings.cpp
@@ -54,9 +54,9 @@
     const std::vector<std::pair<std::string, Json>> cases { { "fleetSecret", std::string(31, 'f') },
         { "operatorSecret", std::string(15, 'o') }, { "curvePublicKey", std::string(41, 'k') },
         { "maxCallerConnections", 0 }, { "maxCallerConnections", 100001 }, { "callerStackKib", 127 },
-        { "traceSampleRate", 1.5 }, { "traceSampleRate", "1" }, { "drainTimeoutMs", -1 }, { "drainTimeoutMs", 1.5 }, { "host", "" }, { "callers", "10.0.0.1" },
-        { "callers", "10.0.0.1:0" }, { "callers", "10.0.0.1:65536" }, { "callers", "localhost:80" },
-        { "seeds", { "10.0.0.1:82", 5 } } };
+        { "traceSampleRate", 1.5 }, { "traceSampleRate", "1" }, { "drainTimeoutMs", -1 },
+        { "drainTimeoutMs", 1.5 }, { "host", "" }, { "callers", "10.0.0.1" }, { "callers", "10.0.0.1:0" },
+        { "callers", "10.0.0.1:65536" }, { "callers", "localhost:80" }, { "seeds", { "10.0.0.1:82", 5 } } };
     for (const auto& [field, value] : cases) {
         Json settings = validSettings();
         settings[field] = value;
