Redirect requests freely when the ownership of a group moves

A drain refuses the queued requests of a group with not_owner; their retries took the retry budget of 10 and a tenth of the requests, so that a full queue was partly answered with refusals. Redirects are bounded for each request instead. The former owner closes its idle connections at once; with 15 connections an upstream refuses those of the next owner otherwise.

--- a/src/libs/daemon/grouprunner.cpp
+++ b/src/libs/daemon/grouprunner.cpp
@@ -194,7 +194,9 @@
     for (const Catalog::Upstream* upstream :
         entry ? entry->upstreams : std::vector<const Catalog::Upstream*>()) {
         wanted.push_back(upstream->name);
-        const UpstreamConfig config = configOf(*m_catalog, *upstream);
+        UpstreamConfig config = configOf(*m_catalog, *upstream);
+        if (m_isReleased)
+            config.state = Scheduling::UpstreamState::NoNewWork;
         UpstreamLink* link = find(upstream->name);
         if (link && link->address() != config.address) {
             m_upstreams.remove_if([link](const UpstreamLink& item) { return &item == link; });
@@ -247,12 +249,16 @@
     }
     for (const std::uint64_t item : queued)
         refuse(item, ErrorCode::NotOwner);
+    // The upstreams' connections are scarce, and the next owner needs them.
+    for (UpstreamLink& upstream : m_upstreams)
+        upstream.pool().setState(Scheduling::UpstreamState::NoNewWork);
 }
 
 void GroupRunner::resume()
 {
     const std::lock_guard lock(m_mutex);
     m_isReleased = false;
+    applyCatalog(steadyNow());
 }
 
 bool GroupRunner::isIdle() const
--- a/src/libs/daemon/requestrouter.cpp
+++ b/src/libs/daemon/requestrouter.cpp
@@ -25,6 +25,9 @@
 
 namespace {
 
+    /// Retries of a request that reached a host which does not own the group any more.
+    constexpr int maxRedirects = 10;
+
     bool writes(const CallerRequest& request)
     {
         return (request.operation == Operation::Statement && request.isWrite)
@@ -139,7 +142,8 @@
     }
     Scheduling::Backoff backoff;
     GroupAnswer answer = runOnce(request);
-    while (answer.error && mayRetry(request, answer)) {
+    int redirects = 0;
+    while (answer.error && mayRetry(request, answer, redirects)) {
         const auto next = backoff.next(steadyNow(), request.deadline, threadGenerator());
         if (!next)
             break;
@@ -160,11 +164,15 @@
         request.transactionId.empty() ? ErrorCode::OwnerUnreachable : ErrorCode::TransactionUnknown);
 }
 
-bool RequestRouter::mayRetry(const GroupRequest& request, const GroupAnswer& answer)
+bool RequestRouter::mayRetry(const GroupRequest& request, const GroupAnswer& answer, int& redirects)
 {
     if (!request.transactionId.empty())
         return false;
     const std::error_code code = answer.error->code;
+    // When the ownership moves, all requests of a group are redirected at once; that is no overload, and each
+    // finds the next owner after a few attempts.
+    if (code == ErrorCode::NotOwner && ++redirects <= maxRedirects)
+        return true;
     const bool didNotRun = code == ErrorCode::NotOwner || code == ErrorCode::OwnerUnreachable
         || code == ErrorCode::NoPrimary || code == ErrorCode::Draining;
     const bool isIdempotent
--- a/src/libs/daemon/requestrouter.h
+++ b/src/libs/daemon/requestrouter.h
@@ -44,7 +44,7 @@
     Model::Result<Admitted> admit(const Gateway::CallerRequest& request, Model::Time now);
     GroupAnswer runWithRetries(const GroupRequest& request);
     GroupAnswer runOnce(const GroupRequest& request);
-    bool mayRetry(const GroupRequest& request, const GroupAnswer& answer);
+    bool mayRetry(const GroupRequest& request, const GroupAnswer& answer, int& redirects);
     Gateway::CallerAnswer finish(Gateway::CallerAnswer answer, Model::Time start);
 
     const CatalogHolder& m_catalog;
--- /dev/null
+++ b/tests/auto/daemon/tst_messages.cpp
@@ -0,0 +1,80 @@
+#include "daemon/clock.h"
+#include "daemon/drawmessages.h"
+#include "daemon/forwardmessages.h"
+#include "daemon/gossipmessages.h"
+#include "wire/peer.pb.h"
+
+#include <gtest/gtest.h>
+
+using namespace Daemon;
+using namespace std::chrono_literals;
+
+TEST(ForwardMessages, SurviveTheWay)
+{
+    const Model::Time now = steadyNow();
+    GroupRequest request;
+    request.operation = Gateway::Operation::Commit;
+    request.service = "register";
+    request.customer = "acme";
+    request.keyName = "acme-1";
+    request.requestId = "acme/5-a";
+    request.sessionPosition = { 3, 7 };
+    request.deadline = now + 250ms;
+    const auto read = fromMessage(toMessage(request, now), now);
+    ASSERT_TRUE(read);
+    EXPECT_EQ(read->operation, request.operation);
+    EXPECT_EQ(read->requestId, request.requestId);
+    EXPECT_EQ(read->sessionPosition, request.sessionPosition);
+    EXPECT_EQ(read->deadline, request.deadline);
+    EXPECT_FALSE(read->maxAge);
+    const GroupAnswer answer = fromMessage(toMessage(refusal(Model::ErrorCode::StatementFailed, "no table")));
+    EXPECT_EQ(answer.error->code, Model::ErrorCode::StatementFailed);
+    EXPECT_EQ(answer.error->message, "no table");
+}
+
+// Guards against a peer message with values out of range that overflows or runs as something else.
+TEST(ForwardMessages, RefuseValuesOutOfRange)
+{
+    const Model::Time now = steadyNow();
+    Wire::ForwardRequest message;
+    EXPECT_FALSE(fromMessage(message, now));
+    message.set_service("register");
+    EXPECT_TRUE(fromMessage(message, now));
+    message.set_timeout_ms(UINT64_MAX);
+    EXPECT_FALSE(fromMessage(message, now));
+    message.set_timeout_ms(1);
+    message.set_max_age_ms(UINT64_MAX);
+    EXPECT_FALSE(fromMessage(message, now));
+    message.set_max_age_ms(1);
+    message.set_operation(static_cast<Wire::Operation>(99));
+    EXPECT_FALSE(fromMessage(message, now));
+}
+
+// Guards against amounts that create tokens by overflow.
+TEST(DrawMessages, RefuseAmountsOutOfRange)
+{
+    Wire::DrawRequest request;
+    Wire::Draw* draw = request.add_draws();
+    draw->set_wanted(UINT64_MAX);
+    EXPECT_FALSE(fromMessage(request));
+    draw->set_wanted(5);
+    EXPECT_TRUE(fromMessage(request));
+    draw->add_reports()->set_returned(UINT64_MAX);
+    EXPECT_FALSE(fromMessage(request));
+    Wire::DrawReply reply;
+    reply.add_grants()->set_granted(UINT64_MAX);
+    EXPECT_FALSE(fromMessage(reply));
+}
+
+TEST(GossipMessages, RefuseMalformedBodies)
+{
+    Wire::Envelope envelope;
+    EXPECT_FALSE(toGossip(envelope));
+    Wire::Gossip* gossip = envelope.mutable_ping()->mutable_gossip();
+    EXPECT_TRUE(toGossip(envelope));
+    gossip->mutable_round()->set_hosts("short");
+    EXPECT_FALSE(toGossip(envelope));
+    gossip->clear_round();
+    gossip->add_updates()->set_state(static_cast<Wire::MemberState>(9));
+    EXPECT_FALSE(toGossip(envelope));
+}
