Survive a peer address that cannot be connected to

Cause: a host that rejoins under the name of a killed process sometimes ended with an uncaught zmq::error_t ("Invalid argument"): the transport connected to an address that is no endpoint. Addresses come from other hosts, so one bad entry could end every host that learns of it.

Ruled out: checking the form of the address before, since ZeroMQ has its own rules for what it takes.

Change: such a request counts as not sent.

Which member entry had the unusable address is still open.

--- a/src/libs/transport/peertransport.cpp
+++ b/src/libs/transport/peertransport.cpp
@@ -89,7 +89,8 @@
     void drainQueue();
     void sendOut(Outgoing& outgoing);
     bool sendTo(zmq::socket_t& socket, const std::string* identity, const Wire::Envelope& message);
-    Peer& peerFor(const std::string& address);
+    /// Null if the address cannot be connected to.
+    Peer* peerFor(const std::string& address);
     void dropPeer(const std::string& address);
     void answerZap();
     void receiveRequests();
@@ -242,7 +243,8 @@
     }
     const std::uint64_t number = nextRequest++;
     outgoing.message.set_request(number);
-    const bool isSent = sendTo(peerFor(outgoing.address).socket, nullptr, outgoing.message);
+    Peer* peer = peerFor(outgoing.address);
+    const bool isSent = peer && sendTo(peer->socket, nullptr, outgoing.message);
     if (!outgoing.onReply)
         return;
     if (!isSent)
@@ -270,11 +272,11 @@
     return true;
 }
 
-Peer& PeerTransport::Private::peerFor(const std::string& address)
+Peer* PeerTransport::Private::peerFor(const std::string& address)
 {
     const auto found = peers.find(address);
     if (found != peers.end())
-        return found->second;
+        return &found->second;
     zmq::socket_t socket(context, zmq::socket_type::dealer);
     socket.set(zmq::sockopt::linger, 0);
     socket.set(zmq::sockopt::maxmsgsize, maxMessageBytes);
@@ -284,8 +286,13 @@
     socket.set(zmq::sockopt::curve_serverkey, settings.curvePublicKey);
     socket.set(zmq::sockopt::curve_publickey, settings.curvePublicKey);
     socket.set(zmq::sockopt::curve_secretkey, settings.curveSecretKey);
-    socket.connect("tcp://" + address);
-    return peers.emplace(address, Peer { std::move(socket), 0 }).first->second;
+    // Addresses come from other hosts, so an unusable one must not end the process.
+    try {
+        socket.connect("tcp://" + address);
+    } catch (const zmq::error_t&) {
+        return nullptr;
+    }
+    return &peers.emplace(address, Peer { std::move(socket), 0 }).first->second;
 }
 
 void PeerTransport::Private::dropPeer(const std::string& address) { peers.erase(address); }
--- a/tests/auto/transport/tst_peertransport.cpp
+++ b/tests/auto/transport/tst_peertransport.cpp
@@ -138,6 +138,16 @@
     EXPECT_EQ(requests, 0);
 }
 
+// Guards against an address from another host that ends the process.
+TEST(PeerTransport, UnusableAddressesAreNotSent)
+{
+    const KeyPair fleet = newKeyPair();
+    PeerTransport transport({ freeAddress(), "one", 1, fleet.publicKey, fleet.secretKey }, echo());
+    ASSERT_FALSE(transport.start());
+    for (const char* address : { "", "nowhere", "127.0.0.1:" })
+        EXPECT_EQ(ask(transport, address, pull(1), 500ms).status, ReplyStatus::NotSent) << address;
+}
+
 // Guards against malformed bytes from a peer that stop the process or count as a request.
 TEST(PeerTransport, DropsMalformedMessages)
 {
