Serve requests to the end of their response during a shutdown

The drain test saw 2 requests without an answer, and 45 refused with draining: requests were counted only until their handler returned, not until the response was sent, and connections that were open when the notice ended were refused. Requests now count until the HTTP library reports them completed, the listening socket is closed after the notice, and what still arrives on open connections is served; each response closes its connection.

--- a/src/libs/daemon/host.cpp
+++ b/src/libs/daemon/host.cpp
@@ -47,6 +47,7 @@
     /// While the balancer and the other hosts learn of the drain, requests are still served.
     constexpr milliseconds drainNotice(1500);
     constexpr milliseconds drainStep(50);
+    constexpr milliseconds idleConnectionWait(2000);
     constexpr std::size_t bodyBytesWithoutCatalog = 1UL << 20U;
 
     std::vector<Membership::Zone> zonesOf(const Catalog::Snapshot& catalog)
@@ -452,8 +453,14 @@
     m_d->peers.leave();
     m_d->staleOwnership();
     std::this_thread::sleep_for(drainNotice);
-    m_d->isRefusing = true;
+    // Each response closes its connection by now, and no new ones come in, so requests that still arrive on
+    // open connections are served to their end instead of being refused.
+    m_d->callers.stopAccepting();
     const Model::Time deadline = steadyNow() + milliseconds(m_d->settings.drainTimeoutMs);
+    const Model::Time idleEnd = std::min(deadline, steadyNow() + idleConnectionWait);
+    while (m_d->callers.connections() > 0 && steadyNow() < idleEnd)
+        std::this_thread::sleep_for(drainStep);
+    m_d->isRefusing = true;
     while (m_d->callers.running() > 0 || !m_d->groups.isIdle()) {
         if (steadyNow() >= deadline)
             return false;
--- a/src/libs/gateway/callerserver.cpp
+++ b/src/libs/gateway/callerserver.cpp
@@ -7,6 +7,7 @@
 #include <arpa/inet.h>
 #include <microhttpd.h>
 #include <ulfius.h>
+#include <unistd.h>
 
 namespace Gateway {
 
@@ -74,9 +75,23 @@
         return parseCallerRequest(input);
     }
 
+    // A request counts from its first line until its response is sent. Counting in the handler only would let
+    // a shutdown cut responses that are still being sent.
+    static void* onRequestLine(void* self, const char* uri)
+    {
+        ++static_cast<Private*>(self)->runningCount;
+        return ulfius_uri_logger(nullptr, uri);
+    }
+
+    static void onCompleted(
+        void* self, MHD_Connection* connection, void** context, MHD_RequestTerminationCode reason)
+    {
+        mhd_request_completed(nullptr, connection, context, reason);
+        --static_cast<Private*>(self)->runningCount;
+    }
+
     void handle(const _u_request& request, _u_response& response)
     {
-        ++runningCount;
         const auto parsed = parse(request);
         const CallerAnswer answer
             = parsed ? hooks.serve(*parsed) : CallerAnswer { parsed.error(), {}, {}, {} };
@@ -88,7 +103,6 @@
             u_map_put(response.map_header, "Parsleytack-Session", answer.sessionToken.c_str());
         if (isDraining)
             u_map_put(response.map_header, "Connection", "close");
-        --runningCount;
     }
 };
 
@@ -114,8 +128,8 @@
     m_d->instance.check_utf8 = 0;
     ulfius_add_endpoint_by_val(&m_d->instance, "POST", "/v1", "/*", 0, &Private::onRequest, m_d.get());
     std::array<MHD_OptionItem, 8> options { {
-        { MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<std::intptr_t>(&mhd_request_completed), nullptr },
-        { MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<std::intptr_t>(&ulfius_uri_logger), nullptr },
+        { MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<std::intptr_t>(&Private::onCompleted), m_d.get() },
+        { MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<std::intptr_t>(&Private::onRequestLine), m_d.get() },
         { MHD_OPTION_SOCK_ADDR, 0, &m_d->address },
         { MHD_OPTION_CONNECTION_LIMIT, m_d->settings.maxConnections, nullptr },
         { MHD_OPTION_CONNECTION_MEMORY_LIMIT, static_cast<std::intptr_t>(connectionMemoryBytes), nullptr },
@@ -138,6 +152,20 @@
 
 int CallerServer::running() const { return m_d->runningCount; }
 
+void CallerServer::stopAccepting()
+{
+    const MHD_socket listener = MHD_quiesce_daemon(m_d->instance.mhd_daemon);
+    if (listener != MHD_INVALID_SOCKET)
+        ::close(listener);
+}
+
+int CallerServer::connections() const
+{
+    const MHD_DaemonInfo* info
+        = MHD_get_daemon_info(m_d->instance.mhd_daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+    return info ? static_cast<int>(info->num_connections) : 0;
+}
+
 void CallerServer::stop()
 {
     if (!m_d->isStarted)
--- a/src/libs/gateway/callerserver.h
+++ b/src/libs/gateway/callerserver.h
@@ -39,8 +39,12 @@
     std::optional<std::string> start();
     /// Asks callers to close their connections after the next answer.
     void beginDrain();
-    /// Requests that are being served now.
+    /// Accepts no more connections; the open ones go on.
+    void stopAccepting();
+    /// Requests whose response is not sent completely yet.
     int running() const;
+    /// Open connections, idle ones included.
+    int connections() const;
     /// Closes the socket and all connections.
     void stop();
 
