--- a/tests/auto/daemon/tst_requestrouter.cpp
+++ b/tests/auto/daemon/tst_requestrouter.cpp
@@ -59,7 +59,7 @@
             m_runs.push_back(request);
             if (m_answers.empty())
                 return GroupAnswer { std::nullopt, "{}", { 1, 5 }, {}, {} };
-            const GroupAnswer answer = m_answers.front();
+            GroupAnswer answer = m_answers.front();
             m_answers.erase(m_answers.begin());
             return answer;
         };
--- a/tests/auto/gateway/tst_callerserver.cpp
+++ b/tests/auto/gateway/tst_callerserver.cpp
@@ -26,7 +26,7 @@
 {
     const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address = loopback(0);
-    ::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address);
+    EXPECT_EQ(::bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address), 0);
     socklen_t size = sizeof address;
     ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
     ::close(fd);
--- a/tests/auto/http/tst_connection.cpp
+++ b/tests/auto/http/tst_connection.cpp
@@ -23,7 +23,7 @@
         sockaddr_in address {};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        ::bind(m_fd, reinterpret_cast<sockaddr*>(&address), sizeof address);
+        EXPECT_EQ(::bind(m_fd, reinterpret_cast<sockaddr*>(&address), sizeof address), 0);
         ::listen(m_fd, 8);
         socklen_t size = sizeof address;
         ::getsockname(m_fd, reinterpret_cast<sockaddr*>(&address), &size);
