Add integration tests with real processes

Cause: the guarantees depend on real sockets, processes and databases that fail; the tests of the libraries cannot show them together.

Ruled out: one fleet for all tests, because a fault of one test would reach the next; fixed ports, because machines that run several builds would collide. A reserved socket stays bound until the process that needs its port listens.

Sessions write and read through all hosts, and the history is checked: no acknowledged write lost or doubled, read-your-writes, each "not_run" true. 14 scenarios.

Conclusion: operators racing, quota refusals and an overload of the queue are not covered yet.

--- /dev/null
+++ b/tests/auto/integration/tst_integration.cpp
@@ -0,0 +1,396 @@
+#include "fleet.h"
+#include "workload.h"
+
+#include "core/session/sessiontoken.h"
+#include "transport/peertransport.h"
+#include "wire/peer.pb.h"
+
+#include <algorithm>
+#include <csignal>
+#include <future>
+#include <stdexcept>
+
+#include <gtest/gtest.h>
+#include <zmq.h>
+
+using namespace Integration;
+using std::chrono::milliseconds;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+// Bounds of the design: a change of primary, and a configuration change in effect everywhere.
+constexpr milliseconds failoverBound { 8000 };
+constexpr milliseconds configurationBound { 17000 };
+
+/// A running fleet.
+class IntegrationTest : public testing::Test {
+protected:
+    void startFleet(const FleetOptions& options = {})
+    {
+        m_fleet = std::make_unique<Fleet>(options);
+        if (!m_fleet->start())
+            throw std::runtime_error("the fleet does not serve");
+        m_alpha = std::make_unique<Caller>(Fleet::keyOf("alpha"));
+    }
+
+    std::unique_ptr<Workload> startWorkload(Workload::Options options = {})
+    {
+        return std::make_unique<Workload>(Fleet::keyOf("alpha"), m_fleet->hosts(), options);
+    }
+
+    /// Ends the workload and checks that no write was lost or doubled and every `not_run` was true.
+    void expectConsistent(Workload& workload)
+    {
+        const auto faults
+            = workload.check([this](const std::string& key) { return m_fleet->readFinal(key); });
+        for (const std::string& fault : faults)
+            ADD_FAILURE() << fault;
+        std::string counts;
+        for (const auto& [name, count] : workload.counts())
+            counts.append(name).append("=").append(std::to_string(count)).append(" ");
+        std::cout << "counts: " << counts << "longest gap: " << workload.longestGap().count() << " ms\n";
+        EXPECT_EQ(workload.counts().count("internal"), 0U);
+    }
+
+    int owner() const
+    {
+        waitUntil([this] { return m_fleet->owner().has_value(); });
+        return m_fleet->owner().value_or(0);
+    }
+
+    /// Runs a workload over a fault that replaces the primary, and checks gap and history.
+    void expectFailover(const std::function<void(int primary)>& fail)
+    {
+        const auto workload = startWorkload();
+        ASSERT_TRUE(workload->waitForWrites(50));
+        const auto primary = m_fleet->primary();
+        ASSERT_TRUE(primary);
+        fail(*primary);
+        ASSERT_TRUE(waitUntil([&] {
+            const auto next = m_fleet->primary();
+            return next && *next != *primary;
+        })) << "no other primary";
+        EXPECT_TRUE(workload->waitForWrites(50));
+        expectConsistent(*workload);
+        EXPECT_LT(workload->longestGap(), failoverBound);
+    }
+
+    std::unique_ptr<Fleet> m_fleet;
+    std::unique_ptr<Caller> m_alpha;
+};
+
+std::string statement(const std::string& sql, bool isWrite = false)
+{
+    return Json { { "sql", sql }, { "write", isWrite } }.dump();
+}
+
+}
+
+// Guards against a history checker that lets lost, doubled or wrongly refused writes pass.
+TEST(SessionHistoryTest, findsFaults)
+{
+    SessionHistory history;
+    history.recordWrite(1, "done");
+    history.recordWrite(2, "done");
+    history.recordWrite(3, "not_run");
+    history.recordWrite(4, "unknown");
+    EXPECT_TRUE(history.check("1,2,").empty());
+    EXPECT_TRUE(history.check("1,2,4,").empty());
+    EXPECT_EQ(history.check("1,").size(), 1U) << "lost";
+    EXPECT_EQ(history.check("1,2,2,").size(), 1U) << "doubled";
+    EXPECT_EQ(history.check("1,2,3,").size(), 1U) << "refused, but run";
+    EXPECT_EQ(history.check("1,2,4,4,").size(), 1U) << "unknown, and run twice";
+    EXPECT_EQ(history.check("1,2,9,").size(), 1U) << "never written";
+    history.recordRead("1,");
+    EXPECT_EQ(history.check("1,2,").size(), 1U) << "read without the session's own write";
+}
+
+// Guards against reads that miss the session's own write after it moved to another host.
+TEST_F(IntegrationTest, sessionReadsItsWritesOnEveryHost)
+{
+    startFleet({ .lagMs = 200 });
+    for (int index = 0; index < Fleet::size; ++index)
+        m_fleet->controlDatabase(index, { { "watchedText", Fleet::keyOf("alpha") } });
+    for (int round = 1; round <= 6; ++round) {
+        const Reply written = m_alpha->write(m_fleet->host(round % 3), "PUT k " + std::to_string(round));
+        ASSERT_EQ(written.outcome(), "done") << written.text;
+        for (int index = 0; index < Fleet::size; ++index) {
+            const Reply read = m_alpha->read(m_fleet->host(index), "GET k");
+            EXPECT_EQ(valueOf(read), std::to_string(round)) << read.text;
+        }
+    }
+    Caller other("");
+    other.route = "public";
+    EXPECT_TRUE(other.read(m_fleet->host(1), "GET k", { .maxAgeMs = 10000 }).isDone());
+    for (int index = 0; index < Fleet::size; ++index) {
+        const Json state = m_fleet->controlDatabase(index);
+        EXPECT_EQ(state["watchedRequests"], 0) << "an upstream saw a caller's key";
+        EXPECT_EQ(state["mixedStatements"], 0);
+        EXPECT_EQ(state["refusedConnections"], 0);
+    }
+}
+
+// Guards against wrong codes, and against refusals whose statement ran nevertheless.
+TEST_F(IntegrationTest, refusesWithTheCodesOfTheTable)
+{
+    startFleet({ .openTransactions = 2, .transactionIdleMs = 500 });
+    const std::string host = m_fleet->host(0);
+    const auto expectCode = [](const Reply& reply, const std::string& code, int status) {
+        EXPECT_EQ(reply.code(), code) << reply.text;
+        EXPECT_EQ(reply.status, status);
+        EXPECT_EQ(reply.outcome(), code == "outcome_unknown" ? "unknown" : "not_run");
+    };
+    const std::string put = statement("PUT refused 1", true);
+    const auto post = [&](Caller& caller, const std::string& path, const std::string& body,
+                          std::vector<std::string> headers = {}) {
+        return caller.post(host, path, body, {}, std::move(headers));
+    };
+    Caller nobody("");
+    Caller wrongKey("wrong-key");
+    Caller beta(Fleet::keyOf("beta"));
+    Caller small(Fleet::keyOf("small"));
+    expectCode(post(*m_alpha, "main/statement", "{"), "invalid_request", 400);
+    expectCode(post(*m_alpha, "main/statement", statement(std::string(1100000, 'x'))), "body_too_large", 413);
+    expectCode(post(*m_alpha, "main/statement", put, { "X-Large: " + std::string(17000, 'x') }),
+        "headers_too_large", 431);
+    expectCode(post(nobody, "main/statement", put), "key_missing", 401);
+    expectCode(post(wrongKey, "main/statement", put), "key_invalid", 401);
+    expectCode(post(beta, "main/statement", put), "route_forbidden", 403);
+    expectCode(post(*m_alpha, "nowhere/statement", put), "route_unknown", 404);
+    expectCode(post(*m_alpha, "main/statement", put, { "Parsleytack-Request-Id: 1000000000-old" }),
+        "request_id_expired", 409);
+    expectCode(post(*m_alpha, "main/statement", statement("FAIL", true)), "statement_failed", 422);
+    expectCode(post(*m_alpha, "main/transaction/none/commit", ""), "transaction_unknown", 404);
+    small.write(host, "PUT small 1");
+    small.write(host, "PUT small 2");
+    Reply limited;
+    for (int attempt = 0; attempt < 4 && limited.code().empty(); ++attempt)
+        limited = small.write(host, "PUT refused 1");
+    expectCode(limited, "rate_limited", 429);
+
+    Caller forger(Fleet::keyOf("alpha"));
+    forger.token = "forged";
+    expectCode(post(forger, "main/statement", put), "session_token_invalid", 400);
+    // A position of a term that no primary has reached, as after the loss of all databases.
+    Session::SessionToken lost { "alpha", {}, { { "orders", { UINT64_MAX / 2, 1 } } } };
+    forger.token = Session::encodeToken(lost, Session::deriveTokenKeys(Fleet::fleetSecret, { "k1" }));
+    expectCode(forger.read(host, "GET k"), "session_position_lost", 409);
+
+    const std::string path
+        = "main/transaction/" + post(*m_alpha, "main/transaction", "").body.value("transaction", "");
+    EXPECT_TRUE(post(*m_alpha, "main/transaction", "").isDone());
+    expectCode(post(*m_alpha, "main/transaction", ""), "too_many_transactions", 429);
+    const Reply changed = post(*m_alpha, path, put);
+    EXPECT_TRUE(changed.isDone()) << changed.text;
+    ASSERT_TRUE(waitUntil(
+        [&] { return m_fleet->controlDatabase(m_fleet->primary().value_or(0))["openTransactions"] == 0; }));
+    const Reply late = post(*m_alpha, path + "/commit", "");
+    EXPECT_TRUE(late.code() == "transaction_unknown" || late.code() == "transaction_aborted") << late.text;
+    EXPECT_EQ(m_fleet->readFinal("refused"), "");
+}
+
+// Guards against late or lost answers that reach another request, and against a second run of a request id.
+TEST_F(IntegrationTest, answersReachTheirOwnRequests)
+{
+    startFleet();
+    const int primary = m_fleet->primary().value_or(0);
+    m_fleet->controlLink(primary, { { "holdAnswers", 2 }, { "match", "INCR held" } });
+    const auto increment = [this](int host) {
+        Caller caller(Fleet::keyOf("alpha"));
+        return caller.write(m_fleet->host(host), "INCR held" + std::to_string(host)).body;
+    };
+    auto first = std::async(std::launch::async, increment, 0);
+    auto second = std::async(std::launch::async, increment, 1);
+    for (const Json& body : { first.get(), second.get() })
+        EXPECT_EQ(body["result"]["result"], 1) << body;
+
+    const Json loss { { "loseAnswers", 1 }, { "match", "INCR" } };
+    m_fleet->controlLink(primary, loss);
+    const Reply lost = m_alpha->write(m_fleet->host(0), "INCR unknown");
+    EXPECT_EQ(lost.code(), "outcome_unknown") << lost.text;
+    EXPECT_EQ(m_fleet->readFinal("unknown"), "1");
+    m_fleet->controlLink(primary, loss);
+    const Caller::Options options { .requestId = makeRequestId("once") };
+    for (int host = 0; host < Fleet::size; ++host) {
+        const Reply repeated = m_alpha->write(m_fleet->host(host), "INCR once", options);
+        EXPECT_TRUE(repeated.isDone() || repeated.code() == "outcome_unknown") << repeated.text;
+    }
+    EXPECT_EQ(m_fleet->readFinal("once"), "1");
+}
+
+// Guards against requests that a graceful shutdown interrupts.
+TEST_F(IntegrationTest, drainInterruptsNoRequest)
+{
+    startFleet();
+    const int leaving = owner();
+    const auto workload = startWorkload({ .sessions = 8 });
+    ASSERT_TRUE(workload->waitForWrites(100));
+    m_fleet->hostProcess(leaving).signal(SIGTERM);
+    EXPECT_EQ(m_fleet->hostProcess(leaving).waitForExit(), 0);
+    EXPECT_TRUE(workload->waitForWrites(100));
+    expectConsistent(*workload);
+    EXPECT_EQ(workload->counts()["no_answer"], 0);
+    EXPECT_EQ(workload->counts()["outcome_unknown"], 0);
+}
+
+// Guards against lost writes and a long gap when the primary's process ends.
+TEST_F(IntegrationTest, primaryKilled)
+{
+    startFleet();
+    expectFailover([this](int primary) { m_fleet->database(primary).kill(); });
+}
+
+// Guards against writes that a paused primary acknowledges after it was replaced.
+TEST_F(IntegrationTest, primaryFrozenAndResumed)
+{
+    startFleet();
+    expectFailover([this](int primary) {
+        m_fleet->database(primary).signal(SIGSTOP);
+        std::thread([this, primary] {
+            waitUntil([&] { return m_fleet->primary().value_or(primary) != primary; });
+            m_fleet->database(primary).signal(SIGCONT);
+        }).join();
+    });
+}
+
+// Guards against writes that are acknowledged although the primary's answers are lost in one direction.
+TEST_F(IntegrationTest, primaryAnswersOneSideOnly)
+{
+    startFleet();
+    int old = -1;
+    expectFailover([&](int primary) {
+        old = primary;
+        m_fleet->controlLink(primary, { { "cutToClient", true } });
+    });
+    m_fleet->controlLink(old, { { "cutToClient", false } });
+}
+
+// Guards against acknowledgements by a primary that its replicas no longer follow.
+TEST_F(IntegrationTest, primaryCutOffFromReplicasAcknowledgesNothing)
+{
+    startFleet();
+    const auto workload = startWorkload();
+    ASSERT_TRUE(workload->waitForWrites(50));
+    const int primary = m_fleet->primary().value_or(0);
+    m_fleet->controlDatabase(primary, { { "cutOff", true } });
+    // The old primary keeps answering the owner. Its entries must not count as acknowledged.
+    std::this_thread::sleep_for(milliseconds(2000));
+    m_fleet->controlDatabase(primary, { { "cutOff", false } });
+    EXPECT_TRUE(workload->waitForWrites(50));
+    expectConsistent(*workload);
+}
+
+// Guards against requests that hang for good on connections that went silent.
+TEST_F(IntegrationTest, silentConnectionsAreReplaced)
+{
+    startFleet();
+    const auto workload = startWorkload();
+    ASSERT_TRUE(workload->waitForWrites(50));
+    m_fleet->controlLink(-1, { { "freezeExisting", true } });
+    EXPECT_TRUE(workload->waitForWrites(100));
+    expectConsistent(*workload);
+    EXPECT_LT(workload->longestGap(), failoverBound);
+}
+
+// Guards against effects of a transaction whose host died, and against slots that it keeps.
+TEST_F(IntegrationTest, hostKilledInTransaction)
+{
+    startFleet({ .transactionIdleMs = 2000 });
+    const int killed = owner();
+    const int other = (killed + 1) % Fleet::size;
+    const Reply begun = m_alpha->post(m_fleet->host(other), "main/transaction", "", {});
+    ASSERT_TRUE(begun.isDone()) << begun.text;
+    const std::string path = "main/transaction/" + begun.body.value("transaction", "");
+    ASSERT_TRUE(m_alpha->post(m_fleet->host(other), path, statement("PUT half 1", true), {}).isDone());
+    m_fleet->endHost(killed);
+    const Reply commit = m_alpha->post(m_fleet->host(other), path + "/commit", "", {});
+    EXPECT_FALSE(commit.isDone()) << commit.text;
+    EXPECT_TRUE(waitUntil([&] { return m_alpha->write(m_fleet->host(other), "PUT after 1").isDone(); }));
+    EXPECT_EQ(m_alpha->post(m_fleet->host(other), path + "/commit", "", {}).code(), "transaction_unknown");
+    EXPECT_EQ(m_fleet->readFinal("half"), "");
+    m_fleet->startHost(killed);
+    EXPECT_TRUE(m_fleet->waitUntilServing(killed));
+}
+
+// Guards against a service that needs the store to replace a primary.
+TEST_F(IntegrationTest, failoverWithoutTheStore)
+{
+    startFleet();
+    m_fleet->controlStore({ { "outage", "hang" } });
+    expectFailover([this](int primary) { m_fleet->database(primary).kill(); });
+    m_fleet->controlStore({ { "outage", "none" } });
+}
+
+// Guards against withdrawn keys that connected callers can still use.
+TEST_F(IntegrationTest, withdrawnKeyStopsOnOpenConnections)
+{
+    startFleet();
+    std::array<Caller, 3> callers { Caller("alpha-key"), Caller("alpha-key"), Caller("alpha-key") };
+    const std::string path = "main/transaction/"
+        + callers[0].post(m_fleet->host(0), "main/transaction", "", {}).body.value("transaction", "");
+    EXPECT_TRUE(callers[0].post(m_fleet->host(0), path, statement("PUT revoked 1", true), {}).isDone());
+    Json document = m_fleet->document;
+    document["keys"][0]["state"] = "withdrawn";
+    ASSERT_TRUE(m_fleet->publish(document));
+    const auto withdrawn = Clock::now();
+    for (int index = 0; index < Fleet::size; ++index) {
+        EXPECT_TRUE(waitUntil(
+            [&] { return callers[index].read(m_fleet->host(index), "GET ready").code() == "key_invalid"; }));
+    }
+    EXPECT_LT(Clock::now() - withdrawn, configurationBound);
+    EXPECT_TRUE(waitUntil([&] {
+        return m_fleet->controlDatabase(m_fleet->primary().value_or(0))["openTransactions"] == 0;
+    })) << "the transaction of the withdrawn key is still open";
+    EXPECT_EQ(m_fleet->readFinal("revoked"), "");
+}
+
+// Guards against new work in an availability zone that is out, and against loss while it goes and returns.
+TEST_F(IntegrationTest, availabilityZoneOutAndIn)
+{
+    startFleet();
+    const auto workload = startWorkload();
+    ASSERT_TRUE(workload->waitForWrites(50));
+    // The zone of the primary, so that it has to move as well.
+    const int primary = m_fleet->primary().value_or(0);
+    const int inside = primary == 1 ? 1 : 0;
+    Json document = m_fleet->document;
+    document["zones"][inside]["state"] = "out";
+    ASSERT_TRUE(m_fleet->publish(document));
+    const auto changed = Clock::now();
+    Caller caller(Fleet::keyOf("alpha"));
+    EXPECT_TRUE(
+        waitUntil([&] { return caller.read(m_fleet->host(inside), "GET ready").code() == "zone_out"; }));
+    EXPECT_TRUE(waitUntil([&] { return m_fleet->primary().value_or(primary) != primary; }));
+    EXPECT_LT(Clock::now() - changed, configurationBound);
+    EXPECT_TRUE(workload->waitForWrites(50));
+    ASSERT_TRUE(m_fleet->publish(m_fleet->document));
+    EXPECT_TRUE(m_fleet->waitUntilServing(inside));
+    EXPECT_TRUE(waitUntil([&] { return caller.read(m_fleet->host(inside), "GET ready").isDone(); }));
+    EXPECT_TRUE(workload->waitForWrites(50));
+    expectConsistent(*workload);
+}
+
+// Guards against processes that join or read without the fleet's key.
+TEST_F(IntegrationTest, strangerIsNotAdmitted)
+{
+    startFleet();
+    std::array<char, 41> publicKey {};
+    std::array<char, 41> secretKey {};
+    zmq_curve_keypair(publicKey.data(), secretKey.data());
+    const ReservedPort port;
+    Transport::PeerTransport stranger(
+        { port.address(), "stranger", 1, publicKey.data(), secretKey.data() }, nullptr);
+    ASSERT_FALSE(stranger.start());
+    std::promise<Transport::ReplyStatus> answer;
+    Wire::Envelope message;
+    message.mutable_ping();
+    stranger.request(m_fleet->peerAddress(0), message, std::chrono::seconds(3),
+        [&](Transport::ReplyStatus status, const Wire::Envelope*) { answer.set_value(status); });
+    EXPECT_NE(answer.get_future().get(), Transport::ReplyStatus::Answered);
+    stranger.stop();
+    // Bytes of another protocol must not harm the host either.
+    fetch("POST", m_fleet->peerAddress(0), "/", std::string(100000, 'x'));
+    EXPECT_TRUE(m_alpha->write(m_fleet->host(0), "PUT after 1").isDone());
+}
--- a/tests/standins/database/member.cpp
+++ b/tests/standins/database/member.cpp
@@ -413,6 +413,11 @@
     answer["rolledBack"] = m_rolledBack;
     answer["mixedStatements"] = m_mixedStatements;
     answer["watchedRequests"] = m_watchedRequests;
+    answer["role"] = m_isPrimary ? "primary" : "replica";
+    if (const auto key = request.query.find("key"); key != request.query.end()) {
+        const auto found = m_log.table().find(key->second);
+        answer["value"] = found == m_log.table().end() ? "" : found->second;
+    }
     if (request.query.contains("log")) {
         answer["log"] = Json::array();
         for (const Entry& entry : m_log.entries())
