--- a/src/libs/daemon/operatorservice.cpp
+++ b/src/libs/daemon/operatorservice.cpp
@@ -1,7 +1,5 @@
 #include "daemon/operatorservice.h"
 
-#include "core/catalog/check.h"
-#include "core/catalog/checkchange.h"
 #include "core/catalog/parsedocument.h"
 #include "crypto/base64url.h"
 #include "crypto/randombytes.h"
@@ -57,14 +55,9 @@
 Catalog::Faults OperatorService::faultsOf(
     const Catalog::Document& document, std::uint64_t expectedVersion) const
 {
-    Catalog::Faults faults = Catalog::check(document);
-    if (!faults.empty() || expectedVersion == 0)
-        return faults;
+    Catalog::Faults faults;
     m_catalog.withAdoption([&](const Catalog::Adoption& adoption) {
-        // With another version in force, the publication itself reports the conflict.
-        if (adoption.currentVersion() == expectedVersion)
-            faults = Catalog::checkChange(
-                adoption.current()->document(), document, adoption.memberChanges(), steadyNow());
+        faults = adoption.checkNext(document, expectedVersion, steadyNow());
     });
     return faults;
 }
@@ -126,7 +119,7 @@
     std::vector<Admin::HistoryEntry> entries;
     m_catalog.withAdoption([&entries](const Catalog::Adoption& adoption) {
         for (const Catalog::HistoryStep& step : adoption.history().steps())
-            entries.push_back({ step.version, step.hash, step.nonce, step.objectIds });
+            entries.push_back({ step.version, step.hash, step.nonce, step.objectIds, step.fromVersion });
     });
     std::ranges::reverse(entries);
     return entries;
