--- a/src/libs/gateway/callerserver.cpp
+++ b/src/libs/gateway/callerserver.cpp
@@ -3,7 +3,6 @@
 #include <array>
 #include <cstring>
 #include <sstream>
-#include <thread>
 
 #include <arpa/inet.h>
 #include <microhttpd.h>
@@ -17,9 +16,6 @@
 
 namespace {
 
-    /// From the end of accepting until the connections are closed.
-    constexpr std::chrono::milliseconds closeQuietTime { 200 };
-    constexpr std::chrono::milliseconds maxCloseTime { 2000 };
     constexpr std::size_t maxHeaderBytes = 16UL * 1024;
     // The HTTP library answers for itself above this size, so it is well above our own limit.
     constexpr std::size_t connectionMemoryBytes = 40UL * 1024;
@@ -175,14 +171,6 @@
     if (!m_d->isStarted)
         return;
     m_d->isStarted = false;
-    // Requests on connections that were accepted shortly before are still read and answered.
-    const MHD_socket listener = MHD_quiesce_daemon(m_d->instance.mhd_daemon);
-    if (listener != MHD_INVALID_SOCKET)
-        close(listener);
-    const auto deadline = std::chrono::steady_clock::now() + maxCloseTime;
-    do
-        std::this_thread::sleep_for(closeQuietTime);
-    while (m_d->runningCount > 0 && std::chrono::steady_clock::now() < deadline);
     ulfius_stop_framework(&m_d->instance);
     ulfius_clean_instance(&m_d->instance);
 }
