--- a/src/libs/gateway/callerserver.cpp
+++ b/src/libs/gateway/callerserver.cpp
@@ -5,7 +5,10 @@
 #include <sstream>
 
 #include <arpa/inet.h>
+#include <linux/filter.h>
 #include <microhttpd.h>
+#include <poll.h>
+#include <sys/socket.h>
 #include <ulfius.h>
 #include <unistd.h>
 
@@ -21,6 +24,27 @@
     constexpr std::size_t connectionMemoryBytes = 40UL * 1024;
     constexpr std::size_t largestBodyBytes = 16UL * 1024 * 1024;
     constexpr unsigned idleTimeoutSeconds = 120;
+    /// Longer than a round trip between a caller and a host.
+    constexpr std::chrono::milliseconds handshakeTime(200);
+    constexpr int handshakePollMs = 10;
+
+    /// Lets the kernel drop the first segment of each new connection; segments of begun handshakes pass.
+    void dropNewHandshakes(MHD_socket listener)
+    {
+        constexpr std::uint32_t flagsOffset = 13;
+        constexpr std::uint32_t synFlag = 0x02;
+        constexpr std::uint32_t passAll = 0xffffffff;
+        std::array<sock_filter, 4> program { {
+            BPF_STMT(BPF_LD | BPF_B | BPF_ABS, flagsOffset),
+            BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, synFlag, 0, 1),
+            BPF_STMT(BPF_RET | BPF_K, 0),
+            BPF_STMT(BPF_RET | BPF_K, passAll),
+        } };
+        const sock_fprog filter { static_cast<unsigned short>(program.size()), program.data() };
+        // Without the filter, a connection that begins at this moment may be reset; nothing else depends on
+        // it.
+        static_cast<void>(::setsockopt(listener, SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof filter));
+    }
 
     std::vector<std::string> splitPath(std::string_view path)
     {
@@ -90,6 +114,16 @@
         --static_cast<Private*>(self)->runningCount;
     }
 
+    void adopt(MHD_socket listener)
+    {
+        sockaddr_in peer {};
+        socklen_t size = sizeof peer;
+        const int connection = ::accept4(listener, reinterpret_cast<sockaddr*>(&peer), &size, SOCK_CLOEXEC);
+        // The HTTP library closes a connection that it does not take.
+        if (connection >= 0)
+            MHD_add_connection(instance.mhd_daemon, connection, reinterpret_cast<sockaddr*>(&peer), size);
+    }
+
     void handle(const _u_request& request, _u_response& response)
     {
         const auto parsed = parse(request);
@@ -155,8 +189,18 @@
 void CallerServer::stopAccepting()
 {
     const MHD_socket listener = MHD_quiesce_daemon(m_d->instance.mhd_daemon);
-    if (listener != MHD_INVALID_SOCKET)
-        ::close(listener);
+    if (listener == MHD_INVALID_SOCKET)
+        return;
+    // Closing the listener resets the connections in its backlog, which may hold requests already. So no new
+    // handshake begins, those that have begun are given time to end, and the backlog is taken over.
+    dropNewHandshakes(listener);
+    const auto end = std::chrono::steady_clock::now() + handshakeTime;
+    pollfd item { listener, POLLIN, 0 };
+    while (std::chrono::steady_clock::now() < end || ::poll(&item, 1, 0) > 0) {
+        if (::poll(&item, 1, handshakePollMs) > 0)
+            m_d->adopt(listener);
+    }
+    ::close(listener);
 }
 
 int CallerServer::connections() const
