Refuse work that reaches a group after its release

A request that came in just before the ownership moved was queued after the queue had been emptied.

Larger fleets read the live-host list and the roster less often: at 810 hosts the list alone would have been 15 KB a second for each host. The lease watch of the quota library was used by its tests only and moves there; the daemon uses the membership library's.

--- a/src/libs/core/quota/slotassignment.h
+++ b/src/libs/core/quota/slotassignment.h
@@ -60,7 +60,7 @@
         StoreContact contact = StoreContact::Isolated;
         HostState state = HostState::Serving;
         std::vector<KnownHost> hosts;
-        /// Holders whose lease counts as expired; see `LeaseWatch`.
+        /// Holders whose lease counts as expired; see `Membership::LeaseObserver`.
         std::vector<Holder> expiredLeases;
     };
     /// The changes to try now, given the rows as last read. To be called about once a second. A host without
--- a/src/libs/daemon/grouprunner.cpp
+++ b/src/libs/daemon/grouprunner.cpp
@@ -519,6 +519,9 @@
     const std::uint64_t id = item.id;
     if (m_isStopping)
         return makeError(ErrorCode::Draining);
+    // The ownership may have moved since the request came in; nothing would take it out of the queue then.
+    if (m_isReleased && waiter.kind != StatementKind::InTransaction)
+        return makeError(ErrorCode::NotOwner);
     if (!isKeyActive(request.keyName, request.customer))
         return makeError(ErrorCode::KeyInvalid);
     if (auto pushed = m_queue.push(std::move(item), now); !pushed)
--- a/src/libs/daemon/storelink.cpp
+++ b/src/libs/daemon/storelink.cpp
@@ -12,8 +12,12 @@
 namespace {
 
     constexpr std::chrono::milliseconds checkInterval(250);
+    /// The list and the roster grow with the fleet, and gossip carries the changes, so larger fleets read
+    /// them less often: at 810 hosts every two and every three minutes, which is below 1 KB/s a host.
     constexpr std::chrono::milliseconds liveHostsInterval(5000);
+    constexpr std::chrono::milliseconds liveHostsIntervalPerMember(150);
     constexpr std::chrono::milliseconds rosterReadInterval(30000);
+    constexpr std::chrono::milliseconds rosterReadIntervalPerMember(200);
     /// Longer than the check interval, so that rounds go on until the change of the roster is allowed.
     constexpr std::chrono::milliseconds contactRoundsTime(2000);
     constexpr auto rosterKey = "roster";
@@ -82,7 +86,7 @@
         const Model::Time now = steadyNow();
         if (now >= nextList) {
             readLiveHosts();
-            nextList = now + liveHostsInterval;
+            nextList = now + liveHostsInterval + liveHostsIntervalPerMember * m_peers.liveMembers().size();
         }
         bool isDue = false;
         {
@@ -120,7 +124,8 @@
         const auto row = m_store.row(rosterKey);
         if (!row)
             return;
-        m_nextRosterRead = askedAt + rosterReadInterval;
+        m_nextRosterRead
+            = askedAt + rosterReadInterval + rosterReadIntervalPerMember * m_peers.liveMembers().size();
         present = parseRoster(*row);
         m_peers.withContact([&](Membership::ContactTracker& contact) {
             contact.setRoster(present, askedAt, Membership::RosterSource::Store);
--- a/src/libs/core/quota/leasewatch.cpp
+++ b/tests/auto/core/quota/leasewatch.cpp
@@ -1,4 +1,4 @@
-#include "core/quota/leasewatch.h"
+#include "leasewatch.h"
 
 namespace Quota {
 
--- a/src/libs/core/quota/leasewatch.h
+++ b/tests/auto/core/quota/leasewatch.h
@@ -9,9 +9,10 @@
 
 namespace Quota {
 
-/// Watches the lease rows of other hosts. A lease counts as expired once its row was seen unchanged for
-/// `leasePeriod`, with the store reachable and a majority of the roster alive throughout. The time is that
-/// of the watching host only, so clocks need not agree.
+/// Stands in for the rule of the membership library (`Membership::LeaseObserver`), which this library does
+/// not depend on. Watches the lease rows of other hosts. A lease counts as expired once its row was seen
+/// unchanged for `leasePeriod`, with the store reachable and a majority of the roster alive throughout. The
+/// time is that of the watching host only, so clocks need not agree.
 ///
 /// Not thread-safe: the caller holds a mutex.
 class LeaseWatch {
--- a/tests/auto/core/quota/tst_slotassignment.cpp
+++ b/tests/auto/core/quota/tst_slotassignment.cpp
@@ -1,7 +1,7 @@
 #include "../seeds.h"
 #include "core/quota/holderlease.h"
-#include "core/quota/leasewatch.h"
 #include "core/quota/slotassignment.h"
+#include "leasewatch.h"
 
 #include <algorithm>
 #include <array>
