Wait for gossip before the first roster; test more refusals and races

A host that started first wrote a roster of itself alone. For the 4 s until the next roster it was a majority of that, so that it served keys through a store outage with all other hosts gone; the new test of an isolated host found it. The first roster now waits 3 s, and without a roster an outage leads to isolation.

New tests with real processes: queue_full, deadline_exceeded, no_primary, isolated, not_ready, store_unavailable, version_conflict, check_failed, two operators that race, and a publication whose answer is lost. What a group takes from the catalogue has a file of its own.

--- a/src/libs/daemon/grouprunner.cpp
+++ b/src/libs/daemon/grouprunner.cpp
@@ -1,6 +1,7 @@
 #include "daemon/grouprunner.h"
 
 #include "daemon/clock.h"
+#include "daemon/groupconfig.h"
 #include "logging/log.h"
 #include "logging/span.h"
 
@@ -26,9 +27,6 @@
     constexpr milliseconds tickInterval(20);
     constexpr milliseconds openTimeout(1000);
     constexpr milliseconds pingTimeout(500);
-    /// Connections of an upstream that stay free of statements: the position poll, single calls, and one that
-    /// a former owner or a promotion may hold at the same time.
-    constexpr std::int64_t reservedConnections = 3;
     /// How often a statement that did not reach its upstream is queued again.
     constexpr int maxAttempts = 5;
     constexpr milliseconds pauseAfterStaleTerm(20);
@@ -57,39 +55,6 @@
         InTransaction,
     };
 
-    std::vector<Replication::Member> membersOf(const Catalog::Snapshot& catalog, const std::string& service)
-    {
-        std::vector<Replication::Member> members;
-        const Catalog::ServiceEntry* entry = catalog.findService(service);
-        if (!entry)
-            return members;
-        for (const Catalog::Upstream* upstream : entry->upstreams) {
-            Replication::Member member { upstream->name, upstream->zone,
-                static_cast<std::uint32_t>(upstream->slots) };
-            if (upstream->state == Catalog::UpstreamState::Leaving)
-                member.state = Replication::MemberState::Leaving;
-            else if (!catalog.isZoneIn(upstream->zone))
-                member.state = Replication::MemberState::ZoneOut;
-            members.push_back(std::move(member));
-        }
-        return members;
-    }
-
-    UpstreamConfig configOf(const Catalog::Snapshot& catalog, const Catalog::Upstream& upstream)
-    {
-        UpstreamConfig config { upstream.name, upstream.address, upstream.zone, {} };
-        config.pool.maxConnections
-            = static_cast<int>(std::max<std::int64_t>(upstream.connections - reservedConnections, 1));
-        config.pool.slots = static_cast<int>(upstream.slots);
-        config.pool.idleTransactionTimeout = milliseconds(catalog.limits().transactionIdleMs);
-        const bool isUsable
-            = upstream.state == Catalog::UpstreamState::Active && catalog.isZoneIn(upstream.zone);
-        config.state = isUsable ? Scheduling::UpstreamState::Active : Scheduling::UpstreamState::NoNewWork;
-        using ZoneState = Scheduling::Ramp::ZoneState;
-        config.zoneState = catalog.isZoneIn(upstream.zone) ? ZoneState::In : ZoneState::Out;
-        return config;
-    }
-
 }
 
 /// A request that waits for a connection. Lives on the stack of the thread that runs it.
@@ -141,7 +106,7 @@
 GroupRunner::GroupRunner(GroupContext context, Catalog::SnapshotPointer catalog)
     : m_context(std::move(context))
     , m_catalog(std::move(catalog))
-    , m_group(membersOf(*m_catalog, m_context.service), steadyNow())
+    , m_group(groupMembers(*m_catalog, m_context.service), steadyNow())
     , m_queue(static_cast<std::size_t>(m_catalog->limits().queuedPerCustomer))
     , m_transactions(m_context.transactionPrefix)
     , m_monitor(
@@ -168,11 +133,7 @@
 
 void GroupRunner::configure(Catalog::SnapshotPointer catalog)
 {
-    std::map<std::string, std::string> addresses;
-    if (const Catalog::ServiceEntry* entry = catalog->findService(m_context.service)) {
-        for (const Catalog::Upstream* upstream : entry->upstreams)
-            addresses.emplace(upstream->name, upstream->address);
-    }
+    const std::map<std::string, std::string> addresses = upstreamAddresses(*catalog, m_context.service);
     {
         const std::lock_guard lock(m_mutex);
         m_catalog = std::move(catalog);
@@ -185,7 +146,7 @@
 
 void GroupRunner::applyCatalog(Time now)
 {
-    m_group.replaceMembers(membersOf(*m_catalog, m_context.service), now);
+    m_group.replaceMembers(groupMembers(*m_catalog, m_context.service), now);
     m_queue.setMaxItemsPerCustomer(static_cast<std::size_t>(m_catalog->limits().queuedPerCustomer));
     for (const Catalog::Customer& customer : m_catalog->document().customers)
         m_queue.setWeight(customer.name, static_cast<std::uint32_t>(customer.weight));
@@ -194,7 +155,7 @@
     for (const Catalog::Upstream* upstream :
         entry ? entry->upstreams : std::vector<const Catalog::Upstream*>()) {
         wanted.push_back(upstream->name);
-        UpstreamConfig config = configOf(*m_catalog, *upstream);
+        UpstreamConfig config = upstreamConfig(*m_catalog, *upstream);
         if (m_isReleased)
             config.state = Scheduling::UpstreamState::NoNewWork;
         UpstreamLink* link = find(upstream->name);
--- a/src/libs/daemon/storelink.cpp
+++ b/src/libs/daemon/storelink.cpp
@@ -17,6 +17,9 @@
     constexpr std::chrono::milliseconds liveHostsInterval(5000);
     constexpr std::chrono::milliseconds liveHostsIntervalPerMember(150);
     constexpr std::chrono::milliseconds rosterReadInterval(30000);
+    /// The first roster waits for gossip with the hosts that start at the same time. A host alone in the
+    /// roster is a majority of it, and would serve keys through a store outage although it is cut off.
+    constexpr std::chrono::milliseconds firstRosterDelay(3000);
     constexpr std::chrono::milliseconds rosterReadIntervalPerMember(200);
     /// Longer than the check interval, so that rounds go on until the change of the roster is allowed.
     constexpr std::chrono::milliseconds contactRoundsTime(2000);
@@ -40,6 +43,7 @@
     , m_incarnation(incarnation)
     , m_peers(peers)
     , m_store(storeAddress)
+    , m_startedAt(steadyNow())
 {
 }
 
@@ -134,7 +138,7 @@
     const auto next = Membership::nextRoster(present, m_peers.allMembers(), m_host);
     if (!next)
         return;
-    bool isAllowed = present.version == 0;
+    bool isAllowed = present.version == 0 && askedAt - m_startedAt >= firstRosterDelay;
     m_peers.withContact([&](Membership::ContactTracker& contact) {
         contact.requestRounds(askedAt + contactRoundsTime);
         isAllowed = isAllowed || contact.rosterChangeAllowed(askedAt);
--- a/src/libs/daemon/storelink.h
+++ b/src/libs/daemon/storelink.h
@@ -43,6 +43,7 @@
     std::mutex m_leaseMutex;
     Membership::HostLease m_lease;
     std::uint64_t m_renewalCounter = 0;
+    const Model::Time m_startedAt;
     Model::Time m_nextRosterRead;
     std::mutex m_stopMutex;
     std::condition_variable m_stopped;
--- a/tests/auto/integration/fleet.cpp
+++ b/tests/auto/integration/fleet.cpp
@@ -234,6 +234,13 @@
     return fetch("GET", address, "/_control?key=" + key).body.value("value", "");
 }
 
+Reply Fleet::operate(
+    int index, const std::string& method, const std::string& path, const std::string& body) const
+{
+    return fetch(method, m_hostPorts[index].operators.address(), path, body,
+        { std::string("Authorization: Bearer ") + operatorSecret });
+}
+
 bool Fleet::publish(const Json& changed) const
 {
     const auto parsed = Catalog::parseDocument(changed.dump());
--- a/tests/auto/integration/tst_integration.cpp
+++ b/tests/auto/integration/tst_integration.cpp
@@ -191,6 +191,110 @@
     EXPECT_EQ(m_fleet->readFinal("refused"), "");
 }
 
+// Guards against refusals under overload that are not true, or that hang instead of being told.
+TEST_F(IntegrationTest, refusesWhatItCannotServeInTime)
+{
+    startFleet({ .queuedPerCustomer = 1 });
+    const std::string host = m_fleet->host(0);
+    // Two statements occupy the slots of the primary, one waits, the others find the queue full.
+    std::vector<std::future<std::string>> writes;
+    for (int index = 0; index < 8; ++index) {
+        writes.push_back(std::async(std::launch::async, [&host] {
+            Caller caller(Fleet::keyOf("alpha"));
+            return caller.write(host, "SLEEP 1500", { .timeoutMs = 700 }).code();
+        }));
+    }
+    std::map<std::string, int> codes;
+    for (auto& write : writes)
+        ++codes[write.get()];
+    EXPECT_GE(codes["queue_full"], 1);
+    EXPECT_GE(codes["deadline_exceeded"], 1);
+    EXPECT_GE(codes["outcome_unknown"], 1);
+    // Without a majority there is no primary, and nothing is written.
+    const int primary = m_fleet->primary().value_or(0);
+    m_fleet->database(primary).kill();
+    m_fleet->database((primary + 1) % Fleet::size).kill();
+    Reply refused;
+    EXPECT_TRUE(waitUntil([&] {
+        refused = m_alpha->write(host, "PUT refused 1", { .timeoutMs = 1000 });
+        return refused.code() == "no_primary";
+    })) << refused.text;
+    EXPECT_EQ(refused.outcome(), "not_run");
+}
+
+// Guards against a host that serves keys although it can no longer learn of their withdrawal.
+TEST_F(IntegrationTest, isolatedHostRefusesKeys)
+{
+    startFleet();
+    const std::string host = m_fleet->host(0);
+    ASSERT_TRUE(waitUntil([this] {
+        const Json row = m_fleet->controlStore(Json::object())["rows"].value("roster", Json::object());
+        return Json::parse(row.value("value", "{}")).value("names", Json::array()).size() == Fleet::size;
+    })) << "the roster does not name all hosts";
+    m_fleet->controlStore({ { "outage", "refuse" } });
+    m_fleet->hostProcess(1).kill();
+    m_fleet->hostProcess(2).kill();
+    Reply reply;
+    EXPECT_TRUE(waitUntil([&] {
+        reply = m_alpha->read(host, "GET k");
+        return reply.code() == "isolated";
+    })) << reply.text;
+    EXPECT_EQ(m_fleet->operate(0, "GET", "/readyz").status, 503);
+    Caller anybody("");
+    anybody.route = "public";
+    EXPECT_TRUE(waitUntil([&] { return anybody.read(host, "GET k").isDone(); }));
+    const Reply publication
+        = m_fleet->operate(0, "PUT", "/v1/document?expected=1&nonce=n", Json(m_fleet->document).dump());
+    EXPECT_EQ(publication.code(), "store_unavailable") << publication.text;
+    // A host that starts now cannot know the configuration.
+    m_fleet->endHost(0);
+    m_fleet->startHost(0);
+    Caller fresh(Fleet::keyOf("alpha"));
+    EXPECT_TRUE(waitUntil([&] {
+        reply = fresh.read(host, "GET k");
+        return reply.code() == "not_ready";
+    })) << reply.text;
+    m_fleet->controlStore({ { "outage", "none" } });
+    EXPECT_TRUE(waitUntil([&] { return fresh.read(host, "GET k").isDone(); }));
+}
+
+// Guards against two operators who both believe that they published, and a wrong word after a lost answer.
+TEST_F(IntegrationTest, operatorsRaceAndLoseAnswers)
+{
+    startFleet();
+    EXPECT_EQ(m_fleet->operate(0, "GET", "/healthz").status, 200);
+    EXPECT_NE(
+        m_fleet->operate(0, "GET", "/metrics").text.find("parsleytack_requests_total"), std::string::npos);
+    const auto publish = [this](int host, int weight, int expected, const std::string& nonce) {
+        Json document = m_fleet->document;
+        document["customers"][0]["weight"] = weight;
+        return m_fleet->operate(host, "PUT",
+            "/v1/document?expected=" + std::to_string(expected) + "&nonce=" + nonce, document.dump());
+    };
+    auto first = std::async(std::launch::async, publish, 0, 2, 1, "first");
+    const Reply second = publish(1, 3, 1, "second");
+    const Reply other = first.get();
+    EXPECT_NE(other.isDone(), second.isDone()) << other.text << second.text;
+    const Reply& loser = other.isDone() ? second : other;
+    EXPECT_EQ(loser.code(), "version_conflict");
+    EXPECT_EQ(loser.body.value("version", 0), 2);
+    const auto start = Clock::now();
+    for (int host = 0; host < Fleet::size; ++host) {
+        EXPECT_TRUE(waitUntil(
+            [&] { return m_fleet->operate(host, "GET", "/v1/document").body.value("version", 0) == 2; }));
+    }
+    EXPECT_LT(Clock::now() - start, configurationBound);
+    m_fleet->controlStore({ { "loseAnswers", 1 }, { "loseKeyPrefix", "catalog/" } });
+    const Reply lost = publish(2, 4, 2, "third");
+    EXPECT_TRUE(lost.isDone()) << lost.text;
+    EXPECT_EQ(lost.body.value("version", 0), 3);
+    Json wrong = m_fleet->document;
+    wrong["services"][0]["upstreams"][0] = "nowhere";
+    const Reply faulty = m_fleet->operate(0, "PUT", "/v1/document?expected=3&nonce=x", wrong.dump());
+    EXPECT_EQ(faulty.code(), "check_failed");
+    EXPECT_NE(faulty.text.find("nowhere"), std::string::npos);
+}
+
 // Guards against late or lost answers that reach another request, and against a second run of a request id.
 TEST_F(IntegrationTest, answersReachTheirOwnRequests)
 {
