Carry the validity of a draw between hosts; word the slot events

The message left the validity out, so that holders counted each grant with the longest one: safe, but grants for waiting requests kept their bucket from refilling for 1.5 s. A reply wakes the drawing thread only when less was granted than wanted.

--- a/src/libs/daemon/drawmessages.cpp
+++ b/src/libs/daemon/drawmessages.cpp
@@ -13,6 +13,15 @@
 
     bool isAmount(std::uint64_t amount) { return amount <= largestAmount; }
 
+    /// A message without a validity counts with the longest one, which is the safe side for the holder.
+    Model::Duration validityOf(const Wire::Draw& draw)
+    {
+        const auto longest = static_cast<std::uint64_t>(Quota::maxGrantValidity.count());
+        const std::uint64_t stated
+            = draw.validity_us() == 0 ? longest : std::min(draw.validity_us(), longest);
+        return Model::Duration(static_cast<std::int64_t>(stated));
+    }
+
     bool isValid(const Wire::Draw& draw)
     {
         return isAmount(draw.wanted())
@@ -31,6 +40,7 @@
         Wire::Draw* added = message.add_draws();
         added->set_customer(draw.customer);
         added->set_wanted(static_cast<std::uint64_t>(draw.wanted));
+        added->set_validity_us(static_cast<std::uint64_t>(draw.validity.count()));
         for (const Quota::GrantReport& report : draw.reports) {
             Wire::GrantReport* addedReport = added->add_reports();
             addedReport->set_grant(report.grant);
@@ -48,7 +58,8 @@
     for (const Wire::Draw& draw : message.draws()) {
         if (!isValid(draw))
             return std::nullopt;
-        Quota::Draw added { draw.customer(), static_cast<Quota::MicroTokens>(draw.wanted()), {} };
+        Quota::Draw added { draw.customer(), static_cast<Quota::MicroTokens>(draw.wanted()), validityOf(draw),
+            {} };
         for (const Wire::GrantReport& report : draw.reports())
             added.reports.push_back({ report.grant(), static_cast<Quota::MicroTokens>(report.spent()),
                 static_cast<Quota::MicroTokens>(report.returned()) });
--- a/src/libs/daemon/quotaservice.cpp
+++ b/src/libs/daemon/quotaservice.cpp
@@ -238,10 +238,10 @@
         return;
     {
         const std::lock_guard lock(m_mutex);
-        m_cache.reply(holder, *reply, steadyNow());
-        // A waiting request asks again, and the next holder is drawn from if that was not enough.
-        m_hasWaiting = true;
+        if (m_cache.reply(holder, *reply, steadyNow()) == TokenCache::ReplyEffect::PlanNow)
+            m_hasWaiting = true;
     }
+    m_wakeDraws.notify_all();
     m_granted.notify_all();
 }
 
--- a/src/libs/daemon/requestrouter.h
+++ b/src/libs/daemon/requestrouter.h
@@ -6,11 +6,9 @@
 #include "gateway/callerrequest.h"
 #include "metrics/registry.h"
 
-#include <atomic>
 #include <functional>
 #include <mutex>
 #include <optional>
-#include <random>
 #include <string>
 
 namespace Daemon {
--- a/src/libs/logging/eventid.cpp
+++ b/src/libs/logging/eventid.cpp
@@ -44,10 +44,11 @@
         { KeyWithdrawn, "key_withdrawn", Severity::Info, "a key was withdrawn" },
         { StoreUnavailable, "store_unavailable", Severity::Warning, "the platform's store does not answer" },
         { StoreRecovered, "store_recovered", Severity::Info, "the platform's store answers again" },
-        { SlotTaken, "slot_taken", Severity::Info, "the host became the holder of a quota slot" },
-        { SlotLost, "slot_lost", Severity::Warning, "another host took a quota slot" },
-        { SlotReleased, "slot_released", Severity::Info, "the host gave a quota slot back" },
-        { LeaseLapsed, "lease_lapsed", Severity::Warning, "the host lease could not be renewed in time" },
+        { SlotTaken, "slot_taken", Severity::Info, "the host became the holder of quota slots" },
+        { SlotLost, "slot_lost", Severity::Warning,
+            "the lease lapsed, so the quota slots are acquired again" },
+        { SlotReleased, "slot_released", Severity::Info, "the host gave quota slots back" },
+        { LeaseLapsed, "lease_lapsed", Severity::Warning, "a newer process of this host holds the lease" },
     } };
 
 }
--- a/tests/auto/daemon/tst_messages.cpp
+++ b/tests/auto/daemon/tst_messages.cpp
@@ -50,6 +50,18 @@
     EXPECT_FALSE(fromMessage(message, now));
 }
 
+// Guards against a holder that counts a grant for a shorter time than the entry host may spend it.
+TEST(DrawMessages, CarryTheValidityAndNeverShortenIt)
+{
+    Quota::DrawRequest request { 1, { { "acme", 5, std::chrono::milliseconds(200), {} } } };
+    EXPECT_EQ(fromMessage(toMessage(request))->draws[0].validity, std::chrono::milliseconds(200));
+    Wire::DrawRequest message;
+    message.add_draws();
+    EXPECT_EQ(fromMessage(message)->draws[0].validity, Quota::maxGrantValidity);
+    message.mutable_draws(0)->set_validity_us(UINT64_MAX);
+    EXPECT_EQ(fromMessage(message)->draws[0].validity, Quota::maxGrantValidity);
+}
+
 // Guards against amounts that create tokens by overflow.
 TEST(DrawMessages, RefuseAmountsOutOfRange)
 {
