--- a/tests/auto/integration/tst_integration.cpp
+++ b/tests/auto/integration/tst_integration.cpp
@@ -197,8 +197,10 @@
     startFleet({ .queuedPerCustomer = 1 });
     const std::string host = m_fleet->host(0);
     // Two statements occupy the slots of the primary, one waits, the others find the queue full.
+    constexpr int writers = 8;
     std::vector<std::future<std::string>> writes;
-    for (int index = 0; index < 8; ++index) {
+    writes.reserve(writers);
+    for (int index = 0; index < writers; ++index) {
         writes.push_back(std::async(std::launch::async, [&host] {
             Caller caller(Fleet::keyOf("alpha"));
             return caller.write(host, "SLEEP 1500", { .timeoutMs = 700 }).code();
