--- /dev/null
+++ b/src/libs/core/directory/view.cpp
@@ -0,0 +1,38 @@
+#include "core/directory/view.h"
+
+namespace Directory {
+
+bool View::adopt(std::shared_ptr<const Configuration> configuration)
+{
+    if (m_configuration && configuration->version <= m_configuration->version)
+        return false;
+    m_configuration = std::move(configuration);
+    return true;
+}
+
+void View::setUpstream(const Upstream& upstream) { m_upstreams.insert_or_assign(upstream.id, upstream); }
+
+void View::removeUpstream(const std::string& id) { m_upstreams.erase(id); }
+
+const Upstream* View::findUpstream(std::string_view id) const
+{
+    const auto found = m_upstreams.find(id);
+    return found == m_upstreams.end() ? nullptr : &found->second;
+}
+
+std::vector<const Upstream*> View::upstreamsOf(std::string_view service) const
+{
+    std::vector<const Upstream*> result;
+    for (const auto& [id, upstream] : m_upstreams) {
+        if (upstream.service == service)
+            result.push_back(&upstream);
+    }
+    return result;
+}
+
+bool View::takesWork(const Upstream& upstream) const
+{
+    return upstream.availability == Availability::Ready && !isZoneOut(upstream.zone);
+}
+
+}
--- /dev/null
+++ b/src/libs/core/directory/view.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "core/directory/configuration.h"
+#include "core/directory/upstream.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Directory {
+
+/// What a host knows of configuration, upstreams and zones taken out. Used on one thread.
+class View {
+public:
+    /// Puts a configuration in force unless one of the same or a higher version is. Returns whether it did.
+    bool adopt(std::shared_ptr<const Configuration> configuration);
+    /// Null until the first one was adopted.
+    const std::shared_ptr<const Configuration>& configuration() const { return m_configuration; }
+
+    /// Adds or replaces an upstream.
+    void setUpstream(const Upstream& upstream);
+    void removeUpstream(const std::string& id);
+    const Upstream* findUpstream(std::string_view id) const;
+    const std::map<std::string, Upstream, std::less<>>& upstreams() const { return m_upstreams; }
+    /// The upstreams of a service, by rising id.
+    std::vector<const Upstream*> upstreamsOf(std::string_view service) const;
+    /// Whether new work may be sent to the upstream.
+    bool takesWork(const Upstream& upstream) const;
+
+    void setZoneOut(const std::string& zone) { m_zonesOut.insert(zone); }
+    void setZoneIn(const std::string& zone) { m_zonesOut.erase(zone); }
+    bool isZoneOut(const std::string& zone) const { return m_zonesOut.contains(zone); }
+    const std::set<std::string>& zonesOut() const { return m_zonesOut; }
+
+private:
+    std::shared_ptr<const Configuration> m_configuration;
+    std::map<std::string, Upstream, std::less<>> m_upstreams;
+    std::set<std::string> m_zonesOut;
+};
+
+}
--- /dev/null
+++ b/src/libs/core/proxy/engine.h
@@ -0,0 +1,143 @@
+#pragma once
+
+#include "core/directory/view.h"
+#include "core/proxy/pool.h"
+#include "core/proxy/router.h"
+#include "core/proxy/session.h"
+
+#include <functional>
+#include <set>
+#include <span>
+#include <string>
+#include <unordered_map>
+
+namespace Proxy {
+
+/// A decision worth a line in the log.
+enum class DecisionKind : std::uint8_t {
+    RequestRefused,
+    RequestRetried,
+    RequestInDoubt,
+    TransactionAborted,
+    SessionRejected,
+    ConnectionRefused,
+    ConnectionLost,
+};
+
+struct Decision {
+    DecisionKind kind = DecisionKind::RequestRefused;
+    /// Id of the statement; empty if the decision concerns none.
+    std::string request;
+    std::string database;
+    std::string customer;
+    std::string upstream;
+    ResultCode code = ResultCode::Busy;
+    std::string_view reason;
+    /// How long the request had been here, or the connection in its state.
+    Model::Duration age {};
+};
+
+/// What the engine asks of its surroundings.
+struct EngineHooks {
+    std::function<void(SessionId, const Reply&)> reply;
+    std::function<void(SessionId, ResultCode, std::string_view text)> rejectSession;
+    std::function<void(SessionId)> closeSession;
+    std::function<void(ConnectionId, const Directory::Upstream&, const std::string& customer)> connect;
+    std::function<void(ConnectionId, std::span<const Command>)> send;
+    std::function<void(ConnectionId)> disconnect;
+    /// Whether the customer may start another operation now.
+    std::function<bool(const Directory::Customer&, Model::Time)> admit;
+    std::function<void(const Decision&)> decided;
+    /// A service has requests for its primary, which cannot be reached or denies that it leads.
+    std::function<void(const std::string& service, Model::Time)> primaryMissing;
+};
+
+/// Runs the statements of sessions on the connections of upstreams. Performs no input or output: events
+/// come in as calls, with the present time, and orders go out through the hooks. Used on one thread.
+class Engine {
+public:
+    Engine(const Directory::View& view, std::string zone, EngineHooks hooks);
+
+    /// A caller asked for a session. It is either accepted or rejected through the hooks.
+    void openSession(SessionId id, std::string database, std::string key, Model::Time now);
+    void handle(SessionId id, Statement statement, Model::Time now);
+    /// The caller closed its connection.
+    void sessionClosed(SessionId id, Model::Time now);
+
+    void connectionOpened(ConnectionId id, Model::LogPosition position, Model::Time now);
+    void connectionRefused(ConnectionId id, ResultCode code, Model::Time now);
+    void connectionReply(ConnectionId id, Reply reply, Model::Time now);
+    void connectionLost(ConnectionId id, Model::Time now);
+
+    /// Configuration, upstreams or zones changed.
+    void directoryChanged(Model::Time now);
+    /// Number of hosts that share the connections of an upstream.
+    void setHostCount(int count) { m_hostCount = count; }
+    /// Handles time limits.
+    void tick(Model::Time now);
+    /// When `tick` has to be called at the latest.
+    Model::Time nextTick(Model::Time now) const;
+
+    /// Closes the sessions that are in no transaction and wait for nothing.
+    void closeIdleSessions();
+    std::size_t sessionCount() const { return m_sessions.size(); }
+    std::size_t busySessionCount() const { return m_active.size(); }
+    const Pool& pool() const { return m_pool; }
+    const Router& router() const { return m_router; }
+
+private:
+    Session* findSession(SessionId id);
+    bool beginOperation(Session& session, const Statement& statement, Model::Time now);
+    void answer(Session& session, const Statement& statement, Model::Time now);
+    void startRequest(Session& session, Statement statement, Model::Time now);
+    void handleInFailedTransaction(Session& session, const Statement& statement, Model::Time now);
+
+    void dispatch(Model::Time now);
+    bool tryAssign(Session& session, Model::Time now);
+    bool openFor(
+        const Session& session, const std::vector<const Directory::Upstream*>& candidates, Model::Time now);
+    void assign(Session& session, Connection& connection, Model::Time now);
+    void sendStatement(Session& session, Connection& connection, std::vector<Command> commands,
+        Model::Time now);
+    void send(Connection& connection, const std::vector<Command>& commands, Model::Time now);
+    Command statementCommand(const Session& session, const Connection& connection) const;
+
+    void beginAnswered(Connection& connection, CommandKind kind, const Reply& reply, Model::Time sentAt,
+        Model::Time now);
+    void statementAnswered(Connection& connection, Reply reply, Model::Time sentAt, Model::Time now);
+    void completed(Session& session, Connection& connection, Reply reply, Model::Time sentAt,
+        Model::Time now);
+    void failedAlone(Session& session, Connection& connection, const Reply& reply, Model::Time now);
+    void failedInTransaction(Session& session, Connection& connection, const Reply& reply, Model::Time now);
+
+    void retry(Session& session, std::string_view reason, Model::Time now);
+    void finish(Session& session, Reply reply, Model::Time now);
+    void refuse(Session& session, ResultCode code, std::string_view reason, Model::Time now);
+    void lostInUse(Session& session, const std::string& upstream, Model::Time now);
+    void release(Connection& connection, Model::Time now);
+    void detach(Session& session, Model::Time now);
+    void closeConnection(ConnectionId id);
+    void checkRequest(Session& session, Model::Time now);
+    void checkTransaction(Session& session, Model::Time now);
+    void closeSurplus(Model::Time now);
+    void rejectOpen(SessionId id, const std::string& database, ResultCode code, std::string_view reason);
+    void decided(DecisionKind kind, const Session& session, ResultCode code, std::string_view reason,
+        Model::Time now) const;
+
+    ConnectionShare share(const std::string& service) const;
+    Model::Duration holdLimit(const Session& session) const;
+
+    const Directory::View& m_view;
+    EngineHooks m_hooks;
+    Pool m_pool;
+    Router m_router;
+    std::unordered_map<SessionId, Session> m_sessions;
+    /// Sessions that wait for a statement or are in a transaction.
+    std::set<SessionId> m_active;
+    /// Sessions whose request has no connection yet, most urgent and oldest first.
+    std::vector<SessionId> m_waiting;
+    int m_hostCount = 9;
+    Model::Time m_nextSurplusCheck;
+};
+
+}
--- /dev/null
+++ b/src/libs/core/proxy/pool.cpp
@@ -0,0 +1,156 @@
+#include "core/proxy/pool.h"
+
+#include <algorithm>
+
+namespace Proxy {
+
+namespace {
+
+    /// A host that holds more connections than it keeps gives them back soon: others may wait for them.
+    constexpr Model::Duration surplusIdleTime = std::chrono::milliseconds(800);
+    /// Upstreams close connections that are idle for a minute.
+    constexpr Model::Duration keptIdleTime = std::chrono::seconds(45);
+    /// Other hosts release surplus connections within a second.
+    constexpr Model::Duration refusedPause = std::chrono::milliseconds(60);
+    constexpr Model::Duration unreachablePause = std::chrono::milliseconds(150);
+    constexpr int maxBackoffSteps = 3;
+
+}
+
+Connection& Pool::add(const Directory::Upstream& upstream, const std::string& customer, Model::Time now)
+{
+    const ConnectionId id = ++m_lastId;
+    Connection& connection = m_connections[id];
+    connection.id = id;
+    connection.upstream = upstream.id;
+    connection.service = upstream.service;
+    connection.customer = customer;
+    connection.changedAt = now;
+    m_upstreams[upstream.id].connections.push_back(id);
+    return connection;
+}
+
+Connection* Pool::find(ConnectionId id)
+{
+    const auto found = m_connections.find(id);
+    return found == m_connections.end() ? nullptr : &found->second;
+}
+
+void Pool::remove(ConnectionId id)
+{
+    const auto found = m_connections.find(id);
+    if (found == m_connections.end())
+        return;
+    auto& entry = m_upstreams[found->second.upstream];
+    std::erase(entry.connections, id);
+    m_connections.erase(found);
+}
+
+Connection* Pool::findIdle(const std::string& upstream, const std::string& customer)
+{
+    Connection* best = nullptr;
+    const auto entry = m_upstreams.find(upstream);
+    if (entry == m_upstreams.end())
+        return nullptr;
+    for (const ConnectionId id : entry->second.connections) {
+        Connection& connection = m_connections.at(id);
+        if (connection.state != ConnectionState::Idle || connection.customer != customer)
+            continue;
+        if (!best || connection.changedAt > best->changedAt)
+            best = &connection;
+    }
+    return best;
+}
+
+Connection* Pool::findEvictable(const std::string& upstream, const std::string& customer)
+{
+    Connection* best = nullptr;
+    const auto entry = m_upstreams.find(upstream);
+    if (entry == m_upstreams.end())
+        return nullptr;
+    for (const ConnectionId id : entry->second.connections) {
+        Connection& connection = m_connections.at(id);
+        if (connection.state != ConnectionState::Idle || connection.customer == customer)
+            continue;
+        if (!best || connection.changedAt < best->changedAt)
+            best = &connection;
+    }
+    return best;
+}
+
+bool Pool::mayOpen(const std::string& upstream, const ConnectionShare& share, Model::Time now) const
+{
+    const auto entry = m_upstreams.find(upstream);
+    if (entry == m_upstreams.end())
+        return true;
+    if (entry->second.closedUntil && now < *entry->second.closedUntil)
+        return false;
+    return static_cast<int>(entry->second.connections.size()) < share.most;
+}
+
+void Pool::refused(const std::string& upstream, Model::Time now)
+{
+    m_upstreams[upstream].closedUntil = now + refusedPause;
+}
+
+void Pool::unreachable(const std::string& upstream, Model::Time now)
+{
+    UpstreamEntry& entry = m_upstreams[upstream];
+    entry.refusals = std::min(entry.refusals + 1, maxBackoffSteps);
+    entry.closedUntil = now + unreachablePause * entry.refusals;
+}
+
+int Pool::count(const std::string& upstream) const
+{
+    const auto entry = m_upstreams.find(upstream);
+    return entry == m_upstreams.end() ? 0 : static_cast<int>(entry->second.connections.size());
+}
+
+int Pool::countInUse(const std::string& upstream) const
+{
+    const auto entry = m_upstreams.find(upstream);
+    if (entry == m_upstreams.end())
+        return 0;
+    return static_cast<int>(std::ranges::count_if(entry->second.connections,
+        [&](ConnectionId id) { return m_connections.at(id).state == ConnectionState::InUse; }));
+}
+
+bool Pool::isOpening(const std::string& upstream, const std::string& customer) const
+{
+    const auto entry = m_upstreams.find(upstream);
+    if (entry == m_upstreams.end())
+        return false;
+    return std::ranges::any_of(entry->second.connections, [&](ConnectionId id) {
+        const Connection& connection = m_connections.at(id);
+        return connection.state == ConnectionState::Opening && connection.customer == customer;
+    });
+}
+
+std::vector<ConnectionId> Pool::surplus(
+    const std::function<ConnectionShare(const std::string& service)>& share, Model::Time now) const
+{
+    std::vector<ConnectionId> result;
+    for (const auto& [upstream, entry] : m_upstreams) {
+        std::vector<const Connection*> idle;
+        for (const ConnectionId id : entry.connections) {
+            const Connection& connection = m_connections.at(id);
+            if (connection.state == ConnectionState::Idle)
+                idle.push_back(&connection);
+        }
+        if (idle.empty())
+            continue;
+        std::ranges::sort(idle, {}, &Connection::changedAt);
+        int open = static_cast<int>(entry.connections.size());
+        const int kept = share(idle.front()->service).kept;
+        for (const Connection* connection : idle) {
+            const Model::Duration limit = open > kept ? surplusIdleTime : keptIdleTime;
+            if (now - connection->changedAt < limit)
+                continue;
+            result.push_back(connection->id);
+            --open;
+        }
+    }
+    return result;
+}
+
+}
--- /dev/null
+++ b/src/libs/core/proxy/pool.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "core/directory/upstream.h"
+#include "core/proxy/connection.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace Proxy {
+
+/// What this host may hold of an upstream's connections.
+struct ConnectionShare {
+    /// Connections that stay open without use.
+    int kept = 1;
+    /// Connections that this host may open.
+    int most = 2;
+};
+
+/// The connections of this host to all upstreams. A connection belongs to one customer, because upstreams
+/// are told the customer when it is opened. Used on one thread.
+class Pool {
+public:
+    /// Registers a connection that is being opened.
+    Connection& add(const Directory::Upstream& upstream, const std::string& customer, Model::Time now);
+    Connection* find(ConnectionId id);
+    void remove(ConnectionId id);
+
+    /// The idle connection of a customer that was used last, or null.
+    Connection* findIdle(const std::string& upstream, const std::string& customer);
+    /// The idle connection that was used longest ago and belongs to another customer, or null.
+    Connection* findEvictable(const std::string& upstream, const std::string& customer);
+    /// Whether another connection to the upstream may be opened now.
+    bool mayOpen(const std::string& upstream, const ConnectionShare& share, Model::Time now) const;
+    /// The upstream refused a connection because it has too many; nothing is opened there for a while.
+    void refused(const std::string& upstream, Model::Time now);
+    /// The upstream did not accept a connection; nothing is opened there for a while.
+    void unreachable(const std::string& upstream, Model::Time now);
+
+    int count(const std::string& upstream) const;
+    int countInUse(const std::string& upstream) const;
+    /// Connections being opened for a customer.
+    bool isOpening(const std::string& upstream, const std::string& customer) const;
+
+    /// Idle connections that are no longer worth keeping.
+    std::vector<ConnectionId> surplus(
+        const std::function<ConnectionShare(const std::string& service)>& share, Model::Time now) const;
+
+    std::unordered_map<ConnectionId, Connection>& connections() { return m_connections; }
+    const std::unordered_map<ConnectionId, Connection>& connections() const { return m_connections; }
+
+private:
+    struct UpstreamEntry {
+        std::vector<ConnectionId> connections;
+        std::optional<Model::Time> closedUntil;
+        int refusals = 0;
+    };
+
+    std::unordered_map<ConnectionId, Connection> m_connections;
+    std::unordered_map<std::string, UpstreamEntry> m_upstreams;
+    ConnectionId m_lastId = 0;
+};
+
+}
--- /dev/null
+++ b/src/libs/core/proxy/router.cpp
@@ -0,0 +1,153 @@
+#include "core/proxy/router.h"
+
+#include <algorithm>
+
+namespace Proxy {
+
+namespace {
+
+    /// The directory learns of a change of the lead within this time, unless the store is away.
+    constexpr Model::Duration deniedLeadPause = std::chrono::milliseconds(300);
+    /// After a replica lacked a position, reads prefer other upstreams for this long.
+    constexpr Model::Duration lagPause = std::chrono::milliseconds(250);
+    /// After a failure, reads prefer other upstreams for this long.
+    constexpr Model::Duration failurePause = std::chrono::seconds(1);
+    /// Positions and clocks differ a little between hosts; commits this much younger are required as well.
+    constexpr Model::Duration stalenessMargin = std::chrono::milliseconds(150);
+
+    constexpr Model::Duration otherZoneCost = std::chrono::milliseconds(4);
+    constexpr Model::Duration handshakeCost = std::chrono::milliseconds(15);
+    /// Replicas go first, since only the primary can write.
+    constexpr Model::Duration primaryCost = std::chrono::milliseconds(8);
+    constexpr Model::Duration behindCost = std::chrono::milliseconds(20);
+    constexpr Model::Duration troubleCost = std::chrono::milliseconds(200);
+    /// Weight of the newest sample in the moving average of latency: one in this many.
+    constexpr int latencySamples = 8;
+
+    bool isRecent(const std::optional<Model::Time>& time, Model::Time now, Model::Duration period)
+    {
+        return time && now - *time < period;
+    }
+
+}
+
+Router::Router(const Directory::View& view, Pool& pool, std::string zone)
+    : m_view(view)
+    , m_pool(pool)
+    , m_zone(std::move(zone))
+{
+}
+
+std::vector<const Directory::Upstream*> Router::candidates(
+    const Session& session, const Request& request, Model::Time now) const
+{
+    std::vector<const Directory::Upstream*> result;
+    const std::string& service = session.route->service;
+    const auto isAvoided = [&](const Directory::Upstream& upstream) {
+        return std::ranges::find(request.avoided, upstream.id) != request.avoided.end();
+    };
+    const Directory::Upstream* leader = primary(service, now);
+    const std::optional<Model::LogPosition> required
+        = request.target == Target::Fresh ? requiredPosition(session, now) : std::nullopt;
+    if (request.target == Target::Primary || !required) {
+        if (leader && !isAvoided(*leader))
+            result.push_back(leader);
+        return result;
+    }
+    std::vector<std::pair<Model::Duration, const Directory::Upstream*>> ranked;
+    for (const Directory::Upstream* upstream : m_view.upstreamsOf(service)) {
+        if (m_view.takesWork(*upstream) && !isAvoided(*upstream))
+            ranked.emplace_back(cost(*upstream, session, required, now), upstream);
+    }
+    std::ranges::sort(ranked, {}, &std::pair<Model::Duration, const Directory::Upstream*>::first);
+    for (const auto& [cost, upstream] : ranked)
+        result.push_back(upstream);
+    return result;
+}
+
+Model::Duration Router::cost(const Directory::Upstream& upstream, const Session& session,
+    const std::optional<Model::LogPosition>& required, Model::Time now) const
+{
+    Model::Duration total {};
+    const auto found = m_knowledge.find(upstream.id);
+    const Knowledge knowledge = found == m_knowledge.end() ? Knowledge {} : found->second;
+    total += knowledge.latency * (1 + m_pool.countInUse(upstream.id)) / std::max(1, upstream.slots);
+    if (upstream.zone != m_zone)
+        total += otherZoneCost;
+    if (upstream.role == Directory::Role::Primary)
+        total += primaryCost;
+    if (!m_pool.findIdle(upstream.id, session.customer))
+        total += handshakeCost;
+    if (required && knowledge.position < *required && upstream.role != Directory::Role::Primary)
+        total += behindCost;
+    if (isRecent(knowledge.laggedAt, now, lagPause) || isRecent(knowledge.failedAt, now, failurePause))
+        total += troubleCost;
+    return total;
+}
+
+const Directory::Upstream* Router::primary(std::string_view service, Model::Time now) const
+{
+    for (const Directory::Upstream* upstream : m_view.upstreamsOf(service)) {
+        if (upstream->role != Directory::Role::Primary || !m_view.takesWork(*upstream))
+            continue;
+        const auto knowledge = m_knowledge.find(upstream->id);
+        if (knowledge != m_knowledge.end()
+            && isRecent(knowledge->second.deniedLeadAt, now, deniedLeadPause))
+            continue;
+        return upstream;
+    }
+    return nullptr;
+}
+
+std::optional<Model::LogPosition> Router::requiredPosition(const Session& session, Model::Time now) const
+{
+    const Directory::Route& route = *session.route;
+    if (route.kind == Directory::RouteKind::Primary)
+        return std::nullopt;
+    const Freshness* known = freshness(route.service);
+    if (!known)
+        return std::nullopt;
+    std::optional<Model::LogPosition> position = known->required(now, route.maxStaleness - stalenessMargin);
+    if (position && route.kind == Directory::RouteKind::OwnWrites)
+        position = std::max(*position, session.lastCommit);
+    return position;
+}
+
+void Router::observeLead(const std::string& service, Model::LogPosition position, Model::Time sentAt)
+{
+    m_freshness[service].observe(position, sentAt);
+}
+
+void Router::observePosition(const std::string& upstream, Model::LogPosition position)
+{
+    m_knowledge[upstream].position = position;
+}
+
+void Router::observeNoLead(const std::string& upstream, Model::Time now)
+{
+    m_knowledge[upstream].deniedLeadAt = now;
+}
+
+void Router::observeLag(const std::string& upstream, Model::Time now)
+{
+    m_knowledge[upstream].laggedAt = now;
+}
+
+void Router::observeLatency(const std::string& upstream, Model::Duration latency)
+{
+    Model::Duration& average = m_knowledge[upstream].latency;
+    average += (latency - average) / latencySamples;
+}
+
+void Router::observeFailure(const std::string& upstream, Model::Time now)
+{
+    m_knowledge[upstream].failedAt = now;
+}
+
+const Freshness* Router::freshness(const std::string& service) const
+{
+    const auto found = m_freshness.find(service);
+    return found == m_freshness.end() ? nullptr : &found->second;
+}
+
+}
--- /dev/null
+++ b/src/libs/core/proxy/router.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "core/directory/view.h"
+#include "core/proxy/freshness.h"
+#include "core/proxy/pool.h"
+#include "core/proxy/session.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace Proxy {
+
+/// Decides which upstreams may run a request, and in which order they are tried. Used on one thread.
+class Router {
+public:
+    Router(const Directory::View& view, Pool& pool, std::string zone);
+
+    /// The upstreams for a request, best first; empty if none can take it now.
+    std::vector<const Directory::Upstream*> candidates(
+        const Session& session, const Request& request, Model::Time now) const;
+    /// The upstream that leads the service as far as is known, or null.
+    const Directory::Upstream* primary(std::string_view service, Model::Time now) const;
+    /// The position that a read of the session has to see; nothing if that is not known.
+    std::optional<Model::LogPosition> requiredPosition(const Session& session, Model::Time now) const;
+
+    /// A request that was sent at `sentAt` proved that the upstream led then.
+    void observeLead(const std::string& service, Model::LogPosition position, Model::Time sentAt);
+    /// The upstream showed the end of its log.
+    void observePosition(const std::string& upstream, Model::LogPosition position);
+    /// The upstream answered that it does not lead.
+    void observeNoLead(const std::string& upstream, Model::Time now);
+    /// The upstream lacked a position that a request needed.
+    void observeLag(const std::string& upstream, Model::Time now);
+    /// A statement took this long at the upstream.
+    void observeLatency(const std::string& upstream, Model::Duration latency);
+    /// The upstream did not answer, or its connection broke.
+    void observeFailure(const std::string& upstream, Model::Time now);
+
+    const Freshness* freshness(const std::string& service) const;
+
+private:
+    struct Knowledge {
+        Model::LogPosition position;
+        std::optional<Model::Time> deniedLeadAt;
+        std::optional<Model::Time> laggedAt;
+        std::optional<Model::Time> failedAt;
+        /// Moving average of a statement's time at the upstream.
+        Model::Duration latency = std::chrono::milliseconds(10);
+    };
+
+    Model::Duration cost(const Directory::Upstream& upstream, const Session& session,
+        const std::optional<Model::LogPosition>& required, Model::Time now) const;
+
+    const Directory::View& m_view;
+    Pool& m_pool;
+    std::string m_zone;
+    std::unordered_map<std::string, Knowledge> m_knowledge;
+    std::unordered_map<std::string, Freshness> m_freshness;
+};
+
+}
--- /dev/null
+++ b/src/libs/core/proxy/statement.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace Proxy {
+
+enum class StatementKind : std::uint8_t {
+    Begin,
+    BeginReadOnly,
+    Commit,
+    Rollback,
+    Read,
+    Write,
+    /// Sets a session value.
+    Set,
+    Prepare,
+    Execute,
+    /// Drops a prepared statement.
+    Close,
+    /// Cannot be read; it is refused.
+    Malformed,
+};
+
+enum class PreparedKind : std::uint8_t { Read, Write };
+
+/// One request of a caller.
+struct Statement {
+    /// Chosen by the caller, unique.
+    std::string id;
+    StatementKind kind = StatementKind::Malformed;
+    /// The session value or prepared statement that `Set`, `Prepare`, `Execute` and `Close` name.
+    std::string name;
+    /// `Set`: the value; `Prepare`: the shape; `Read`, `Write`, `Execute`: what follows, passed on unchanged.
+    std::string argument;
+    /// What `Prepare` prepares.
+    PreparedKind prepared = PreparedKind::Read;
+};
+
+}
--- a/src/libs/daemon/catalogservice.cpp
+++ b/src/libs/daemon/catalogservice.cpp
@@ -9,7 +9,7 @@
 namespace Daemon {
 
 using Catalog::StoreAction;
-using Platform::PutStatus;
+using TableStore::PutStatus;
 
 namespace {
 
@@ -272,7 +272,7 @@
     const Catalog::PublicationRequest& request, Catalog::PublicationMode mode, Model::Time deadline)
 {
     const std::lock_guard lock(m_publishMutex);
-    Platform::StoreClient store(m_storeAddress);
+    TableStore::StoreClient store(m_storeAddress);
     Catalog::Publication publication(request, mode, deadline);
     while (!publication.end())
         perform(publication, store);
@@ -284,7 +284,7 @@
     return { end.error, end.version };
 }
 
-void CatalogService::perform(Catalog::Publication& publication, Platform::StoreClient& store)
+void CatalogService::perform(Catalog::Publication& publication, TableStore::StoreClient& store)
 {
     const Catalog::PublicationStep step = *publication.step();
     std::this_thread::sleep_for(step.delay);
--- a/src/libs/daemon/catalogservice.h
+++ b/src/libs/daemon/catalogservice.h
@@ -5,7 +5,7 @@
 #include "core/membership/gossip.h"
 #include "daemon/catalogholder.h"
 #include "daemon/peerservice.h"
-#include "platform/storeclient.h"
+#include "tablestore/storeclient.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -65,7 +65,7 @@
     void pullFromPeers();
     bool pull(const std::string& address);
     bool adopted(const Catalog::AdoptionResult& result, const char* source);
-    void perform(Catalog::Publication& publication, Platform::StoreClient& store);
+    void perform(Catalog::Publication& publication, TableStore::StoreClient& store);
     Model::Time nextPoll(Model::Time now);
     void learnAge(std::uint64_t version);
 
@@ -73,7 +73,7 @@
     CatalogHolder& m_holder;
     PeerService& m_peers;
     std::function<void()> m_onAdopted;
-    Platform::StoreClient m_store;
+    TableStore::StoreClient m_store;
     mutable std::mutex m_mutex;
     Catalog::Adoption m_adoption;
     Model::Time m_adoptedAt;
--- a/src/libs/daemon/peerservice.cpp
+++ b/src/libs/daemon/peerservice.cpp
@@ -78,11 +78,11 @@
     }
 }
 
-void PeerService::setLiveHosts(const std::vector<Platform::LiveHost>& hosts)
+void PeerService::setLiveHosts(const std::vector<TableStore::LiveHost>& hosts)
 {
     std::vector<Membership::ListedHost> listed;
     listed.reserve(hosts.size());
-    for (const Platform::LiveHost& host : hosts)
+    for (const TableStore::LiveHost& host : hosts)
         listed.push_back({ host.name, host.address, host.zone, host.isLeaving });
     Membership::GossipOutput output;
     {
--- a/src/libs/daemon/peerservice.h
+++ b/src/libs/daemon/peerservice.h
@@ -4,7 +4,7 @@
 #include "core/membership/gossip.h"
 #include "daemon/grouprequest.h"
 #include "metrics/registry.h"
-#include "platform/storeclient.h"
+#include "tablestore/storeclient.h"
 #include "transport/peertransport.h"
 
 #include <atomic>
@@ -55,7 +55,7 @@
     std::optional<std::string> start();
     void stop();
 
-    void setLiveHosts(const std::vector<Platform::LiveHost>& hosts);
+    void setLiveHosts(const std::vector<TableStore::LiveHost>& hosts);
     /// Tells the others that this host takes no new work.
     void leave();
 
--- a/src/libs/daemon/slotstore.cpp
+++ b/src/libs/daemon/slotstore.cpp
@@ -16,7 +16,7 @@
 
     std::string rowKey(int slot) { return "slot/" + std::to_string(slot); }
 
-    std::optional<Quota::Holder> parseHolder(const Platform::Row& row)
+    std::optional<Quota::Holder> parseHolder(const TableStore::Row& row)
     {
         if (row.version == 0)
             return Quota::Holder {};
@@ -47,13 +47,13 @@
 {
     const Json value { { "host", holder.host }, { "incarnation", holder.incarnation } };
     const std::string nonce = Crypto::toBase64Url(Crypto::randomBytes(nonceBytes));
-    Platform::PutResult put = m_store.putRow(rowKey(slot), { epoch, nonce, value.dump() });
-    if (put.status == Platform::PutStatus::Unknown) {
+    TableStore::PutResult put = m_store.putRow(rowKey(slot), { epoch, nonce, value.dump() });
+    if (put.status == TableStore::PutStatus::Unknown) {
         // The response was lost; the nonce tells whether the change took effect.
         if (const auto row = m_store.row(rowKey(slot)); row && row->nonce == nonce)
-            put = { Platform::PutStatus::Done, *row };
+            put = { TableStore::PutStatus::Done, *row };
     }
-    if (put.status != Platform::PutStatus::Done)
+    if (put.status != TableStore::PutStatus::Done)
         return std::nullopt;
     return SlotReading { { slot, holder, put.row.version }, steadyNow() };
 }
--- a/src/libs/daemon/slotstore.h
+++ b/src/libs/daemon/slotstore.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/quota/slotassignment.h"
-#include "platform/storeclient.h"
+#include "tablestore/storeclient.h"
 
 #include <cstdint>
 #include <optional>
@@ -34,7 +34,7 @@
     std::optional<LeaseReading> readLease(const std::string& host);
 
 private:
-    Platform::StoreClient m_store;
+    TableStore::StoreClient m_store;
 };
 
 }
--- a/src/libs/daemon/storelink.cpp
+++ b/src/libs/daemon/storelink.cpp
@@ -7,7 +7,7 @@
 
 namespace Daemon {
 
-using Platform::PutStatus;
+using TableStore::PutStatus;
 
 namespace {
 
@@ -26,7 +26,7 @@
     constexpr auto rosterKey = "roster";
 
     /// The row's version is the roster's. A row that cannot be read counts as absent.
-    Membership::Roster parseRoster(const Platform::Row& row)
+    Membership::Roster parseRoster(const TableStore::Row& row)
     {
         const auto json = nlohmann::json::parse(row.value, nullptr, false);
         if (row.version == 0 || !json.is_object())
@@ -165,7 +165,7 @@
         = row && row->version > 0 ? nlohmann::json::parse(row->value, nullptr, false) : nlohmann::json();
     const bool isSuperseded
         = present.is_object() && present.value("incarnation", std::uint64_t { 0 }) > m_incarnation;
-    Platform::PutResult put;
+    TableStore::PutResult put;
     if (row && !isSuperseded) {
         const nlohmann::json value { { "incarnation", m_incarnation }, { "renewal", ++m_renewalCounter } };
         const std::string nonce = std::to_string(m_incarnation) + "/" + std::to_string(m_renewalCounter);
--- a/src/libs/daemon/storelink.h
+++ b/src/libs/daemon/storelink.h
@@ -2,7 +2,7 @@
 
 #include "core/membership/hostlease.h"
 #include "daemon/peerservice.h"
-#include "platform/storeclient.h"
+#include "tablestore/storeclient.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -39,7 +39,7 @@
     std::string m_host;
     std::uint64_t m_incarnation;
     PeerService& m_peers;
-    Platform::StoreClient m_store;
+    TableStore::StoreClient m_store;
     std::mutex m_leaseMutex;
     Membership::HostLease m_lease;
     std::uint64_t m_renewalCounter = 0;
--- /dev/null
+++ b/src/libs/eventloop/tcpstream.cpp
@@ -0,0 +1,162 @@
+#include "eventloop/tcpstream.h"
+
+#include "eventloop/loop.h"
+#include "eventloop/tcpstreamprivate.h"
+
+#include <array>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace EventLoop {
+
+namespace {
+
+    constexpr std::size_t readBufferSize = 64UL * 1024;
+    /// A connection whose other end went silent is noticed within about 4 s.
+    constexpr unsigned keepAliveDelaySeconds = 2;
+    constexpr int keepAliveProbes = 2;
+    constexpr int keepAliveIntervalSeconds = 1;
+    /// Sent data without an acknowledgement for this long ends the connection.
+    constexpr unsigned userTimeoutMs = 4000;
+
+    struct PendingWrite {
+        uv_write_t request {};
+        std::string data;
+    };
+
+    // One buffer serves all streams: what was read is consumed before the next read.
+    void allocate(uv_handle_t* /*handle*/, std::size_t /*suggested*/, uv_buf_t* buffer)
+    {
+        static std::array<char, readBufferSize> s_buffer;
+        *buffer = uv_buf_init(s_buffer.data(), s_buffer.size());
+    }
+
+    bool parseAddress(const std::string& address, sockaddr_in& result)
+    {
+        const std::size_t colon = address.rfind(':');
+        if (colon == std::string::npos)
+            return false;
+        const int port = std::atoi(address.c_str() + colon + 1);
+        return uv_ip4_addr(address.substr(0, colon).c_str(), port, &result) == 0;
+    }
+
+}
+
+void TcpStream::Private::onRead(uv_stream_t* stream, ssize_t size, const uv_buf_t* buffer)
+{
+    auto* self = static_cast<Private*>(stream->data);
+    if (self->isClosed)
+        return;
+    // The hook may destroy the stream, and with it the hooks.
+    const std::shared_ptr<const StreamHooks> hooks = self->hooks;
+    if (size > 0) {
+        hooks->received({ buffer->base, static_cast<std::size_t>(size) });
+        return;
+    }
+    if (size < 0)
+        self->fail();
+}
+
+void TcpStream::Private::start()
+{
+    if (isClosed)
+        return;
+    uv_tcp_nodelay(&handle, 1);
+    uv_tcp_keepalive(&handle, 1, keepAliveDelaySeconds);
+    int socket = -1;
+    if (uv_fileno(reinterpret_cast<uv_handle_t*>(&handle), &socket) == 0) {
+        setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &keepAliveIntervalSeconds,
+            sizeof keepAliveIntervalSeconds);
+        setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &keepAliveProbes, sizeof keepAliveProbes);
+        setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeoutMs, sizeof userTimeoutMs);
+    }
+    uv_read_start(reinterpret_cast<uv_stream_t*>(&handle), &allocate, &Private::onRead);
+}
+
+void TcpStream::Private::fail()
+{
+    if (isClosed)
+        return;
+    isClosed = true;
+    const std::shared_ptr<const StreamHooks> lastHooks = std::move(hooks);
+    lastHooks->closed();
+}
+
+void TcpStream::Private::destroy()
+{
+    isClosed = true;
+    hooks.reset();
+    uv_close(reinterpret_cast<uv_handle_t*>(&handle),
+        [](uv_handle_t* closed) { delete static_cast<Private*>(closed->data); });
+}
+
+TcpStream::TcpStream(Private* d)
+    : m_d(d)
+{
+}
+
+TcpStream::~TcpStream() { m_d->destroy(); }
+
+std::unique_ptr<TcpStream> TcpStream::connect(Loop& loop, const std::string& address, StreamHooks hooks)
+{
+    auto* d = new Private;
+    d->handle.data = d;
+    d->connectRequest.data = d;
+    d->hooks = std::make_shared<const StreamHooks>(std::move(hooks));
+    uv_tcp_init(loop.handle(), &d->handle);
+    std::unique_ptr<TcpStream> stream(new TcpStream(d));
+    sockaddr_in target {};
+    int result = parseAddress(address, target) ? 0 : UV_EINVAL;
+    if (result == 0) {
+        result = uv_tcp_connect(&d->connectRequest, &d->handle, reinterpret_cast<const sockaddr*>(&target),
+            [](uv_connect_t* request, int status) {
+                auto* self = static_cast<Private*>(request->data);
+                if (self->isClosed)
+                    return;
+                if (status != 0)
+                    return self->fail();
+                self->start();
+                const std::shared_ptr<const StreamHooks> connectHooks = self->hooks;
+                connectHooks->connected();
+            });
+    }
+    // The hooks are never called before the caller has the stream.
+    if (result != 0)
+        loop.post([closed = d->hooks->closed] { closed(); });
+    return stream;
+}
+
+void TcpStream::setHooks(StreamHooks hooks) { m_d->hooks = std::make_shared<const StreamHooks>(std::move(hooks)); }
+
+void TcpStream::write(std::string_view data)
+{
+    if (m_d->isClosed || data.empty())
+        return;
+    auto* stream = reinterpret_cast<uv_stream_t*>(&m_d->handle);
+    std::size_t sent = 0;
+    if (uv_stream_get_write_queue_size(stream) == 0) {
+        uv_buf_t buffer = uv_buf_init(const_cast<char*>(data.data()), static_cast<unsigned>(data.size()));
+        const int result = uv_try_write(stream, &buffer, 1);
+        // A broken connection is reported by the read side.
+        if (result < 0 && result != UV_EAGAIN)
+            return;
+        sent = result > 0 ? static_cast<std::size_t>(result) : 0;
+    }
+    if (sent == data.size())
+        return;
+    auto* pending = new PendingWrite;
+    pending->data = std::string(data.substr(sent));
+    pending->request.data = pending;
+    uv_buf_t buffer = uv_buf_init(pending->data.data(), static_cast<unsigned>(pending->data.size()));
+    uv_write(&pending->request, stream, &buffer, 1,
+        [](uv_write_t* request, int /*status*/) { delete static_cast<PendingWrite*>(request->data); });
+}
+
+std::size_t TcpStream::unsentBytes() const
+{
+    return uv_stream_get_write_queue_size(reinterpret_cast<const uv_stream_t*>(&m_d->handle));
+}
+
+}
--- /dev/null
+++ b/src/libs/proxyhost/proxyhost.cpp
@@ -0,0 +1,120 @@
+#include "proxyhost/proxyhost.h"
+
+#include "logging/log.h"
+
+namespace ProxyHost {
+
+namespace {
+
+    /// The balancer needs two missed probes, one second apart, to send no more callers here.
+    constexpr Model::Duration balancerDelay = std::chrono::milliseconds(2300);
+    constexpr Model::Duration shutdownCheckPeriod = std::chrono::milliseconds(100);
+    /// Left of the time that a shutdown may take when the process ends in any case.
+    constexpr Model::Duration shutdownMargin = std::chrono::milliseconds(500);
+
+}
+
+ProxyHost::ProxyHost(
+    EventLoop::Loop& loop, const Settings::ProxySettings& settings, SessionServer::Codec codec)
+    : m_loop(loop)
+    , m_settings(settings)
+    , m_server(loop, m_view, std::move(codec), m_metrics,
+          { settings.zone, settings.callers.ip, settings.callers.port },
+          { [](const Directory::Customer&, Model::Time) { return true; },
+              [](const std::string&, Model::Time) {} })
+    , m_probe({ settings.probe.ip, settings.probe.port, settings.probePath }, m_metrics)
+    , m_shutdownTimer(loop, [this] { continueShutdown(); })
+{
+}
+
+std::optional<std::string> ProxyHost::start()
+{
+    if (auto error = m_server.listen())
+        return error;
+    return m_probe.start();
+}
+
+StoreEvents ProxyHost::storeEvents()
+{
+    StoreEvents events;
+    events.configuration = [this](auto configuration) { adopt(std::move(configuration)); };
+    events.configurationInvalid = [](const std::string& reason) {
+        Logging::write(Logging::EventId::CatalogRejected, { { "reason", reason } });
+    };
+    events.zonesOut = [this](const std::vector<std::string>& zones) {
+        const auto before = m_view.zonesOut();
+        for (const std::string& zone : before)
+            m_view.setZoneIn(zone);
+        for (const std::string& zone : zones)
+            m_view.setZoneOut(zone);
+        m_server.directoryChanged();
+    };
+    events.zone = [this](const std::string& zone, bool isOut) {
+        if (isOut)
+            m_view.setZoneOut(zone);
+        else
+            m_view.setZoneIn(zone);
+        m_server.directoryChanged();
+    };
+    events.upstreams = [this](const std::vector<Directory::Upstream>& upstreams) {
+        for (const Directory::Upstream& upstream : upstreams)
+            m_view.setUpstream(upstream);
+        m_hasUpstreams = true;
+        updateReadiness();
+        m_server.directoryChanged();
+    };
+    events.upstream = [this](const Directory::Upstream& upstream) {
+        m_view.setUpstream(upstream);
+        m_server.directoryChanged();
+    };
+    events.upstreamGone = [this](const std::string& id) {
+        m_view.removeUpstream(id);
+        m_server.directoryChanged();
+    };
+    events.storeReached = [](const std::string& table) {
+        Logging::write(Logging::EventId::StoreRecovered, { { "table", table } });
+    };
+    events.storeLost = [](const std::string& table, const std::string& error) {
+        Logging::write(Logging::EventId::StoreUnavailable, { { "table", table }, { "reason", error } });
+    };
+    return events;
+}
+
+void ProxyHost::adopt(std::shared_ptr<const Directory::Configuration> configuration)
+{
+    const std::string version = std::to_string(configuration->version);
+    if (!m_view.adopt(std::move(configuration)))
+        return;
+    Logging::write(Logging::EventId::CatalogAdopted, { { "version", version } });
+    updateReadiness();
+    m_server.directoryChanged();
+}
+
+void ProxyHost::updateReadiness()
+{
+    m_probe.setReady(m_view.configuration() && m_hasUpstreams && !m_shutdownAt);
+}
+
+void ProxyHost::shutDown()
+{
+    if (m_shutdownAt)
+        return;
+    Logging::write(Logging::EventId::DrainStarted);
+    m_shutdownAt = EventLoop::now();
+    updateReadiness();
+    m_shutdownTimer.start(balancerDelay);
+}
+
+void ProxyHost::continueShutdown()
+{
+    m_server.closeIdleSessions();
+    const Model::Duration elapsed = EventLoop::now() - *m_shutdownAt;
+    const bool isOver = elapsed + shutdownMargin >= std::chrono::milliseconds(m_settings.shutdownMs);
+    if (m_server.engine().sessionCount() == 0 || isOver) {
+        m_loop.stop();
+        return;
+    }
+    m_shutdownTimer.start(shutdownCheckPeriod);
+}
+
+}
--- /dev/null
+++ b/src/libs/sessionserver/server.cpp
@@ -0,0 +1,250 @@
+#include "sessionserver/server.h"
+
+#include "logging/log.h"
+#include "metrics/registry.h"
+
+#include <utility>
+
+namespace SessionServer {
+
+namespace {
+
+    /// A caller that does not read its answers is cut off beyond this.
+    constexpr std::size_t maxUnsentBytes = 4UL * 1024 * 1024;
+    /// Timers are moved only for a wake-up that is earlier by more than this.
+    constexpr Model::Duration tickSlack = std::chrono::milliseconds(1);
+
+}
+
+Server::Server(EventLoop::Loop& loop, const Directory::View& view, Codec codec, Metrics::Registry& metrics,
+    ServerSettings settings, ServerHooks hooks)
+    : m_loop(loop)
+    , m_codec(std::move(codec))
+    , m_metrics(metrics)
+    , m_settings(std::move(settings))
+    , m_listener(loop, [this](std::unique_ptr<EventLoop::TcpStream> stream) { accept(std::move(stream)); })
+    , m_timer(loop, [this] { tick(); })
+    , m_engine(view, m_settings.zone, engineHooks(std::move(hooks)))
+{
+}
+
+Server::~Server() = default;
+
+std::optional<std::string> Server::listen()
+{
+    scheduleTick();
+    return m_listener.listen(m_settings.ip, m_settings.port);
+}
+
+Proxy::EngineHooks Server::engineHooks(ServerHooks hooks)
+{
+    Proxy::EngineHooks result;
+    result.reply = [this](Proxy::SessionId id, const Proxy::Reply& answer) { reply(id, answer); };
+    result.rejectSession = [this](Proxy::SessionId id, Proxy::ResultCode code, std::string_view text) {
+        reject(id, code, text);
+    };
+    result.closeSession = [this](Proxy::SessionId id) { m_callers.erase(id); };
+    result.connect = [this](Proxy::ConnectionId id, const Directory::Upstream& upstream,
+                         const std::string& customer) { connect(id, upstream, customer); };
+    result.send = [this](Proxy::ConnectionId id, std::span<const Proxy::Command> commands) {
+        send(id, commands);
+    };
+    result.disconnect = [this](Proxy::ConnectionId id) { m_upstreams.erase(id); };
+    result.admit = std::move(hooks.admit);
+    result.primaryMissing = std::move(hooks.primaryMissing);
+    result.decided = [this](const Proxy::Decision& decision) { logDecision(decision); };
+    return result;
+}
+
+void Server::accept(std::unique_ptr<EventLoop::TcpStream> stream)
+{
+    if (m_callers.size() >= m_settings.maxSessions)
+        return;
+    const Proxy::SessionId id = ++m_lastSession;
+    EventLoop::StreamHooks hooks;
+    hooks.received = [this, id](std::string_view data) {
+        const auto caller = m_callers.find(id);
+        if (caller == m_callers.end())
+            return;
+        const bool isValid
+            = caller->second.lines.feed(data, [this, id](std::string_view line) { return receive(id, line); });
+        if (!isValid)
+            callerClosed(id);
+        scheduleTick();
+    };
+    hooks.closed = [this, id] {
+        callerClosed(id);
+        scheduleTick();
+    };
+    stream->setHooks(std::move(hooks));
+    m_callers.emplace(id, Caller { std::move(stream), Lines(m_codec.maxLine) });
+}
+
+/// Returns whether the caller is still there.
+bool Server::receive(Proxy::SessionId id, std::string_view line)
+{
+    const Model::Time now = EventLoop::now();
+    CallerMessage message = m_codec.parseCaller(line);
+    Caller& caller = m_callers.at(id);
+    if (message.kind == CallerMessageKind::Open && !caller.isOpen) {
+        caller.isOpen = true;
+        m_engine.openSession(id, std::move(message.database), std::move(message.key), now);
+    } else if (message.kind == CallerMessageKind::Statement && caller.isOpen) {
+        m_metrics.counter("statements_received_total").add();
+        m_engine.handle(id, std::move(message.statement), now);
+    } else {
+        callerClosed(id);
+    }
+    return m_callers.contains(id);
+}
+
+void Server::callerClosed(Proxy::SessionId id)
+{
+    m_callers.erase(id);
+    m_engine.sessionClosed(id, EventLoop::now());
+}
+
+void Server::reply(Proxy::SessionId id, const Proxy::Reply& answer)
+{
+    const auto caller = m_callers.find(id);
+    if (caller == m_callers.end())
+        return;
+    m_buffer.clear();
+    if (!caller->second.isGreeted)
+        m_codec.encodeGreeting(m_buffer, answer);
+    else
+        m_codec.encodeReply(m_buffer, answer);
+    caller->second.isGreeted = true;
+    caller->second.stream->write(m_buffer);
+    if (caller->second.stream->unsentBytes() > maxUnsentBytes)
+        m_loop.post([this, id] { callerClosed(id); });
+}
+
+void Server::reject(Proxy::SessionId id, Proxy::ResultCode code, std::string_view text)
+{
+    const auto caller = m_callers.find(id);
+    if (caller == m_callers.end())
+        return;
+    m_buffer.clear();
+    m_codec.encodeRejection(m_buffer, code, text);
+    caller->second.stream->write(m_buffer);
+    m_callers.erase(caller);
+}
+
+void Server::connect(
+    Proxy::ConnectionId id, const Directory::Upstream& upstream, const std::string& customer)
+{
+    m_metrics.counter("upstream_connections_opened_total").add();
+    UpstreamConnection connection { nullptr, Lines(m_codec.maxLine) };
+    m_codec.encodeOpen(connection.greeting, upstream, customer);
+    EventLoop::StreamHooks hooks;
+    hooks.connected = [this, id] {
+        UpstreamConnection& open = m_upstreams.at(id);
+        open.stream->write(open.greeting);
+    };
+    hooks.received = [this, id](std::string_view data) {
+        const auto open = m_upstreams.find(id);
+        if (open == m_upstreams.end())
+            return;
+        const bool isValid = open->second.lines.feed(
+            data, [this, id](std::string_view line) { return receiveFromUpstream(id, line); });
+        if (!isValid)
+            upstreamClosed(id);
+        scheduleTick();
+    };
+    hooks.closed = [this, id] {
+        upstreamClosed(id);
+        scheduleTick();
+    };
+    connection.stream = EventLoop::TcpStream::connect(m_loop, upstream.address, std::move(hooks));
+    m_upstreams.emplace(id, std::move(connection));
+}
+
+/// Returns whether the connection is still there.
+bool Server::receiveFromUpstream(Proxy::ConnectionId id, std::string_view line)
+{
+    const Model::Time now = EventLoop::now();
+    UpstreamMessage message = m_codec.parseUpstream(line);
+    UpstreamConnection& connection = m_upstreams.at(id);
+    switch (message.kind) {
+    case UpstreamMessageKind::Row:
+        connection.reply.rows.push_back(std::move(message.text));
+        break;
+    case UpstreamMessageKind::Complete:
+        connection.reply.text = std::move(message.text);
+        break;
+    case UpstreamMessageKind::Error:
+        if (!connection.isOpen) {
+            m_upstreams.erase(id);
+            m_engine.connectionRefused(id, message.code, now);
+            return false;
+        }
+        connection.reply.rows.clear();
+        connection.reply.code = message.code;
+        connection.reply.text = std::move(message.text);
+        break;
+    case UpstreamMessageKind::Ready: {
+        Proxy::Reply reply = std::exchange(connection.reply, {});
+        reply.state = message.state;
+        reply.position = message.position;
+        if (std::exchange(connection.isOpen, true))
+            m_engine.connectionReply(id, std::move(reply), now);
+        else
+            m_engine.connectionOpened(id, reply.position, now);
+        break;
+    }
+    case UpstreamMessageKind::Invalid:
+        upstreamClosed(id);
+        break;
+    }
+    return m_upstreams.contains(id);
+}
+
+void Server::upstreamClosed(Proxy::ConnectionId id)
+{
+    m_upstreams.erase(id);
+    m_engine.connectionLost(id, EventLoop::now());
+}
+
+void Server::send(Proxy::ConnectionId id, std::span<const Proxy::Command> commands)
+{
+    const auto connection = m_upstreams.find(id);
+    if (connection == m_upstreams.end())
+        return;
+    m_buffer.clear();
+    for (const Proxy::Command& command : commands)
+        m_codec.encodeCommand(m_buffer, command);
+    connection->second.stream->write(m_buffer);
+}
+
+void Server::directoryChanged()
+{
+    m_engine.directoryChanged(EventLoop::now());
+    scheduleTick();
+}
+
+void Server::closeIdleSessions() { m_engine.closeIdleSessions(); }
+
+void Server::tick()
+{
+    m_tickAt.reset();
+    m_engine.tick(EventLoop::now());
+    scheduleTick();
+}
+
+void Server::scheduleTick()
+{
+    const Model::Time now = EventLoop::now();
+    const Model::Time next = m_engine.nextTick(now);
+    if (m_tickAt && *m_tickAt <= next + tickSlack)
+        return;
+    m_tickAt = next;
+    m_timer.start(std::max(next - now, Model::Duration(tickSlack)));
+}
+
+void Server::logDecision(const Proxy::Decision& decision)
+{
+    static_cast<void>(decision);
+}
+
+}
--- /dev/null
+++ b/src/libs/sessionserver/server.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "core/directory/view.h"
+#include "core/proxy/engine.h"
+#include "eventloop/loop.h"
+#include "eventloop/tcplistener.h"
+#include "eventloop/timer.h"
+#include "sessionserver/codec.h"
+#include "sessionserver/lines.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace Metrics {
+class Registry;
+}
+
+namespace SessionServer {
+
+struct ServerSettings {
+    std::string zone;
+    std::string ip;
+    /// 0 lets the system choose one.
+    std::uint16_t port = 0;
+    /// Further callers are turned away.
+    std::size_t maxSessions = 3200;
+};
+
+/// What the server needs from its surroundings.
+struct ServerHooks {
+    std::function<bool(const Directory::Customer&, Model::Time)> admit;
+    std::function<void(const std::string& service, Model::Time)> primaryMissing;
+};
+
+/// Serves callers: owns the sockets of callers and upstreams round the engine. Used on the loop's thread.
+class Server {
+public:
+    Server(EventLoop::Loop& loop, const Directory::View& view, Codec codec, Metrics::Registry& metrics,
+        ServerSettings settings, ServerHooks hooks);
+    ~Server();
+
+    /// Returns what went wrong, if anything.
+    std::optional<std::string> listen();
+    std::uint16_t port() const { return m_listener.port(); }
+
+    /// Configuration, upstreams or zones changed.
+    void directoryChanged();
+    /// Ends the sessions that are idle.
+    void closeIdleSessions();
+    Proxy::Engine& engine() { return m_engine; }
+
+private:
+    struct Caller {
+        std::unique_ptr<EventLoop::TcpStream> stream;
+        Lines lines;
+        bool isOpen = false;
+        bool isGreeted = false;
+    };
+    struct UpstreamConnection {
+        std::unique_ptr<EventLoop::TcpStream> stream;
+        Lines lines;
+        /// The answer as far as it has arrived.
+        Proxy::Reply reply;
+        bool isOpen = false;
+        std::string greeting;
+    };
+
+    Proxy::EngineHooks engineHooks(ServerHooks hooks);
+    void accept(std::unique_ptr<EventLoop::TcpStream> stream);
+    bool receive(Proxy::SessionId id, std::string_view line);
+    void callerClosed(Proxy::SessionId id);
+    void reply(Proxy::SessionId id, const Proxy::Reply& reply);
+    void reject(Proxy::SessionId id, Proxy::ResultCode code, std::string_view text);
+
+    void connect(Proxy::ConnectionId id, const Directory::Upstream& upstream, const std::string& customer);
+    bool receiveFromUpstream(Proxy::ConnectionId id, std::string_view line);
+    void upstreamClosed(Proxy::ConnectionId id);
+    void send(Proxy::ConnectionId id, std::span<const Proxy::Command> commands);
+
+    void logDecision(const Proxy::Decision& decision);
+    void tick();
+    void scheduleTick();
+
+    EventLoop::Loop& m_loop;
+    Codec m_codec;
+    Metrics::Registry& m_metrics;
+    ServerSettings m_settings;
+    EventLoop::TcpListener m_listener;
+    EventLoop::Timer m_timer;
+    std::unordered_map<Proxy::SessionId, Caller> m_callers;
+    std::unordered_map<Proxy::ConnectionId, UpstreamConnection> m_upstreams;
+    Proxy::SessionId m_lastSession = 0;
+    std::optional<Model::Time> m_tickAt;
+    std::string m_buffer;
+    Proxy::Engine m_engine;
+};
+
+}
--- /dev/null
+++ b/src/libs/settings/proxysettings.cpp
@@ -0,0 +1,60 @@
+#include "settings/proxysettings.h"
+
+#include "settings/fieldreader.h"
+
+#include <fstream>
+#include <sstream>
+
+#include <nlohmann/json.hpp>
+
+namespace Settings {
+
+namespace {
+
+    using Model::ErrorCode;
+    using Model::makeError;
+
+    constexpr int maxPort = 65535;
+    constexpr int maxShutdownMs = 600000;
+    constexpr int maxWindowMs = 60000;
+    constexpr int maxDescriptors = 1000000;
+    /// Sockets of the store, the probe and the other hosts, and some upstreams.
+    constexpr int minDescriptors = 64;
+
+}
+
+Model::Result<ProxySettings> parseProxySettings(std::string_view json)
+{
+    const auto document = nlohmann::json::parse(json, nullptr, false);
+    if (!document.is_object())
+        return makeError(ErrorCode::InvalidRequest, "the settings are not a JSON object");
+    ProxySettings settings;
+    FieldReader reader(document);
+    reader.text("host", settings.host, 1);
+    reader.text("zone", settings.zone, 1);
+    reader.address("callers", settings.callers);
+    reader.address("probe", settings.probe);
+    reader.text("probePath", settings.probePath, 1);
+    reader.text("ip", settings.ip, 1);
+    reader.range("peerPorts", settings.firstPeerPort, settings.lastPeerPort, 1, maxPort);
+    reader.address("store", settings.store);
+    reader.address("promoter", settings.promoter);
+    reader.integer("shutdownMs", settings.shutdownMs, 0, maxShutdownMs);
+    reader.integer("quotaWindowMs", settings.quotaWindowMs, 1, maxWindowMs);
+    reader.integer("maxDescriptors", settings.maxDescriptors, minDescriptors, maxDescriptors);
+    if (!reader.error().empty())
+        return makeError(ErrorCode::InvalidRequest, reader.error());
+    return settings;
+}
+
+Model::Result<ProxySettings> loadProxySettings(const std::string& path)
+{
+    std::ifstream file(path);
+    if (!file)
+        return makeError(ErrorCode::InvalidRequest, "cannot read the settings file " + path);
+    std::ostringstream content;
+    content << file.rdbuf();
+    return parseProxySettings(content.str());
+}
+
+}
--- a/src/libs/platform/storeclient.cpp
+++ b/src/libs/tablestore/storeclient.cpp
@@ -1,10 +1,10 @@
-#include "platform/storeclient.h"
+#include "tablestore/storeclient.h"
 
 #include "http/connection.h"
 
 #include <nlohmann/json.hpp>
 
-namespace Platform {
+namespace TableStore {
 
 using Json = nlohmann::json;
 using Model::ErrorCode;
--- a/src/libs/platform/storeclient.h
+++ b/src/libs/tablestore/storeclient.h
@@ -16,7 +16,7 @@
 struct Response;
 }
 
-namespace Platform {
+namespace TableStore {
 
 /// A row of the table service. Version 0 stands for a row that does not exist.
 struct Row {
--- a/src/tools/parsleytackd/main.cpp
+++ b/src/tools/parsleytackd/main.cpp
@@ -1,8 +1,12 @@
 #include "daemon/host.h"
+#include "exitcode.h"
 #include "logging/log.h"
+#include "sessionproxy.h"
 #include "settings/hostsettings.h"
+#include "settings/proxysettings.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <string>
 
@@ -10,35 +14,48 @@
 
 namespace {
 
-/// Exit codes; docs/operations.md lists them.
-enum class ExitCode {
-    Done = 0,
-    Usage = 2,
-    SettingsInvalid = 3,
-    ListenFailed = 4,
-    DrainIncomplete = 5,
-    Superseded = 6,
-};
-
 struct Arguments {
     std::string settingsFile;
     bool isCheckOnly = false;
+    bool isSessionProxy = false;
 };
 
+/// Names the settings file if the command line does not.
+constexpr const char* settingsVariable = "PARSLEYTACK_SETTINGS";
+
 Arguments parseArguments(int argc, char** argv)
 {
     TCLAP::CmdLine line(
         "The proxy daemon that runs on every host. It is configured by a settings file and by the "
         "objects that operators publish.",
         ' ', PARSLEYTACK_VERSION);
-    TCLAP::ValueArg<std::string> settings("s", "settings", "Settings file (JSON)", true, "", "FILE", line);
+    const char* fromEnvironment = std::getenv(settingsVariable);
+    TCLAP::ValueArg<std::string> settings("s", "settings",
+        std::string("Settings file (JSON); without it, the one that ") + settingsVariable + " names",
+        !fromEnvironment, fromEnvironment ? fromEnvironment : "", "FILE", line);
     TCLAP::SwitchArg check("c", "check-settings", "Check the settings file and exit", line);
+    TCLAP::SwitchArg proxy("p", "session-proxy",
+        "Serve the database protocol in front of the platform's databases", line);
     line.parse(argc, argv);
-    return { settings.getValue(), check.getValue() };
+    return { settings.getValue(), check.getValue(), proxy.getValue() };
 }
 
 int exitWith(ExitCode code) { return static_cast<int>(code); }
 
+int reportValid()
+{
+    std::cout << "settings are valid\n";
+    return exitWith(ExitCode::Done);
+}
+
+int refuseSettings(const std::string& reason)
+{
+    Logging::configure({});
+    Logging::write(Logging::EventId::SettingsInvalid, { { "reason", reason } });
+    std::cerr << reason << '\n';
+    return exitWith(ExitCode::SettingsInvalid);
+}
+
 int serve(const Settings::HostSettings& settings)
 {
     // All threads inherit the mask, so that only this one receives the signals.
@@ -75,18 +92,16 @@
 {
     try {
         const Arguments arguments = parseArguments(argc, argv);
-        const auto settings = Settings::loadHostSettings(arguments.settingsFile);
-        if (!settings) {
-            Logging::configure({});
-            Logging::write(Logging::EventId::SettingsInvalid, { { "reason", settings.error().message } });
-            std::cerr << settings.error().message << '\n';
-            return exitWith(ExitCode::SettingsInvalid);
-        }
-        if (arguments.isCheckOnly) {
-            std::cout << "settings are valid\n";
-            return exitWith(ExitCode::Done);
+        if (arguments.isSessionProxy) {
+            const auto settings = Settings::loadProxySettings(arguments.settingsFile);
+            if (!settings)
+                return refuseSettings(settings.error().message);
+            return arguments.isCheckOnly ? reportValid() : exitWith(runSessionProxy(*settings));
         }
-        return serve(*settings);
+        const auto settings = Settings::loadHostSettings(arguments.settingsFile);
+        if (!settings)
+            return refuseSettings(settings.error().message);
+        return arguments.isCheckOnly ? reportValid() : serve(*settings);
     } catch (const TCLAP::ArgException& error) {
         std::cerr << error.error() << ": " << error.argId() << '\n';
         return exitWith(ExitCode::Usage);
--- /dev/null
+++ b/src/tools/parsleytackd/sessionproxy.cpp
@@ -0,0 +1,31 @@
+#include "sessionproxy.h"
+
+#include "eventloop/loop.h"
+#include "logging/log.h"
+#include "platform/storewatcher.h"
+#include "platform/wirecodec.h"
+#include "proxyhost/proxyhost.h"
+
+#include <csignal>
+
+ExitCode runSessionProxy(const Settings::ProxySettings& settings)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    Logging::configure({ {}, settings.host, 0 });
+    EventLoop::Loop loop;
+    ProxyHost::ProxyHost host(loop, settings, Adapter::wireCodec());
+    loop.onSignal(SIGTERM, [&host] { host.shutDown(); });
+    loop.onSignal(SIGINT, [&host] { host.shutDown(); });
+    if (const auto error = host.start()) {
+        Logging::write(Logging::EventId::ListenFailed, { { "reason", *error } });
+        return ExitCode::ListenFailed;
+    }
+    Logging::write(Logging::EventId::ProcessStarted, { { "callers", settings.callers.text() } });
+    {
+        const Adapter::StoreWatcher watcher(settings.store.text(), host.storeEvents(),
+            [&loop](std::function<void()> task) { loop.post(std::move(task)); });
+        loop.run();
+    }
+    Logging::write(Logging::EventId::ProcessStopped);
+    return ExitCode::Done;
+}
