--- /dev/null
+++ b/src/libs/core/allowance/fleetallowance.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "core/directory/configuration.h"
+#include "core/model/time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Allowance {
+
+/// What one host has admitted of a customer.
+struct Usage {
+    std::string customer;
+    /// Operations since the host's process started.
+    std::uint64_t admitted = 0;
+    /// Operations per second that were asked for lately.
+    double demand = 0;
+    /// Operations that the whole fleet may still start at once, as the host sees it.
+    double available = 0;
+};
+
+/// What a host tells the others about its customers.
+struct UsageReport {
+    std::string host;
+    /// Rises with every start of the host's process.
+    std::uint64_t incarnation = 0;
+    std::vector<Usage> usage;
+};
+
+/// Limits each customer's operations over the whole fleet without asking anybody before an operation.
+///
+/// Every host keeps a token bucket of the customer's whole rate and burst, takes its own operations from it
+/// at once and those of the others when they report them. A bucket that is well filled may be used freely;
+/// a low one only at the host's part of the rate, which follows its part of the demand, so that the reports'
+/// delay does not multiply the rate by the number of hosts. A host that falls silent is assumed to go on as
+/// before. Used on one thread.
+class FleetAllowance {
+public:
+    explicit FleetAllowance(std::string self);
+
+    /// The other hosts that may admit operations.
+    void setPeers(const std::vector<std::string>& hosts, Model::Time now);
+    /// The customers of the configuration in force; the limits of all others are forgotten.
+    void setCustomers(const Directory::Configuration& configuration, Model::Time now);
+    /// Whether an operation may start now; if so, it is counted.
+    bool admit(const Directory::Customer& customer, Model::Time now);
+    void receive(const UsageReport& report, Model::Time now);
+    /// The host's own report; its host and incarnation are left to the caller.
+    std::vector<Usage> usage(Model::Time now);
+    /// Number of hosts that are taken to be alive, this one included.
+    int liveHosts(Model::Time now) const;
+
+private:
+    struct PeerUsage {
+        std::uint64_t admitted = 0;
+        double demand = 0;
+        /// Operations per second in the last reports.
+        double rate = 0;
+        /// Taken from the bucket for operations that are only assumed.
+        double assumed = 0;
+    };
+    struct Peer {
+        std::uint64_t incarnation = 0;
+        std::optional<Model::Time> heardAt;
+        Model::Time knownSince;
+        std::map<std::string, PeerUsage> usage;
+    };
+    struct Bucket {
+        double rate = 0;
+        double burst = 0;
+        double tokens = 0;
+        /// Tokens of the host's own part, used while the bucket is low.
+        double ownTokens = 0;
+        std::uint64_t admitted = 0;
+        double demand = 0;
+        std::uint64_t asked = 0;
+        std::uint64_t askedBefore = 0;
+        Model::Time refilledAt;
+        Model::Time demandAt;
+    };
+
+    Bucket& bucketOf(const Directory::Customer& customer, Model::Time now);
+    void refill(const std::string& customer, Bucket& bucket, Model::Time now);
+    void updateDemand(Bucket& bucket, Model::Time now) const;
+    double ownPart(const std::string& customer, const Bucket& bucket, Model::Time now) const;
+    bool isGone(const Peer& peer, Model::Time now) const;
+    bool isSilent(const Peer& peer, Model::Time now) const;
+
+    std::string m_self;
+    std::map<std::string, Peer> m_peers;
+    std::map<std::string, Bucket> m_buckets;
+};
+
+}
--- /dev/null
+++ b/src/libs/core/failover/primarywatch.cpp
@@ -0,0 +1,136 @@
+#include "core/failover/primarywatch.h"
+
+#include "core/model/rendezvous.h"
+
+#include <algorithm>
+
+namespace Failover {
+
+namespace {
+
+    /// An opinion older than this is no opinion.
+    constexpr Model::Duration opinionLifetime = std::chrono::milliseconds(900);
+    /// Entries of a service's upstreams arrive one after the other.
+    constexpr Model::Duration missingDelay = std::chrono::milliseconds(500);
+    /// Time for the host before in the order to take the duty.
+    constexpr Model::Duration rankDelay = std::chrono::milliseconds(150);
+    constexpr int maxRank = 5;
+
+}
+
+std::string_view promotionReasonName(PromotionReason reason)
+{
+    switch (reason) {
+    case PromotionReason::Missing:
+        return "missing";
+    case PromotionReason::Unreachable:
+        return "unreachable";
+    case PromotionReason::Leaving:
+        return "leaving";
+    }
+    return "";
+}
+
+PrimaryWatch::PrimaryWatch(
+    const Directory::View& view, const Reachability& reachability, std::string self)
+    : m_view(view)
+    , m_reachability(reachability)
+    , m_self(std::move(self))
+{
+}
+
+void PrimaryWatch::setOpinion(const std::string& service, Opinion opinion)
+{
+    m_opinions[service][opinion.host] = std::move(opinion);
+}
+
+std::optional<PromotionReason> PrimaryWatch::due(const std::string& service, Model::Time now)
+{
+    const auto found = reason(service, now);
+    if (!found) {
+        m_suspicions.erase(service);
+        return std::nullopt;
+    }
+    const auto [entry, isNew] = m_suspicions.try_emplace(service, Suspicion { *found, now });
+    if (!isNew && entry->second.reason != *found)
+        entry->second = { *found, now };
+    const Model::Duration base = *found == PromotionReason::Missing ? missingDelay : Model::Duration {};
+    if (now - entry->second.since < base + rankDelay * rank(service, now))
+        return std::nullopt;
+    if (isPromotedElsewhere(service, now))
+        return std::nullopt;
+    return found;
+}
+
+std::optional<PromotionReason> PrimaryWatch::reason(const std::string& service, Model::Time now) const
+{
+    const auto upstreams = m_view.upstreamsOf(service);
+    const bool hasReplacement = std::ranges::any_of(upstreams, [&](const Directory::Upstream* upstream) {
+        return upstream->role == Directory::Role::Replica && m_view.takesWork(*upstream);
+    });
+    if (!hasReplacement)
+        return std::nullopt;
+    const Directory::Upstream* leader = primary(service);
+    if (!leader)
+        return PromotionReason::Missing;
+    if (!m_view.takesWork(*leader))
+        return PromotionReason::Leaving;
+    if (m_reachability.state(leader->id, now) != ReachabilityState::Unreachable)
+        return std::nullopt;
+    if (!othersAgree(service, leader->id, now))
+        return std::nullopt;
+    return PromotionReason::Unreachable;
+}
+
+/// Whether no host gets answers from the upstream. Without contact to half of the hosts, this host may be
+/// the one that is cut off.
+bool PrimaryWatch::othersAgree(
+    const std::string& service, const std::string& upstream, Model::Time now) const
+{
+    const auto opinions = m_opinions.find(service);
+    int heard = 1;
+    if (opinions != m_opinions.end()) {
+        for (const auto& [host, opinion] : opinions->second) {
+            if (now - opinion.heardAt > opinionLifetime)
+                continue;
+            ++heard;
+            if (opinion.upstream == upstream && opinion.state == ReachabilityState::Reachable)
+                return false;
+        }
+    }
+    return heard * 2 >= m_hostCount;
+}
+
+bool PrimaryWatch::isPromotedElsewhere(const std::string& service, Model::Time now) const
+{
+    const auto opinions = m_opinions.find(service);
+    if (opinions == m_opinions.end())
+        return false;
+    return std::ranges::any_of(opinions->second, [&](const auto& entry) {
+        return entry.second.isPromoting && now - entry.second.heardAt <= opinionLifetime;
+    });
+}
+
+const Directory::Upstream* PrimaryWatch::primary(std::string_view service) const
+{
+    for (const Directory::Upstream* upstream : m_view.upstreamsOf(service)) {
+        if (upstream->role == Directory::Role::Primary)
+            return upstream;
+    }
+    return nullptr;
+}
+
+/// The place of this host in an order of the hosts that differs for each service.
+int PrimaryWatch::rank(const std::string& service, Model::Time now) const
+{
+    const auto opinions = m_opinions.find(service);
+    if (opinions == m_opinions.end())
+        return 0;
+    const std::uint64_t own = Model::stableHash(m_self + service);
+    const auto before = std::ranges::count_if(opinions->second, [&](const auto& entry) {
+        return now - entry.second.heardAt <= opinionLifetime && Model::stableHash(entry.first + service) > own;
+    });
+    return std::min(static_cast<int>(before), maxRank);
+}
+
+}
--- /dev/null
+++ b/src/libs/core/failover/primarywatch.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "core/directory/view.h"
+#include "core/failover/reachability.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Failover {
+
+enum class PromotionReason : std::uint8_t {
+    /// No upstream leads.
+    Missing,
+    /// The one that leads answers nobody.
+    Unreachable,
+    /// The one that leads is leaving, or its zone was taken out.
+    Leaving,
+};
+
+std::string_view promotionReasonName(PromotionReason reason);
+
+/// How another host sees the primary of a service.
+struct Opinion {
+    std::string host;
+    /// Id of the upstream that the opinion is about.
+    std::string upstream;
+    ReachabilityState state = ReachabilityState::Unknown;
+    bool isPromoting = false;
+    Model::Time heardAt;
+};
+
+/// Decides when this host has to replace the primary of a service. Used on one thread.
+class PrimaryWatch {
+public:
+    PrimaryWatch(const Directory::View& view, const Reachability& reachability, std::string self);
+
+    void setOpinion(const std::string& service, Opinion opinion);
+    /// Number of hosts that are expected to send opinions, this one included.
+    void setHostCount(int count) { m_hostCount = count; }
+
+    /// The reason for this host to replace the primary now, if there is one. The other hosts wait a little
+    /// longer, each a different time, so that usually one acts.
+    std::optional<PromotionReason> due(const std::string& service, Model::Time now);
+    /// Whether another host is replacing the primary.
+    bool isPromotedElsewhere(const std::string& service, Model::Time now) const;
+    /// The upstream that says it leads, or null.
+    const Directory::Upstream* primary(std::string_view service) const;
+
+private:
+    struct Suspicion {
+        PromotionReason reason = PromotionReason::Missing;
+        Model::Time since;
+    };
+
+    std::optional<PromotionReason> reason(const std::string& service, Model::Time now) const;
+    bool othersAgree(const std::string& service, const std::string& upstream, Model::Time now) const;
+    int rank(const std::string& service, Model::Time now) const;
+
+    const Directory::View& m_view;
+    const Reachability& m_reachability;
+    std::string m_self;
+    int m_hostCount = 1;
+    std::map<std::string, std::map<std::string, Opinion>> m_opinions;
+    std::map<std::string, Suspicion> m_suspicions;
+};
+
+}
--- /dev/null
+++ b/src/libs/core/failover/promotion.cpp
@@ -0,0 +1,241 @@
+#include "core/failover/promotion.h"
+
+#include <algorithm>
+
+namespace Failover {
+
+namespace {
+
+    constexpr Model::Duration dutyTimeout = std::chrono::seconds(4);
+    /// An upstream that does not tell its position by then is not chosen if another one does.
+    constexpr Model::Duration surveyTimeout = std::chrono::milliseconds(300);
+    constexpr Model::Duration stepDownTimeout = std::chrono::milliseconds(400);
+    /// Replicas receive within a network delay; what is missing after this does not arrive.
+    constexpr Model::Duration catchUpTimeout = std::chrono::milliseconds(400);
+    constexpr Model::Duration catchUpPeriod = std::chrono::milliseconds(20);
+    constexpr Model::Duration orderTimeout = std::chrono::seconds(3);
+    constexpr Model::Duration repeatDelay = std::chrono::milliseconds(150);
+    /// Longer than an upstream needs to take the lead.
+    constexpr Model::Duration leadTimeout = std::chrono::seconds(3);
+
+}
+
+std::string_view promotionPhaseName(PromotionPhase phase)
+{
+    switch (phase) {
+    case PromotionPhase::TakingDuty:
+        return "taking_duty";
+    case PromotionPhase::Surveying:
+        return "surveying";
+    case PromotionPhase::SteppingDown:
+        return "stepping_down";
+    case PromotionPhase::CatchingUp:
+        return "catching_up";
+    case PromotionPhase::Ordering:
+        return "ordering";
+    case PromotionPhase::Awaiting:
+        return "awaiting";
+    case PromotionPhase::Finished:
+        return "finished";
+    case PromotionPhase::Failed:
+        return "failed";
+    }
+    return "";
+}
+
+Promotion::Promotion(const Directory::View& view, std::string service, PromotionReason reason,
+    PromotionHooks hooks, Model::Time now)
+    : m_view(view)
+    , m_service(std::move(service))
+    , m_reason(reason)
+    , m_hooks(std::move(hooks))
+    , m_startedAt(now)
+    , m_phaseAt(now)
+{
+    m_hooks.takeDuty(m_service);
+}
+
+void Promotion::enter(PromotionPhase phase, Model::Time now)
+{
+    m_phase = phase;
+    m_phaseAt = now;
+}
+
+void Promotion::dutyTaken(std::optional<FencingToken> token, Model::Time now)
+{
+    if (m_phase != PromotionPhase::TakingDuty)
+        return;
+    if (!token)
+        return enter(PromotionPhase::Failed, now);
+    m_token = *token;
+    // The reason may have gone while the store was asked.
+    if (hasLeader() && m_reason != PromotionReason::Unreachable)
+        return enter(PromotionPhase::Finished, now);
+    survey(now);
+}
+
+/// Whether another upstream leads already.
+bool Promotion::hasLeader() const
+{
+    return std::ranges::any_of(m_view.upstreamsOf(m_service), [&](const Directory::Upstream* upstream) {
+        return upstream->role == Directory::Role::Primary && m_view.takesWork(*upstream);
+    });
+}
+
+void Promotion::survey(Model::Time now)
+{
+    enter(PromotionPhase::Surveying, now);
+    m_statuses.clear();
+    std::vector<std::string> asked;
+    for (const Directory::Upstream* upstream : m_view.upstreamsOf(m_service)) {
+        if (upstream->role == Directory::Role::Primary) {
+            m_leaving = upstream->id;
+            if (m_reason != PromotionReason::Leaving)
+                continue;
+        }
+        asked.push_back(upstream->id);
+    }
+    m_outstanding = static_cast<int>(asked.size());
+    for (const std::string& upstream : asked)
+        m_hooks.askStatus(upstream);
+    if (asked.empty())
+        enter(PromotionPhase::Failed, now);
+}
+
+void Promotion::statusArrived(
+    const std::string& upstream, const std::optional<UpstreamStatus>& status, Model::Time now)
+{
+    if (status || !m_statuses.contains(upstream))
+        m_statuses[upstream] = status;
+    if (m_phase == PromotionPhase::Surveying) {
+        if (--m_outstanding == 0)
+            surveyed(now);
+        return;
+    }
+    if (m_phase == PromotionPhase::SteppingDown && upstream == m_leaving) {
+        if (status)
+            m_target = status->received;
+        enter(PromotionPhase::CatchingUp, now);
+    }
+    if (m_phase == PromotionPhase::CatchingUp)
+        update(now);
+}
+
+void Promotion::surveyed(Model::Time now)
+{
+    const auto leaving = m_statuses.find(m_leaving);
+    const bool canStepDown = m_reason == PromotionReason::Leaving && leaving != m_statuses.end()
+        && leaving->second && leaving->second->role == Directory::Role::Primary;
+    if (!canStepDown)
+        return chooseAndOrder(now);
+    std::uint64_t term = 0;
+    for (const auto& [upstream, status] : m_statuses) {
+        if (status)
+            term = std::max(term, status->term);
+    }
+    enter(PromotionPhase::SteppingDown, now);
+    m_hooks.stepDown(m_leaving, term + 1);
+}
+
+std::string Promotion::bestReplica() const
+{
+    std::string best;
+    std::optional<Model::LogPosition> bestPosition;
+    for (const Directory::Upstream* upstream : m_view.upstreamsOf(m_service)) {
+        const bool isRefused = std::ranges::find(m_refused, upstream->id) != m_refused.end();
+        if (upstream->id == m_leaving || !m_view.takesWork(*upstream) || isRefused)
+            continue;
+        const auto status = m_statuses.find(upstream->id);
+        const bool isKnown = status != m_statuses.end() && status->second;
+        const Model::LogPosition position = isKnown ? status->second->received : Model::LogPosition {};
+        if (!bestPosition || position > *bestPosition) {
+            best = upstream->id;
+            bestPosition = position;
+        }
+    }
+    return best;
+}
+
+void Promotion::chooseAndOrder(Model::Time now)
+{
+    m_candidate = bestReplica();
+    if (m_candidate.empty())
+        return enter(PromotionPhase::Failed, now);
+    enter(PromotionPhase::Ordering, now);
+    m_hooks.order(m_service, m_candidate, m_token);
+}
+
+void Promotion::orderAnswered(OrderResult result, Model::Time now)
+{
+    if (m_phase != PromotionPhase::Ordering)
+        return;
+    switch (result) {
+    case OrderResult::Accepted:
+        enter(PromotionPhase::Awaiting, now);
+        break;
+    case OrderResult::Refused:
+        // Either the upstream does not run, or a newer holder acts; a new try takes the duty again.
+        m_refused.push_back(m_candidate);
+        enter(PromotionPhase::Failed, now);
+        break;
+    case OrderResult::Unavailable:
+    case OrderResult::Unknown:
+        m_repeatAt = now + repeatDelay;
+        break;
+    }
+    update(now);
+}
+
+void Promotion::update(Model::Time now)
+{
+    const Model::Duration elapsed = now - m_phaseAt;
+    switch (m_phase) {
+    case PromotionPhase::TakingDuty:
+        if (elapsed > dutyTimeout)
+            enter(PromotionPhase::Failed, now);
+        break;
+    case PromotionPhase::Surveying:
+        if (elapsed > surveyTimeout)
+            surveyed(now);
+        break;
+    case PromotionPhase::SteppingDown:
+        if (elapsed > stepDownTimeout)
+            chooseAndOrder(now);
+        break;
+    case PromotionPhase::CatchingUp: {
+        const std::string best = bestReplica();
+        const auto status = m_statuses.find(best);
+        const bool hasAll
+            = status != m_statuses.end() && status->second && status->second->received >= m_target;
+        if (hasAll || best.empty() || elapsed > catchUpTimeout)
+            return chooseAndOrder(now);
+        if (now - m_askedAt >= catchUpPeriod) {
+            m_askedAt = now;
+            m_hooks.askStatus(best);
+        }
+        break;
+    }
+    case PromotionPhase::Ordering:
+        if (elapsed > orderTimeout)
+            return enter(PromotionPhase::Failed, now);
+        // Carried out twice, an order has the same effect as once.
+        if (m_repeatAt && now >= *m_repeatAt) {
+            m_repeatAt.reset();
+            m_hooks.order(m_service, m_candidate, m_token);
+        }
+        break;
+    case PromotionPhase::Awaiting: {
+        const Directory::Upstream* upstream = m_view.findUpstream(m_candidate);
+        if (upstream && upstream->role == Directory::Role::Primary)
+            enter(PromotionPhase::Finished, now);
+        else if (elapsed > leadTimeout)
+            enter(PromotionPhase::Failed, now);
+        break;
+    }
+    case PromotionPhase::Finished:
+    case PromotionPhase::Failed:
+        break;
+    }
+}
+
+}
--- /dev/null
+++ b/src/libs/core/failover/promotion.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "core/directory/view.h"
+#include "core/failover/primarywatch.h"
+#include "core/failover/upstreamstatus.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Failover {
+
+/// Proves that its owner is the newest holder of a duty: each holder gets a higher one.
+using FencingToken = std::uint64_t;
+
+enum class OrderResult : std::uint8_t {
+    Accepted,
+    /// A newer holder has given an order, or the upstream does not run.
+    Refused,
+    /// Certainly not carried out.
+    Unavailable,
+    /// It may have been carried out, or may yet be.
+    Unknown,
+};
+
+enum class PromotionPhase : std::uint8_t {
+    TakingDuty,
+    /// Asks all upstreams for their positions.
+    Surveying,
+    /// The present primary is told to stop writing.
+    SteppingDown,
+    /// The chosen replica receives the rest of the log.
+    CatchingUp,
+    Ordering,
+    /// The order was accepted; the upstream does not lead yet.
+    Awaiting,
+    Finished,
+    Failed,
+};
+
+std::string_view promotionPhaseName(PromotionPhase phase);
+
+/// What a promotion asks of its surroundings; the answers come back as calls.
+struct PromotionHooks {
+    std::function<void(const std::string& service)> takeDuty;
+    std::function<void(const std::string& upstream)> askStatus;
+    std::function<void(const std::string& upstream, std::uint64_t term)> stepDown;
+    std::function<void(const std::string& service, const std::string& upstream, FencingToken)> order;
+};
+
+/// One replacement of a service's primary by the replica that has received the most. Used on one thread.
+class Promotion {
+public:
+    Promotion(const Directory::View& view, std::string service, PromotionReason reason,
+        PromotionHooks hooks, Model::Time now);
+
+    /// Nothing if the duty could not be taken.
+    void dutyTaken(std::optional<FencingToken> token, Model::Time now);
+    /// Also the answer to `stepDown`. Nothing if the upstream did not answer.
+    void statusArrived(
+        const std::string& upstream, const std::optional<UpstreamStatus>& status, Model::Time now);
+    void orderAnswered(OrderResult result, Model::Time now);
+    /// The directory changed or time passed.
+    void update(Model::Time now);
+
+    PromotionPhase phase() const { return m_phase; }
+    bool isOver() const { return m_phase == PromotionPhase::Finished || m_phase == PromotionPhase::Failed; }
+    const std::string& service() const { return m_service; }
+    /// The upstream that is to lead; empty before it is chosen.
+    const std::string& candidate() const { return m_candidate; }
+    PromotionReason reason() const { return m_reason; }
+    Model::Time startedAt() const { return m_startedAt; }
+    FencingToken token() const { return m_token; }
+
+private:
+    void enter(PromotionPhase phase, Model::Time now);
+    void survey(Model::Time now);
+    void surveyed(Model::Time now);
+    void chooseAndOrder(Model::Time now);
+    std::string bestReplica() const;
+    bool hasLeader() const;
+
+    const Directory::View& m_view;
+    std::string m_service;
+    PromotionReason m_reason;
+    PromotionHooks m_hooks;
+    PromotionPhase m_phase = PromotionPhase::TakingDuty;
+    Model::Time m_startedAt;
+    Model::Time m_phaseAt;
+    Model::Time m_askedAt;
+    FencingToken m_token = 0;
+    std::map<std::string, std::optional<UpstreamStatus>> m_statuses;
+    int m_outstanding = 0;
+    /// The primary that is told to step down, and its last position.
+    std::string m_leaving;
+    Model::LogPosition m_target;
+    std::string m_candidate;
+    std::vector<std::string> m_refused;
+    /// When an order without a clear answer is given again.
+    std::optional<Model::Time> m_repeatAt;
+};
+
+}
--- /dev/null
+++ b/src/libs/core/failover/reachability.cpp
@@ -0,0 +1,60 @@
+#include "core/failover/reachability.h"
+
+namespace Failover {
+
+namespace {
+
+    /// Statements take a few ms, with rare ones of some hundred ms; any answer on any connection counts.
+    constexpr Model::Duration silenceLimit = std::chrono::milliseconds(600);
+    /// One failure may be that of a single connection.
+    constexpr int failureLimit = 2;
+    constexpr Model::Duration freshness = std::chrono::milliseconds(500);
+
+}
+
+void Reachability::sent(const std::string& upstream, Model::Time now)
+{
+    Record& record = m_records[upstream];
+    if (!record.unansweredSince)
+        record.unansweredSince = now;
+}
+
+void Reachability::heard(const std::string& upstream, Model::Time now)
+{
+    Record& record = m_records[upstream];
+    record.heardAt = now;
+    record.unansweredSince.reset();
+    record.failures = 0;
+}
+
+void Reachability::failed(const std::string& upstream, Model::Time now)
+{
+    Record& record = m_records[upstream];
+    record.failedAt = now;
+    ++record.failures;
+}
+
+void Reachability::stalled(Model::Time now)
+{
+    for (auto& [upstream, record] : m_records) {
+        if (record.unansweredSince)
+            record.unansweredSince = now;
+        record.failures = 0;
+    }
+}
+
+ReachabilityState Reachability::state(const std::string& upstream, Model::Time now) const
+{
+    const auto found = m_records.find(upstream);
+    if (found == m_records.end())
+        return ReachabilityState::Unknown;
+    const Record& record = found->second;
+    const bool isSilent = record.unansweredSince && now - *record.unansweredSince > silenceLimit;
+    if (isSilent || record.failures >= failureLimit)
+        return ReachabilityState::Unreachable;
+    if (record.heardAt && now - *record.heardAt < freshness)
+        return ReachabilityState::Reachable;
+    return ReachabilityState::Unknown;
+}
+
+}
--- a/src/libs/core/proxy/command.h
+++ b/src/libs/core/proxy/command.h
@@ -39,6 +39,8 @@
     Prepare,
     /// Asks for role, term and positions.
     Status,
+    /// Makes a primary of a term lower than `term` a replica; answered like `Status`.
+    StepDown,
 };
 
 /// One message to an upstream.
@@ -47,6 +49,7 @@
     Statement statement;
     /// The upstream refuses a read or a read-only transaction if its log lacks this position.
     std::optional<Model::LogPosition> after;
+    std::uint64_t term = 0;
 };
 
 }
--- a/src/libs/core/proxy/connection.h
+++ b/src/libs/core/proxy/connection.h
@@ -5,7 +5,9 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +26,8 @@
 struct PendingReply {
     CommandKind kind = CommandKind::Statement;
     Model::Time sentAt;
+    /// For messages of the proxy itself whose answer somebody waits for; gets nothing if none comes.
+    std::function<void(const std::optional<Reply>&)> answered;
 };
 
 /// A prepared statement's kind and shape, apart from the names that sessions and connections give it.
@@ -57,6 +61,9 @@
     /// The session that uses the connection, or 0.
     SessionId session = 0;
     bool isInTransaction = false;
+    /// Sent once the connection is open.
+    std::optional<Command> first;
+    std::function<void(const std::optional<Reply>&)> firstAnswered;
 };
 
 /// The commands that bring a connection to the values of `context`, and to a prepared statement of `shape`
--- a/src/libs/core/proxy/engine.cpp
+++ b/src/libs/core/proxy/engine.cpp
@@ -261,11 +261,8 @@
     if (request.retryAt && now < *request.retryAt)
         return false;
     const auto candidates = m_router.candidates(session, request, now);
-    if (candidates.empty()) {
-        if (request.target == Target::Primary)
-            m_hooks.primaryMissing(session.route->service, now);
+    if (candidates.empty())
         return false;
-    }
     for (const Directory::Upstream* upstream : candidates) {
         if (Connection* connection = m_pool.findIdle(upstream->id, session.customer)) {
             assign(session, *connection, now);
@@ -295,6 +292,7 @@
         if (m_pool.count(upstream->id) >= limits.most)
             continue;
         const Connection& connection = m_pool.add(*upstream, session.customer, now);
+        m_reachability.sent(upstream->id, now);
         m_hooks.connect(connection.id, *upstream, session.customer);
         return true;
     }
@@ -355,8 +353,9 @@
 void Engine::send(Connection& connection, const std::vector<Command>& commands, Model::Time now)
 {
     for (const Command& command : commands)
-        connection.pending.push_back({ command.kind, now });
+        connection.pending.push_back({ command.kind, now, {} });
     connection.changedAt = now;
+    m_reachability.sent(connection.upstream, now);
     m_hooks.send(connection.id, commands);
 }
 
@@ -367,10 +366,56 @@
         return;
     connection->state = ConnectionState::Idle;
     connection->changedAt = now;
+    m_reachability.heard(connection->upstream, now);
     m_router.observePosition(connection->upstream, position);
+    if (connection->first) {
+        connection->state = ConnectionState::Settling;
+        send(*connection, { *connection->first }, now);
+        connection->pending.back().answered = std::move(connection->firstAnswered);
+    }
     dispatch(now);
 }
 
+void Engine::command(
+    const std::string& upstream, const Command& command, AnswerHook answered, Model::Time now)
+{
+    Connection* connection = m_pool.findAnyIdle(upstream);
+    if (connection) {
+        connection->state = ConnectionState::Settling;
+        send(*connection, { command }, now);
+        connection->pending.back().answered = std::move(answered);
+        return;
+    }
+    const Directory::Upstream* target = m_view.findUpstream(upstream);
+    if (!target)
+        return answered(std::nullopt);
+    // Upstreams accept messages of the proxy itself without a customer.
+    Connection& opened = m_pool.add(*target, {}, now);
+    opened.first = command;
+    opened.firstAnswered = std::move(answered);
+    m_reachability.sent(upstream, now);
+    m_hooks.connect(opened.id, *target, {});
+}
+
+/// Tells those who wait for answers on a lost connection that none will come.
+void Engine::failCommands(Connection& connection)
+{
+    if (connection.firstAnswered)
+        connection.firstAnswered(std::nullopt);
+    for (const PendingReply& pending : connection.pending) {
+        if (pending.answered)
+            pending.answered(std::nullopt);
+    }
+}
+
+void Engine::setPromoting(const std::string& service, bool isPromoting)
+{
+    if (isPromoting)
+        m_promoting.insert(service);
+    else
+        m_promoting.erase(service);
+}
+
 void Engine::connectionRefused(ConnectionId id, ResultCode code, Model::Time now)
 {
     Connection* connection = m_pool.find(id);
@@ -383,11 +428,13 @@
     decision.code = code;
     decision.age = now - connection->changedAt;
     m_hooks.decided(decision);
+    m_reachability.heard(connection->upstream, now);
     if (code == ResultCode::ConnectionLimit)
         m_pool.refused(connection->upstream, now);
     else
         m_pool.unreachable(connection->upstream, now);
-    m_pool.remove(id);
+    Connection refused = m_pool.take(id);
+    failCommands(refused);
     dispatch(now);
 }
 
@@ -398,8 +445,9 @@
         return;
     if (connection->pending.empty())
         return connectionLost(id, now);
-    const PendingReply pending = connection->pending.front();
+    const PendingReply pending = std::move(connection->pending.front());
     connection->pending.pop_front();
+    m_reachability.heard(connection->upstream, now);
     if (reply.position != Model::LogPosition {})
         m_router.observePosition(connection->upstream, reply.position);
     switch (pending.kind) {
@@ -416,13 +464,17 @@
     case CommandKind::Reset:
     case CommandKind::Set:
     case CommandKind::Prepare:
-    case CommandKind::Status:
         // The record of the connection is wrong now.
         if (reply.code != ResultCode::Complete) {
             m_hooks.disconnect(id);
             return connectionLost(id, now);
         }
         break;
+    case CommandKind::Status:
+    case CommandKind::StepDown:
+        if (pending.answered)
+            pending.answered(reply);
+        break;
     }
     connection = m_pool.find(id);
     if (connection && connection->session == 0 && connection->pending.empty())
@@ -594,8 +646,9 @@
     Connection* connection = m_pool.find(id);
     if (!connection)
         return;
-    const Connection lost = *connection;
-    m_pool.remove(id);
+    Connection lost = m_pool.take(id);
+    if (lost.state != ConnectionState::Idle)
+        m_reachability.failed(lost.upstream, now);
     if (lost.state != ConnectionState::Idle) {
         Decision decision;
         decision.kind = DecisionKind::ConnectionLost;
@@ -605,6 +658,7 @@
         m_hooks.decided(decision);
         m_router.observeFailure(lost.upstream, now);
     }
+    failCommands(lost);
     if (lost.state == ConnectionState::Opening)
         m_pool.unreachable(lost.upstream, now);
     if (Session* session = findSession(lost.session)) {
@@ -843,6 +897,8 @@
 
 Model::Duration Engine::holdLimit(const Session& session) const
 {
+    if (m_promoting.contains(session.route->service))
+        return session.route->statementTimeout;
     return session.route->targetLatency / holdDivisor;
 }
 
--- a/src/libs/core/proxy/engine.h
+++ b/src/libs/core/proxy/engine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/directory/view.h"
+#include "core/failover/reachability.h"
 #include "core/proxy/pool.h"
 #include "core/proxy/router.h"
 #include "core/proxy/session.h"
@@ -48,8 +49,6 @@
     /// Whether the customer may start another operation now.
     std::function<bool(const Directory::Customer&, Model::Time)> admit;
     std::function<void(const Decision&)> decided;
-    /// A service has requests for its primary, which cannot be reached or denies that it leads.
-    std::function<void(const std::string& service, Model::Time)> primaryMissing;
 };
 
 /// Runs the statements of sessions on the connections of upstreams. Performs no input or output: events
@@ -71,6 +70,15 @@
 
     /// Configuration, upstreams or zones changed.
     void directoryChanged(Model::Time now);
+    /// Sends a message of the proxy itself to an upstream; `answered` gets nothing if no answer comes.
+    using AnswerHook = std::function<void(const std::optional<Reply>&)>;
+    void command(const std::string& upstream, const Command& command, AnswerHook answered, Model::Time now);
+    /// Requests for the service's primary are held while it is being replaced.
+    void setPromoting(const std::string& service, bool isPromoting);
+    /// The process stood still; answers may wait unread.
+    void stalled(Model::Time now) { m_reachability.stalled(now); }
+    const Failover::Reachability& reachability() const { return m_reachability; }
+
     /// Number of hosts that share the connections of an upstream.
     void setHostCount(int count) { m_hostCount = count; }
     /// Handles time limits.
@@ -117,6 +125,7 @@
     void release(Connection& connection, Model::Time now);
     void detach(Session& session, Model::Time now);
     void closeConnection(ConnectionId id);
+    void failCommands(Connection& connection);
     void checkRequest(Session& session, Model::Time now);
     void checkTransaction(Session& session, Model::Time now);
     void closeSurplus(Model::Time now);
@@ -131,6 +140,8 @@
     EngineHooks m_hooks;
     Pool m_pool;
     Router m_router;
+    Failover::Reachability m_reachability;
+    std::set<std::string> m_promoting;
     std::unordered_map<SessionId, Session> m_sessions;
     /// Sessions that wait for a statement or are in a transaction.
     std::set<SessionId> m_active;
--- a/src/libs/core/proxy/pool.cpp
+++ b/src/libs/core/proxy/pool.cpp
@@ -36,14 +36,19 @@
     return found == m_connections.end() ? nullptr : &found->second;
 }
 
-void Pool::remove(ConnectionId id)
+Connection Pool::take(ConnectionId id)
 {
     const auto found = m_connections.find(id);
-    if (found == m_connections.end())
-        return;
-    auto& entry = m_upstreams[found->second.upstream];
-    std::erase(entry.connections, id);
+    std::erase(m_upstreams[found->second.upstream].connections, id);
+    Connection connection = std::move(found->second);
     m_connections.erase(found);
+    return connection;
+}
+
+void Pool::remove(ConnectionId id)
+{
+    if (m_connections.contains(id))
+        take(id);
 }
 
 Connection* Pool::findIdle(const std::string& upstream, const std::string& customer)
@@ -62,6 +67,19 @@
     return best;
 }
 
+Connection* Pool::findAnyIdle(const std::string& upstream)
+{
+    const auto entry = m_upstreams.find(upstream);
+    if (entry == m_upstreams.end())
+        return nullptr;
+    for (const ConnectionId id : entry->second.connections) {
+        Connection& connection = m_connections.at(id);
+        if (connection.state == ConnectionState::Idle)
+            return &connection;
+    }
+    return nullptr;
+}
+
 Connection* Pool::findEvictable(const std::string& upstream, const std::string& customer)
 {
     Connection* best = nullptr;
--- a/src/libs/core/proxy/pool.h
+++ b/src/libs/core/proxy/pool.h
@@ -27,10 +27,14 @@
     /// Registers a connection that is being opened.
     Connection& add(const Directory::Upstream& upstream, const std::string& customer, Model::Time now);
     Connection* find(ConnectionId id);
+    /// Removes and returns a connection that exists.
+    Connection take(ConnectionId id);
     void remove(ConnectionId id);
 
     /// The idle connection of a customer that was used last, or null.
     Connection* findIdle(const std::string& upstream, const std::string& customer);
+    /// An idle connection of any customer, or null.
+    Connection* findAnyIdle(const std::string& upstream);
     /// The idle connection that was used longest ago and belongs to another customer, or null.
     Connection* findEvictable(const std::string& upstream, const std::string& customer);
     /// Whether another connection to the upstream may be opened now.
--- a/src/libs/core/proxy/router.cpp
+++ b/src/libs/core/proxy/router.cpp
@@ -12,8 +12,6 @@
     constexpr Model::Duration lagPause = std::chrono::milliseconds(250);
     /// After a failure, reads prefer other upstreams for this long.
     constexpr Model::Duration failurePause = std::chrono::seconds(1);
-    /// Positions and clocks differ a little between hosts; commits this much younger are required as well.
-    constexpr Model::Duration stalenessMargin = std::chrono::milliseconds(150);
 
     constexpr Model::Duration otherZoneCost = std::chrono::milliseconds(4);
     constexpr Model::Duration handshakeCost = std::chrono::milliseconds(15);
@@ -107,7 +105,7 @@
     const Freshness* known = freshness(route.service);
     if (!known)
         return std::nullopt;
-    std::optional<Model::LogPosition> position = known->required(now, route.maxStaleness - stalenessMargin);
+    std::optional<Model::LogPosition> position = known->required(now, route.maxStaleness);
     if (position && route.kind == Directory::RouteKind::OwnWrites)
         position = std::max(*position, session.lastCommit);
     return position;
--- a/src/libs/http/connection.cpp
+++ b/src/libs/http/connection.cpp
@@ -3,6 +3,8 @@
 #include <mutex>
 
 #include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -21,10 +23,25 @@
         return size * count;
     }
 
+    /// A request may wait long for its response; a connection that went silent is noticed nevertheless.
+    void enableKeepAlive(int socket)
+    {
+        constexpr int isOn = 1;
+        constexpr int idleSeconds = 2;
+        constexpr int intervalSeconds = 1;
+        constexpr int probes = 2;
+        constexpr unsigned userTimeoutMs = 4000;
+        setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &isOn, sizeof isOn);
+        setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &idleSeconds, sizeof idleSeconds);
+        setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &intervalSeconds, sizeof intervalSeconds);
+        setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+        setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeoutMs, sizeof userTimeoutMs);
+    }
+
     void initializeCurlOnce()
     {
         static std::once_flag flag;
-        std::call_once(flag, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
+        std::call_once(flag, [] { curl_global_init(CURL_GLOBAL_NOTHING); });
     }
 
 }
@@ -48,6 +65,8 @@
         --d->socketsAllowed;
         const std::lock_guard lock(d->socketMutex);
         d->socket = ::socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+        if (d->socket >= 0)
+            enableKeepAlive(d->socket);
         return d->socket;
     }
 
--- a/src/libs/logging/eventid.h
+++ b/src/libs/logging/eventid.h
@@ -13,6 +13,7 @@
     DrainStarted = 102,
     SettingsInvalid = 103,
     ListenFailed = 104,
+    LoopStalled = 105,
     SpanFinished = 110,
     MemberAlive = 200,
     MemberSuspect = 201,
--- /dev/null
+++ b/src/libs/peerbus/peerbus.cpp
@@ -0,0 +1,116 @@
+#include "peerbus/peerbus.h"
+
+#include "eventloop/loop.h"
+
+#include <algorithm>
+#include <vector>
+
+#include <uv.h>
+#include <zmq.hpp>
+
+namespace PeerBus {
+
+namespace {
+
+    /// A report replaces the one before it, so that a queue serves nobody.
+    constexpr int highWaterMark = 8;
+    constexpr int heartbeatIntervalMs = 1000;
+    constexpr int heartbeatTimeoutMs = 2500;
+    constexpr int minReconnectMs = 200;
+    constexpr int maxReconnectMs = 2000;
+
+    std::string endpoint(const std::string& address) { return "tcp://" + address; }
+
+    void configure(zmq::socket_t& socket)
+    {
+        socket.set(zmq::sockopt::linger, 0);
+        socket.set(zmq::sockopt::sndhwm, highWaterMark);
+        // Connections that went silent are replaced.
+        socket.set(zmq::sockopt::heartbeat_ivl, heartbeatIntervalMs);
+        socket.set(zmq::sockopt::heartbeat_timeout, heartbeatTimeoutMs);
+        socket.set(zmq::sockopt::reconnect_ivl, minReconnectMs);
+        socket.set(zmq::sockopt::reconnect_ivl_max, maxReconnectMs);
+    }
+
+}
+
+struct Bus::Private {
+    ReceiveHook received;
+    zmq::context_t context { 1 };
+    zmq::socket_t publisher { context, zmq::socket_type::pub };
+    zmq::socket_t subscriber { context, zmq::socket_type::sub };
+    uv_poll_t* poll = nullptr;
+    std::set<std::string> peers;
+    int port = 0;
+
+    // The descriptor is edge-triggered: it tells that something happened, not that messages are left.
+    void drain()
+    {
+        zmq::message_t message;
+        while (subscriber.recv(message, zmq::recv_flags::dontwait))
+            received({ message.data<char>(), message.size() });
+    }
+
+    static void onReadable(uv_poll_t* handle, int /*status*/, int /*events*/)
+    {
+        static_cast<Private*>(handle->data)->drain();
+    }
+};
+
+Bus::Bus(EventLoop::Loop& loop, ReceiveHook received)
+    : m_d(std::make_unique<Private>())
+{
+    m_d->received = std::move(received);
+    configure(m_d->publisher);
+    configure(m_d->subscriber);
+    m_d->subscriber.set(zmq::sockopt::subscribe, "");
+    m_d->poll = new uv_poll_t {};
+    m_d->poll->data = m_d.get();
+    uv_poll_init(loop.handle(), m_d->poll, m_d->subscriber.get(zmq::sockopt::fd));
+    uv_poll_start(m_d->poll, UV_READABLE, &Private::onReadable);
+}
+
+Bus::~Bus()
+{
+    uv_close(reinterpret_cast<uv_handle_t*>(m_d->poll),
+        [](uv_handle_t* handle) { delete reinterpret_cast<uv_poll_t*>(handle); });
+}
+
+std::optional<std::string> Bus::listen(const std::string& ip, int firstPort, int lastPort)
+{
+    std::string error;
+    for (int port = firstPort; port <= lastPort; ++port) {
+        try {
+            m_d->publisher.bind(endpoint(ip + ":" + std::to_string(port)));
+            m_d->port = port;
+            return std::nullopt;
+        } catch (const zmq::error_t& failure) {
+            error = failure.what();
+        }
+    }
+    return "no port for other hosts on " + ip + ": " + error;
+}
+
+int Bus::port() const { return m_d->port; }
+
+void Bus::setPeers(const std::set<std::string>& addresses)
+{
+    std::vector<std::string> gone;
+    std::ranges::set_difference(m_d->peers, addresses, std::back_inserter(gone));
+    for (const std::string& address : gone)
+        m_d->subscriber.disconnect(endpoint(address));
+    std::vector<std::string> added;
+    std::ranges::set_difference(addresses, m_d->peers, std::back_inserter(added));
+    for (const std::string& address : added)
+        m_d->subscriber.connect(endpoint(address));
+    m_d->peers = addresses;
+    m_d->drain();
+}
+
+void Bus::publish(std::string_view message)
+{
+    m_d->publisher.send(zmq::buffer(message), zmq::send_flags::dontwait);
+    m_d->drain();
+}
+
+}
--- /dev/null
+++ b/src/libs/proxyhost/failovers.cpp
@@ -0,0 +1,147 @@
+#include "proxyhost/failovers.h"
+
+#include "eventloop/loop.h"
+#include "logging/log.h"
+#include "sessionserver/server.h"
+
+namespace ProxyHost {
+
+namespace {
+
+    /// Steps of a promotion wait for answers of a few ms.
+    constexpr Model::Duration stepPeriod = std::chrono::milliseconds(15);
+    /// After a promotion ended, the directory needs a moment to show its result.
+    constexpr Model::Duration pauseAfterEnd = std::chrono::milliseconds(400);
+
+}
+
+Failovers::Failovers(EventLoop::Loop& loop, const Directory::View& view, SessionServer::Server& server,
+    PlatformWorker& worker, std::string self)
+    : m_loop(loop)
+    , m_view(view)
+    , m_server(server)
+    , m_worker(worker)
+    , m_self(self)
+    , m_watch(view, server.engine().reachability(), std::move(self))
+    , m_timer(loop, [this] { update(); })
+{
+}
+
+void Failovers::setOpinion(const std::string& service, Failover::Opinion opinion)
+{
+    m_watch.setOpinion(service, std::move(opinion));
+}
+
+void Failovers::update()
+{
+    if (!m_view.configuration())
+        return;
+    const Model::Time now = EventLoop::now();
+    for (const auto& [service, settings] : m_view.configuration()->services) {
+        if (m_promotions.contains(service)) {
+            advance(service);
+        } else if (!isPausing(service, now)) {
+            if (const auto reason = m_watch.due(service, now))
+                start(service, *reason);
+        }
+        m_server.engine().setPromoting(
+            service, m_promotions.contains(service) || m_watch.isPromotedElsewhere(service, now));
+    }
+    if (!m_promotions.empty())
+        m_timer.start(stepPeriod);
+}
+
+bool Failovers::isPausing(const std::string& service, Model::Time now) const
+{
+    const auto ended = m_lastEnded.find(service);
+    return ended != m_lastEnded.end() && now - ended->second < pauseAfterEnd;
+}
+
+void Failovers::start(const std::string& service, Failover::PromotionReason reason)
+{
+    const Directory::Upstream* primary = m_watch.primary(service);
+    Logging::write(Logging::EventId::PromotionStarted,
+        { { "service", service }, { "reason", std::string(Failover::promotionReasonName(reason)) },
+            { "primary", primary ? primary->id : std::string() } });
+    Failover::PromotionHooks hooks;
+    hooks.takeDuty = [this](const std::string& name) {
+        m_worker.takeDuty(name, [this, name](std::optional<Failover::FencingToken> token) {
+            const auto promotion = m_promotions.find(name);
+            if (promotion == m_promotions.end())
+                return;
+            promotion->second->dutyTaken(token, EventLoop::now());
+            advance(name);
+        });
+    };
+    hooks.askStatus = [this, service](const std::string& upstream) { askStatus(service, upstream, 0); };
+    hooks.stepDown = [this, service](const std::string& upstream, std::uint64_t term) {
+        askStatus(service, upstream, term);
+    };
+    hooks.order = [this](const std::string& name, const std::string& upstream, Failover::FencingToken token) {
+        m_worker.promote({ name, upstream, m_self, token }, [this, name](Failover::OrderResult result) {
+            const auto promotion = m_promotions.find(name);
+            if (promotion == m_promotions.end())
+                return;
+            promotion->second->orderAnswered(result, EventLoop::now());
+            advance(name);
+        });
+    };
+    m_promotions.emplace(service,
+        std::make_unique<Failover::Promotion>(m_view, service, reason, std::move(hooks), EventLoop::now()));
+}
+
+/// Asks for an upstream's status, with a term other than 0 after it has given up the lead.
+void Failovers::askStatus(const std::string& service, const std::string& upstream, std::uint64_t stepDownTerm)
+{
+    Proxy::Command command;
+    command.kind = stepDownTerm == 0 ? Proxy::CommandKind::Status : Proxy::CommandKind::StepDown;
+    command.term = stepDownTerm;
+    m_server.askUpstream(
+        upstream, command, [this, service, upstream](const std::optional<Failover::UpstreamStatus>& status) {
+            // The answer may arrive while the question is being asked.
+            m_loop.post([this, service, upstream, status] {
+                const auto promotion = m_promotions.find(service);
+                if (promotion == m_promotions.end())
+                    return;
+                promotion->second->statusArrived(upstream, status, EventLoop::now());
+                advance(service);
+            });
+        });
+}
+
+void Failovers::advance(const std::string& service)
+{
+    const auto found = m_promotions.find(service);
+    Failover::Promotion& promotion = *found->second;
+    const Model::Time now = EventLoop::now();
+    promotion.update(now);
+    if (!promotion.isOver())
+        return;
+    const bool isDone = promotion.phase() == Failover::PromotionPhase::Finished;
+    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now - promotion.startedAt());
+    Logging::write(isDone ? Logging::EventId::PromotionFinished : Logging::EventId::PromotionFailed,
+        { { "service", service }, { "upstream", promotion.candidate() },
+            { "token", std::to_string(promotion.token()) }, { "elapsedMs", std::to_string(elapsed.count()) } });
+    m_lastEnded[service] = now;
+    m_promotions.erase(found);
+}
+
+std::vector<PrimaryOpinion> Failovers::opinions() const
+{
+    std::vector<PrimaryOpinion> result;
+    if (!m_view.configuration())
+        return result;
+    const Model::Time now = EventLoop::now();
+    for (const auto& [service, settings] : m_view.configuration()->services) {
+        PrimaryOpinion opinion { service };
+        if (const Directory::Upstream* primary = m_watch.primary(service)) {
+            opinion.upstream = primary->id;
+            opinion.state = m_server.engine().reachability().state(primary->id, now);
+        }
+        opinion.isPromoting = m_promotions.contains(service);
+        result.push_back(std::move(opinion));
+    }
+    return result;
+}
+
+}
--- /dev/null
+++ b/src/libs/proxyhost/failovers.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "core/directory/view.h"
+#include "core/failover/primarywatch.h"
+#include "core/failover/promotion.h"
+#include "eventloop/timer.h"
+#include "proxyhost/fleet.h"
+#include "proxyhost/platformworker.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace SessionServer {
+class Server;
+}
+
+namespace ProxyHost {
+
+/// Watches the primaries of all services and replaces them where this host has to. Used on the loop's
+/// thread.
+class Failovers {
+public:
+    Failovers(EventLoop::Loop& loop, const Directory::View& view, SessionServer::Server& server,
+        PlatformWorker& worker, std::string self);
+
+    void setOpinion(const std::string& service, Failover::Opinion opinion);
+    void setHostCount(int count) { m_watch.setHostCount(count); }
+    /// Starts what is due and moves on what runs.
+    void update();
+    /// How this host sees the primaries, for the other hosts.
+    std::vector<PrimaryOpinion> opinions() const;
+
+private:
+    void start(const std::string& service, Failover::PromotionReason reason);
+    void advance(const std::string& service);
+    void askStatus(const std::string& service, const std::string& upstream, std::uint64_t stepDownTerm);
+    bool isPausing(const std::string& service, Model::Time now) const;
+
+    EventLoop::Loop& m_loop;
+    const Directory::View& m_view;
+    SessionServer::Server& m_server;
+    PlatformWorker& m_worker;
+    std::string m_self;
+    Failover::PrimaryWatch m_watch;
+    EventLoop::Timer m_timer;
+    std::map<std::string, std::unique_ptr<Failover::Promotion>> m_promotions;
+    std::map<std::string, Model::Time> m_lastEnded;
+};
+
+}
--- /dev/null
+++ b/src/libs/proxyhost/fleet.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "core/allowance/fleetallowance.h"
+#include "core/failover/primarywatch.h"
+#include "peerbus/peerbus.h"
+#include "proxyhost/store.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace EventLoop {
+class Loop;
+}
+
+namespace ProxyHost {
+
+/// How this host sees the primary of a service.
+struct PrimaryOpinion {
+    std::string service;
+    std::string upstream;
+    Failover::ReachabilityState state = Failover::ReachabilityState::Unknown;
+    bool isPromoting = false;
+};
+
+/// Exchanges reports with the other hosts: what customers have used, and how upstreams are seen. Used on the
+/// loop's thread.
+class Fleet {
+public:
+    using OpinionHook = std::function<void(const std::string& service, Failover::Opinion)>;
+
+    Fleet(EventLoop::Loop& loop, std::string self, Allowance::FleetAllowance& allowance, OpinionHook opinion);
+
+    /// Returns what went wrong, if anything.
+    std::optional<std::string> listen(const std::string& ip, int firstPort, int lastPort);
+    /// The address that other hosts connect to, IP:PORT.
+    const std::string& address() const { return m_address; }
+    /// The version of the host's own row; reports are sent from then on.
+    void setIncarnation(std::uint64_t incarnation) { m_incarnation = incarnation; }
+    std::uint64_t incarnation() const { return m_incarnation; }
+
+    /// Rows of the table of hosts changed; `isComplete` says that there are no others.
+    void hostsChanged(const std::vector<StoreRow>& rows, bool isComplete, Model::Time now);
+    void publish(const std::vector<PrimaryOpinion>& opinions, std::uint64_t configuration, Model::Time now);
+
+private:
+    void receive(std::string_view message);
+
+    std::string m_self;
+    Allowance::FleetAllowance& m_allowance;
+    OpinionHook m_opinion;
+    PeerBus::Bus m_bus;
+    std::string m_address;
+    std::uint64_t m_incarnation = 0;
+    std::uint64_t m_sequence = 0;
+    /// Address by host.
+    std::map<std::string, std::string> m_hosts;
+};
+
+}
--- a/src/libs/proxyhost/proxyhost.cpp
+++ b/src/libs/proxyhost/proxyhost.cpp
@@ -1,6 +1,9 @@
 #include "proxyhost/proxyhost.h"
 
 #include "logging/log.h"
+#include "proxyhost/rows.h"
+
+#include <random>
 
 namespace ProxyHost {
 
@@ -9,19 +12,32 @@
     /// The balancer needs two missed probes, one second apart, to send no more callers here.
     constexpr Model::Duration balancerDelay = std::chrono::milliseconds(2300);
     constexpr Model::Duration shutdownCheckPeriod = std::chrono::milliseconds(100);
+    /// How often the primaries are looked at.
+    constexpr Model::Duration watchPeriod = std::chrono::milliseconds(100);
+    /// Reports to the other hosts go out with every second look.
+    constexpr int watchesPerReport = 2;
     /// Left of the time that a shutdown may take when the process ends in any case.
     constexpr Model::Duration shutdownMargin = std::chrono::milliseconds(500);
 
 }
 
-ProxyHost::ProxyHost(
-    EventLoop::Loop& loop, const Settings::ProxySettings& settings, SessionServer::Codec codec)
+ProxyHost::ProxyHost(EventLoop::Loop& loop, const Settings::ProxySettings& settings,
+    SessionServer::Codec codec, PlatformCalls calls)
     : m_loop(loop)
     , m_settings(settings)
+    , m_allowance(settings.host)
     , m_server(loop, m_view, std::move(codec), m_metrics,
           { settings.zone, settings.callers.ip, settings.callers.port },
-          { [](const Directory::Customer&, Model::Time) { return true; },
-              [](const std::string&, Model::Time) {} })
+          { [this](const Directory::Customer& customer, Model::Time now) {
+               return m_allowance.admit(customer, now);
+           } })
+    , m_fleet(loop, settings.host, m_allowance,
+          [this](const std::string& service, Failover::Opinion opinion) {
+              m_failovers.setOpinion(service, std::move(opinion));
+          })
+    , m_worker(loop, std::move(calls), settings.host)
+    , m_failovers(loop, m_view, m_server, m_worker, settings.host)
+    , m_watchTimer(loop, [this] { watch(); })
     , m_probe({ settings.probe.ip, settings.probe.port, settings.probePath }, m_metrics)
     , m_shutdownTimer(loop, [this] { continueShutdown(); })
 {
@@ -31,9 +47,29 @@
 {
     if (auto error = m_server.listen())
         return error;
+    if (auto error = m_fleet.listen(m_settings.ip, m_settings.firstPeerPort, m_settings.lastPeerPort))
+        return error;
+    const HostRow row { m_fleet.address(), std::random_device {}() };
+    m_worker.registerHost(
+        formatHostRow(row), [this](std::uint64_t version) { m_fleet.setIncarnation(version); });
+    m_watchTimer.start(watchPeriod);
     return m_probe.start();
 }
 
+void ProxyHost::watch()
+{
+    const Model::Time now = EventLoop::now();
+    const int hosts = m_allowance.liveHosts(now);
+    m_failovers.setHostCount(hosts);
+    m_server.engine().setHostCount(hosts);
+    m_failovers.update();
+    if (++m_watchCount % watchesPerReport == 0) {
+        const auto& configuration = m_view.configuration();
+        m_fleet.publish(m_failovers.opinions(), configuration ? configuration->version : 0, now);
+    }
+    m_watchTimer.start(watchPeriod);
+}
+
 StoreEvents ProxyHost::storeEvents()
 {
     StoreEvents events;
@@ -71,6 +107,9 @@
         m_view.removeUpstream(id);
         m_server.directoryChanged();
     };
+    events.hosts = [this](const std::vector<StoreRow>& rows, bool isComplete) {
+        m_fleet.hostsChanged(rows, isComplete, EventLoop::now());
+    };
     events.storeReached = [](const std::string& table) {
         Logging::write(Logging::EventId::StoreRecovered, { { "table", table } });
     };
@@ -86,6 +125,7 @@
     if (!m_view.adopt(std::move(configuration)))
         return;
     Logging::write(Logging::EventId::CatalogAdopted, { { "version", version } });
+    m_allowance.setCustomers(*m_view.configuration(), EventLoop::now());
     updateReadiness();
     m_server.directoryChanged();
 }
@@ -101,6 +141,8 @@
         return;
     Logging::write(Logging::EventId::DrainStarted);
     m_shutdownAt = EventLoop::now();
+    if (m_fleet.incarnation() != 0)
+        m_worker.unregisterHost(m_fleet.incarnation());
     updateReadiness();
     m_shutdownTimer.start(balancerDelay);
 }
--- a/src/libs/proxyhost/proxyhost.h
+++ b/src/libs/proxyhost/proxyhost.h
@@ -1,10 +1,14 @@
 #pragma once
 
+#include "core/allowance/fleetallowance.h"
 #include "core/directory/view.h"
 #include "eventloop/loop.h"
 #include "eventloop/timer.h"
 #include "metrics/registry.h"
 #include "probe/probeserver.h"
+#include "proxyhost/failovers.h"
+#include "proxyhost/fleet.h"
+#include "proxyhost/platformworker.h"
 #include "proxyhost/storeevents.h"
 #include "sessionserver/server.h"
 #include "settings/proxysettings.h"
@@ -18,7 +22,8 @@
 /// together. Used on the loop's thread.
 class ProxyHost {
 public:
-    ProxyHost(EventLoop::Loop& loop, const Settings::ProxySettings& settings, SessionServer::Codec codec);
+    ProxyHost(EventLoop::Loop& loop, const Settings::ProxySettings& settings, SessionServer::Codec codec,
+        PlatformCalls calls);
 
     /// Listens on all addresses. Returns what went wrong, if anything.
     std::optional<std::string> start();
@@ -31,12 +36,19 @@
     void adopt(std::shared_ptr<const Directory::Configuration> configuration);
     void updateReadiness();
     void continueShutdown();
+    void watch();
 
     EventLoop::Loop& m_loop;
     Settings::ProxySettings m_settings;
     Metrics::Registry m_metrics;
     Directory::View m_view;
+    Allowance::FleetAllowance m_allowance;
     SessionServer::Server m_server;
+    Fleet m_fleet;
+    PlatformWorker m_worker;
+    Failovers m_failovers;
+    EventLoop::Timer m_watchTimer;
+    int m_watchCount = 0;
     Probe::ProbeServer m_probe;
     EventLoop::Timer m_shutdownTimer;
     std::optional<Model::Time> m_shutdownAt;
--- /dev/null
+++ b/src/libs/proxyhost/rows.cpp
@@ -0,0 +1,38 @@
+#include "proxyhost/rows.h"
+
+#include <nlohmann/json.hpp>
+
+namespace ProxyHost {
+
+std::string formatDutyRow(const DutyRow& row)
+{
+    return nlohmann::json { { "token", row.token }, { "holder", row.holder }, { "nonce", row.nonce } }.dump();
+}
+
+DutyRow parseDutyRow(const std::string& value)
+{
+    try {
+        const auto json = nlohmann::json::parse(value);
+        return { json.at("token").get<Failover::FencingToken>(), json.at("holder").get<std::string>(),
+            json.at("nonce").get<std::uint32_t>() };
+    } catch (const nlohmann::json::exception&) {
+        return {};
+    }
+}
+
+std::string formatHostRow(const HostRow& row)
+{
+    return nlohmann::json { { "address", row.address }, { "nonce", row.nonce } }.dump();
+}
+
+HostRow parseHostRow(const std::string& value)
+{
+    try {
+        const auto json = nlohmann::json::parse(value);
+        return { json.at("address").get<std::string>(), json.at("nonce").get<std::uint32_t>() };
+    } catch (const nlohmann::json::exception&) {
+        return {};
+    }
+}
+
+}
--- a/src/libs/proxyhost/storeevents.h
+++ b/src/libs/proxyhost/storeevents.h
@@ -2,6 +2,7 @@
 
 #include "core/directory/configuration.h"
 #include "core/directory/upstream.h"
+#include "proxyhost/store.h"
 
 #include <functional>
 #include <memory>
@@ -21,6 +22,8 @@
     std::function<void(const std::vector<Directory::Upstream>&)> upstreams;
     std::function<void(const Directory::Upstream&)> upstream;
     std::function<void(const std::string& id)> upstreamGone;
+    /// Rows of the table of hosts; `isComplete` says that there are no others.
+    std::function<void(const std::vector<StoreRow>&, bool isComplete)> hosts;
     /// The table can be followed, at first or again.
     std::function<void(const std::string& table)> storeReached;
     std::function<void(const std::string& table, const std::string& error)> storeLost;
--- a/src/libs/sessionserver/codec.h
+++ b/src/libs/sessionserver/codec.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "core/directory/upstream.h"
+#include "core/failover/upstreamstatus.h"
 #include "core/proxy/command.h"
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -52,6 +54,8 @@
     std::size_t maxLine = 1024UL * 1024;
     std::function<CallerMessage(std::string_view line)> parseCaller;
     std::function<UpstreamMessage(std::string_view line)> parseUpstream;
+    /// Reads the row that answers a question for the status; nothing if it cannot be read.
+    std::function<std::optional<Failover::UpstreamStatus>(std::string_view row)> parseStatus;
     /// A greeting accepts a session.
     std::function<void(std::string&, const Proxy::Reply&)> encodeGreeting;
     std::function<void(std::string&, const Proxy::Reply&)> encodeReply;
--- a/src/libs/sessionserver/server.cpp
+++ b/src/libs/sessionserver/server.cpp
@@ -11,6 +11,8 @@
 
     /// A caller that does not read its answers is cut off beyond this.
     constexpr std::size_t maxUnsentBytes = 4UL * 1024 * 1024;
+    /// The process was frozen, or got no processor, if a timer is later than this.
+    constexpr Model::Duration stallLimit = std::chrono::milliseconds(250);
     /// Timers are moved only for a wake-up that is earlier by more than this.
     constexpr Model::Duration tickSlack = std::chrono::milliseconds(1);
 
@@ -51,7 +53,6 @@
     };
     result.disconnect = [this](Proxy::ConnectionId id) { m_upstreams.erase(id); };
     result.admit = std::move(hooks.admit);
-    result.primaryMissing = std::move(hooks.primaryMissing);
     result.decided = [this](const Proxy::Decision& decision) { logDecision(decision); };
     return result;
 }
@@ -223,12 +224,31 @@
     scheduleTick();
 }
 
+void Server::askUpstream(const std::string& upstream, const Proxy::Command& command,
+    std::function<void(const std::optional<Failover::UpstreamStatus>&)> answered)
+{
+    const auto decode = [this, answered = std::move(answered)](const std::optional<Proxy::Reply>& reply) {
+        if (!reply || reply->code != Proxy::ResultCode::Complete || reply->rows.empty())
+            return answered(std::nullopt);
+        answered(m_codec.parseStatus(reply->rows.front()));
+    };
+    m_engine.command(upstream, command, decode, EventLoop::now());
+    scheduleTick();
+}
+
 void Server::closeIdleSessions() { m_engine.closeIdleSessions(); }
 
 void Server::tick()
 {
+    const Model::Time now = EventLoop::now();
+    if (m_tickAt && now - *m_tickAt > stallLimit) {
+        Logging::write(Logging::EventId::LoopStalled,
+            { { "lateMs",
+                std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - *m_tickAt).count()) } });
+        m_engine.stalled(now);
+    }
     m_tickAt.reset();
-    m_engine.tick(EventLoop::now());
+    m_engine.tick(now);
     scheduleTick();
 }
 
--- a/src/libs/sessionserver/server.h
+++ b/src/libs/sessionserver/server.h
@@ -31,7 +31,6 @@
 /// What the server needs from its surroundings.
 struct ServerHooks {
     std::function<bool(const Directory::Customer&, Model::Time)> admit;
-    std::function<void(const std::string& service, Model::Time)> primaryMissing;
 };
 
 /// Serves callers: owns the sockets of callers and upstreams round the engine. Used on the loop's thread.
@@ -49,7 +48,11 @@
     void directoryChanged();
     /// Ends the sessions that are idle.
     void closeIdleSessions();
+    /// Sends a message of the proxy itself; `answered` gets nothing if no answer comes.
+    void askUpstream(const std::string& upstream, const Proxy::Command& command,
+        std::function<void(const std::optional<Failover::UpstreamStatus>&)> answered);
     Proxy::Engine& engine() { return m_engine; }
+    const Proxy::Engine& engine() const { return m_engine; }
 
 private:
     struct Caller {
--- a/src/tools/parsleytackd/sessionproxy.cpp
+++ b/src/tools/parsleytackd/sessionproxy.cpp
@@ -2,6 +2,7 @@
 
 #include "eventloop/loop.h"
 #include "logging/log.h"
+#include "platform/platformcalls.h"
 #include "platform/storewatcher.h"
 #include "platform/wirecodec.h"
 #include "proxyhost/proxyhost.h"
@@ -13,7 +14,8 @@
     std::signal(SIGPIPE, SIG_IGN);
     Logging::configure({ {}, settings.host, 0 });
     EventLoop::Loop loop;
-    ProxyHost::ProxyHost host(loop, settings, Adapter::wireCodec());
+    ProxyHost::ProxyHost host(
+        loop, settings, Adapter::wireCodec(), Adapter::platformCalls(settings.store.text(), settings.promoter.text()));
     loop.onSignal(SIGTERM, [&host] { host.shutDown(); });
     loop.onSignal(SIGINT, [&host] { host.shutDown(); });
     if (const auto error = host.start()) {
