End the process within the grace time

Sessions that kept arriving held the shutdown up, and the end waited for threads in long calls to the store. Ruled out: sessions in transactions (no idle transaction was left after 3 s).

--- a/src/libs/core/proxy/engine.cpp
+++ b/src/libs/core/proxy/engine.cpp
@@ -862,6 +862,19 @@
     }
 }
 
+void Engine::endIdleTransactions(Model::Time now)
+{
+    const std::vector<SessionId> active(m_active.begin(), m_active.end());
+    for (const SessionId id : active) {
+        const Session* session = findSession(id);
+        if (!session || session->request)
+            continue;
+        decided(DecisionKind::TransactionAborted, *session, ResultCode::Aborted, "shutdown", now);
+        sessionClosed(id, now);
+        m_hooks.closeSession(id);
+    }
+}
+
 void Engine::decided(DecisionKind kind, const Session& session, ResultCode code, std::string_view reason,
     Model::Time now) const
 {
--- a/src/libs/core/proxy/engine.h
+++ b/src/libs/core/proxy/engine.h
@@ -88,6 +88,8 @@
 
     /// Closes the sessions that are in no transaction and wait for nothing.
     void closeIdleSessions();
+    /// Rolls the transactions back that wait for their caller, and closes their sessions.
+    void endIdleTransactions(Model::Time now);
     std::size_t sessionCount() const { return m_sessions.size(); }
     std::size_t busySessionCount() const { return m_active.size(); }
     const Pool& pool() const { return m_pool; }
--- a/src/libs/proxyhost/proxyhost.cpp
+++ b/src/libs/proxyhost/proxyhost.cpp
@@ -16,8 +16,10 @@
     constexpr Model::Duration watchPeriod = std::chrono::milliseconds(100);
     /// Reports to the other hosts go out with every second look.
     constexpr int watchesPerReport = 2;
-    /// Left of the time that a shutdown may take when the process ends in any case.
-    constexpr Model::Duration shutdownMargin = std::chrono::milliseconds(500);
+    /// Parts of the time that a shutdown may take: open transactions are rolled back after the first, the
+    /// process ends after the second.
+    constexpr double transactionPart = 0.5;
+    constexpr double endPart = 0.85;
 
 }
 
@@ -149,9 +151,13 @@
 
 void ProxyHost::continueShutdown()
 {
-    m_server.closeIdleSessions();
     const Model::Duration elapsed = EventLoop::now() - *m_shutdownAt;
-    const bool isOver = elapsed + shutdownMargin >= std::chrono::milliseconds(m_settings.shutdownMs);
+    const Model::Duration limit = std::chrono::milliseconds(m_settings.shutdownMs);
+    m_server.stopListening();
+    if (elapsed >= std::chrono::duration_cast<Model::Duration>(limit * transactionPart))
+        m_server.endIdleTransactions();
+    m_server.closeIdleSessions();
+    const bool isOver = elapsed >= std::chrono::duration_cast<Model::Duration>(limit * endPart);
     if (m_server.engine().sessionCount() == 0 || isOver) {
         m_loop.stop();
         return;
--- a/src/libs/sessionserver/server.cpp
+++ b/src/libs/sessionserver/server.cpp
@@ -24,7 +24,8 @@
     , m_codec(std::move(codec))
     , m_metrics(metrics)
     , m_settings(std::move(settings))
-    , m_listener(loop, [this](std::unique_ptr<EventLoop::TcpStream> stream) { accept(std::move(stream)); })
+    , m_listener(std::make_unique<EventLoop::TcpListener>(
+          loop, [this](std::unique_ptr<EventLoop::TcpStream> stream) { accept(std::move(stream)); }))
     , m_timer(loop, [this] { tick(); })
     , m_engine(view, m_settings.zone, engineHooks(std::move(hooks)))
 {
@@ -35,7 +36,7 @@
 std::optional<std::string> Server::listen()
 {
     scheduleTick();
-    return m_listener.listen(m_settings.ip, m_settings.port);
+    return m_listener->listen(m_settings.ip, m_settings.port);
 }
 
 Proxy::EngineHooks Server::engineHooks(ServerHooks hooks)
@@ -238,6 +239,8 @@
 
 void Server::closeIdleSessions() { m_engine.closeIdleSessions(); }
 
+void Server::endIdleTransactions() { m_engine.endIdleTransactions(EventLoop::now()); }
+
 void Server::tick()
 {
     const Model::Time now = EventLoop::now();
--- a/src/libs/sessionserver/server.h
+++ b/src/libs/sessionserver/server.h
@@ -42,12 +42,16 @@
 
     /// Returns what went wrong, if anything.
     std::optional<std::string> listen();
-    std::uint16_t port() const { return m_listener.port(); }
+    std::uint16_t port() const { return m_listener->port(); }
+    /// Callers that connect from now on are refused.
+    void stopListening() { m_listener.reset(); }
 
     /// Configuration, upstreams or zones changed.
     void directoryChanged();
     /// Ends the sessions that are idle.
     void closeIdleSessions();
+    /// Rolls the transactions back that wait for their caller.
+    void endIdleTransactions();
     /// Sends a message of the proxy itself; `answered` gets nothing if no answer comes.
     void askUpstream(const std::string& upstream, const Proxy::Command& command,
         std::function<void(const std::optional<Failover::UpstreamStatus>&)> answered);
@@ -90,7 +94,7 @@
     Codec m_codec;
     Metrics::Registry& m_metrics;
     ServerSettings m_settings;
-    EventLoop::TcpListener m_listener;
+    std::unique_ptr<EventLoop::TcpListener> m_listener;
     EventLoop::Timer m_timer;
     std::unordered_map<Proxy::SessionId, Caller> m_callers;
     std::unordered_map<Proxy::ConnectionId, UpstreamConnection> m_upstreams;
--- a/src/tools/parsleytackd/sessionproxy.cpp
+++ b/src/tools/parsleytackd/sessionproxy.cpp
@@ -8,6 +8,8 @@
 #include "proxyhost/proxyhost.h"
 
 #include <csignal>
+#include <cstdlib>
+#include <iostream>
 
 ExitCode runSessionProxy(const Settings::ProxySettings& settings)
 {
@@ -23,11 +25,11 @@
         return ExitCode::ListenFailed;
     }
     Logging::write(Logging::EventId::ProcessStarted, { { "callers", settings.callers.text() } });
-    {
-        const Adapter::StoreWatcher watcher(settings.store.text(), host.storeEvents(),
-            [&loop](std::function<void()> task) { loop.post(std::move(task)); });
-        loop.run();
-    }
+    const Adapter::StoreWatcher watcher(settings.store.text(), host.storeEvents(),
+        [&loop](std::function<void()> task) { loop.post(std::move(task)); });
+    loop.run();
     Logging::write(Logging::EventId::ProcessStopped);
-    return ExitCode::Done;
+    std::cout.flush();
+    // The threads that wait for the store could hold up the end for seconds, and keep nothing worth saving.
+    std::_Exit(static_cast<int>(ExitCode::Done));
 }
