--- /dev/null
+++ b/src/libs/core/proxy/connectionledger.cpp
@@ -0,0 +1,50 @@
+#include "core/proxy/connectionledger.h"
+
+#include "core/model/rendezvous.h"
+
+#include <algorithm>
+
+namespace Proxy {
+
+namespace {
+
+    /// Part of the connections that is divided evenly.
+    constexpr double basePart = 0.75;
+    /// While fewer are free for all, idle ones beyond the base are given back.
+    constexpr int scarce = 3;
+
+}
+
+std::uint32_t ConnectionLedger::hashOf(const std::string& upstream)
+{
+    return static_cast<std::uint32_t>(Model::stableHash(upstream));
+}
+
+void ConnectionLedger::setHostCount(int count) { m_hostCount = std::max(1, count); }
+
+void ConnectionLedger::setOpen(
+    const std::string& host, std::unordered_map<std::uint32_t, int> open, Model::Time now)
+{
+    m_reports.insert_or_assign(host, Report { now, std::move(open) });
+}
+
+void ConnectionLedger::forget(Model::Time before)
+{
+    std::erase_if(m_reports, [&](const auto& report) { return report.second.at < before; });
+}
+
+ConnectionShare ConnectionLedger::share(const std::string& upstream, int limit) const
+{
+    const int base = std::max(1, static_cast<int>(limit * basePart / m_hostCount));
+    int extra = limit - base * m_hostCount;
+    const std::uint32_t hash = hashOf(upstream);
+    for (const auto& [host, report] : m_reports) {
+        const auto open = report.open.find(hash);
+        if (open != report.open.end())
+            extra -= std::max(0, open->second - base);
+    }
+    extra = std::max(0, extra);
+    return { extra < scarce ? base : base + 1, base + extra };
+}
+
+}
--- a/src/libs/core/proxy/engine.cpp
+++ b/src/libs/core/proxy/engine.cpp
@@ -282,8 +282,8 @@
             return true;
     }
     for (const Directory::Upstream* upstream : candidates) {
-        const ConnectionShare limits = share(upstream->service);
-        if (!m_pool.mayOpen(upstream->id, { limits.kept, limits.most + 1 }, now))
+        const ConnectionShare limits = share(upstream->service, upstream->id);
+        if (!m_pool.mayOpen(upstream->id, limits.most + 1, now))
             continue;
         if (m_pool.count(upstream->id) >= limits.kept) {
             if (const Connection* other = m_pool.findEvictable(upstream->id, session.customer))
@@ -813,7 +813,9 @@
 
 void Engine::closeSurplus(Model::Time now)
 {
-    const auto shareOf = [this](const std::string& service) { return share(service); };
+    const auto shareOf = [this](const std::string& service, const std::string& upstream) {
+        return share(service, upstream);
+    };
     for (const ConnectionId id : m_pool.surplus(shareOf, now))
         closeConnection(id);
     std::vector<ConnectionId> overdue;
@@ -899,13 +901,11 @@
     return found == m_sessions.end() ? nullptr : &found->second;
 }
 
-ConnectionShare Engine::share(const std::string& service) const
+ConnectionShare Engine::share(const std::string& service, const std::string& upstream) const
 {
     const auto& configuration = m_view.configuration();
     const Directory::Service* settings = configuration ? configuration->findService(service) : nullptr;
-    const int limit = settings ? settings->maxConnections : 0;
-    const int kept = std::max(1, limit / std::max(1, m_hostCount));
-    return { kept, std::max(kept + 1, limit / 4) };
+    return m_ledger.share(upstream, settings ? settings->maxConnections : 0);
 }
 
 Model::Duration Engine::holdLimit(const Session& session) const
--- a/src/libs/core/proxy/engine.h
+++ b/src/libs/core/proxy/engine.h
@@ -2,6 +2,7 @@
 
 #include "core/directory/view.h"
 #include "core/failover/reachability.h"
+#include "core/proxy/connectionledger.h"
 #include "core/proxy/pool.h"
 #include "core/proxy/router.h"
 #include "core/proxy/session.h"
@@ -79,8 +80,8 @@
     void stalled(Model::Time now) { m_reachability.stalled(now); }
     const Failover::Reachability& reachability() const { return m_reachability; }
 
-    /// Number of hosts that share the connections of an upstream.
-    void setHostCount(int count) { m_hostCount = count; }
+    /// What the other hosts hold of the upstreams' connections.
+    ConnectionLedger& ledger() { return m_ledger; }
     /// Handles time limits.
     void tick(Model::Time now);
     /// When `tick` has to be called at the latest.
@@ -135,7 +136,7 @@
     void decided(DecisionKind kind, const Session& session, ResultCode code, std::string_view reason,
         Model::Time now) const;
 
-    ConnectionShare share(const std::string& service) const;
+    ConnectionShare share(const std::string& service, const std::string& upstream) const;
     Model::Duration holdLimit(const Session& session) const;
 
     const Directory::View& m_view;
@@ -149,7 +150,7 @@
     std::set<SessionId> m_active;
     /// Sessions whose request has no connection yet, most urgent and oldest first.
     std::vector<SessionId> m_waiting;
-    int m_hostCount = 9;
+    ConnectionLedger m_ledger;
     Model::Time m_nextSurplusCheck;
 };
 
--- a/src/libs/core/proxy/pool.cpp
+++ b/src/libs/core/proxy/pool.cpp
@@ -7,7 +7,7 @@
 namespace {
 
     /// A host that holds more connections than it keeps gives them back soon: others may wait for them.
-    constexpr Model::Duration surplusIdleTime = std::chrono::milliseconds(800);
+    constexpr Model::Duration surplusIdleTime = std::chrono::milliseconds(300);
     /// Upstreams close connections that are idle for a minute.
     constexpr Model::Duration keptIdleTime = std::chrono::seconds(45);
     /// Other hosts release surplus connections within a second.
@@ -96,14 +96,14 @@
     return best;
 }
 
-bool Pool::mayOpen(const std::string& upstream, const ConnectionShare& share, Model::Time now) const
+bool Pool::mayOpen(const std::string& upstream, int most, Model::Time now) const
 {
     const auto entry = m_upstreams.find(upstream);
     if (entry == m_upstreams.end())
         return true;
     if (entry->second.closedUntil && now < *entry->second.closedUntil)
         return false;
-    return static_cast<int>(entry->second.connections.size()) < share.most;
+    return static_cast<int>(entry->second.connections.size()) < most;
 }
 
 void Pool::refused(const std::string& upstream, Model::Time now)
@@ -144,8 +144,19 @@
     });
 }
 
+std::map<std::string, int> Pool::openCounts() const
+{
+    std::map<std::string, int> counts;
+    for (const auto& [upstream, entry] : m_upstreams) {
+        if (!entry.connections.empty())
+            counts.emplace(upstream, static_cast<int>(entry.connections.size()));
+    }
+    return counts;
+}
+
 std::vector<ConnectionId> Pool::surplus(
-    const std::function<ConnectionShare(const std::string& service)>& share, Model::Time now) const
+    const std::function<ConnectionShare(const std::string& service, const std::string& upstream)>& share,
+    Model::Time now) const
 {
     std::vector<ConnectionId> result;
     for (const auto& [upstream, entry] : m_upstreams) {
@@ -159,7 +170,7 @@
             continue;
         std::ranges::sort(idle, {}, &Connection::changedAt);
         int open = static_cast<int>(entry.connections.size());
-        const int kept = share(idle.front()->service).kept;
+        const int kept = share(idle.front()->service, upstream).kept;
         for (const Connection* connection : idle) {
             const Model::Duration limit = open > kept ? surplusIdleTime : keptIdleTime;
             if (now - connection->changedAt < limit)
--- a/src/libs/core/proxy/pool.h
+++ b/src/libs/core/proxy/pool.h
@@ -2,6 +2,7 @@
 
 #include "core/directory/upstream.h"
 #include "core/proxy/connection.h"
+#include "core/proxy/connectionledger.h"
 
 #include <functional>
 #include <map>
@@ -12,14 +13,6 @@
 
 namespace Proxy {
 
-/// What this host may hold of an upstream's connections.
-struct ConnectionShare {
-    /// Connections that stay open without use.
-    int kept = 1;
-    /// Connections that this host may open.
-    int most = 2;
-};
-
 /// The connections of this host to all upstreams. A connection belongs to one customer, because upstreams
 /// are told the customer when it is opened. Used on one thread.
 class Pool {
@@ -37,8 +30,8 @@
     Connection* findAnyIdle(const std::string& upstream);
     /// The idle connection that was used longest ago and belongs to another customer, or null.
     Connection* findEvictable(const std::string& upstream, const std::string& customer);
-    /// Whether another connection to the upstream may be opened now.
-    bool mayOpen(const std::string& upstream, const ConnectionShare& share, Model::Time now) const;
+    /// Whether another connection to the upstream may be opened now, if this host may hold `most`.
+    bool mayOpen(const std::string& upstream, int most, Model::Time now) const;
     /// The upstream refused a connection because it has too many; nothing is opened there for a while.
     void refused(const std::string& upstream, Model::Time now);
     /// The upstream did not accept a connection; nothing is opened there for a while.
@@ -51,7 +44,10 @@
 
     /// Idle connections that are no longer worth keeping.
     std::vector<ConnectionId> surplus(
-        const std::function<ConnectionShare(const std::string& service)>& share, Model::Time now) const;
+        const std::function<ConnectionShare(const std::string& service, const std::string& upstream)>& share,
+        Model::Time now) const;
+    /// Open connections by upstream.
+    std::map<std::string, int> openCounts() const;
 
     std::unordered_map<ConnectionId, Connection>& connections() { return m_connections; }
     const std::unordered_map<ConnectionId, Connection>& connections() const { return m_connections; }
--- a/src/libs/core/proxy/router.cpp
+++ b/src/libs/core/proxy/router.cpp
@@ -16,7 +16,7 @@
     constexpr Model::Duration otherZoneCost = std::chrono::milliseconds(4);
     constexpr Model::Duration handshakeCost = std::chrono::milliseconds(15);
     /// Replicas go first, since only the primary can write.
-    constexpr Model::Duration primaryCost = std::chrono::milliseconds(8);
+    constexpr Model::Duration primaryCost = std::chrono::milliseconds(25);
     constexpr Model::Duration behindCost = std::chrono::milliseconds(20);
     constexpr Model::Duration troubleCost = std::chrono::milliseconds(200);
     /// Weight of the newest sample in the moving average of latency: one in this many.
--- a/src/libs/proxyhost/fleet.cpp
+++ b/src/libs/proxyhost/fleet.cpp
@@ -38,10 +38,11 @@
 
 }
 
-Fleet::Fleet(
-    EventLoop::Loop& loop, std::string self, Allowance::FleetAllowance& allowance, OpinionHook opinion)
+Fleet::Fleet(EventLoop::Loop& loop, std::string self, Allowance::FleetAllowance& allowance,
+    Proxy::ConnectionLedger& ledger, OpinionHook opinion)
     : m_self(std::move(self))
     , m_allowance(allowance)
+    , m_ledger(ledger)
     , m_opinion(std::move(opinion))
     , m_bus(loop, [this](std::string_view message) { receive(message); })
 {
@@ -75,8 +76,8 @@
     m_bus.setPeers(addresses);
 }
 
-void Fleet::publish(
-    const std::vector<PrimaryOpinion>& opinions, std::uint64_t configuration, Model::Time now)
+void Fleet::publish(const std::vector<PrimaryOpinion>& opinions,
+    const std::map<std::string, int>& openConnections, std::uint64_t configuration, Model::Time now)
 {
     if (m_incarnation == 0)
         return;
@@ -99,6 +100,11 @@
         entry.set_state(wireState(opinion.state));
         entry.set_promoting(opinion.isPromoting);
     }
+    for (const auto& [upstream, open] : openConnections) {
+        Wire::ConnectionUse& entry = *report.add_connections();
+        entry.set_upstream(Proxy::ConnectionLedger::hashOf(upstream));
+        entry.set_open(static_cast<std::uint32_t>(open));
+    }
     m_bus.publish(report.SerializeAsString());
 }
 
@@ -114,6 +120,10 @@
     for (const Wire::CustomerUsage& entry : report.usage())
         usage.usage.push_back({ entry.customer(), entry.admitted(), entry.demand(), entry.available() });
     m_allowance.receive(usage, now);
+    std::unordered_map<std::uint32_t, int> open;
+    for (const Wire::ConnectionUse& entry : report.connections())
+        open.emplace(entry.upstream(), static_cast<int>(entry.open()));
+    m_ledger.setOpen(report.host(), std::move(open), now);
     for (const Wire::PrimaryView& entry : report.primaries()) {
         m_opinion(entry.service(),
             { report.host(), entry.upstream(), stateFromWire(entry.state()), entry.promoting(), now });
--- a/src/libs/proxyhost/fleet.h
+++ b/src/libs/proxyhost/fleet.h
@@ -2,6 +2,7 @@
 
 #include "core/allowance/fleetallowance.h"
 #include "core/failover/primarywatch.h"
+#include "core/proxy/connectionledger.h"
 #include "peerbus/peerbus.h"
 #include "proxyhost/store.h"
 
@@ -32,7 +33,8 @@
 public:
     using OpinionHook = std::function<void(const std::string& service, Failover::Opinion)>;
 
-    Fleet(EventLoop::Loop& loop, std::string self, Allowance::FleetAllowance& allowance, OpinionHook opinion);
+    Fleet(EventLoop::Loop& loop, std::string self, Allowance::FleetAllowance& allowance,
+        Proxy::ConnectionLedger& ledger, OpinionHook opinion);
 
     /// Returns what went wrong, if anything.
     std::optional<std::string> listen(const std::string& ip, int firstPort, int lastPort);
@@ -44,13 +46,15 @@
 
     /// Rows of the table of hosts changed; `isComplete` says that there are no others.
     void hostsChanged(const std::vector<StoreRow>& rows, bool isComplete, Model::Time now);
-    void publish(const std::vector<PrimaryOpinion>& opinions, std::uint64_t configuration, Model::Time now);
+    void publish(const std::vector<PrimaryOpinion>& opinions, const std::map<std::string, int>& openConnections,
+        std::uint64_t configuration, Model::Time now);
 
 private:
     void receive(std::string_view message);
 
     std::string m_self;
     Allowance::FleetAllowance& m_allowance;
+    Proxy::ConnectionLedger& m_ledger;
     OpinionHook m_opinion;
     PeerBus::Bus m_bus;
     std::string m_address;
--- a/src/libs/proxyhost/proxyhost.cpp
+++ b/src/libs/proxyhost/proxyhost.cpp
@@ -16,6 +16,8 @@
     constexpr Model::Duration watchPeriod = std::chrono::milliseconds(100);
     /// Reports to the other hosts go out with every second look.
     constexpr int watchesPerReport = 2;
+    /// A host that sends no reports for so long holds no connections.
+    constexpr Model::Duration reportLifetime = std::chrono::seconds(2);
     /// Parts of the time that a shutdown may take: open transactions are rolled back after the first, the
     /// process ends after the second.
     constexpr double transactionPart = 0.5;
@@ -33,7 +35,7 @@
           { [this](const Directory::Customer& customer, Model::Time now) {
                return m_allowance.admit(customer, now);
            } })
-    , m_fleet(loop, settings.host, m_allowance,
+    , m_fleet(loop, settings.host, m_allowance, m_server.engine().ledger(),
           [this](const std::string& service, Failover::Opinion opinion) {
               m_failovers.setOpinion(service, std::move(opinion));
           })
@@ -63,11 +65,13 @@
     const Model::Time now = EventLoop::now();
     const int hosts = m_allowance.liveHosts(now);
     m_failovers.setHostCount(hosts);
-    m_server.engine().setHostCount(hosts);
+    m_server.engine().ledger().setHostCount(hosts);
+    m_server.engine().ledger().forget(now - reportLifetime);
     m_failovers.update();
     if (++m_watchCount % watchesPerReport == 0) {
         const auto& configuration = m_view.configuration();
-        m_fleet.publish(m_failovers.opinions(), configuration ? configuration->version : 0, now);
+        m_fleet.publish(m_failovers.opinions(), m_server.engine().pool().openCounts(),
+            configuration ? configuration->version : 0, now);
     }
     m_watchTimer.start(watchPeriod);
 }
