Take the newest claim to the lead, and promote only with the store at hand

Cause: the entry of a crashed primary goes on claiming the lead until it expires, and the first by id was taken, so that hosts sent writes to it for 3 s and replaced the new primary again. A host that was cut off from the store announced a promotion that it could not carry out, which held the others back for 1.5 s. Ruled out: the promote call (accepted at the first try).

--- a/src/libs/core/directory/upstream.h
+++ b/src/libs/core/directory/upstream.h
@@ -30,7 +30,10 @@
     /// Wall-clock start in Unix milliseconds, used only to tell incarnations apart.
     std::int64_t startedAt = 0;
 
-    bool operator==(const Upstream&) const = default;
+    /// Rises with every change of any entry.
+    std::uint64_t revision = 0;
+    /// The revision with which it became the primary; set by the view.
+    std::uint64_t leadsSince = 0;
 };
 
 }
--- a/src/libs/core/directory/view.cpp
+++ b/src/libs/core/directory/view.cpp
@@ -10,7 +10,16 @@
     return true;
 }
 
-void View::setUpstream(const Upstream& upstream) { m_upstreams.insert_or_assign(upstream.id, upstream); }
+void View::setUpstream(Upstream upstream)
+{
+    const auto known = m_upstreams.find(upstream.id);
+    const bool hasLed = known != m_upstreams.end() && known->second.role == Role::Primary
+        && known->second.startedAt == upstream.startedAt;
+    if (upstream.role == Role::Primary)
+        upstream.leadsSince = hasLed ? known->second.leadsSince : upstream.revision;
+    const std::string id = upstream.id;
+    m_upstreams.insert_or_assign(id, std::move(upstream));
+}
 
 void View::removeUpstream(const std::string& id) { m_upstreams.erase(id); }
 
@@ -30,6 +39,16 @@
     return result;
 }
 
+const Upstream* View::primaryOf(std::string_view service) const
+{
+    const Upstream* result = nullptr;
+    for (const Upstream* upstream : upstreamsOf(service)) {
+        if (upstream->role == Role::Primary && (!result || upstream->leadsSince > result->leadsSince))
+            result = upstream;
+    }
+    return result;
+}
+
 bool View::takesWork(const Upstream& upstream) const
 {
     return upstream.availability == Availability::Ready && !isZoneOut(upstream.zone);
--- a/src/libs/core/directory/view.h
+++ b/src/libs/core/directory/view.h
@@ -22,12 +22,15 @@
     const std::shared_ptr<const Configuration>& configuration() const { return m_configuration; }
 
     /// Adds or replaces an upstream.
-    void setUpstream(const Upstream& upstream);
+    void setUpstream(Upstream upstream);
     void removeUpstream(const std::string& id);
     const Upstream* findUpstream(std::string_view id) const;
     const std::map<std::string, Upstream, std::less<>>& upstreams() const { return m_upstreams; }
     /// The upstreams of a service, by rising id.
     std::vector<const Upstream*> upstreamsOf(std::string_view service) const;
+    /// The upstream that leads a service, or null. The entry of a crashed one goes on claiming the lead for a
+    /// while, so the newest claim counts.
+    const Upstream* primaryOf(std::string_view service) const;
     /// Whether new work may be sent to the upstream.
     bool takesWork(const Upstream& upstream) const;
 
--- a/src/libs/core/failover/primarywatch.cpp
+++ b/src/libs/core/failover/primarywatch.cpp
@@ -65,12 +65,12 @@
 std::optional<PromotionReason> PrimaryWatch::reason(const std::string& service, Model::Time now) const
 {
     const auto upstreams = m_view.upstreamsOf(service);
+    const Directory::Upstream* leader = m_view.primaryOf(service);
     const bool hasReplacement = std::ranges::any_of(upstreams, [&](const Directory::Upstream* upstream) {
-        return upstream->role == Directory::Role::Replica && m_view.takesWork(*upstream);
+        return upstream != leader && m_view.takesWork(*upstream);
     });
     if (!hasReplacement)
         return std::nullopt;
-    const Directory::Upstream* leader = primary(service);
     if (!leader)
         return PromotionReason::Missing;
     if (!m_view.takesWork(*leader))
@@ -111,15 +111,6 @@
     });
 }
 
-const Directory::Upstream* PrimaryWatch::primary(std::string_view service) const
-{
-    for (const Directory::Upstream* upstream : m_view.upstreamsOf(service)) {
-        if (upstream->role == Directory::Role::Primary)
-            return upstream;
-    }
-    return nullptr;
-}
-
 /// The place of this host in an order of the hosts that differs for each service.
 int PrimaryWatch::rank(const std::string& service, Model::Time now) const
 {
--- a/src/libs/core/failover/primarywatch.h
+++ b/src/libs/core/failover/primarywatch.h
@@ -47,8 +47,6 @@
     std::optional<PromotionReason> due(const std::string& service, Model::Time now);
     /// Whether another host is replacing the primary.
     bool isPromotedElsewhere(const std::string& service, Model::Time now) const;
-    /// The upstream that says it leads, or null.
-    const Directory::Upstream* primary(std::string_view service) const;
 
 private:
     struct Suspicion {
--- a/src/libs/core/failover/promotion.cpp
+++ b/src/libs/core/failover/promotion.cpp
@@ -52,6 +52,8 @@
     , m_startedAt(now)
     , m_phaseAt(now)
 {
+    if (const Directory::Upstream* leader = view.primaryOf(m_service))
+        m_former = leader->id;
     m_hooks.takeDuty(m_service);
 }
 
@@ -69,7 +71,7 @@
         return enter(PromotionPhase::Failed, now);
     m_token = *token;
     // The reason may have gone while the store was asked.
-    if (hasLeader() && m_reason != PromotionReason::Unreachable)
+    if (hasLeader())
         return enter(PromotionPhase::Finished, now);
     survey(now);
 }
@@ -77,9 +79,8 @@
 /// Whether another upstream leads already.
 bool Promotion::hasLeader() const
 {
-    return std::ranges::any_of(m_view.upstreamsOf(m_service), [&](const Directory::Upstream* upstream) {
-        return upstream->role == Directory::Role::Primary && m_view.takesWork(*upstream);
-    });
+    const Directory::Upstream* leader = m_view.primaryOf(m_service);
+    return leader && leader->id != m_former && m_view.takesWork(*leader);
 }
 
 void Promotion::survey(Model::Time now)
@@ -88,11 +89,8 @@
     m_statuses.clear();
     std::vector<std::string> asked;
     for (const Directory::Upstream* upstream : m_view.upstreamsOf(m_service)) {
-        if (upstream->role == Directory::Role::Primary) {
-            m_leaving = upstream->id;
-            if (m_reason != PromotionReason::Leaving)
-                continue;
-        }
+        if (upstream->id == m_former && m_reason != PromotionReason::Leaving)
+            continue;
         asked.push_back(upstream->id);
     }
     m_outstanding = static_cast<int>(asked.size());
@@ -112,7 +110,7 @@
             surveyed(now);
         return;
     }
-    if (m_phase == PromotionPhase::SteppingDown && upstream == m_leaving) {
+    if (m_phase == PromotionPhase::SteppingDown && upstream == m_former) {
         if (status)
             m_target = status->received;
         enter(PromotionPhase::CatchingUp, now);
@@ -123,7 +121,7 @@
 
 void Promotion::surveyed(Model::Time now)
 {
-    const auto leaving = m_statuses.find(m_leaving);
+    const auto leaving = m_statuses.find(m_former);
     const bool canStepDown = m_reason == PromotionReason::Leaving && leaving != m_statuses.end()
         && leaving->second && leaving->second->role == Directory::Role::Primary;
     if (!canStepDown)
@@ -134,7 +132,7 @@
             term = std::max(term, status->term);
     }
     enter(PromotionPhase::SteppingDown, now);
-    m_hooks.stepDown(m_leaving, term + 1);
+    m_hooks.stepDown(m_former, term + 1);
 }
 
 std::string Promotion::bestReplica() const
@@ -143,7 +141,7 @@
     std::optional<Model::LogPosition> bestPosition;
     for (const Directory::Upstream* upstream : m_view.upstreamsOf(m_service)) {
         const bool isRefused = std::ranges::find(m_refused, upstream->id) != m_refused.end();
-        if (upstream->id == m_leaving || !m_view.takesWork(*upstream) || isRefused)
+        if (upstream->id == m_former || !m_view.takesWork(*upstream) || isRefused)
             continue;
         const auto status = m_statuses.find(upstream->id);
         const bool isKnown = status != m_statuses.end() && status->second;
@@ -225,8 +223,8 @@
         }
         break;
     case PromotionPhase::Awaiting: {
-        const Directory::Upstream* upstream = m_view.findUpstream(m_candidate);
-        if (upstream && upstream->role == Directory::Role::Primary)
+        const Directory::Upstream* leader = m_view.primaryOf(m_service);
+        if (leader && leader->id == m_candidate)
             enter(PromotionPhase::Finished, now);
         else if (elapsed > leadTimeout)
             enter(PromotionPhase::Failed, now);
--- a/src/libs/core/failover/promotion.h
+++ b/src/libs/core/failover/promotion.h
@@ -69,6 +69,8 @@
     PromotionPhase phase() const { return m_phase; }
     bool isOver() const { return m_phase == PromotionPhase::Finished || m_phase == PromotionPhase::Failed; }
     const std::string& service() const { return m_service; }
+    /// Whether this host holds the duty, so that the others need not try.
+    bool hasDuty() const { return m_token != 0 && !isOver(); }
     /// The upstream that is to lead; empty before it is chosen.
     const std::string& candidate() const { return m_candidate; }
     PromotionReason reason() const { return m_reason; }
@@ -94,8 +96,9 @@
     FencingToken m_token = 0;
     std::map<std::string, std::optional<UpstreamStatus>> m_statuses;
     int m_outstanding = 0;
-    /// The primary that is told to step down, and its last position.
-    std::string m_leaving;
+    /// The primary that is replaced; empty if none led.
+    std::string m_former;
+    /// Its last position, if it stepped down.
     Model::LogPosition m_target;
     std::string m_candidate;
     std::vector<std::string> m_refused;
--- a/src/libs/core/proxy/router.cpp
+++ b/src/libs/core/proxy/router.cpp
@@ -72,11 +72,12 @@
     total += knowledge.latency * (1 + m_pool.countInUse(upstream.id)) / std::max(1, upstream.slots);
     if (upstream.zone != m_zone)
         total += otherZoneCost;
-    if (upstream.role == Directory::Role::Primary)
+    const bool isPrimary = m_view.primaryOf(upstream.service) == &upstream;
+    if (isPrimary)
         total += primaryCost;
     if (!m_pool.findIdle(upstream.id, session.customer))
         total += handshakeCost;
-    if (required && knowledge.position < *required && upstream.role != Directory::Role::Primary)
+    if (required && knowledge.position < *required && !isPrimary)
         total += behindCost;
     if (isRecent(knowledge.laggedAt, now, lagPause) || isRecent(knowledge.failedAt, now, failurePause))
         total += troubleCost;
@@ -85,16 +86,13 @@
 
 const Directory::Upstream* Router::primary(std::string_view service, Model::Time now) const
 {
-    for (const Directory::Upstream* upstream : m_view.upstreamsOf(service)) {
-        if (upstream->role != Directory::Role::Primary || !m_view.takesWork(*upstream))
-            continue;
-        const auto knowledge = m_knowledge.find(upstream->id);
-        if (knowledge != m_knowledge.end()
-            && isRecent(knowledge->second.deniedLeadAt, now, deniedLeadPause))
-            continue;
-        return upstream;
-    }
-    return nullptr;
+    const Directory::Upstream* upstream = m_view.primaryOf(service);
+    if (!upstream || !m_view.takesWork(*upstream))
+        return nullptr;
+    const auto knowledge = m_knowledge.find(upstream->id);
+    if (knowledge != m_knowledge.end() && isRecent(knowledge->second.deniedLeadAt, now, deniedLeadPause))
+        return nullptr;
+    return upstream;
 }
 
 std::optional<Model::LogPosition> Router::requiredPosition(const Session& session, Model::Time now) const
--- a/src/libs/proxyhost/failovers.cpp
+++ b/src/libs/proxyhost/failovers.cpp
@@ -40,7 +40,7 @@
     for (const auto& [service, settings] : m_view.configuration()->services) {
         if (m_promotions.contains(service)) {
             advance(service);
-        } else if (!isPausing(service, now)) {
+        } else if (m_isStoreReachable && !isPausing(service, now)) {
             if (const auto reason = m_watch.due(service, now))
                 start(service, *reason);
         }
@@ -59,7 +59,7 @@
 
 void Failovers::start(const std::string& service, Failover::PromotionReason reason)
 {
-    const Directory::Upstream* primary = m_watch.primary(service);
+    const Directory::Upstream* primary = m_view.primaryOf(service);
     Logging::write(Logging::EventId::PromotionStarted,
         { { "service", service }, { "reason", std::string(Failover::promotionReasonName(reason)) },
             { "primary", primary ? primary->id : std::string() } });
@@ -134,11 +134,12 @@
     const Model::Time now = EventLoop::now();
     for (const auto& [service, settings] : m_view.configuration()->services) {
         PrimaryOpinion opinion { service };
-        if (const Directory::Upstream* primary = m_watch.primary(service)) {
+        if (const Directory::Upstream* primary = m_view.primaryOf(service)) {
             opinion.upstream = primary->id;
             opinion.state = m_server.engine().reachability().state(primary->id, now);
         }
-        opinion.isPromoting = m_promotions.contains(service);
+        const auto promotion = m_promotions.find(service);
+        opinion.isPromoting = promotion != m_promotions.end() && promotion->second->hasDuty();
         result.push_back(std::move(opinion));
     }
     return result;
--- a/src/libs/proxyhost/failovers.h
+++ b/src/libs/proxyhost/failovers.h
@@ -29,6 +29,8 @@
 
     void setOpinion(const std::string& service, Failover::Opinion opinion);
     void setHostCount(int count) { m_watch.setHostCount(count); }
+    /// Without the store, no duty can be taken.
+    void setStoreReachable(bool isReachable) { m_isStoreReachable = isReachable; }
     /// Starts what is due and moves on what runs.
     void update();
     /// How this host sees the primaries, for the other hosts.
@@ -49,6 +51,7 @@
     EventLoop::Timer m_timer;
     std::map<std::string, std::unique_ptr<Failover::Promotion>> m_promotions;
     std::map<std::string, Model::Time> m_lastEnded;
+    bool m_isStoreReachable = false;
 };
 
 }
--- a/src/libs/proxyhost/proxyhost.cpp
+++ b/src/libs/proxyhost/proxyhost.cpp
@@ -116,11 +116,15 @@
     events.hosts = [this](const std::vector<StoreRow>& rows, bool isComplete) {
         m_fleet.hostsChanged(rows, isComplete, EventLoop::now());
     };
-    events.storeReached = [](const std::string& table) {
+    events.storeReached = [this](const std::string& table) {
         Logging::write(Logging::EventId::StoreRecovered, { { "table", table } });
+        m_lostTables.erase(table);
+        m_failovers.setStoreReachable(m_lostTables.empty());
     };
-    events.storeLost = [](const std::string& table, const std::string& error) {
+    events.storeLost = [this](const std::string& table, const std::string& error) {
         Logging::write(Logging::EventId::StoreUnavailable, { { "table", table }, { "reason", error } });
+        m_lostTables.insert(table);
+        m_failovers.setStoreReachable(false);
     };
     return events;
 }
--- a/src/libs/proxyhost/proxyhost.h
+++ b/src/libs/proxyhost/proxyhost.h
@@ -14,6 +14,7 @@
 #include "settings/proxysettings.h"
 
 #include <optional>
+#include <set>
 #include <string>
 
 namespace ProxyHost {
@@ -53,6 +54,8 @@
     EventLoop::Timer m_shutdownTimer;
     std::optional<Model::Time> m_shutdownAt;
     bool m_hasUpstreams = false;
+    /// Tables of the store that cannot be followed now.
+    std::set<std::string> m_lostTables;
 };
 
 }
