--- a/src/libs/core/failover/primarywatch.cpp
+++ b/src/libs/core/failover/primarywatch.cpp
@@ -13,7 +13,7 @@
     /// Entries of a service's upstreams arrive one after the other.
     constexpr Model::Duration missingDelay = std::chrono::milliseconds(500);
     /// Time for the host before in the order to take the duty.
-    constexpr Model::Duration rankDelay = std::chrono::milliseconds(150);
+    constexpr Model::Duration rankDelay = std::chrono::milliseconds(50);
     constexpr int maxRank = 5;
 
 }
@@ -119,7 +119,8 @@
         return 0;
     const std::uint64_t own = Model::stableHash(m_self + service);
     const auto before = std::ranges::count_if(opinions->second, [&](const auto& entry) {
-        return now - entry.second.heardAt <= opinionLifetime && Model::stableHash(entry.first + service) > own;
+        return now - entry.second.heardAt <= opinionLifetime && entry.second.canPromote
+            && Model::stableHash(entry.first + service) > own;
     });
     return std::min(static_cast<int>(before), maxRank);
 }
--- a/src/libs/core/failover/primarywatch.h
+++ b/src/libs/core/failover/primarywatch.h
@@ -30,6 +30,8 @@
     std::string upstream;
     ReachabilityState state = ReachabilityState::Unknown;
     bool isPromoting = false;
+    /// Whether the host could replace the primary.
+    bool canPromote = false;
     Model::Time heardAt;
 };
 
--- a/src/libs/core/failover/reachability.cpp
+++ b/src/libs/core/failover/reachability.cpp
@@ -5,10 +5,10 @@
 namespace {
 
     /// Statements take a few ms, with rare ones of some hundred ms; any answer on any connection counts.
-    constexpr Model::Duration silenceLimit = std::chrono::milliseconds(600);
+    constexpr Model::Duration silenceLimit = std::chrono::milliseconds(450);
     /// One failure may be that of a single connection.
     constexpr int failureLimit = 2;
-    constexpr Model::Duration freshness = std::chrono::milliseconds(500);
+    constexpr Model::Duration freshness = std::chrono::milliseconds(300);
 
 }
 
--- a/src/libs/core/proxy/engine.cpp
+++ b/src/libs/core/proxy/engine.cpp
@@ -75,6 +75,7 @@
     Decision decision;
     decision.kind = DecisionKind::SessionRejected;
     decision.database = database;
+    decision.configuration = m_view.configuration() ? m_view.configuration()->version : 0;
     decision.code = code;
     decision.reason = reason;
     m_hooks.decided(decision);
@@ -116,6 +117,7 @@
         Decision decision { DecisionKind::RequestRefused, statement.id, session.database, session.customer };
         decision.code = code;
         decision.reason = reason;
+        decision.configuration = session.configuration->version;
         m_hooks.decided(decision);
         m_hooks.reply(session.id, errorReply(code, reason, TransactionState::None));
         return false;
@@ -618,6 +620,7 @@
 void Engine::finish(Session& session, Reply reply, Model::Time now)
 {
     const SessionId id = session.id;
+    m_hooks.answered(session, reply.code, now - session.request->arrivedAt);
     session.request.reset();
     session.lastActivity = now;
     if (session.state == TransactionState::None)
@@ -886,9 +889,11 @@
     decision.customer = session.customer;
     decision.code = code;
     decision.reason = reason;
+    decision.configuration = session.configuration ? session.configuration->version : 0;
     if (session.request) {
         decision.request = session.request->statement.id;
         decision.age = now - session.request->arrivedAt;
+        decision.attempts = session.request->attempts;
         if (!session.request->avoided.empty())
             decision.upstream = session.request->avoided.back();
     }
--- a/src/libs/core/proxy/engine.h
+++ b/src/libs/core/proxy/engine.h
@@ -3,6 +3,7 @@
 #include "core/directory/view.h"
 #include "core/failover/reachability.h"
 #include "core/proxy/connectionledger.h"
+#include "core/proxy/decision.h"
 #include "core/proxy/pool.h"
 #include "core/proxy/router.h"
 #include "core/proxy/session.h"
@@ -15,30 +16,6 @@
 
 namespace Proxy {
 
-/// A decision worth a line in the log.
-enum class DecisionKind : std::uint8_t {
-    RequestRefused,
-    RequestRetried,
-    RequestInDoubt,
-    TransactionAborted,
-    SessionRejected,
-    ConnectionRefused,
-    ConnectionLost,
-};
-
-struct Decision {
-    DecisionKind kind = DecisionKind::RequestRefused;
-    /// Id of the statement; empty if the decision concerns none.
-    std::string request;
-    std::string database;
-    std::string customer;
-    std::string upstream;
-    ResultCode code = ResultCode::Busy;
-    std::string_view reason;
-    /// How long the request had been here, or the connection in its state.
-    Model::Duration age {};
-};
-
 /// What the engine asks of its surroundings.
 struct EngineHooks {
     std::function<void(SessionId, const Reply&)> reply;
@@ -50,6 +27,8 @@
     /// Whether the customer may start another operation now.
     std::function<bool(const Directory::Customer&, Model::Time)> admit;
     std::function<void(const Decision&)> decided;
+    /// A statement that an upstream had to run was answered after `elapsed`.
+    std::function<void(const Session&, ResultCode, Model::Duration elapsed)> answered;
 };
 
 /// Runs the statements of sessions on the connections of upstreams. Performs no input or output: events
--- a/src/libs/logging/eventid.cpp
+++ b/src/libs/logging/eventid.cpp
@@ -9,7 +9,7 @@
 
     using enum EventId;
 
-    constexpr std::array<EventInfo, 32> table { {
+    constexpr std::array<EventInfo, 39> table { {
         { ProcessStarted, "process_started", Severity::Info, "the process listens on all its addresses" },
         { ProcessStopped, "process_stopped", Severity::Info, "the process ended after its last request" },
         { DrainStarted, "drain_started", Severity::Info, "SIGTERM received; no new requests are accepted" },
@@ -51,6 +51,17 @@
             "the lease lapsed, so the quota slots are acquired again" },
         { SlotReleased, "slot_released", Severity::Info, "the host gave quota slots back" },
         { LeaseLapsed, "lease_lapsed", Severity::Warning, "a newer process of this host holds the lease" },
+        { RequestRefused, "request_refused", Severity::Info, "a statement was refused and has not run" },
+        { RequestRetried, "request_retried", Severity::Info,
+            "a statement that had no effect is tried again" },
+        { RequestInDoubt, "request_in_doubt", Severity::Warning,
+            "the answer to a write or commit was lost" },
+        { TransactionAborted, "transaction_aborted", Severity::Info, "a transaction was rolled back" },
+        { SessionRejected, "session_rejected", Severity::Info, "a caller was not given a session" },
+        { UpstreamConnectionRefused, "upstream_connection_refused", Severity::Info,
+            "an upstream accepted no further connection" },
+        { UpstreamConnectionLost, "upstream_connection_lost", Severity::Warning,
+            "a connection broke, or did not answer in time, while in use" },
     } };
 
 }
--- a/src/libs/logging/eventid.h
+++ b/src/libs/logging/eventid.h
@@ -40,6 +40,13 @@
     SlotLost = 501,
     SlotReleased = 502,
     LeaseLapsed = 503,
+    RequestRefused = 600,
+    RequestRetried = 601,
+    RequestInDoubt = 602,
+    TransactionAborted = 603,
+    SessionRejected = 604,
+    UpstreamConnectionRefused = 605,
+    UpstreamConnectionLost = 606,
 };
 
 enum class Severity : std::uint8_t {
--- a/src/libs/proxyhost/fleet.cpp
+++ b/src/libs/proxyhost/fleet.cpp
@@ -76,8 +76,7 @@
     m_bus.setPeers(addresses);
 }
 
-void Fleet::publish(const std::vector<PrimaryOpinion>& opinions,
-    const std::map<std::string, int>& openConnections, std::uint64_t configuration, Model::Time now)
+void Fleet::publish(const OwnState& own, Model::Time now)
 {
     if (m_incarnation == 0)
         return;
@@ -85,7 +84,8 @@
     report.set_host(m_self);
     report.set_incarnation(m_incarnation);
     report.set_sequence(++m_sequence);
-    report.set_configuration(configuration);
+    report.set_configuration(own.configuration);
+    report.set_reaches_store(own.reachesStore);
     for (const Allowance::Usage& usage : m_allowance.usage(now)) {
         Wire::CustomerUsage& entry = *report.add_usage();
         entry.set_customer(usage.customer);
@@ -93,14 +93,14 @@
         entry.set_demand(static_cast<float>(usage.demand));
         entry.set_available(static_cast<float>(usage.available));
     }
-    for (const PrimaryOpinion& opinion : opinions) {
+    for (const PrimaryOpinion& opinion : own.opinions) {
         Wire::PrimaryView& entry = *report.add_primaries();
         entry.set_service(opinion.service);
         entry.set_upstream(opinion.upstream);
         entry.set_state(wireState(opinion.state));
         entry.set_promoting(opinion.isPromoting);
     }
-    for (const auto& [upstream, open] : openConnections) {
+    for (const auto& [upstream, open] : own.openConnections) {
         Wire::ConnectionUse& entry = *report.add_connections();
         entry.set_upstream(Proxy::ConnectionLedger::hashOf(upstream));
         entry.set_open(static_cast<std::uint32_t>(open));
@@ -126,7 +126,8 @@
     m_ledger.setOpen(report.host(), std::move(open), now);
     for (const Wire::PrimaryView& entry : report.primaries()) {
         m_opinion(entry.service(),
-            { report.host(), entry.upstream(), stateFromWire(entry.state()), entry.promoting(), now });
+            { report.host(), entry.upstream(), stateFromWire(entry.state()), entry.promoting(),
+                report.reaches_store(), now });
     }
 }
 
--- a/src/libs/proxyhost/fleet.h
+++ b/src/libs/proxyhost/fleet.h
@@ -27,6 +27,16 @@
     bool isPromoting = false;
 };
 
+/// What a host tells the others, beside what its customers have used.
+struct OwnState {
+    std::vector<PrimaryOpinion> opinions;
+    /// Connections held, by upstream.
+    std::map<std::string, int> openConnections;
+    /// Version of the configuration in force; 0 for none.
+    std::uint64_t configuration = 0;
+    bool reachesStore = false;
+};
+
 /// Exchanges reports with the other hosts: what customers have used, and how upstreams are seen. Used on the
 /// loop's thread.
 class Fleet {
@@ -46,8 +56,7 @@
 
     /// Rows of the table of hosts changed; `isComplete` says that there are no others.
     void hostsChanged(const std::vector<StoreRow>& rows, bool isComplete, Model::Time now);
-    void publish(const std::vector<PrimaryOpinion>& opinions, const std::map<std::string, int>& openConnections,
-        std::uint64_t configuration, Model::Time now);
+    void publish(const OwnState& own, Model::Time now);
 
 private:
     void receive(std::string_view message);
--- a/src/libs/proxyhost/proxyhost.cpp
+++ b/src/libs/proxyhost/proxyhost.cpp
@@ -70,8 +70,9 @@
     m_failovers.update();
     if (++m_watchCount % watchesPerReport == 0) {
         const auto& configuration = m_view.configuration();
-        m_fleet.publish(m_failovers.opinions(), m_server.engine().pool().openCounts(),
-            configuration ? configuration->version : 0, now);
+        m_fleet.publish({ m_failovers.opinions(), m_server.engine().pool().openCounts(),
+                            configuration ? configuration->version : 0, m_lostTables.empty() },
+            now);
     }
     m_watchTimer.start(watchPeriod);
 }
--- /dev/null
+++ b/src/libs/sessionserver/decisionlog.cpp
@@ -0,0 +1,50 @@
+#include "sessionserver/decisionlog.h"
+
+#include "logging/log.h"
+
+#include <algorithm>
+
+namespace SessionServer {
+
+namespace {
+
+    /// Lines a second of one kind; what exceeds it is counted in the next line.
+    constexpr double linesPerSecond = 20;
+    constexpr double burst = 100;
+
+    constexpr std::array events { Logging::EventId::RequestRefused, Logging::EventId::RequestRetried,
+        Logging::EventId::RequestInDoubt, Logging::EventId::TransactionAborted,
+        Logging::EventId::SessionRejected, Logging::EventId::UpstreamConnectionRefused,
+        Logging::EventId::UpstreamConnectionLost };
+
+    std::string milliseconds(Model::Duration duration)
+    {
+        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+    }
+
+}
+
+void DecisionLog::write(const Proxy::Decision& decision, Model::Time now)
+{
+    const auto kind = static_cast<std::size_t>(decision.kind);
+    Budget& budget = m_budgets.at(kind);
+    const double elapsed = std::chrono::duration<double>(now - budget.refilledAt).count();
+    budget.lines = std::min(burst, budget.lines + elapsed * linesPerSecond);
+    budget.refilledAt = now;
+    if (budget.lines < 1) {
+        ++budget.omitted;
+        return;
+    }
+    budget.lines -= 1;
+    Logging::write(events.at(kind),
+        { { "request", decision.request }, { "database", decision.database },
+            { "customer", decision.customer }, { "upstream", decision.upstream },
+            { "result", std::string(Proxy::resultInfo(decision.code).name) },
+            { "reason", std::string(decision.reason) }, { "ageMs", milliseconds(decision.age) },
+            { "attempts", std::to_string(decision.attempts) },
+            { "configuration", std::to_string(decision.configuration) },
+            { "omitted", std::to_string(budget.omitted) } });
+    budget.omitted = 0;
+}
+
+}
--- a/src/libs/sessionserver/server.cpp
+++ b/src/libs/sessionserver/server.cpp
@@ -27,6 +27,10 @@
     , m_listener(std::make_unique<EventLoop::TcpListener>(
           loop, [this](std::unique_ptr<EventLoop::TcpStream> stream) { accept(std::move(stream)); }))
     , m_timer(loop, [this] { tick(); })
+    , m_statements(metrics.counter("parsleytack_statements_received_total"))
+    , m_connectionsOpened(metrics.counter("parsleytack_upstream_connections_opened_total"))
+    , m_sessions(metrics.gauge("parsleytack_sessions"))
+    , m_latency(metrics.histogram("parsleytack_statement_seconds"))
     , m_engine(view, m_settings.zone, engineHooks(std::move(hooks)))
 {
 }
@@ -54,7 +58,12 @@
     };
     result.disconnect = [this](Proxy::ConnectionId id) { m_upstreams.erase(id); };
     result.admit = std::move(hooks.admit);
-    result.decided = [this](const Proxy::Decision& decision) { logDecision(decision); };
+    result.decided = [this](const Proxy::Decision& decision) {
+        m_decisionLog.write(decision, EventLoop::now());
+    };
+    result.answered = [this](const Proxy::Session& session, Proxy::ResultCode code, Model::Duration elapsed) {
+        countAnswer(session, code, elapsed);
+    };
     return result;
 }
 
@@ -92,7 +101,7 @@
         caller.isOpen = true;
         m_engine.openSession(id, std::move(message.database), std::move(message.key), now);
     } else if (message.kind == CallerMessageKind::Statement && caller.isOpen) {
-        m_metrics.counter("statements_received_total").add();
+        m_statements.add();
         m_engine.handle(id, std::move(message.statement), now);
     } else {
         callerClosed(id);
@@ -136,7 +145,7 @@
 void Server::connect(
     Proxy::ConnectionId id, const Directory::Upstream& upstream, const std::string& customer)
 {
-    m_metrics.counter("upstream_connections_opened_total").add();
+    m_connectionsOpened.add();
     UpstreamConnection connection { nullptr, Lines(m_codec.maxLine) };
     m_codec.encodeOpen(connection.greeting, upstream, customer);
     EventLoop::StreamHooks hooks;
@@ -251,6 +260,7 @@
         m_engine.stalled(now);
     }
     m_tickAt.reset();
+    m_sessions.set(static_cast<std::int64_t>(m_engine.sessionCount()));
     m_engine.tick(now);
     scheduleTick();
 }
@@ -265,9 +275,15 @@
     m_timer.start(std::max(next - now, Model::Duration(tickSlack)));
 }
 
-void Server::logDecision(const Proxy::Decision& decision)
+void Server::countAnswer(const Proxy::Session& session, Proxy::ResultCode code, Model::Duration elapsed)
 {
-    static_cast<void>(decision);
+    m_latency.record(elapsed);
+    Metrics::Counter*& counter = m_answers[{ session.database, code }];
+    if (!counter) {
+        counter = &m_metrics.counter("parsleytack_answers_total",
+            "database=\"" + session.database + "\",result=\"" + std::string(Proxy::resultInfo(code).name) + "\"");
+    }
+    counter->add();
 }
 
 }
--- a/src/libs/sessionserver/server.h
+++ b/src/libs/sessionserver/server.h
@@ -6,6 +6,7 @@
 #include "eventloop/tcplistener.h"
 #include "eventloop/timer.h"
 #include "sessionserver/codec.h"
+#include "sessionserver/decisionlog.h"
 #include "sessionserver/lines.h"
 
 #include <memory>
@@ -14,6 +15,8 @@
 #include <unordered_map>
 
 namespace Metrics {
+class Counter;
+class Histogram;
 class Registry;
 }
 
@@ -86,7 +89,7 @@
     void upstreamClosed(Proxy::ConnectionId id);
     void send(Proxy::ConnectionId id, std::span<const Proxy::Command> commands);
 
-    void logDecision(const Proxy::Decision& decision);
+    void countAnswer(const Proxy::Session& session, Proxy::ResultCode code, Model::Duration elapsed);
     void tick();
     void scheduleTick();
 
@@ -100,7 +103,14 @@
     std::unordered_map<Proxy::ConnectionId, UpstreamConnection> m_upstreams;
     Proxy::SessionId m_lastSession = 0;
     std::optional<Model::Time> m_tickAt;
+    Metrics::Counter& m_statements;
+    Metrics::Counter& m_connectionsOpened;
+    Metrics::Counter& m_sessions;
+    Metrics::Histogram& m_latency;
+    /// Answers by database and result.
+    std::map<std::pair<std::string, Proxy::ResultCode>, Metrics::Counter*> m_answers;
     std::string m_buffer;
+    DecisionLog m_decisionLog;
     Proxy::Engine m_engine;
 };
 
