Wait for every replica that can be reached before one is promoted

Also: without a known primary, requests may be tried at the other upstreams, which refuse them unrun; hosts hear of a duty at once.

--- a/src/libs/core/failover/promotion.cpp
+++ b/src/libs/core/failover/promotion.cpp
@@ -7,8 +7,10 @@
 namespace {
 
     constexpr Model::Duration dutyTimeout = std::chrono::seconds(4);
-    /// An upstream that does not tell its position by then is not chosen if another one does.
-    constexpr Model::Duration surveyTimeout = std::chrono::milliseconds(300);
+    /// A replica that has not told its position may hold acknowledged commits that no other one has, so it is
+    /// waited for unless it cannot be reached.
+    constexpr Model::Duration surveyTimeout = std::chrono::milliseconds(1200);
+    constexpr Model::Duration askAgainPeriod = std::chrono::milliseconds(80);
     constexpr Model::Duration stepDownTimeout = std::chrono::milliseconds(400);
     /// Replicas receive within a network delay; what is missing after this does not arrive.
     constexpr Model::Duration catchUpTimeout = std::chrono::milliseconds(400);
@@ -87,29 +89,32 @@
 {
     enter(PromotionPhase::Surveying, now);
     m_statuses.clear();
-    std::vector<std::string> asked;
+    m_outstanding.clear();
+    m_askedAt = now;
     for (const Directory::Upstream* upstream : m_view.upstreamsOf(m_service)) {
-        if (upstream->id == m_former && m_reason != PromotionReason::Leaving)
-            continue;
-        asked.push_back(upstream->id);
+        if (upstream->id != m_former || m_reason == PromotionReason::Leaving)
+            m_statuses[upstream->id];
     }
-    m_outstanding = static_cast<int>(asked.size());
-    for (const std::string& upstream : asked)
+    if (m_statuses.empty())
+        return enter(PromotionPhase::Failed, now);
+    for (const auto& [upstream, status] : m_statuses)
+        ask(upstream);
+}
+
+void Promotion::ask(const std::string& upstream)
+{
+    if (m_outstanding.insert(upstream).second)
         m_hooks.askStatus(upstream);
-    if (asked.empty())
-        enter(PromotionPhase::Failed, now);
 }
 
 void Promotion::statusArrived(
     const std::string& upstream, const std::optional<UpstreamStatus>& status, Model::Time now)
 {
-    if (status || !m_statuses.contains(upstream))
+    m_outstanding.erase(upstream);
+    if (status)
         m_statuses[upstream] = status;
-    if (m_phase == PromotionPhase::Surveying) {
-        if (--m_outstanding == 0)
-            surveyed(now);
-        return;
-    }
+    if (m_phase == PromotionPhase::Surveying)
+        return continueSurvey(now);
     if (m_phase == PromotionPhase::SteppingDown && upstream == m_former) {
         if (status)
             m_target = status->received;
@@ -119,6 +124,22 @@
         update(now);
 }
 
+void Promotion::continueSurvey(Model::Time now)
+{
+    const bool isComplete = std::ranges::all_of(m_statuses, [&](const auto& entry) {
+        return entry.second || !m_hooks.isReachable(entry.first);
+    });
+    if (isComplete || now - m_phaseAt > surveyTimeout)
+        return surveyed(now);
+    if (now - m_askedAt < askAgainPeriod)
+        return;
+    m_askedAt = now;
+    for (const auto& [upstream, status] : m_statuses) {
+        if (!status)
+            ask(upstream);
+    }
+}
+
 void Promotion::surveyed(Model::Time now)
 {
     const auto leaving = m_statuses.find(m_former);
@@ -132,6 +153,7 @@
             term = std::max(term, status->term);
     }
     enter(PromotionPhase::SteppingDown, now);
+    m_outstanding.clear();
     m_hooks.stepDown(m_former, term + 1);
 }
 
@@ -145,7 +167,8 @@
             continue;
         const auto status = m_statuses.find(upstream->id);
         const bool isKnown = status != m_statuses.end() && status->second;
-        const Model::LogPosition position = isKnown ? status->second->received : Model::LogPosition {};
+        const Model::LogPosition position
+            = isKnown ? status->second->received : m_hooks.knownPosition(upstream->id);
         if (!bestPosition || position > *bestPosition) {
             best = upstream->id;
             bestPosition = position;
@@ -193,8 +216,7 @@
             enter(PromotionPhase::Failed, now);
         break;
     case PromotionPhase::Surveying:
-        if (elapsed > surveyTimeout)
-            surveyed(now);
+        continueSurvey(now);
         break;
     case PromotionPhase::SteppingDown:
         if (elapsed > stepDownTimeout)
@@ -209,7 +231,7 @@
             return chooseAndOrder(now);
         if (now - m_askedAt >= catchUpPeriod) {
             m_askedAt = now;
-            m_hooks.askStatus(best);
+            ask(best);
         }
         break;
     }
--- a/src/libs/core/failover/promotion.h
+++ b/src/libs/core/failover/promotion.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -49,6 +50,10 @@
     std::function<void(const std::string& upstream)> askStatus;
     std::function<void(const std::string& upstream, std::uint64_t term)> stepDown;
     std::function<void(const std::string& service, const std::string& upstream, FencingToken)> order;
+    /// Whether the upstream may still answer.
+    std::function<bool(const std::string& upstream)> isReachable;
+    /// The position that the upstream showed last in an answer of any kind.
+    std::function<Model::LogPosition(const std::string& upstream)> knownPosition;
 };
 
 /// One replacement of a service's primary by the replica that has received the most. Used on one thread.
@@ -80,6 +85,8 @@
 private:
     void enter(PromotionPhase phase, Model::Time now);
     void survey(Model::Time now);
+    void ask(const std::string& upstream);
+    void continueSurvey(Model::Time now);
     void surveyed(Model::Time now);
     void chooseAndOrder(Model::Time now);
     std::string bestReplica() const;
@@ -94,8 +101,10 @@
     Model::Time m_phaseAt;
     Model::Time m_askedAt;
     FencingToken m_token = 0;
+    /// The upstreams that are asked for their status, and what they answered.
     std::map<std::string, std::optional<UpstreamStatus>> m_statuses;
-    int m_outstanding = 0;
+    /// Questions without an answer of any kind.
+    std::set<std::string> m_outstanding;
     /// The primary that is replaced; empty if none led.
     std::string m_former;
     /// Its last position, if it stepped down.
--- a/src/libs/core/proxy/engine.cpp
+++ b/src/libs/core/proxy/engine.cpp
@@ -47,7 +47,7 @@
 Engine::Engine(const Directory::View& view, std::string zone, EngineHooks hooks)
     : m_view(view)
     , m_hooks(std::move(hooks))
-    , m_router(view, m_pool, std::move(zone))
+    , m_router(view, m_pool, m_reachability, std::move(zone))
 {
 }
 
@@ -489,7 +489,7 @@
     if (reply.code == ResultCode::Complete) {
         connection.isInTransaction = true;
         if (kind == CommandKind::Begin)
-            m_router.observeLead(connection.service, reply.position, sentAt);
+            m_router.observeLead(connection.service, connection.upstream, reply.position, sentAt);
         if (Session* session = findSession(connection.session))
             sendStatement(*session, connection, {}, now);
         return;
@@ -502,7 +502,9 @@
     if (!session)
         return;
     session->request->lastCode = reply.code;
-    if (reply.code != ResultCode::Busy)
+    if (reply.code == ResultCode::ReadOnly)
+        --session->request->attempts;
+    else if (reply.code != ResultCode::Busy)
         session->request->avoided.push_back(connection.upstream);
     connection.session = 0;
     session->connection = 0;
@@ -532,7 +534,7 @@
     const bool isSingleWrite = session.state == TransactionState::None && request.isWrite;
     if (isSingleWrite || (isCommit && session.hasWritten)) {
         // An answered write proves that the upstream led when it ran.
-        m_router.observeLead(connection.service, reply.position, sentAt);
+        m_router.observeLead(connection.service, connection.upstream, reply.position, sentAt);
         session.lastCommit = std::max(session.lastCommit, reply.position);
     }
     if (request.isWrite)
@@ -570,7 +572,10 @@
     }
     if (reply.code == ResultCode::UnknownStatement)
         closeConnection(connection.id);
-    if (reply.code != ResultCode::Busy && reply.code != ResultCode::UnknownStatement)
+    // An upstream that does not lead is left out for a while by the router.
+    if (reply.code == ResultCode::ReadOnly)
+        --request.attempts;
+    else if (reply.code != ResultCode::Busy && reply.code != ResultCode::UnknownStatement)
         request.avoided.push_back(upstream);
     retry(session, "upstream did not run it", now);
 }
--- a/src/libs/core/proxy/engine.h
+++ b/src/libs/core/proxy/engine.h
@@ -121,8 +121,8 @@
     const Directory::View& m_view;
     EngineHooks m_hooks;
     Pool m_pool;
-    Router m_router;
     Failover::Reachability m_reachability;
+    Router m_router;
     std::set<std::string> m_promoting;
     std::unordered_map<SessionId, Session> m_sessions;
     /// Sessions that wait for a statement or are in a transaction.
--- a/src/libs/core/proxy/router.cpp
+++ b/src/libs/core/proxy/router.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-    /// The directory learns of a change of the lead within this time, unless the store is away.
-    constexpr Model::Duration deniedLeadPause = std::chrono::milliseconds(300);
+    /// An upstream that does not lead is not asked again for the primary's work before this.
+    constexpr Model::Duration deniedLeadPause = std::chrono::milliseconds(150);
     /// After a replica lacked a position, reads prefer other upstreams for this long.
     constexpr Model::Duration lagPause = std::chrono::milliseconds(250);
     /// After a failure, reads prefer other upstreams for this long.
@@ -29,9 +29,11 @@
 
 }
 
-Router::Router(const Directory::View& view, Pool& pool, std::string zone)
+Router::Router(const Directory::View& view, Pool& pool, const Failover::Reachability& reachability,
+    std::string zone)
     : m_view(view)
     , m_pool(pool)
+    , m_reachability(reachability)
     , m_zone(std::move(zone))
 {
 }
@@ -44,12 +46,13 @@
     const auto isAvoided = [&](const Directory::Upstream& upstream) {
         return std::ranges::find(request.avoided, upstream.id) != request.avoided.end();
     };
-    const Directory::Upstream* leader = primary(service, now);
     const std::optional<Model::LogPosition> required
         = request.target == Target::Fresh ? requiredPosition(session, now) : std::nullopt;
     if (request.target == Target::Primary || !required) {
-        if (leader && !isAvoided(*leader))
-            result.push_back(leader);
+        for (const Directory::Upstream* upstream : possiblePrimaries(service, now)) {
+            if (!isAvoided(*upstream))
+                result.push_back(upstream);
+        }
         return result;
     }
     std::vector<std::pair<Model::Duration, const Directory::Upstream*>> ranked;
@@ -72,7 +75,7 @@
     total += knowledge.latency * (1 + m_pool.countInUse(upstream.id)) / std::max(1, upstream.slots);
     if (upstream.zone != m_zone)
         total += otherZoneCost;
-    const bool isPrimary = m_view.primaryOf(upstream.service) == &upstream;
+    const bool isPrimary = primary(upstream.service, now) == &upstream;
     if (isPrimary)
         total += primaryCost;
     if (!m_pool.findIdle(upstream.id, session.customer))
@@ -84,15 +87,41 @@
     return total;
 }
 
-const Directory::Upstream* Router::primary(std::string_view service, Model::Time now) const
+bool Router::mayLead(const Directory::Upstream& upstream, Model::Time now) const
 {
-    const Directory::Upstream* upstream = m_view.primaryOf(service);
-    if (!upstream || !m_view.takesWork(*upstream))
-        return nullptr;
-    const auto knowledge = m_knowledge.find(upstream->id);
-    if (knowledge != m_knowledge.end() && isRecent(knowledge->second.deniedLeadAt, now, deniedLeadPause))
-        return nullptr;
-    return upstream;
+    if (!m_view.takesWork(upstream))
+        return false;
+    if (m_reachability.state(upstream.id, now) == Failover::ReachabilityState::Unreachable)
+        return false;
+    const auto knowledge = m_knowledge.find(upstream.id);
+    return knowledge == m_knowledge.end() || !isRecent(knowledge->second.deniedLeadAt, now, deniedLeadPause);
+}
+
+const Directory::Upstream* Router::primary(const std::string& service, Model::Time now) const
+{
+    const auto proven = m_provenLeads.find(service);
+    if (proven != m_provenLeads.end()) {
+        const Directory::Upstream* upstream = m_view.findUpstream(proven->second);
+        if (upstream && mayLead(*upstream, now))
+            return upstream;
+    }
+    const Directory::Upstream* claimant = m_view.primaryOf(service);
+    return claimant && mayLead(*claimant, now) ? claimant : nullptr;
+}
+
+/// Where a request for the primary may be tried. An upstream that does not lead refuses it without running
+/// it, so that without a known primary the others can be asked.
+std::vector<const Directory::Upstream*> Router::possiblePrimaries(
+    const std::string& service, Model::Time now) const
+{
+    if (const Directory::Upstream* leader = primary(service, now))
+        return { leader };
+    std::vector<const Directory::Upstream*> result;
+    for (const Directory::Upstream* upstream : m_view.upstreamsOf(service)) {
+        if (mayLead(*upstream, now))
+            result.push_back(upstream);
+    }
+    return result;
 }
 
 std::optional<Model::LogPosition> Router::requiredPosition(const Session& session, Model::Time now) const
@@ -109,8 +138,11 @@
     return position;
 }
 
-void Router::observeLead(const std::string& service, Model::LogPosition position, Model::Time sentAt)
+void Router::observeLead(const std::string& service, const std::string& upstream,
+    Model::LogPosition position, Model::Time sentAt)
 {
+    m_provenLeads[service] = upstream;
+    m_knowledge[upstream].deniedLeadAt.reset();
     m_freshness[service].observe(position, sentAt);
 }
 
@@ -122,6 +154,7 @@
 void Router::observeNoLead(const std::string& upstream, Model::Time now)
 {
     m_knowledge[upstream].deniedLeadAt = now;
+    std::erase_if(m_provenLeads, [&](const auto& lead) { return lead.second == upstream; });
 }
 
 void Router::observeLag(const std::string& upstream, Model::Time now)
@@ -140,6 +173,12 @@
     m_knowledge[upstream].failedAt = now;
 }
 
+Model::LogPosition Router::position(const std::string& upstream) const
+{
+    const auto found = m_knowledge.find(upstream);
+    return found == m_knowledge.end() ? Model::LogPosition {} : found->second.position;
+}
+
 const Freshness* Router::freshness(const std::string& service) const
 {
     const auto found = m_freshness.find(service);
--- a/src/libs/proxyhost/failovers.cpp
+++ b/src/libs/proxyhost/failovers.cpp
@@ -10,18 +10,23 @@
 
     /// Steps of a promotion wait for answers of a few ms.
     constexpr Model::Duration stepPeriod = std::chrono::milliseconds(15);
+    /// A duty that could not be taken after so long shows that the store is away, not that another host was
+    /// faster.
+    constexpr Model::Duration slowStore = std::chrono::milliseconds(500);
+    constexpr Model::Duration storeFailurePause = std::chrono::seconds(2);
     /// After a promotion ended, the directory needs a moment to show its result.
     constexpr Model::Duration pauseAfterEnd = std::chrono::milliseconds(400);
 
 }
 
 Failovers::Failovers(EventLoop::Loop& loop, const Directory::View& view, SessionServer::Server& server,
-    PlatformWorker& worker, std::string self)
+    PlatformWorker& worker, std::string self, std::function<void()> dutyTaken)
     : m_loop(loop)
     , m_view(view)
     , m_server(server)
     , m_worker(worker)
     , m_self(self)
+    , m_dutyTaken(std::move(dutyTaken))
     , m_watch(view, server.engine().reachability(), std::move(self))
     , m_timer(loop, [this] { update(); })
 {
@@ -40,17 +45,23 @@
     for (const auto& [service, settings] : m_view.configuration()->services) {
         if (m_promotions.contains(service)) {
             advance(service);
-        } else if (m_isStoreReachable && !isPausing(service, now)) {
+        } else if (canPromote(now) && !isPausing(service, now)) {
             if (const auto reason = m_watch.due(service, now))
                 start(service, *reason);
         }
-        m_server.engine().setPromoting(
-            service, m_promotions.contains(service) || m_watch.isPromotedElsewhere(service, now));
+        const auto promotion = m_promotions.find(service);
+        const bool isOwn = promotion != m_promotions.end() && promotion->second->hasDuty();
+        m_server.engine().setPromoting(service, isOwn || m_watch.isPromotedElsewhere(service, now));
     }
     if (!m_promotions.empty())
         m_timer.start(stepPeriod);
 }
 
+bool Failovers::canPromote(Model::Time now) const
+{
+    return m_isStoreReachable && (!m_storeFailedAt || now - *m_storeFailedAt > storeFailurePause);
+}
+
 bool Failovers::isPausing(const std::string& service, Model::Time now) const
 {
     const auto ended = m_lastEnded.find(service);
@@ -69,7 +80,12 @@
             const auto promotion = m_promotions.find(name);
             if (promotion == m_promotions.end())
                 return;
-            promotion->second->dutyTaken(token, EventLoop::now());
+            const Model::Time now = EventLoop::now();
+            if (!token && now - promotion->second->startedAt() > slowStore)
+                m_storeFailedAt = now;
+            promotion->second->dutyTaken(token, now);
+            if (token)
+                m_dutyTaken();
             advance(name);
         });
     };
@@ -86,6 +102,12 @@
             advance(name);
         });
     };
+    hooks.isReachable = [this](const std::string& upstream) {
+        return m_server.engine().reachability().state(upstream, EventLoop::now())
+            != Failover::ReachabilityState::Unreachable;
+    };
+    hooks.knownPosition
+        = [this](const std::string& upstream) { return m_server.engine().router().position(upstream); };
     m_promotions.emplace(service,
         std::make_unique<Failover::Promotion>(m_view, service, reason, std::move(hooks), EventLoop::now()));
 }
--- a/src/libs/proxyhost/failovers.h
+++ b/src/libs/proxyhost/failovers.h
@@ -24,8 +24,9 @@
 /// thread.
 class Failovers {
 public:
+    /// `dutyTaken` is called when the other hosts should hear of a promotion at once.
     Failovers(EventLoop::Loop& loop, const Directory::View& view, SessionServer::Server& server,
-        PlatformWorker& worker, std::string self);
+        PlatformWorker& worker, std::string self, std::function<void()> dutyTaken);
 
     void setOpinion(const std::string& service, Failover::Opinion opinion);
     void setHostCount(int count) { m_watch.setHostCount(count); }
@@ -33,6 +34,8 @@
     void setStoreReachable(bool isReachable) { m_isStoreReachable = isReachable; }
     /// Starts what is due and moves on what runs.
     void update();
+    /// Whether this host could take a duty now.
+    bool canPromote(Model::Time now) const;
     /// How this host sees the primaries, for the other hosts.
     std::vector<PrimaryOpinion> opinions() const;
 
@@ -47,11 +50,14 @@
     SessionServer::Server& m_server;
     PlatformWorker& m_worker;
     std::string m_self;
+    std::function<void()> m_dutyTaken;
     Failover::PrimaryWatch m_watch;
     EventLoop::Timer m_timer;
     std::map<std::string, std::unique_ptr<Failover::Promotion>> m_promotions;
     std::map<std::string, Model::Time> m_lastEnded;
     bool m_isStoreReachable = false;
+    /// The store did not answer when a duty was to be taken.
+    std::optional<Model::Time> m_storeFailedAt;
 };
 
 }
--- a/src/libs/proxyhost/proxyhost.cpp
+++ b/src/libs/proxyhost/proxyhost.cpp
@@ -40,7 +40,7 @@
               m_failovers.setOpinion(service, std::move(opinion));
           })
     , m_worker(loop, std::move(calls), settings.host)
-    , m_failovers(loop, m_view, m_server, m_worker, settings.host)
+    , m_failovers(loop, m_view, m_server, m_worker, settings.host, [this] { publish(); })
     , m_watchTimer(loop, [this] { watch(); })
     , m_probe({ settings.probe.ip, settings.probe.port, settings.probePath }, m_metrics)
     , m_shutdownTimer(loop, [this] { continueShutdown(); })
@@ -68,15 +68,20 @@
     m_server.engine().ledger().setHostCount(hosts);
     m_server.engine().ledger().forget(now - reportLifetime);
     m_failovers.update();
-    if (++m_watchCount % watchesPerReport == 0) {
-        const auto& configuration = m_view.configuration();
-        m_fleet.publish({ m_failovers.opinions(), m_server.engine().pool().openCounts(),
-                            configuration ? configuration->version : 0, m_lostTables.empty() },
-            now);
-    }
+    if (++m_watchCount % watchesPerReport == 0)
+        publish();
     m_watchTimer.start(watchPeriod);
 }
 
+void ProxyHost::publish()
+{
+    const Model::Time now = EventLoop::now();
+    const auto& configuration = m_view.configuration();
+    m_fleet.publish({ m_failovers.opinions(), m_server.engine().pool().openCounts(),
+                        configuration ? configuration->version : 0, m_failovers.canPromote(now) },
+        now);
+}
+
 StoreEvents ProxyHost::storeEvents()
 {
     StoreEvents events;
--- a/src/libs/proxyhost/proxyhost.h
+++ b/src/libs/proxyhost/proxyhost.h
@@ -38,6 +38,7 @@
     void updateReadiness();
     void continueShutdown();
     void watch();
+    void publish();
 
     EventLoop::Loop& m_loop;
     Settings::ProxySettings m_settings;
