--- a/src/libs/core/failover/primarywatch.cpp
+++ b/src/libs/core/failover/primarywatch.cpp
@@ -41,7 +41,9 @@
 
 void PrimaryWatch::setOpinion(const std::string& service, Opinion opinion)
 {
-    m_opinions[service][opinion.host] = std::move(opinion);
+    Opinion& known = m_opinions[service][opinion.host];
+    opinion.promotingSince = known.isPromoting ? known.promotingSince : opinion.heardAt;
+    known = std::move(opinion);
 }
 
 std::optional<PromotionReason> PrimaryWatch::due(const std::string& service, Model::Time now)
@@ -57,7 +59,7 @@
     const Model::Duration base = *found == PromotionReason::Missing ? missingDelay : Model::Duration {};
     if (now - entry->second.since < base + rankDelay * rank(service, now))
         return std::nullopt;
-    if (isPromotedElsewhere(service, now))
+    if (promotedElsewhereSince(service, now))
         return std::nullopt;
     return found;
 }
@@ -101,14 +103,19 @@
     return heard * 2 >= m_hostCount;
 }
 
-bool PrimaryWatch::isPromotedElsewhere(const std::string& service, Model::Time now) const
+std::optional<Model::Time> PrimaryWatch::promotedElsewhereSince(
+    const std::string& service, Model::Time now) const
 {
     const auto opinions = m_opinions.find(service);
     if (opinions == m_opinions.end())
-        return false;
-    return std::ranges::any_of(opinions->second, [&](const auto& entry) {
-        return entry.second.isPromoting && now - entry.second.heardAt <= opinionLifetime;
-    });
+        return std::nullopt;
+    std::optional<Model::Time> since;
+    for (const auto& [host, opinion] : opinions->second) {
+        const bool isActive = opinion.isPromoting && now - opinion.heardAt <= opinionLifetime;
+        if (isActive && (!since || opinion.promotingSince < *since))
+            since = opinion.promotingSince;
+    }
+    return since;
 }
 
 /// The place of this host in an order of the hosts that differs for each service.
--- a/src/libs/core/failover/primarywatch.h
+++ b/src/libs/core/failover/primarywatch.h
@@ -33,6 +33,8 @@
     /// Whether the host could replace the primary.
     bool canPromote = false;
     Model::Time heardAt;
+    /// Since when the host has been promoting without a break; set by the watch.
+    Model::Time promotingSince;
 };
 
 /// Decides when this host has to replace the primary of a service. Used on one thread.
@@ -47,8 +49,8 @@
     /// The reason for this host to replace the primary now, if there is one. The other hosts wait a little
     /// longer, each a different time, so that usually one acts.
     std::optional<PromotionReason> due(const std::string& service, Model::Time now);
-    /// Whether another host is replacing the primary.
-    bool isPromotedElsewhere(const std::string& service, Model::Time now) const;
+    /// Since when another host is replacing the primary; nothing if none is.
+    std::optional<Model::Time> promotedElsewhereSince(const std::string& service, Model::Time now) const;
 
 private:
     struct Suspicion {
--- a/src/libs/core/failover/promotion.cpp
+++ b/src/libs/core/failover/promotion.cpp
@@ -17,6 +17,8 @@
     constexpr Model::Duration catchUpPeriod = std::chrono::milliseconds(20);
     constexpr Model::Duration orderTimeout = std::chrono::seconds(3);
     constexpr Model::Duration repeatDelay = std::chrono::milliseconds(150);
+    /// From the taking of the duty to the order.
+    constexpr Model::Duration preparation = std::chrono::milliseconds(150);
     /// Longer than an upstream needs to take the lead.
     constexpr Model::Duration leadTimeout = std::chrono::seconds(3);
 
@@ -192,6 +194,7 @@
         return;
     switch (result) {
     case OrderResult::Accepted:
+        m_acceptedAt = now;
         enter(PromotionPhase::Awaiting, now);
         break;
     case OrderResult::Refused:
@@ -207,6 +210,11 @@
     update(now);
 }
 
+Model::Time Promotion::expectedEnd(Model::Duration leadDuration, Model::Time now) const
+{
+    return m_acceptedAt ? *m_acceptedAt + leadDuration : now + preparation + leadDuration;
+}
+
 void Promotion::update(Model::Time now)
 {
     const Model::Duration elapsed = now - m_phaseAt;
--- a/src/libs/core/failover/promotion.h
+++ b/src/libs/core/failover/promotion.h
@@ -81,6 +81,10 @@
     PromotionReason reason() const { return m_reason; }
     Model::Time startedAt() const { return m_startedAt; }
     FencingToken token() const { return m_token; }
+    /// When the new primary leads, if it takes `leadDuration` from its order.
+    Model::Time expectedEnd(Model::Duration leadDuration, Model::Time now) const;
+    /// When the order was accepted; nothing before.
+    std::optional<Model::Time> acceptedAt() const { return m_acceptedAt; }
 
 private:
     void enter(PromotionPhase phase, Model::Time now);
@@ -101,6 +105,7 @@
     Model::Time m_phaseAt;
     Model::Time m_askedAt;
     FencingToken m_token = 0;
+    std::optional<Model::Time> m_acceptedAt;
     /// The upstreams that are asked for their status, and what they answered.
     std::map<std::string, std::optional<UpstreamStatus>> m_statuses;
     /// Questions without an answer of any kind.
--- a/src/libs/core/proxy/engine.cpp
+++ b/src/libs/core/proxy/engine.cpp
@@ -410,12 +410,12 @@
     }
 }
 
-void Engine::setPromoting(const std::string& service, bool isPromoting)
+void Engine::setPrimaryExpected(const std::string& service, std::optional<Model::Time> at)
 {
-    if (isPromoting)
-        m_promoting.insert(service);
+    if (at)
+        m_primaryExpected[service] = *at;
     else
-        m_promoting.erase(service);
+        m_primaryExpected.erase(service);
 }
 
 void Engine::connectionRefused(ConnectionId id, ResultCode code, Model::Time now)
@@ -786,7 +786,10 @@
 {
     Request& request = *session.request;
     if (request.phase == RequestPhase::Waiting) {
-        const bool hasCandidates = !m_router.candidates(session, request, now).empty();
+        // Without a known primary the others are only asked whether they lead.
+        const bool hasCandidates = request.target == Target::Primary
+            ? m_router.primary(session.route->service, now) != nullptr
+            : !m_router.candidates(session, request, now).empty();
         if (now >= request.deadline)
             return refuse(session, ResultCode::Busy, "no connection in time", now);
         if (!hasCandidates && now - request.arrivedAt >= holdLimit(session))
@@ -920,7 +923,8 @@
 
 Model::Duration Engine::holdLimit(const Session& session) const
 {
-    if (m_promoting.contains(session.route->service))
+    const auto expected = m_primaryExpected.find(session.route->service);
+    if (expected != m_primaryExpected.end() && expected->second < session.request->deadline)
         return session.route->statementTimeout;
     return session.route->targetLatency / holdDivisor;
 }
--- a/src/libs/core/proxy/engine.h
+++ b/src/libs/core/proxy/engine.h
@@ -53,8 +53,8 @@
     /// Sends a message of the proxy itself to an upstream; `answered` gets nothing if no answer comes.
     using AnswerHook = std::function<void(const std::optional<Reply>&)>;
     void command(const std::string& upstream, const Command& command, AnswerHook answered, Model::Time now);
-    /// Requests for the service's primary are held while it is being replaced.
-    void setPromoting(const std::string& service, bool isPromoting);
+    /// When a new primary of the service is expected, or nothing. Requests that can wait so long are held.
+    void setPrimaryExpected(const std::string& service, std::optional<Model::Time> at);
     /// The process stood still; answers may wait unread.
     void stalled(Model::Time now) { m_reachability.stalled(now); }
     const Failover::Reachability& reachability() const { return m_reachability; }
@@ -123,7 +123,7 @@
     Pool m_pool;
     Failover::Reachability m_reachability;
     Router m_router;
-    std::set<std::string> m_promoting;
+    std::map<std::string, Model::Time> m_primaryExpected;
     std::unordered_map<SessionId, Session> m_sessions;
     /// Sessions that wait for a statement or are in a transaction.
     std::set<SessionId> m_active;
--- a/src/libs/proxyhost/failovers.cpp
+++ b/src/libs/proxyhost/failovers.cpp
@@ -10,6 +10,8 @@
 
     /// Steps of a promotion wait for answers of a few ms.
     constexpr Model::Duration stepPeriod = std::chrono::milliseconds(15);
+    /// What an upstream needs to take the lead, before one was seen to.
+    constexpr Model::Duration usualLeadDuration = std::chrono::milliseconds(700);
     /// A duty that could not be taken after so long shows that the store is away, not that another host was
     /// faster.
     constexpr Model::Duration slowStore = std::chrono::milliseconds(500);
@@ -27,6 +29,7 @@
     , m_worker(worker)
     , m_self(self)
     , m_dutyTaken(std::move(dutyTaken))
+    , m_leadDuration(usualLeadDuration)
     , m_watch(view, server.engine().reachability(), std::move(self))
     , m_timer(loop, [this] { update(); })
 {
@@ -49,14 +52,23 @@
             if (const auto reason = m_watch.due(service, now))
                 start(service, *reason);
         }
-        const auto promotion = m_promotions.find(service);
-        const bool isOwn = promotion != m_promotions.end() && promotion->second->hasDuty();
-        m_server.engine().setPromoting(service, isOwn || m_watch.isPromotedElsewhere(service, now));
+        m_server.engine().setPrimaryExpected(service, primaryExpected(service, now));
     }
     if (!m_promotions.empty())
         m_timer.start(stepPeriod);
 }
 
+/// When the service's new primary is expected to lead; nothing if it is not being replaced.
+std::optional<Model::Time> Failovers::primaryExpected(const std::string& service, Model::Time now) const
+{
+    const auto promotion = m_promotions.find(service);
+    if (promotion != m_promotions.end() && promotion->second->hasDuty())
+        return promotion->second->expectedEnd(m_leadDuration, now);
+    if (const auto since = m_watch.promotedElsewhereSince(service, now))
+        return *since + m_leadDuration;
+    return std::nullopt;
+}
+
 bool Failovers::canPromote(Model::Time now) const
 {
     return m_isStoreReachable && (!m_storeFailedAt || now - *m_storeFailedAt > storeFailurePause);
@@ -144,6 +156,8 @@
     Logging::write(isDone ? Logging::EventId::PromotionFinished : Logging::EventId::PromotionFailed,
         { { "service", service }, { "upstream", promotion.candidate() },
             { "token", std::to_string(promotion.token()) }, { "elapsedMs", std::to_string(elapsed.count()) } });
+    if (isDone && promotion.acceptedAt())
+        m_leadDuration = now - *promotion.acceptedAt();
     m_lastEnded[service] = now;
     m_promotions.erase(found);
 }
--- a/src/libs/proxyhost/failovers.h
+++ b/src/libs/proxyhost/failovers.h
@@ -43,6 +43,7 @@
     void start(const std::string& service, Failover::PromotionReason reason);
     void advance(const std::string& service);
     void askStatus(const std::string& service, const std::string& upstream, std::uint64_t stepDownTerm);
+    std::optional<Model::Time> primaryExpected(const std::string& service, Model::Time now) const;
     bool isPausing(const std::string& service, Model::Time now) const;
 
     EventLoop::Loop& m_loop;
@@ -51,6 +52,8 @@
     PlatformWorker& m_worker;
     std::string m_self;
     std::function<void()> m_dutyTaken;
+    /// What an upstream took to lead after its order.
+    Model::Duration m_leadDuration;
     Failover::PrimaryWatch m_watch;
     EventLoop::Timer m_timer;
     std::map<std::string, std::unique_ptr<Failover::Promotion>> m_promotions;
