--- a/src/libs/core/allowance/fleetallowance.cpp
+++ b/src/libs/core/allowance/fleetallowance.cpp
@@ -7,10 +7,14 @@
 
 namespace {
 
+    /// One report is missing then.
+    constexpr Model::Duration lateAfter = std::chrono::milliseconds(300);
     /// Several reports are missing then.
     constexpr Model::Duration silentAfter = std::chrono::milliseconds(800);
-    /// A host that is silent for this long serves nobody, or is not seen again soon.
+    /// A host that is silent for this long is not counted on any more.
     constexpr Model::Duration goneAfter = std::chrono::seconds(10);
+    /// The part of a silent host is left to it for longer: it may be cut off and go on serving callers.
+    constexpr Model::Duration partKeptFor = std::chrono::seconds(40);
     constexpr Model::Duration demandPeriod = std::chrono::milliseconds(250);
     /// Weight of the newest period in the average of demand.
     constexpr double demandWeight = 0.3;
@@ -55,6 +59,11 @@
     return now - peer.heardAt.value_or(peer.knownSince) > goneAfter;
 }
 
+bool FleetAllowance::keepsPart(const Peer& peer, Model::Time now) const
+{
+    return now - peer.heardAt.value_or(peer.knownSince) <= partKeptFor;
+}
+
 bool FleetAllowance::isSilent(const Peer& peer, Model::Time now) const
 {
     return !peer.heardAt || now - *peer.heardAt > silentAfter;
@@ -105,19 +114,20 @@
         return;
     bucket.refilledAt = now;
     bucket.tokens += bucket.rate * elapsed;
-    const double part = ownPart(customer, bucket, now);
-    const double ownBurst = std::max(1.0, bucket.burst * lowMark * part);
-    bucket.ownTokens = std::min(bucket.ownTokens + bucket.rate * part * elapsed, ownBurst);
-    const int hosts = liveHosts(now);
+    const Parts parts = this->parts(customer, bucket, now);
+    const double ownBurst = std::max(1.0, bucket.burst * lowMark * parts.own);
+    bucket.ownTokens = std::min(bucket.ownTokens + bucket.rate * parts.own * elapsed, ownBurst);
     for (auto& [name, peer] : m_peers) {
-        if (!isSilent(peer, now) || isGone(peer, now))
+        const auto part = parts.silent.find(name);
+        if (part == parts.silent.end())
             continue;
-        PeerUsage& usage = peer.usage[customer];
-        const double rate = peer.heardAt ? std::min(usage.rate, bucket.rate) : bucket.rate / hosts;
-        usage.assumed += rate * elapsed;
-        bucket.tokens -= rate * elapsed;
+        const double assumed = bucket.rate * part->second * elapsed;
+        peer.usage[customer].assumed += assumed;
+        bucket.tokens -= assumed;
     }
-    bucket.tokens = std::clamp(bucket.tokens, -maxDebtSeconds * bucket.rate, bucket.burst);
+    // A host that is cut off has its part of the burst, so that all sides together have no more than one.
+    const double reachableBurst = bucket.burst * parts.reachable;
+    bucket.tokens = std::clamp(bucket.tokens, -maxDebtSeconds * bucket.rate, reachableBurst);
 }
 
 void FleetAllowance::updateDemand(Bucket& bucket, Model::Time now) const
@@ -133,18 +143,58 @@
     bucket.demandAt = now;
 }
 
-double FleetAllowance::ownPart(const std::string& customer, const Bucket& bucket, Model::Time now) const
+/// The hosts that are in contact divide by demand what the silent ones leave. A silent host's part stays as it
+/// was when it was heard last, so that both sides of a cut come to the same division.
+FleetAllowance::Parts FleetAllowance::parts(
+    const std::string& customer, const Bucket& bucket, Model::Time now) const
+{
+    Parts parts;
+    double total = bucket.demand;
+    int hosts = 1;
+    for (const auto& [name, peer] : m_peers) {
+        if (!keepsPart(peer, now))
+            continue;
+        const auto usage = peer.usage.find(customer);
+        if (isSilent(peer, now)) {
+            const double part
+                = usage == peer.usage.end() ? 1.0 / static_cast<double>(m_peers.size() + 1) : usage->second.part;
+            parts.silent.emplace(name, part);
+            parts.reachable -= part;
+            continue;
+        }
+        ++hosts;
+        if (usage != peer.usage.end())
+            total += usage->second.demand;
+    }
+    parts.reachable = std::max(0.0, parts.reachable);
+    parts.own = parts.reachable * partOf(bucket.demand, total, hosts);
+    return parts;
+}
+
+/// A host's part of what `hosts` divide by demand, with some of it divided evenly.
+double FleetAllowance::partOf(double demand, double total, int hosts)
+{
+    return total <= 0 ? 1.0 / hosts : evenPart / hosts + (1 - evenPart) * demand / total;
+}
+
+/// Notes the parts that the others have now.
+void FleetAllowance::updateParts(const std::string& customer, const Bucket& bucket, Model::Time now)
 {
     double total = bucket.demand;
+    int hosts = 1;
     for (const auto& [name, peer] : m_peers) {
+        if (!keepsPart(peer, now))
+            continue;
+        ++hosts;
         const auto usage = peer.usage.find(customer);
-        if (usage != peer.usage.end() && !isGone(peer, now))
+        if (usage != peer.usage.end())
             total += usage->second.demand;
     }
-    const int hosts = liveHosts(now);
-    if (total <= 0)
-        return 1.0 / hosts;
-    return evenPart / hosts + (1 - evenPart) * bucket.demand / total;
+    for (auto& [name, peer] : m_peers) {
+        const auto usage = peer.usage.find(customer);
+        if (usage != peer.usage.end() && !isLate(peer, now))
+            usage->second.part = partOf(usage->second.demand, total, hosts);
+    }
 }
 
 void FleetAllowance::receive(const UsageReport& report, Model::Time now)
@@ -161,7 +211,6 @@
             usage.admitted = 0;
         peer.incarnation = report.incarnation;
     }
-    const double elapsed = peer.heardAt ? seconds(now - *peer.heardAt) : 0;
     for (const Usage& reported : report.usage) {
         PeerUsage& usage = peer.usage[reported.customer];
         // Reports may arrive out of order; the counts only rise.
@@ -176,8 +225,6 @@
             else
                 bucket->second.tokens -= admitted - usage.assumed;
         }
-        if (elapsed > 0)
-            usage.rate = admitted / elapsed;
         usage.admitted = reported.admitted;
         usage.demand = reported.demand;
         usage.assumed = 0;
@@ -185,12 +232,19 @@
     peer.heardAt = now;
 }
 
+/// Whether a report of the host is overdue.
+bool FleetAllowance::isLate(const Peer& peer, Model::Time now) const
+{
+    return !peer.heardAt || now - *peer.heardAt > lateAfter;
+}
+
 std::vector<Usage> FleetAllowance::usage(Model::Time now)
 {
     std::vector<Usage> result;
     for (auto& [name, bucket] : m_buckets) {
         refill(name, bucket, now);
         updateDemand(bucket, now);
+        updateParts(name, bucket, now);
         result.push_back({ name, bucket.admitted, bucket.demand, bucket.tokens });
     }
     return result;
--- a/src/libs/core/allowance/fleetallowance.h
+++ b/src/libs/core/allowance/fleetallowance.h
@@ -35,8 +35,8 @@
 /// Every host keeps a token bucket of the customer's whole rate and burst, takes its own operations from it
 /// at once and those of the others when they report them. A bucket that is well filled may be used freely;
 /// a low one only at the host's part of the rate, which follows its part of the demand, so that the reports'
-/// delay does not multiply the rate by the number of hosts. A host that falls silent is assumed to go on as
-/// before. Used on one thread.
+/// delay does not multiply the rate by the number of hosts. A host that falls silent is assumed to use its
+/// part. Used on one thread.
 class FleetAllowance {
 public:
     explicit FleetAllowance(std::string self);
@@ -57,8 +57,8 @@
     struct PeerUsage {
         std::uint64_t admitted = 0;
         double demand = 0;
-        /// Operations per second in the last reports.
-        double rate = 0;
+        /// Of the rate, as of the last report.
+        double part = 0;
         /// Taken from the bucket for operations that are only assumed.
         double assumed = 0;
     };
@@ -82,10 +82,23 @@
         Model::Time demandAt;
     };
 
+    /// Parts of a customer's rate; all hosts together have 1.
+    struct Parts {
+        double own = 0;
+        /// Of this host and those that it hears of.
+        double reachable = 1;
+        /// Of each host that has fallen silent.
+        std::map<std::string, double> silent;
+    };
+
     Bucket& bucketOf(const Directory::Customer& customer, Model::Time now);
     void refill(const std::string& customer, Bucket& bucket, Model::Time now);
     void updateDemand(Bucket& bucket, Model::Time now) const;
-    double ownPart(const std::string& customer, const Bucket& bucket, Model::Time now) const;
+    Parts parts(const std::string& customer, const Bucket& bucket, Model::Time now) const;
+    static double partOf(double demand, double total, int hosts);
+    void updateParts(const std::string& customer, const Bucket& bucket, Model::Time now);
+    bool isLate(const Peer& peer, Model::Time now) const;
+    bool keepsPart(const Peer& peer, Model::Time now) const;
     bool isGone(const Peer& peer, Model::Time now) const;
     bool isSilent(const Peer& peer, Model::Time now) const;
 
--- a/src/libs/core/proxy/engine.cpp
+++ b/src/libs/core/proxy/engine.cpp
@@ -265,40 +265,39 @@
     const auto candidates = m_router.candidates(session, request, now);
     if (candidates.empty())
         return false;
+    const Connection* opening = m_pool.find(request.opening);
     for (const Directory::Upstream* upstream : candidates) {
         if (Connection* connection = m_pool.findIdle(upstream->id, session.customer)) {
             assign(session, *connection, now);
             return true;
         }
+        // A connection to a better upstream is worth more than an idle one to a worse.
+        if (opening && opening->state == ConnectionState::Opening && opening->upstream == upstream->id)
+            return false;
+        if (const ConnectionId opened = openFor(session, *upstream, now)) {
+            request.opening = opened;
+            return false;
+        }
     }
-    openFor(session, candidates, now);
     return false;
 }
 
-/// Opens a connection for a waiting session at the best upstream that takes one.
-bool Engine::openFor(const Session& session, const std::vector<const Directory::Upstream*>& candidates,
-    Model::Time now)
+/// Opens a connection for a waiting session if the upstream takes one. Returns 0 if it does not.
+ConnectionId Engine::openFor(const Session& session, const Directory::Upstream& upstream, Model::Time now)
 {
-    for (const Directory::Upstream* upstream : candidates) {
-        if (m_pool.isOpening(upstream->id, session.customer))
-            return true;
-    }
-    for (const Directory::Upstream* upstream : candidates) {
-        const ConnectionShare limits = share(upstream->service, upstream->id);
-        if (!m_pool.mayOpen(upstream->id, limits.most + 1, now))
-            continue;
-        if (m_pool.count(upstream->id) >= limits.kept) {
-            if (const Connection* other = m_pool.findEvictable(upstream->id, session.customer))
-                closeConnection(other->id);
-        }
-        if (m_pool.count(upstream->id) >= limits.most)
-            continue;
-        const Connection& connection = m_pool.add(*upstream, session.customer, now);
-        m_reachability.sent(upstream->id, now);
-        m_hooks.connect(connection.id, *upstream, session.customer);
-        return true;
+    const ConnectionShare limits = share(upstream.service, upstream.id);
+    if (!m_pool.mayOpen(upstream.id, limits.most + 1, now))
+        return 0;
+    if (m_pool.count(upstream.id) >= limits.kept) {
+        if (const Connection* other = m_pool.findEvictable(upstream.id, session.customer))
+            closeConnection(other->id);
     }
-    return false;
+    if (m_pool.count(upstream.id) >= limits.most)
+        return 0;
+    const Connection& connection = m_pool.add(upstream, session.customer, now);
+    m_reachability.sent(upstream.id, now);
+    m_hooks.connect(connection.id, upstream, session.customer);
+    return connection.id;
 }
 
 void Engine::assign(Session& session, Connection& connection, Model::Time now)
@@ -479,7 +478,9 @@
         break;
     }
     connection = m_pool.find(id);
-    if (connection && connection->session == 0 && connection->pending.empty())
+    if (!connection || connection->session != 0 || !connection->pending.empty())
+        return;
+    if (connection->state == ConnectionState::InUse || connection->state == ConnectionState::Settling)
         release(*connection, now);
 }
 
@@ -543,11 +544,14 @@
         connection.isInTransaction = false;
         session.state = TransactionState::None;
     }
+    reply.state = session.state;
     if (session.state == TransactionState::None) {
         connection.session = 0;
         session.connection = 0;
+        // The session's next statement may be here already, and finds its connection idle.
+        if (connection.pending.empty())
+            release(connection, now);
     }
-    reply.state = session.state;
     finish(session, std::move(reply), now);
 }
 
@@ -631,12 +635,13 @@
     if (session.state == TransactionState::None)
         m_active.erase(id);
     m_hooks.reply(id, reply);
-    Session* present = findSession(id);
-    if (!present || present->early.empty())
-        return;
-    Statement next = std::move(present->early.front());
-    present->early.pop_front();
-    handle(id, std::move(next), now);
+    // Statements that are answered here leave the turn to the next one.
+    for (Session* present = findSession(id); present && !present->request && !present->early.empty();
+         present = findSession(id)) {
+        Statement next = std::move(present->early.front());
+        present->early.pop_front();
+        handle(id, std::move(next), now);
+    }
 }
 
 /// Ends a request that certainly did not run.
--- a/src/libs/core/proxy/engine.h
+++ b/src/libs/core/proxy/engine.h
@@ -84,8 +84,7 @@
 
     void dispatch(Model::Time now);
     bool tryAssign(Session& session, Model::Time now);
-    bool openFor(
-        const Session& session, const std::vector<const Directory::Upstream*>& candidates, Model::Time now);
+    ConnectionId openFor(const Session& session, const Directory::Upstream& upstream, Model::Time now);
     void assign(Session& session, Connection& connection, Model::Time now);
     void sendStatement(Session& session, Connection& connection, std::vector<Command> commands,
         Model::Time now);
--- a/src/libs/core/proxy/pool.cpp
+++ b/src/libs/core/proxy/pool.cpp
@@ -133,17 +133,6 @@
         [&](ConnectionId id) { return m_connections.at(id).state == ConnectionState::InUse; }));
 }
 
-bool Pool::isOpening(const std::string& upstream, const std::string& customer) const
-{
-    const auto entry = m_upstreams.find(upstream);
-    if (entry == m_upstreams.end())
-        return false;
-    return std::ranges::any_of(entry->second.connections, [&](ConnectionId id) {
-        const Connection& connection = m_connections.at(id);
-        return connection.state == ConnectionState::Opening && connection.customer == customer;
-    });
-}
-
 std::map<std::string, int> Pool::openCounts() const
 {
     std::map<std::string, int> counts;
--- a/src/libs/core/proxy/pool.h
+++ b/src/libs/core/proxy/pool.h
@@ -39,8 +39,6 @@
 
     int count(const std::string& upstream) const;
     int countInUse(const std::string& upstream) const;
-    /// Connections being opened for a customer.
-    bool isOpening(const std::string& upstream, const std::string& customer) const;
 
     /// Idle connections that are no longer worth keeping.
     std::vector<ConnectionId> surplus(
--- a/src/libs/core/proxy/router.cpp
+++ b/src/libs/core/proxy/router.cpp
@@ -80,7 +80,8 @@
         total += primaryCost;
     if (!m_pool.findIdle(upstream.id, session.customer))
         total += handshakeCost;
-    if (required && knowledge.position < *required && !isPrimary)
+    const bool isKnown = knowledge.position != Model::LogPosition {};
+    if (required && isKnown && knowledge.position < *required && !isPrimary)
         total += behindCost;
     if (isRecent(knowledge.laggedAt, now, lagPause) || isRecent(knowledge.failedAt, now, failurePause))
         total += troubleCost;
--- a/src/libs/core/proxy/session.h
+++ b/src/libs/core/proxy/session.h
@@ -44,6 +44,8 @@
     Model::Time sentAt;
     /// A busy upstream is asked again then.
     std::optional<Model::Time> retryAt;
+    /// The connection that is being opened for it; 0 for none.
+    ConnectionId opening = 0;
     int attempts = 0;
     /// The highest position that an upstream was asked for was missing there.
     bool sawLag = false;
--- a/src/libs/logging/eventid.cpp
+++ b/src/libs/logging/eventid.cpp
@@ -9,7 +9,7 @@
 
     using enum EventId;
 
-    constexpr std::array<EventInfo, 39> table { {
+    constexpr std::array<EventInfo, 40> table { {
         { ProcessStarted, "process_started", Severity::Info, "the process listens on all its addresses" },
         { ProcessStopped, "process_stopped", Severity::Info, "the process ended after its last request" },
         { DrainStarted, "drain_started", Severity::Info, "SIGTERM received; no new requests are accepted" },
@@ -18,6 +18,7 @@
         { ListenFailed, "listen_failed", Severity::Error, "an address cannot be bound" },
         { LoopStalled, "loop_stalled", Severity::Warning,
             "the process stood still or got no processor time" },
+        { SettingsReloaded, "settings_reloaded", Severity::Info, "SIGHUP received; the settings were read" },
         { SpanFinished, "span_finished", Severity::Info, "one hop of a traced request ended" },
         { MemberAlive, "member_alive", Severity::Info, "a host joined or refuted a suspicion" },
         { MemberSuspect, "member_suspect", Severity::Warning,
--- a/src/libs/logging/eventid.h
+++ b/src/libs/logging/eventid.h
@@ -14,6 +14,7 @@
     SettingsInvalid = 103,
     ListenFailed = 104,
     LoopStalled = 105,
+    SettingsReloaded = 106,
     SpanFinished = 110,
     MemberAlive = 200,
     MemberSuspect = 201,
--- a/src/libs/proxyhost/proxyhost.cpp
+++ b/src/libs/proxyhost/proxyhost.cpp
@@ -12,6 +12,8 @@
     /// The balancer needs two missed probes, one second apart, to send no more callers here.
     constexpr Model::Duration balancerDelay = std::chrono::milliseconds(2300);
     constexpr Model::Duration shutdownCheckPeriod = std::chrono::milliseconds(100);
+    /// Descriptors for files, upstreams, the store and the other hosts.
+    constexpr int otherDescriptors = 600;
     /// How often the primaries are looked at.
     constexpr Model::Duration watchPeriod = std::chrono::milliseconds(100);
     /// Reports to the other hosts go out with every second look.
@@ -31,7 +33,8 @@
     , m_settings(settings)
     , m_allowance(settings.host)
     , m_server(loop, m_view, std::move(codec), m_metrics,
-          { settings.zone, settings.callers.ip, settings.callers.port },
+          { settings.zone, settings.callers.ip, settings.callers.port,
+              static_cast<std::size_t>(settings.maxDescriptors - otherDescriptors) },
           { [this](const Directory::Customer& customer, Model::Time now) {
                return m_allowance.admit(customer, now);
            } })
@@ -151,6 +154,17 @@
     m_probe.setReady(m_view.configuration() && m_hasUpstreams && !m_shutdownAt);
 }
 
+void ProxyHost::changeSettings(const Settings::ProxySettings& settings)
+{
+    const bool needsRestart = settings.callers.text() != m_settings.callers.text()
+        || settings.probe.text() != m_settings.probe.text() || settings.store.text() != m_settings.store.text()
+        || settings.promoter.text() != m_settings.promoter.text() || settings.zone != m_settings.zone;
+    m_settings.shutdownMs = settings.shutdownMs;
+    Logging::write(Logging::EventId::SettingsReloaded,
+        { { "shutdownMs", std::to_string(settings.shutdownMs) },
+            { "needsRestart", needsRestart ? "true" : "false" } });
+}
+
 void ProxyHost::shutDown()
 {
     if (m_shutdownAt)
--- a/src/libs/proxyhost/proxyhost.h
+++ b/src/libs/proxyhost/proxyhost.h
@@ -30,6 +30,8 @@
     std::optional<std::string> start();
     /// The hooks through which the store's reports arrive.
     StoreEvents storeEvents();
+    /// Puts the time limit of a shutdown in force; a change of addresses takes a restart.
+    void changeSettings(const Settings::ProxySettings& settings);
     /// Takes no new sessions, ends the open ones when they are idle, and then stops the loop.
     void shutDown();
 
--- a/src/libs/settings/proxysettings.cpp
+++ b/src/libs/settings/proxysettings.cpp
@@ -16,10 +16,9 @@
 
     constexpr int maxPort = 65535;
     constexpr int maxShutdownMs = 600000;
-    constexpr int maxWindowMs = 60000;
     constexpr int maxDescriptors = 1000000;
-    /// Sockets of the store, the probe and the other hosts, and some upstreams.
-    constexpr int minDescriptors = 64;
+    /// Sockets of the store, the probe, the other hosts and the upstreams, and some callers.
+    constexpr int minDescriptors = 700;
 
 }
 
@@ -40,7 +39,6 @@
     reader.address("store", settings.store);
     reader.address("promoter", settings.promoter);
     reader.integer("shutdownMs", settings.shutdownMs, 0, maxShutdownMs);
-    reader.integer("quotaWindowMs", settings.quotaWindowMs, 1, maxWindowMs);
     reader.integer("maxDescriptors", settings.maxDescriptors, minDescriptors, maxDescriptors);
     if (!reader.error().empty())
         return makeError(ErrorCode::InvalidRequest, reader.error());
--- a/src/libs/settings/proxysettings.h
+++ b/src/libs/settings/proxysettings.h
@@ -26,10 +26,8 @@
     Address promoter;
     /// How long a shutdown may take, in ms.
     int shutdownMs = 6000;
-    /// Span over which a customer's rate counts, in ms.
-    int quotaWindowMs = 5000;
     /// Descriptors that the process may open.
-    int maxDescriptors = 1024;
+    int maxDescriptors = 4096;
 };
 
 /// Reads settings from JSON text; fields that it does not know are ignored, since the platform adds some.
--- a/src/tools/parsleytackd/main.cpp
+++ b/src/tools/parsleytackd/main.cpp
@@ -96,7 +96,9 @@
             const auto settings = Settings::loadProxySettings(arguments.settingsFile);
             if (!settings)
                 return refuseSettings(settings.error().message);
-            return arguments.isCheckOnly ? reportValid() : exitWith(runSessionProxy(*settings));
+            if (arguments.isCheckOnly)
+                return reportValid();
+            return exitWith(runSessionProxy(arguments.settingsFile, *settings));
         }
         const auto settings = Settings::loadHostSettings(arguments.settingsFile);
         if (!settings)
--- a/src/tools/parsleytackd/sessionproxy.cpp
+++ b/src/tools/parsleytackd/sessionproxy.cpp
@@ -11,7 +11,22 @@
 #include <cstdlib>
 #include <iostream>
 
-ExitCode runSessionProxy(const Settings::ProxySettings& settings)
+namespace {
+
+/// Reads the settings again and puts in force what can change while the process runs.
+void reload(const std::string& path, ProxyHost::ProxyHost& host)
+{
+    const auto settings = Settings::loadProxySettings(path);
+    if (!settings) {
+        Logging::write(Logging::EventId::SettingsInvalid, { { "reason", settings.error().message } });
+        return;
+    }
+    host.changeSettings(*settings);
+}
+
+}
+
+ExitCode runSessionProxy(const std::string& settingsFile, const Settings::ProxySettings& settings)
 {
     std::signal(SIGPIPE, SIG_IGN);
     Logging::configure({ {}, settings.host, 0 });
@@ -20,6 +35,7 @@
         loop, settings, Adapter::wireCodec(), Adapter::platformCalls(settings.store.text(), settings.promoter.text()));
     loop.onSignal(SIGTERM, [&host] { host.shutDown(); });
     loop.onSignal(SIGINT, [&host] { host.shutDown(); });
+    loop.onSignal(SIGHUP, [&host, &settingsFile] { reload(settingsFile, host); });
     if (const auto error = host.start()) {
         Logging::write(Logging::EventId::ListenFailed, { { "reason", *error } });
         return ExitCode::ListenFailed;
--- /dev/null
+++ b/tests/auto/core/allowance/tst_fleetallowance.cpp
@@ -0,0 +1,203 @@
+#include "core/allowance/fleetallowance.h"
+
+#include <deque>
+#include <random>
+
+#include <gtest/gtest.h>
+
+using namespace Allowance;
+using namespace std::chrono_literals;
+using Model::Duration;
+using Model::Time;
+
+namespace {
+
+const Directory::Customer customer { "acme", 100, 100 };
+
+/// Hosts that report to one another; links can be cut, and hosts can be restarted.
+class Fleet {
+public:
+    explicit Fleet(int count)
+        : m_cut(static_cast<std::size_t>(count), false)
+    {
+        for (int i = 0; i < count; ++i)
+            m_hosts.push_back(newHost(i));
+    }
+
+    void cut(int host, bool isCut) { m_cut.at(static_cast<std::size_t>(host)) = isCut; }
+    void restart(int host)
+    {
+        m_hosts.at(static_cast<std::size_t>(host)) = newHost(host);
+        ++m_incarnation;
+    }
+
+    /// Offers operations at `rates` (per second and host) for a while; returns when they were admitted.
+    std::vector<Time> run(const std::vector<double>& rates, Duration duration)
+    {
+        std::vector<Time> admitted;
+        const Time end = m_now + duration;
+        for (; m_now < end; m_now += step) {
+            for (std::size_t i = 0; i < m_hosts.size(); ++i)
+                offer(i, rates.at(i), admitted);
+            if ((m_now - Time()) % reportPeriod == Duration {})
+                exchange();
+        }
+        return admitted;
+    }
+
+    std::size_t offered() const { return m_offered; }
+    std::size_t refused() const { return m_refused; }
+    void resetCounts() { m_offered = m_refused = 0; }
+
+private:
+    static constexpr Duration step = 5ms;
+    static constexpr Duration reportPeriod = 200ms;
+
+    FleetAllowance newHost(int index) const
+    {
+        FleetAllowance host("host-" + std::to_string(index));
+        std::vector<std::string> names;
+        for (std::size_t i = 0; i < m_cut.size(); ++i)
+            names.push_back("host-" + std::to_string(i));
+        host.setPeers(names, m_now);
+        Directory::Configuration configuration;
+        configuration.customers.emplace(customer.name, customer);
+        host.setCustomers(configuration, m_now);
+        return host;
+    }
+
+    void offer(std::size_t host, double rate, std::vector<Time>& admitted)
+    {
+        std::poisson_distribution<int> count(rate * std::chrono::duration<double>(step).count());
+        for (int n = rate > 0 ? count(m_generator) : 0; n > 0; --n) {
+            ++m_offered;
+            if (m_hosts[host].admit(customer, m_now))
+                admitted.push_back(m_now);
+            else
+                ++m_refused;
+        }
+    }
+
+    void exchange()
+    {
+        for (std::size_t from = 0; from < m_hosts.size(); ++from) {
+            const UsageReport report { "host-" + std::to_string(from), m_incarnation, m_hosts[from].usage(m_now) };
+            for (std::size_t to = 0; to < m_hosts.size(); ++to) {
+                if (to != from && !m_cut[from] && !m_cut[to])
+                    m_hosts[to].receive(report, m_now);
+            }
+        }
+    }
+
+    std::vector<bool> m_cut;
+    std::vector<FleetAllowance> m_hosts;
+    Time m_now { 1000s };
+    std::uint64_t m_incarnation = 1;
+    std::mt19937 m_generator { 4711 };
+    std::size_t m_offered = 0;
+    std::size_t m_refused = 0;
+};
+
+/// The largest number of operations in any span of five seconds.
+std::size_t worstWindow(const std::vector<Time>& admitted)
+{
+    std::size_t worst = 0;
+    std::size_t first = 0;
+    for (std::size_t last = 0; last < admitted.size(); ++last) {
+        while (admitted[last] - admitted[first] > 5s)
+            ++first;
+        worst = std::max(worst, last - first + 1);
+    }
+    return worst;
+}
+
+/// Rate times window and burst, a tenth more, and twenty: the bound that the deployments state.
+constexpr std::size_t allowed = static_cast<std::size_t>((100 * 5 + 100) * 1.1 + 20);
+
+}
+
+// Guards against limits that count for each host alone: nine hosts then admit nine times the rate (quiet-1
+// of tsh-approvals: 188 operations where 178 were allowed).
+TEST(FleetAllowance, NineHostsTogetherKeepTheLimit)
+{
+    Fleet fleet(9);
+    EXPECT_LE(worstWindow(fleet.run(std::vector<double>(9, 60), 20s)), allowed);
+}
+
+// Guards against a limit that an uneven load exceeds or cannot use.
+TEST(FleetAllowance, OneBusyHostMayUseTheWholeRate)
+{
+    Fleet fleet(9);
+    std::vector<double> rates(9, 0);
+    rates[3] = 75;
+    fleet.run(rates, 10s);
+    fleet.resetCounts();
+    fleet.run(rates, 20s);
+    EXPECT_LT(static_cast<double>(fleet.refused()), 0.005 * static_cast<double>(fleet.offered()));
+    rates[3] = 500;
+    EXPECT_LE(worstWindow(fleet.run(rates, 20s)), allowed);
+}
+
+// Guards against wrongful refusals below the rate while demand wanders between the hosts.
+TEST(FleetAllowance, RefusesNothingBelowTheRate)
+{
+    Fleet fleet(9);
+    fleet.run(std::vector<double>(9, 7), 5s);
+    fleet.resetCounts();
+    for (std::size_t busy = 0; busy < 9; ++busy) {
+        std::vector<double> rates(9, 3);
+        rates[busy] = 39;
+        fleet.run(rates, 3s);
+    }
+    EXPECT_LT(static_cast<double>(fleet.refused()), 0.005 * static_cast<double>(fleet.offered()));
+}
+
+// Guards against a host that takes the whole rate for itself once it hears of nobody.
+TEST(FleetAllowance, ACutHostKeepsToItsPart)
+{
+    Fleet fleet(9);
+    fleet.run(std::vector<double>(9, 10), 5s);
+    fleet.cut(0, true);
+    fleet.cut(1, true);
+    EXPECT_LE(worstWindow(fleet.run(std::vector<double>(9, 60), 9s)), allowed);
+}
+
+// Guards against restarts that refill the burst.
+TEST(FleetAllowance, RestartsGrantNoNewBurst)
+{
+    Fleet fleet(9);
+    std::vector<Time> admitted = fleet.run(std::vector<double>(9, 60), 5s);
+    for (int host = 0; host < 9; ++host) {
+        fleet.restart(host);
+        const auto more = fleet.run(std::vector<double>(9, 60), 600ms);
+        admitted.insert(admitted.end(), more.begin(), more.end());
+    }
+    EXPECT_LE(worstWindow(admitted), allowed);
+}
+
+// Guards against a report that arrives late or twice and gives operations back.
+TEST(FleetAllowance, OldReportsChangeNothing)
+{
+    const Time now { 100s };
+    FleetAllowance host("a");
+    host.setPeers({ "a", "b" }, now);
+    Directory::Configuration configuration;
+    configuration.customers.emplace(customer.name, customer);
+    host.setCustomers(configuration, now);
+    host.receive({ "b", 2, { { "acme", 10, 10, 90 } } }, now + 2s);
+    host.receive({ "b", 2, { { "acme", 60, 10, 40 } } }, now + 2s);
+    const double before = host.usage(now + 2s).front().available;
+    host.receive({ "b", 2, { { "acme", 20, 10, 80 } } }, now + 2s);
+    host.receive({ "b", 1, { { "acme", 900, 10, 0 } } }, now + 2s);
+    EXPECT_DOUBLE_EQ(host.usage(now + 2s).front().available, before);
+}
+
+// Guards against limits of customers that no longer exist.
+TEST(FleetAllowance, ForgetsCustomersThatAreGone)
+{
+    FleetAllowance host("a");
+    EXPECT_TRUE(host.admit(customer, Time { 1s }));
+    EXPECT_EQ(host.usage(Time { 1s }).size(), 1U);
+    host.setCustomers({}, Time { 2s });
+    EXPECT_TRUE(host.usage(Time { 2s }).empty());
+}
--- /dev/null
+++ b/tests/auto/core/directory/tst_configuration.cpp
@@ -0,0 +1,45 @@
+#include "core/directory/configuration.h"
+
+#include <gtest/gtest.h>
+
+using namespace Directory;
+
+namespace {
+
+Configuration configuration()
+{
+    Configuration result;
+    result.version = 3;
+    Route route;
+    route.database = "orders";
+    route.service = "ledger";
+    result.routes.push_back(route);
+    result.services.emplace("ledger", Service { "ledger", 16 });
+    result.customers.emplace("acme", Customer { "acme", 10, 20 });
+    result.customerByKey.emplace("key-1", "acme");
+    result.customerByKey.emplace("key-of-nobody", "gone");
+    return result;
+}
+
+}
+
+// Guards against a session that is bound to the wrong route.
+TEST(Configuration, FindsRoutesByDatabaseName)
+{
+    const Configuration known = configuration();
+    ASSERT_NE(known.findRoute("orders"), nullptr);
+    EXPECT_EQ(known.findRoute("orders")->service, "ledger");
+    EXPECT_EQ(known.findRoute("order"), nullptr);
+    EXPECT_EQ(known.findRoute(""), nullptr);
+}
+
+// Guards against a key that works for nobody or for another customer.
+TEST(Configuration, FindsTheCustomerOfAKey)
+{
+    const Configuration known = configuration();
+    ASSERT_NE(known.findCustomerOfKey("key-1"), nullptr);
+    EXPECT_EQ(known.findCustomerOfKey("key-1")->name, "acme");
+    EXPECT_EQ(known.findCustomerOfKey("key-2"), nullptr);
+    EXPECT_EQ(known.findCustomerOfKey("key-of-nobody"), nullptr);
+    EXPECT_EQ(known.findService("other"), nullptr);
+}
--- /dev/null
+++ b/tests/auto/core/failover/tst_primarywatch.cpp
@@ -0,0 +1,130 @@
+#include "core/failover/primarywatch.h"
+
+#include <gtest/gtest.h>
+
+using namespace Failover;
+using namespace std::chrono_literals;
+using Directory::Availability;
+using Directory::Role;
+using Model::Time;
+
+namespace {
+
+class PrimaryWatchTest : public testing::Test {
+protected:
+    void setUpstream(const std::string& id, Role role, Availability availability = Availability::Ready)
+    {
+        Directory::Upstream upstream;
+        upstream.id = id;
+        upstream.service = "ledger";
+        upstream.zone = "zone-" + id;
+        upstream.role = role;
+        upstream.availability = availability;
+        upstream.revision = ++m_revision;
+        m_view.setUpstream(upstream);
+    }
+
+    void SetUp() override
+    {
+        setUpstream("p", Role::Primary);
+        setUpstream("r", Role::Replica);
+        m_watch.setHostCount(3);
+    }
+
+    void opinion(const std::string& host, ReachabilityState state, Time now, bool isPromoting = false)
+    {
+        m_watch.setOpinion("ledger", { host, "p", state, isPromoting, true, now, {} });
+    }
+
+    void silence(Time from) { m_reachability.sent("p", from); }
+
+    Directory::View m_view;
+    Reachability m_reachability;
+    PrimaryWatch m_watch { m_view, m_reachability, "self" };
+    std::uint64_t m_revision = 0;
+};
+
+}
+
+// Guards against a healthy primary that is replaced.
+TEST_F(PrimaryWatchTest, AReachablePrimaryStays)
+{
+    m_reachability.heard("p", Time { 0ms });
+    EXPECT_FALSE(m_watch.due("ledger", Time { 100ms }));
+    EXPECT_FALSE(m_watch.due("ledger", Time { 10s }));
+}
+
+// Guards against a dead primary that nobody replaces.
+TEST_F(PrimaryWatchTest, ASilentPrimaryIsReplaced)
+{
+    silence(Time { 0ms });
+    std::optional<PromotionReason> reason;
+    Time now { 0ms };
+    for (; !reason && now < Time { 3s }; now += 50ms) {
+        opinion("other", ReachabilityState::Unreachable, now);
+        reason = m_watch.due("ledger", now);
+    }
+    EXPECT_EQ(reason, PromotionReason::Unreachable);
+    EXPECT_LT(now, Time { 1s });
+}
+
+// Guards against a promotion by a host that alone cannot reach the primary.
+TEST_F(PrimaryWatchTest, AnotherHostsAnswerOutweighsOwnSilence)
+{
+    silence(Time { 0ms });
+    for (Time now { 0ms }; now < Time { 5s }; now += 100ms) {
+        opinion("one", ReachabilityState::Reachable, now);
+        opinion("two", ReachabilityState::Unreachable, now);
+        EXPECT_FALSE(m_watch.due("ledger", now));
+    }
+}
+
+// Guards against a promotion by a host that is cut off from the others as well as from the primary.
+TEST_F(PrimaryWatchTest, AHostWithoutContactToOthersDoesNotAct)
+{
+    m_watch.setHostCount(9);
+    silence(Time { 0ms });
+    EXPECT_FALSE(m_watch.due("ledger", Time { 5s }));
+    EXPECT_FALSE(m_watch.due("ledger", Time { 10s }));
+}
+
+// Guards against two hosts that act at once when one has announced it.
+TEST_F(PrimaryWatchTest, WaitsForAnotherHostsPromotion)
+{
+    silence(Time { 0ms });
+    for (Time now { 0ms }; now < Time { 3s }; now += 100ms) {
+        opinion("other", ReachabilityState::Unreachable, now, true);
+        EXPECT_FALSE(m_watch.due("ledger", now));
+    }
+    EXPECT_EQ(m_watch.promotedElsewhereSince("ledger", Time { 2900ms }), Time { 0ms });
+    // The other one fell silent.
+    EXPECT_EQ(m_watch.promotedElsewhereSince("ledger", Time { 9s }), std::nullopt);
+}
+
+// Guards against a leaving or evacuated primary that stays until it ends.
+TEST_F(PrimaryWatchTest, ALeavingPrimaryIsReplacedAtOnce)
+{
+    setUpstream("p", Role::Primary, Availability::Draining);
+    EXPECT_EQ(m_watch.due("ledger", Time { 0ms }), PromotionReason::Leaving);
+    setUpstream("p", Role::Primary);
+    EXPECT_FALSE(m_watch.due("ledger", Time { 0ms }));
+    m_view.setZoneOut("zone-p");
+    EXPECT_EQ(m_watch.due("ledger", Time { 0ms }), PromotionReason::Leaving);
+}
+
+// Guards against a promotion while the entries of a service arrive one after the other.
+TEST_F(PrimaryWatchTest, AMissingPrimaryIsReplacedAfterAMoment)
+{
+    m_view.removeUpstream("p");
+    EXPECT_FALSE(m_watch.due("ledger", Time { 0ms }));
+    EXPECT_FALSE(m_watch.due("ledger", Time { 300ms }));
+    EXPECT_EQ(m_watch.due("ledger", Time { 2s }), PromotionReason::Missing);
+}
+
+// Guards against a promotion that has no upstream to promote.
+TEST_F(PrimaryWatchTest, NothingIsDueWithoutAReplacement)
+{
+    m_view.removeUpstream("r");
+    setUpstream("p", Role::Primary, Availability::Draining);
+    EXPECT_FALSE(m_watch.due("ledger", Time { 5s }));
+}
--- /dev/null
+++ b/tests/auto/core/failover/tst_promotion.cpp
@@ -0,0 +1,177 @@
+#include "core/failover/promotion.h"
+
+#include <algorithm>
+
+#include <gtest/gtest.h>
+
+using namespace Failover;
+using namespace std::chrono_literals;
+using Directory::Role;
+using Model::Time;
+
+namespace {
+
+class PromotionTest : public testing::Test {
+protected:
+    void SetUp() override
+    {
+        setUpstream("p", Role::Primary);
+        setUpstream("q", Role::Replica);
+        setUpstream("r", Role::Replica);
+    }
+
+    void setUpstream(const std::string& id, Role role)
+    {
+        Directory::Upstream upstream;
+        upstream.id = id;
+        upstream.service = "ledger";
+        upstream.role = role;
+        upstream.revision = ++m_revision;
+        m_view.setUpstream(upstream);
+    }
+
+    Promotion promotion(PromotionReason reason)
+    {
+        PromotionHooks hooks;
+        hooks.takeDuty = [this](const std::string&) { ++m_dutiesAsked; };
+        hooks.askStatus = [this](const std::string& upstream) { m_asked.push_back(upstream); };
+        hooks.stepDown = [this](const std::string& upstream, std::uint64_t term) {
+            m_steppedDown = upstream;
+            m_stepDownTerm = term;
+        };
+        hooks.order = [this](const std::string&, const std::string& upstream, FencingToken token) {
+            m_ordered.push_back(upstream);
+            m_token = token;
+        };
+        hooks.isReachable = [this](const std::string& upstream) { return !m_unreachable.contains(upstream); };
+        hooks.knownPosition = [](const std::string&) { return Model::LogPosition {}; };
+        return { m_view, "ledger", reason, std::move(hooks), Time { 0ms } };
+    }
+
+    static UpstreamStatus status(std::uint64_t position, Role role = Role::Replica)
+    {
+        return { role, 3, { 3, position } };
+    }
+
+    Directory::View m_view;
+    std::uint64_t m_revision = 0;
+    int m_dutiesAsked = 0;
+    std::vector<std::string> m_asked;
+    std::string m_steppedDown;
+    std::uint64_t m_stepDownTerm = 0;
+    std::vector<std::string> m_ordered;
+    FencingToken m_token = 0;
+    std::set<std::string> m_unreachable;
+};
+
+}
+
+// Guards against the loss of acknowledged commits that only the most advanced replica holds.
+TEST_F(PromotionTest, TheMostAdvancedReplicaIsPromoted)
+{
+    Promotion run = promotion(PromotionReason::Unreachable);
+    EXPECT_EQ(m_dutiesAsked, 1);
+    run.dutyTaken(7, Time { 10ms });
+    EXPECT_EQ(m_asked, (std::vector<std::string> { "q", "r" }));
+    run.statusArrived("q", status(100), Time { 20ms });
+    EXPECT_TRUE(m_ordered.empty());
+    run.statusArrived("r", status(101), Time { 30ms });
+    ASSERT_EQ(m_ordered, std::vector<std::string> { "r" });
+    EXPECT_EQ(m_token, 7U);
+    run.orderAnswered(OrderResult::Accepted, Time { 40ms });
+    EXPECT_FALSE(run.isOver());
+    setUpstream("r", Role::Primary);
+    run.update(Time { 300ms });
+    EXPECT_EQ(run.phase(), PromotionPhase::Finished);
+}
+
+// Guards against the promotion of a replica that received nothing for a while, because the other one took
+// longer to answer (scale-2 of asahi-bindery: 57 acknowledged commits rolled back).
+TEST_F(PromotionTest, WaitsForAReplicaThatCanBeReached)
+{
+    Promotion run = promotion(PromotionReason::Unreachable);
+    run.dutyTaken(1, Time { 10ms });
+    run.statusArrived("q", status(40), Time { 20ms });
+    run.statusArrived("r", std::nullopt, Time { 100ms });
+    run.update(Time { 400ms });
+    EXPECT_TRUE(m_ordered.empty());
+    EXPECT_EQ(std::ranges::count(m_asked, "r"), 2);
+    run.statusArrived("r", status(97), Time { 450ms });
+    EXPECT_EQ(m_ordered, std::vector<std::string> { "r" });
+}
+
+// Guards against a promotion that waits for an upstream that is as dead as the primary.
+TEST_F(PromotionTest, DoesNotWaitForAnUnreachableReplica)
+{
+    m_unreachable.insert("r");
+    Promotion run = promotion(PromotionReason::Unreachable);
+    run.dutyTaken(1, Time { 10ms });
+    run.statusArrived("q", status(40), Time { 20ms });
+    EXPECT_EQ(m_ordered, std::vector<std::string> { "q" });
+}
+
+// Guards against a planned change that loses what the primary acknowledged last.
+TEST_F(PromotionTest, ALeavingPrimaryStepsDownBeforeTheReplicaLeads)
+{
+    Promotion run = promotion(PromotionReason::Leaving);
+    run.dutyTaken(1, Time { 10ms });
+    run.statusArrived("p", status(100, Role::Primary), Time { 20ms });
+    run.statusArrived("q", status(90), Time { 20ms });
+    run.statusArrived("r", status(95), Time { 20ms });
+    EXPECT_EQ(m_steppedDown, "p");
+    EXPECT_EQ(m_stepDownTerm, 4U);
+    EXPECT_TRUE(m_ordered.empty());
+    run.statusArrived("p", status(102), Time { 30ms });
+    EXPECT_TRUE(m_ordered.empty());
+    run.statusArrived("r", status(102), Time { 60ms });
+    EXPECT_EQ(m_ordered, std::vector<std::string> { "r" });
+}
+
+// Guards against an order whose lost answer leaves the service without a primary.
+TEST_F(PromotionTest, AnOrderWithoutAnAnswerIsRepeated)
+{
+    Promotion run = promotion(PromotionReason::Unreachable);
+    run.dutyTaken(5, Time { 10ms });
+    run.statusArrived("q", status(1), Time { 20ms });
+    run.statusArrived("r", status(1), Time { 20ms });
+    run.orderAnswered(OrderResult::Unknown, Time { 320ms });
+    EXPECT_EQ(m_ordered.size(), 1U);
+    run.update(Time { 500ms });
+    EXPECT_EQ(m_ordered.size(), 2U);
+    EXPECT_EQ(m_ordered.front(), m_ordered.back());
+    run.orderAnswered(OrderResult::Accepted, Time { 510ms });
+    EXPECT_EQ(run.phase(), PromotionPhase::Awaiting);
+}
+
+// Guards against a holder that goes on giving orders after a newer one.
+TEST_F(PromotionTest, ARefusedOrderEndsThePromotion)
+{
+    Promotion run = promotion(PromotionReason::Unreachable);
+    run.dutyTaken(5, Time { 10ms });
+    run.statusArrived("q", status(1), Time { 20ms });
+    run.statusArrived("r", status(2), Time { 20ms });
+    run.orderAnswered(OrderResult::Refused, Time { 30ms });
+    EXPECT_EQ(run.phase(), PromotionPhase::Failed);
+    run.update(Time { 2s });
+    EXPECT_EQ(m_ordered.size(), 1U);
+}
+
+// Guards against a second change of the primary right after another host's.
+TEST_F(PromotionTest, EndsIfAnotherUpstreamLeadsBeforeTheOrder)
+{
+    Promotion run = promotion(PromotionReason::Unreachable);
+    setUpstream("q", Role::Primary);
+    run.dutyTaken(5, Time { 10ms });
+    EXPECT_EQ(run.phase(), PromotionPhase::Finished);
+    EXPECT_TRUE(m_asked.empty());
+}
+
+// Guards against a promotion without the duty.
+TEST_F(PromotionTest, NothingHappensWithoutTheDuty)
+{
+    Promotion run = promotion(PromotionReason::Missing);
+    EXPECT_FALSE(run.hasDuty());
+    run.dutyTaken(std::nullopt, Time { 10ms });
+    EXPECT_EQ(run.phase(), PromotionPhase::Failed);
+    EXPECT_TRUE(m_asked.empty());
+}
--- /dev/null
+++ b/tests/auto/core/failover/tst_reachability.cpp
@@ -0,0 +1,51 @@
+#include "core/failover/reachability.h"
+
+#include <gtest/gtest.h>
+
+using namespace Failover;
+using namespace std::chrono_literals;
+using Model::Time;
+
+// Guards against an upstream that is suspected although any of its connections answers.
+TEST(Reachability, AnAnswerOnAnyConnectionCounts)
+{
+    Reachability reachability;
+    reachability.sent("db", Time { 0ms });
+    reachability.sent("db", Time { 300ms });
+    reachability.heard("db", Time { 400ms });
+    EXPECT_EQ(reachability.state("db", Time { 500ms }), ReachabilityState::Reachable);
+    reachability.sent("db", Time { 600ms });
+    EXPECT_EQ(reachability.state("db", Time { 900ms }), ReachabilityState::Unknown);
+    EXPECT_EQ(reachability.state("db", Time { 1100ms }), ReachabilityState::Unreachable);
+}
+
+// Guards against a suspicion without any question.
+TEST(Reachability, SilenceWithoutAQuestionIsNoFailure)
+{
+    Reachability reachability;
+    EXPECT_EQ(reachability.state("db", Time { 0ms }), ReachabilityState::Unknown);
+    reachability.heard("db", Time { 0ms });
+    EXPECT_EQ(reachability.state("db", Time { 10s }), ReachabilityState::Unknown);
+}
+
+// Guards against a promotion because of one broken connection.
+TEST(Reachability, OneBrokenConnectionIsNoFailure)
+{
+    Reachability reachability;
+    reachability.failed("db", Time { 0ms });
+    EXPECT_NE(reachability.state("db", Time { 1ms }), ReachabilityState::Unreachable);
+    reachability.failed("db", Time { 2ms });
+    EXPECT_EQ(reachability.state("db", Time { 3ms }), ReachabilityState::Unreachable);
+    reachability.heard("db", Time { 4ms });
+    EXPECT_EQ(reachability.state("db", Time { 5ms }), ReachabilityState::Reachable);
+}
+
+// Guards against a host that wakes from a freeze and suspects every upstream.
+TEST(Reachability, AFreezeOfThisProcessIsNotSilence)
+{
+    Reachability reachability;
+    reachability.sent("db", Time { 0ms });
+    reachability.stalled(Time { 5s });
+    EXPECT_NE(reachability.state("db", Time { 5s + 100ms }), ReachabilityState::Unreachable);
+    EXPECT_EQ(reachability.state("db", Time { 5s + 600ms }), ReachabilityState::Unreachable);
+}
--- /dev/null
+++ b/tests/auto/core/proxy/enginefixture.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "core/proxy/engine.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+/// An engine in front of a service with the primary `p` and the replicas `q` and `r`. The test plays the
+/// callers and the upstreams.
+class EngineFixture : public testing::Test {
+protected:
+    struct Link {
+        std::string upstream;
+        std::string customer;
+        std::vector<Proxy::Command> commands;
+        bool isClosed = false;
+    };
+
+    EngineFixture();
+
+    void setUpstream(const std::string& id, Directory::Role role,
+        Directory::Availability availability = Directory::Availability::Ready);
+    /// Puts a configuration in force that `change` has been applied to.
+    void configure(const std::function<void(Directory::Configuration&)>& change = {});
+
+    Proxy::SessionId open(const std::string& database, const std::string& key = "key-acme");
+    void send(Proxy::SessionId session, Proxy::Statement statement);
+    static Proxy::Statement statement(Proxy::StatementKind kind, const std::string& argument = {});
+    static Proxy::Statement named(Proxy::StatementKind kind, const std::string& name,
+        const std::string& argument = {}, Proxy::PreparedKind prepared = Proxy::PreparedKind::Read);
+
+    /// Accepts the connections that the engine is opening.
+    void acceptConnections();
+    /// The open connection to an upstream that was used last.
+    Proxy::ConnectionId linkTo(const std::string& upstream) const;
+    /// Takes the commands that were sent on a connection since the last call.
+    std::vector<Proxy::Command> take(Proxy::ConnectionId link);
+    /// Answers the oldest message on a connection.
+    void answer(Proxy::ConnectionId link, Proxy::ResultCode code = Proxy::ResultCode::Complete,
+        Proxy::TransactionState state = Proxy::TransactionState::None, std::uint64_t position = 0);
+    /// Makes the engine know a position of the primary, as a write does.
+    void observePrimary(std::uint64_t position);
+    void advance(Model::Duration duration);
+
+    /// The last answer to a session.
+    const Proxy::Reply& lastReply(Proxy::SessionId session) const { return m_replies.at(session).back(); }
+    std::size_t replyCount(Proxy::SessionId session) const
+    {
+        const auto found = m_replies.find(session);
+        return found == m_replies.end() ? 0 : found->second.size();
+    }
+
+    Directory::View m_view;
+    Model::Time m_now { std::chrono::seconds(100) };
+    bool m_isAdmitted = true;
+    std::map<Proxy::SessionId, std::vector<Proxy::Reply>> m_replies;
+    std::map<Proxy::SessionId, Proxy::ResultCode> m_rejections;
+    std::set<Proxy::SessionId> m_closedSessions;
+    std::map<Proxy::ConnectionId, Link> m_links;
+    std::vector<Proxy::ConnectionId> m_opening;
+    std::vector<Proxy::Decision> m_decisions;
+    std::unique_ptr<Proxy::Engine> m_engine;
+
+private:
+    std::uint64_t m_version = 0;
+    std::uint64_t m_revision = 0;
+    Proxy::SessionId m_lastSession = 0;
+    std::uint64_t m_term = 3;
+};
--- /dev/null
+++ b/tests/auto/core/proxy/tst_connection.cpp
@@ -0,0 +1,44 @@
+#include "core/proxy/connection.h"
+
+#include <gtest/gtest.h>
+
+using namespace Proxy;
+
+// Guards against a statement that runs with another session's values.
+TEST(Connection, ValuesOfAnotherSessionAreDropped)
+{
+    Connection connection;
+    connection.values = { { "a", "1" }, { "b", "2" } };
+    connection.prepared = { { { PreparedKind::Read, "q" }, "p1" } };
+    SessionContext context;
+    context.values = { { "b", "3" } };
+    const auto commands = commandsToMatch(connection, context, nullptr);
+    ASSERT_EQ(commands.size(), 2U);
+    EXPECT_EQ(commands[0].kind, CommandKind::Reset);
+    EXPECT_EQ(commands[1].kind, CommandKind::Set);
+    EXPECT_EQ(commands[1].statement.argument, "3");
+    EXPECT_EQ(connection.values, context.values);
+    EXPECT_TRUE(connection.prepared.empty());
+}
+
+// Guards against messages that change nothing.
+TEST(Connection, AMatchingConnectionNeedsNoCommands)
+{
+    Connection connection;
+    SessionContext context;
+    context.values = { { "a", "1" } };
+    const PreparedShape shape { PreparedKind::Write, "q" };
+    EXPECT_EQ(commandsToMatch(connection, context, &shape).size(), 2U);
+    EXPECT_TRUE(commandsToMatch(connection, context, &shape).empty());
+}
+
+// Guards against two sessions that share a name for different statements.
+TEST(Connection, ShapesGetNamesOfTheirOwn)
+{
+    Connection connection;
+    const PreparedShape one { PreparedKind::Read, "q" };
+    const PreparedShape two { PreparedKind::Write, "q" };
+    commandsToMatch(connection, {}, &one);
+    commandsToMatch(connection, {}, &two);
+    EXPECT_NE(connection.prepared.at(one), connection.prepared.at(two));
+}
--- /dev/null
+++ b/tests/auto/core/proxy/tst_connectionledger.cpp
@@ -0,0 +1,52 @@
+#include "core/proxy/connectionledger.h"
+
+#include <gtest/gtest.h>
+
+using namespace Proxy;
+using namespace std::chrono_literals;
+using Model::Time;
+
+// Guards against hosts that together open more connections than an upstream accepts.
+TEST(ConnectionLedger, BasesNeverExceedTheLimit)
+{
+    for (int limit = 9; limit < 60; ++limit) {
+        ConnectionLedger ledger;
+        ledger.setHostCount(9);
+        EXPECT_LE(ledger.share("db", limit).kept * 9, limit + 9);
+        EXPECT_GE(ledger.share("db", limit).most, 1);
+    }
+}
+
+// Guards against a host that takes what others hold (8,915 refused connections on trouble-2 of
+// tsh-approvals).
+TEST(ConnectionLedger, WhatOthersHoldIsNotFree)
+{
+    ConnectionLedger ledger;
+    ledger.setHostCount(9);
+    EXPECT_EQ(ledger.share("db", 16).most, 8);
+    ledger.setOpen("other", { { ConnectionLedger::hashOf("db"), 6 } }, Time { 1s });
+    EXPECT_EQ(ledger.share("db", 16).most, 3);
+    ledger.setOpen("third", { { ConnectionLedger::hashOf("db"), 4 } }, Time { 1s });
+    EXPECT_EQ(ledger.share("db", 16).most, 1);
+    EXPECT_EQ(ledger.share("another", 16).most, 8);
+}
+
+// Guards against connections that a dead host holds for ever.
+TEST(ConnectionLedger, ReportsOfSilentHostsAreForgotten)
+{
+    ConnectionLedger ledger;
+    ledger.setHostCount(9);
+    ledger.setOpen("other", { { ConnectionLedger::hashOf("db"), 8 } }, Time { 1s });
+    ledger.forget(Time { 500ms });
+    EXPECT_EQ(ledger.share("db", 16).most, 1);
+    ledger.forget(Time { 2s });
+    EXPECT_EQ(ledger.share("db", 16).most, 8);
+}
+
+// Guards against a division that fails before the first configuration or report.
+TEST(ConnectionLedger, AnUnknownLimitStillAllowsOneConnection)
+{
+    ConnectionLedger ledger;
+    ledger.setHostCount(0);
+    EXPECT_EQ(ledger.share("db", 0).most, 1);
+}
--- /dev/null
+++ b/tests/auto/core/proxy/tst_engine.cpp
@@ -0,0 +1,257 @@
+#include "enginefixture.h"
+
+using namespace Proxy;
+using namespace std::chrono_literals;
+
+// Guards against a session for a database or key that does not exist.
+TEST_F(EngineFixture, UnknownDatabasesAndKeysAreRejected)
+{
+    EXPECT_EQ(m_rejections[open("nowhere")], ResultCode::NoDatabase);
+    EXPECT_EQ(m_rejections[open("strict", "wrong")], ResultCode::InvalidKey);
+    const SessionId session = open("strict");
+    EXPECT_EQ(replyCount(session), 1U);
+    configure([](auto& configuration) { configuration.routes[0].isOpen = true; });
+    EXPECT_EQ(replyCount(open("strict", "wrong")), 1U);
+}
+
+// Guards against a read on a primary that was replaced: it runs only inside a transaction that the upstream
+// refuses unless it leads, and nothing is sent before that is known.
+TEST_F(EngineFixture, AReadOfAPrimaryRouteProvesTheLeadFirst)
+{
+    const SessionId session = open("strict");
+    send(session, statement(StatementKind::Read, "item"));
+    acceptConnections();
+    const ConnectionId link = linkTo("p");
+    auto commands = take(link);
+    ASSERT_EQ(commands.size(), 1U);
+    EXPECT_EQ(commands[0].kind, CommandKind::Begin);
+    answer(link, ResultCode::Complete, TransactionState::Open, 10);
+    commands = take(link);
+    ASSERT_EQ(commands.size(), 2U);
+    EXPECT_EQ(commands[0].kind, CommandKind::Statement);
+    EXPECT_EQ(commands[1].kind, CommandKind::Rollback);
+    answer(link, ResultCode::Complete, TransactionState::Open, 10);
+    EXPECT_EQ(lastReply(session).code, ResultCode::Complete);
+    EXPECT_EQ(lastReply(session).state, TransactionState::None);
+    EXPECT_EQ(lastReply(session).text, "receipt");
+}
+
+// Guards against a read that a former primary runs after it refused the transaction.
+TEST_F(EngineFixture, ARefusedBeginSendsNoRead)
+{
+    const SessionId session = open("strict");
+    send(session, statement(StatementKind::Read, "item"));
+    acceptConnections();
+    const ConnectionId link = linkTo("p");
+    take(link);
+    answer(link, ResultCode::ReadOnly, TransactionState::None, 10);
+    for (const Command& command : take(link))
+        EXPECT_NE(command.kind, CommandKind::Statement);
+    setUpstream("q", Directory::Role::Primary);
+    advance(1ms);
+    acceptConnections();
+    const auto commands = take(linkTo("q"));
+    ASSERT_FALSE(commands.empty());
+    EXPECT_EQ(commands[0].kind, CommandKind::Begin);
+}
+
+// Guards against stale reads at replicas, and against reads that burden the primary without need.
+TEST_F(EngineFixture, ABoundedReadCarriesThePositionOfThePrimary)
+{
+    observePrimary(42);
+    advance(100ms);
+    const SessionId session = open("bounded");
+    send(session, statement(StatementKind::Read, "item"));
+    acceptConnections();
+    EXPECT_TRUE(take(linkTo("p")).empty());
+    const ConnectionId link = linkTo("q") != 0 ? linkTo("q") : linkTo("r");
+    const auto commands = take(link);
+    ASSERT_EQ(commands.size(), 1U);
+    ASSERT_TRUE(commands[0].after);
+    EXPECT_EQ(commands[0].after->position, 42U);
+}
+
+// Guards against a bounded read that trusts an old position.
+TEST_F(EngineFixture, ABoundedReadGoesToThePrimaryWithoutARecentPosition)
+{
+    observePrimary(42);
+    advance(5s);
+    const SessionId session = open("bounded");
+    send(session, statement(StatementKind::Read, "item"));
+    acceptConnections();
+    const auto commands = take(linkTo("p"));
+    ASSERT_EQ(commands.size(), 1U);
+    EXPECT_EQ(commands[0].kind, CommandKind::Begin);
+}
+
+// Guards against a session that does not read its own write.
+TEST_F(EngineFixture, ASessionReadsItsOwnWrites)
+{
+    const SessionId session = open("own");
+    send(session, statement(StatementKind::Write, "item data"));
+    acceptConnections();
+    take(linkTo("p"));
+    answer(linkTo("p"), ResultCode::Complete, TransactionState::None, 77);
+    m_now += 900ms;
+    observePrimary(80);
+    const SessionId other = open("own");
+    send(session, statement(StatementKind::Read, "item"));
+    acceptConnections();
+    for (const std::string upstream : { "q", "r", "p" }) {
+        const ConnectionId link = linkTo(upstream);
+        const auto commands = link ? take(link) : std::vector<Command>();
+        if (commands.empty())
+            continue;
+        ASSERT_TRUE(commands.back().after);
+        EXPECT_GE(commands.back().after->position, 77U);
+    }
+    EXPECT_NE(other, session);
+}
+
+// Guards against a replica that lacks the position and a caller that pays for it.
+TEST_F(EngineFixture, ALaggingReplicaIsLeftOut)
+{
+    observePrimary(42);
+    const SessionId session = open("bounded");
+    send(session, statement(StatementKind::Read, "item"));
+    acceptConnections();
+    const std::string first = linkTo("q") != 0 ? "q" : "r";
+    take(linkTo(first));
+    answer(linkTo(first), ResultCode::Lagging, TransactionState::None, 3);
+    acceptConnections();
+    const std::string second = first == "q" ? "r" : "q";
+    const ConnectionId next = linkTo(second) != 0 ? linkTo(second) : linkTo("p");
+    EXPECT_FALSE(take(next).empty());
+    EXPECT_EQ(replyCount(session), 1U);
+}
+
+// Guards against statements of one transaction on two connections, and of two on one.
+TEST_F(EngineFixture, ATransactionKeepsItsConnection)
+{
+    const SessionId session = open("strict");
+    send(session, statement(StatementKind::Begin));
+    EXPECT_EQ(lastReply(session).state, TransactionState::Open);
+    send(session, statement(StatementKind::Write, "a 1"));
+    acceptConnections();
+    const ConnectionId link = linkTo("p");
+    EXPECT_EQ(take(link).at(0).kind, CommandKind::Begin);
+    answer(link, ResultCode::Complete, TransactionState::Open);
+    EXPECT_EQ(take(link).at(0).kind, CommandKind::Statement);
+    answer(link, ResultCode::Complete, TransactionState::Open);
+    const SessionId other = open("strict");
+    send(other, statement(StatementKind::Write, "b 2"));
+    EXPECT_TRUE(take(link).empty());
+    send(session, statement(StatementKind::Commit));
+    const auto commands = take(link);
+    ASSERT_EQ(commands.size(), 1U);
+    EXPECT_EQ(commands[0].statement.kind, StatementKind::Commit);
+    answer(link, ResultCode::Complete, TransactionState::None, 12);
+    EXPECT_EQ(lastReply(session).state, TransactionState::None);
+    EXPECT_FALSE(take(link).empty());
+}
+
+// Guards against a connection that goes to the next session inside an open transaction.
+TEST_F(EngineFixture, ALeftTransactionIsRolledBackBeforeReuse)
+{
+    const SessionId session = open("strict");
+    send(session, statement(StatementKind::Begin));
+    send(session, statement(StatementKind::Write, "a 1"));
+    acceptConnections();
+    const ConnectionId link = linkTo("p");
+    answer(link, ResultCode::Complete, TransactionState::Open);
+    answer(link, ResultCode::Complete, TransactionState::Open);
+    take(link);
+    m_engine->sessionClosed(session, m_now);
+    EXPECT_EQ(take(link).at(0).kind, CommandKind::Rollback);
+    const SessionId other = open("strict");
+    send(other, statement(StatementKind::Write, "b 2"));
+    EXPECT_TRUE(take(link).empty());
+    answer(link);
+    EXPECT_EQ(take(link).at(0).kind, CommandKind::Statement);
+}
+
+// Guards against a statement of one customer on the connection of another.
+TEST_F(EngineFixture, CustomersNeverShareAConnection)
+{
+    observePrimary(1);
+    const SessionId session = open("strict", "key-bolt");
+    send(session, statement(StatementKind::Write, "a 1"));
+    acceptConnections();
+    const ConnectionId link = linkTo("p");
+    EXPECT_EQ(m_links.at(link).customer, "bolt");
+    EXPECT_FALSE(take(link).empty());
+}
+
+// Guards against prepared names that collide between sessions.
+TEST_F(EngineFixture, PreparedStatementsAreNamedPerConnection)
+{
+    const SessionId one = open("strict");
+    const SessionId two = open("strict");
+    send(one, named(StatementKind::Prepare, "s", "shape-1", PreparedKind::Write));
+    send(two, named(StatementKind::Prepare, "s", "shape-2", PreparedKind::Write));
+    std::vector<std::string> names;
+    for (const SessionId session : { one, two }) {
+        send(session, named(StatementKind::Execute, "s", "item data"));
+        acceptConnections();
+        const ConnectionId link = linkTo("p");
+        const auto commands = take(link);
+        ASSERT_EQ(commands.size(), 2U);
+        EXPECT_EQ(commands[0].kind, CommandKind::Prepare);
+        EXPECT_EQ(commands[0].statement.name, commands[1].statement.name);
+        names.push_back(commands[1].statement.name);
+        answer(link);
+        answer(link, ResultCode::Complete, TransactionState::None, 5);
+    }
+    EXPECT_NE(names[0], names[1]);
+    send(one, named(StatementKind::Close, "s"));
+    send(one, named(StatementKind::Execute, "s", "item data"));
+    EXPECT_EQ(lastReply(one).code, ResultCode::UnknownStatement);
+}
+
+// Guards against a customer beyond its rate, which is told at once that nothing ran.
+TEST_F(EngineFixture, BeyondTheRateIsRefusedAtOnce)
+{
+    const SessionId session = open("strict");
+    m_isAdmitted = false;
+    send(session, statement(StatementKind::Write, "a 1"));
+    EXPECT_EQ(lastReply(session).code, ResultCode::Busy);
+    send(session, statement(StatementKind::Begin));
+    EXPECT_EQ(lastReply(session).code, ResultCode::Busy);
+    EXPECT_EQ(lastReply(session).state, TransactionState::None);
+    m_isAdmitted = true;
+    send(session, statement(StatementKind::Begin));
+    m_isAdmitted = false;
+    send(session, statement(StatementKind::Write, "a 1"));
+    EXPECT_EQ(replyCount(session), 4U);
+}
+
+// Guards against a withdrawn key that goes on working on an open session, and a dropped route.
+TEST_F(EngineFixture, AWithdrawnKeyStopsAnOpenSession)
+{
+    const SessionId session = open("strict");
+    configure([](auto& configuration) { configuration.customerByKey.erase("key-acme"); });
+    send(session, statement(StatementKind::Write, "a 1"));
+    EXPECT_EQ(lastReply(session).code, ResultCode::InvalidKey);
+    configure([](auto& configuration) { configuration.routes.erase(configuration.routes.begin()); });
+    send(session, statement(StatementKind::Write, "a 1"));
+    EXPECT_EQ(lastReply(session).code, ResultCode::NoDatabase);
+}
+
+// Guards against statements that overtake one another when a caller sends ahead.
+TEST_F(EngineFixture, StatementsSentAheadWaitTheirTurn)
+{
+    const SessionId session = open("strict");
+    send(session, statement(StatementKind::Write, "a 1"));
+    send(session, statement(StatementKind::Set));
+    send(session, statement(StatementKind::Write, "b 2"));
+    EXPECT_EQ(replyCount(session), 1U);
+    acceptConnections();
+    const ConnectionId link = linkTo("p");
+    EXPECT_EQ(take(link).size(), 1U);
+    answer(link, ResultCode::Complete, TransactionState::None, 1);
+    EXPECT_EQ(replyCount(session), 3U);
+    EXPECT_FALSE(take(link).empty());
+    for (int i = 0; i < 100; ++i)
+        send(session, statement(StatementKind::Set));
+    EXPECT_TRUE(m_closedSessions.contains(session));
+}
--- /dev/null
+++ b/tests/auto/core/proxy/tst_enginefailures.cpp
@@ -0,0 +1,226 @@
+#include "enginefixture.h"
+
+using namespace Proxy;
+using namespace std::chrono_literals;
+
+namespace {
+
+class EngineFailures : public EngineFixture {
+protected:
+    /// A session of the database with a statement that runs on the connection returned.
+    ConnectionId run(SessionId session, StatementKind kind)
+    {
+        send(session, statement(kind, "a 1"));
+        acceptConnections();
+        const ConnectionId link = linkTo("p");
+        take(link);
+        return link;
+    }
+};
+
+}
+
+// Guards against a promise that a write did not run although it may have, and against running it twice.
+TEST_F(EngineFailures, ALostAnswerToAWriteIsInDoubt)
+{
+    const SessionId session = open("strict");
+    const ConnectionId link = run(session, StatementKind::Write);
+    m_engine->connectionLost(link, m_now);
+    EXPECT_EQ(lastReply(session).code, ResultCode::InDoubt);
+    acceptConnections();
+    for (const auto& [id, other] : m_links)
+        EXPECT_TRUE(other.commands.empty());
+}
+
+// Guards against a doubt where nothing was sent.
+TEST_F(EngineFailures, AWriteThatWasNotSentIsTriedAgain)
+{
+    const SessionId session = open("strict");
+    send(session, statement(StatementKind::Write, "a 1"));
+    const ConnectionId opening = m_opening.front();
+    m_engine->connectionRefused(opening, ResultCode::ConnectionLimit, m_now);
+    m_opening.clear();
+    EXPECT_EQ(replyCount(session), 1U);
+    advance(100ms);
+    acceptConnections();
+    EXPECT_FALSE(take(linkTo("p")).empty());
+}
+
+// Guards against a read that fails with its upstream although another one could run it.
+TEST_F(EngineFailures, ALostAnswerToAReadIsReadElsewhere)
+{
+    observePrimary(5);
+    const SessionId session = open("bounded");
+    send(session, statement(StatementKind::Read, "item"));
+    acceptConnections();
+    const std::string first = linkTo("q") != 0 ? "q" : "r";
+    take(linkTo(first));
+    m_engine->connectionLost(linkTo(first), m_now);
+    m_links.erase(linkTo(first));
+    acceptConnections();
+    bool isRunning = false;
+    for (auto& [id, link] : m_links)
+        isRunning = isRunning || !link.commands.empty();
+    EXPECT_TRUE(isRunning);
+    EXPECT_EQ(replyCount(session), 1U);
+}
+
+// Guards against a commit that is reported as rolled back although it may have happened.
+TEST_F(EngineFailures, ALostCommitOfAWriteIsInDoubt)
+{
+    const SessionId session = open("strict");
+    send(session, statement(StatementKind::Begin));
+    const ConnectionId link = run(session, StatementKind::Write);
+    answer(link, ResultCode::Complete, TransactionState::Open);
+    answer(link, ResultCode::Complete, TransactionState::Open);
+    send(session, statement(StatementKind::Commit));
+    m_engine->connectionLost(link, m_now);
+    EXPECT_EQ(lastReply(session).code, ResultCode::InDoubt);
+    EXPECT_EQ(lastReply(session).state, TransactionState::None);
+}
+
+// Guards against a doubt about a transaction that cannot have had an effect.
+TEST_F(EngineFailures, ALostCommitOfReadsIsAborted)
+{
+    const SessionId session = open("strict");
+    send(session, statement(StatementKind::Begin));
+    const ConnectionId link = run(session, StatementKind::Read);
+    answer(link, ResultCode::Complete, TransactionState::Open);
+    answer(link, ResultCode::Complete, TransactionState::Open);
+    send(session, statement(StatementKind::Commit));
+    m_engine->connectionLost(link, m_now);
+    EXPECT_EQ(lastReply(session).code, ResultCode::Aborted);
+}
+
+// Guards against a transaction that goes on after the connection with its first part is gone.
+TEST_F(EngineFailures, ALostConnectionEndsItsTransaction)
+{
+    const SessionId session = open("strict");
+    send(session, statement(StatementKind::Begin));
+    const ConnectionId link = run(session, StatementKind::Write);
+    answer(link, ResultCode::Complete, TransactionState::Open);
+    answer(link, ResultCode::Complete, TransactionState::Open);
+    m_engine->connectionLost(link, m_now);
+    send(session, statement(StatementKind::Write, "b 2"));
+    EXPECT_EQ(lastReply(session).code, ResultCode::Aborted);
+    EXPECT_EQ(lastReply(session).state, TransactionState::Failed);
+    send(session, statement(StatementKind::Write, "b 2"));
+    EXPECT_EQ(lastReply(session).code, ResultCode::Malformed);
+    send(session, statement(StatementKind::Commit));
+    EXPECT_EQ(lastReply(session).code, ResultCode::Aborted);
+    EXPECT_EQ(lastReply(session).state, TransactionState::None);
+}
+
+// Guards against a caller that waits for an upstream that never answers.
+TEST_F(EngineFailures, ASilentUpstreamEndsAtTheTimeLimit)
+{
+    const SessionId session = open("strict");
+    run(session, StatementKind::Write);
+    advance(700ms);
+    EXPECT_EQ(replyCount(session), 1U);
+    advance(200ms);
+    EXPECT_EQ(lastReply(session).code, ResultCode::InDoubt);
+}
+
+// Guards against a request that is held although nobody can run it: its caller could come back instead.
+TEST_F(EngineFailures, WithoutAPrimaryARequestIsRefusedSoon)
+{
+    setUpstream("p", Directory::Role::Replica);
+    const SessionId session = open("strict");
+    send(session, statement(StatementKind::Write, "a 1"));
+    acceptConnections();
+    for (const std::string upstream : { "p", "q", "r" }) {
+        if (linkTo(upstream) != 0 && !take(linkTo(upstream)).empty())
+            answer(linkTo(upstream), ResultCode::ReadOnly);
+        acceptConnections();
+    }
+    advance(45ms);
+    EXPECT_EQ(lastReply(session).code, ResultCode::Busy);
+}
+
+// Guards against a refusal while the new primary is about to lead.
+TEST_F(EngineFailures, ARequestWaitsForAnExpectedPrimary)
+{
+    setUpstream("p", Directory::Role::Replica);
+    m_engine->setPrimaryExpected("ledger", m_now + 500ms);
+    const SessionId session = open("strict");
+    send(session, statement(StatementKind::Write, "a 1"));
+    m_opening.clear();
+    advance(300ms);
+    EXPECT_EQ(replyCount(session), 1U);
+    advance(600ms);
+    EXPECT_EQ(lastReply(session).code, ResultCode::Busy);
+}
+
+// Guards against a host that cannot follow a change of the primary while the store is away: upstreams that
+// do not lead refuse a write unrun, so they can be asked.
+TEST_F(EngineFailures, ANewPrimaryIsFoundWithoutTheDirectory)
+{
+    const SessionId session = open("strict");
+    const ConnectionId link = run(session, StatementKind::Write);
+    answer(link, ResultCode::ReadOnly);
+    acceptConnections();
+    std::string asked;
+    for (const std::string upstream : { "q", "r" }) {
+        if (linkTo(upstream) != 0 && !take(linkTo(upstream)).empty())
+            asked = upstream;
+    }
+    ASSERT_FALSE(asked.empty());
+    answer(linkTo(asked), ResultCode::Complete, TransactionState::None, 9);
+    EXPECT_EQ(lastReply(session).code, ResultCode::Complete);
+    send(session, statement(StatementKind::Write, "b 2"));
+    EXPECT_FALSE(take(linkTo(asked)).empty());
+}
+
+// Guards against transactions that rest for ever on a scarce connection.
+TEST_F(EngineFailures, AnIdleTransactionIsRolledBack)
+{
+    const SessionId session = open("strict");
+    send(session, statement(StatementKind::Begin));
+    const ConnectionId link = run(session, StatementKind::Write);
+    answer(link, ResultCode::Complete, TransactionState::Open);
+    answer(link, ResultCode::Complete, TransactionState::Open);
+    take(link);
+    advance(3500ms);
+    EXPECT_EQ(take(link).at(0).kind, CommandKind::Rollback);
+    send(session, statement(StatementKind::Commit));
+    EXPECT_EQ(lastReply(session).code, ResultCode::Aborted);
+}
+
+// Guards against a shutdown that waits for callers that rest inside transactions.
+TEST_F(EngineFailures, AShutdownEndsIdleSessionsAndTransactions)
+{
+    const SessionId idle = open("strict");
+    const SessionId resting = open("strict");
+    send(resting, statement(StatementKind::Begin));
+    const SessionId running = open("strict");
+    run(running, StatementKind::Write);
+    m_engine->closeIdleSessions();
+    EXPECT_TRUE(m_closedSessions.contains(idle));
+    EXPECT_FALSE(m_closedSessions.contains(resting));
+    m_engine->endIdleTransactions(m_now);
+    EXPECT_TRUE(m_closedSessions.contains(resting));
+    EXPECT_FALSE(m_closedSessions.contains(running));
+}
+
+// Guards against answers that nobody asked for being taken for the next one's.
+TEST_F(EngineFailures, AnUnexpectedAnswerClosesTheConnection)
+{
+    observePrimary(3);
+    const ConnectionId link = linkTo("p");
+    answer(link);
+    const SessionId session = open("strict");
+    send(session, statement(StatementKind::Write, "a 1"));
+    EXPECT_TRUE(take(link).empty());
+}
+
+// Guards against work for an upstream that leaves.
+TEST_F(EngineFailures, ALeavingUpstreamGetsNoNewWork)
+{
+    observePrimary(3);
+    setUpstream("q", Directory::Role::Replica, Directory::Availability::Draining);
+    for (int i = 0; i < 6; ++i)
+        send(open("bounded"), statement(StatementKind::Read, "item"));
+    acceptConnections();
+    EXPECT_EQ(linkTo("q"), 0U);
+}
--- /dev/null
+++ b/tests/auto/core/proxy/tst_pool.cpp
@@ -0,0 +1,73 @@
+#include "core/proxy/pool.h"
+
+#include <gtest/gtest.h>
+
+using namespace Proxy;
+using namespace std::chrono_literals;
+using Model::Time;
+
+namespace {
+
+Directory::Upstream upstream()
+{
+    Directory::Upstream result;
+    result.id = "db";
+    result.service = "ledger";
+    return result;
+}
+
+ConnectionId addIdle(Pool& pool, const std::string& customer, Time since)
+{
+    Connection& connection = pool.add(upstream(), customer, since);
+    connection.state = ConnectionState::Idle;
+    return connection.id;
+}
+
+}
+
+// Guards against a statement on a connection that the upstream knows as another customer's.
+TEST(Pool, ConnectionsBelongToACustomer)
+{
+    Pool pool;
+    const ConnectionId acme = addIdle(pool, "acme", Time { 1s });
+    EXPECT_EQ(pool.findIdle("db", "bolt"), nullptr);
+    ASSERT_NE(pool.findIdle("db", "acme"), nullptr);
+    EXPECT_EQ(pool.findIdle("db", "acme")->id, acme);
+    ASSERT_NE(pool.findEvictable("db", "bolt"), nullptr);
+    EXPECT_EQ(pool.findEvictable("db", "acme"), nullptr);
+}
+
+// Guards against a pool that closes what it is about to use: the one used last is kept.
+TEST(Pool, TheOldestIsEvictedAndTheNewestUsed)
+{
+    Pool pool;
+    const ConnectionId oldest = addIdle(pool, "acme", Time { 1s });
+    const ConnectionId newest = addIdle(pool, "acme", Time { 2s });
+    EXPECT_EQ(pool.findIdle("db", "acme")->id, newest);
+    EXPECT_EQ(pool.findEvictable("db", "bolt")->id, oldest);
+}
+
+// Guards against a storm of attempts at an upstream that refuses them.
+TEST(Pool, RefusalsPauseTheOpening)
+{
+    Pool pool;
+    EXPECT_TRUE(pool.mayOpen("db", 2, Time { 0s }));
+    pool.refused("db", Time { 0s });
+    EXPECT_FALSE(pool.mayOpen("db", 2, Time { 10ms }));
+    EXPECT_TRUE(pool.mayOpen("db", 2, Time { 1s }));
+    addIdle(pool, "acme", Time { 1s });
+    addIdle(pool, "acme", Time { 1s });
+    EXPECT_FALSE(pool.mayOpen("db", 2, Time { 1s }));
+}
+
+// Guards against a host that keeps connections which others wait for.
+TEST(Pool, ConnectionsBeyondTheShareAreGivenBack)
+{
+    Pool pool;
+    const ConnectionId first = addIdle(pool, "acme", Time { 1s });
+    addIdle(pool, "acme", Time { 2s });
+    const auto share = [](const std::string&, const std::string&) { return ConnectionShare { 1, 3 }; };
+    EXPECT_TRUE(pool.surplus(share, Time { 1s + 100ms }).empty());
+    EXPECT_EQ(pool.surplus(share, Time { 3s }), std::vector<ConnectionId> { first });
+    EXPECT_EQ(pool.surplus(share, Time { 60s }).size(), 2U);
+}
--- /dev/null
+++ b/tests/auto/platform/tst_desiredstate.cpp
@@ -0,0 +1,69 @@
+#include "platform/desiredstate.h"
+
+#include <vector>
+
+#include <gtest/gtest.h>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string state = R"({"version":7,
+  "routes":[{"name":"r-1","host":"xapu","routeKind":"bounded","timeoutMs":1500,"targetLatencyMs":400,
+             "priority":2,"service":"huvo","maxStalenessMs":1500,"allowAnonymous":false,"new":1},
+            {"name":"r-2","host":"lepu","service":"huvo"}],
+  "services":[{"name":"huvo","maxConns":16,"coldStartS":0.0,"coldPerS":9.0}],
+  "limits":{"txIdleMs":2000},
+  "tenants":[{"name":"nypu","apiKeys":["k1","k2"],"ratePerS":129,"burst":130}]})";
+
+const std::string entry = R"({"service":"huvo","address":"10.0.0.9:8080","zone":"north","version":"v1",
+  "slots":2,"state":"ready","coldLeftMs":0,"dbRole":"replica","seq":4,"born":1790687213005})";
+
+std::string replaced(std::string text, const std::string& what, const std::string& with)
+{
+    return text.replace(text.find(what), what.size(), with);
+}
+
+}
+
+// Guards against a route, limit or key that is read wrongly.
+TEST(DesiredState, ReadsAConfiguration)
+{
+    const auto parsed = Adapter::parseConfiguration(state);
+    ASSERT_TRUE(parsed);
+    const Directory::Configuration& configuration = **parsed;
+    EXPECT_EQ(configuration.version, 7U);
+    const Directory::Route* route = configuration.findRoute("xapu");
+    ASSERT_NE(route, nullptr);
+    EXPECT_EQ(route->kind, Directory::RouteKind::Bounded);
+    EXPECT_EQ(route->statementTimeout, 1500ms);
+    EXPECT_EQ(route->maxStaleness, 1500ms);
+    EXPECT_EQ(configuration.findRoute("lepu")->kind, Directory::RouteKind::Primary);
+    EXPECT_EQ(configuration.findService("huvo")->maxConnections, 16);
+    EXPECT_EQ(configuration.findService("huvo")->coldRequestsPerSecond, 0);
+    EXPECT_EQ(configuration.findCustomerOfKey("k2")->rate, 129);
+    EXPECT_EQ(configuration.limits.idleTransaction, 2s);
+}
+
+// Guards against a configuration that is half read.
+TEST(DesiredState, WrongConfigurationsAreRefusedAsAWhole)
+{
+    for (const std::string& text : std::vector<std::string> { "{", "[]", replaced(state, "\"version\":7,", ""),
+             replaced(state, "\"apiKeys\":[\"k1\",\"k2\"],", ""), replaced(state, "1500", "\"soon\"") })
+        EXPECT_FALSE(Adapter::parseConfiguration(text)) << text;
+}
+
+// Guards against entries by other writers that are taken for databases.
+TEST(DesiredState, ReadsOnlyWholeEntries)
+{
+    const auto upstream = Adapter::parseUpstream("i-1", entry);
+    ASSERT_TRUE(upstream);
+    EXPECT_EQ(upstream->service, "huvo");
+    EXPECT_EQ(upstream->role, Directory::Role::Replica);
+    EXPECT_EQ(upstream->startedAt, 1790687213005);
+    for (const std::string& text : std::vector<std::string> { "\xff\xfe", "{}", "7",
+             replaced(entry, "ready", "asleep"), replaced(entry, "replica", "witness"),
+             replaced(entry, "\"slots\":2", "\"slots\":\"2\""), replaced(entry, "\"slots\":2", "\"slots\":0"),
+             replaced(entry, "\"zone\":\"north\",", ""), replaced(entry, "10.0.0.9:8080", "") })
+        EXPECT_FALSE(Adapter::parseUpstream("i-1", text)) << text;
+}
--- /dev/null
+++ b/tests/auto/settings/tst_proxysettings.cpp
@@ -0,0 +1,59 @@
+#include "settings/proxysettings.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+using namespace Settings;
+
+namespace {
+
+nlohmann::json valid()
+{
+    return { { "host", "front-1" }, { "zone", "north" }, { "callers", "10.0.0.1:8465" },
+        { "probe", "10.0.0.1:8460" }, { "probePath", "/ready" }, { "ip", "10.0.0.1" },
+        { "peerPorts", { 7560, 7575 } }, { "store", "10.0.0.9:8466" }, { "promoter", "10.0.0.8:8466" },
+        { "shutdownMs", 6000 }, { "maxDescriptors", 4200 } };
+}
+
+}
+
+// Guards against a setting that is read into the wrong field.
+TEST(ProxySettings, ReadsAllFields)
+{
+    const auto settings = parseProxySettings(valid().dump());
+    ASSERT_TRUE(settings) << settings.error().message;
+    EXPECT_EQ(settings->callers.port, 8465);
+    EXPECT_EQ(settings->probePath, "/ready");
+    EXPECT_EQ(settings->firstPeerPort, 7560);
+    EXPECT_EQ(settings->lastPeerPort, 7575);
+    EXPECT_EQ(settings->shutdownMs, 6000);
+}
+
+// Guards against a process that starts with a missing or wrong field, and an error that does not name it.
+TEST(ProxySettings, NamesTheWrongField)
+{
+    for (const char* field : { "host", "zone", "callers", "probe", "probePath", "ip", "peerPorts", "store",
+             "promoter" }) {
+        auto json = valid();
+        json.erase(field);
+        const auto settings = parseProxySettings(json.dump());
+        ASSERT_FALSE(settings) << field;
+        EXPECT_NE(settings.error().message.find(field), std::string::npos) << settings.error().message;
+    }
+    for (const auto& [field, value] : std::vector<std::pair<std::string, nlohmann::json>> {
+             { "peerPorts", { 7575, 7560 } }, { "peerPorts", { 1 } }, { "callers", "localhost:1" },
+             { "shutdownMs", -1 }, { "maxDescriptors", 10 } }) {
+        auto json = valid();
+        json[field] = value;
+        EXPECT_FALSE(parseProxySettings(json.dump())) << field;
+    }
+    EXPECT_FALSE(parseProxySettings("[settings]"));
+}
+
+// Guards against a start that fails because the platform added a field.
+TEST(ProxySettings, IgnoresFieldsThatItDoesNotKnow)
+{
+    auto json = valid();
+    json["addedLater"] = true;
+    EXPECT_TRUE(parseProxySettings(json.dump()));
+}
