--- a/src/libs/core/proxy/engine.cpp
+++ b/src/libs/core/proxy/engine.cpp
@@ -12,6 +12,8 @@
     constexpr std::size_t maxEarlyStatements = 64;
     /// Between two tries of a statement that a busy upstream did not run.
     constexpr Model::Duration busyPause = std::chrono::milliseconds(15);
+    /// Connections that this host opens to one upstream at a time: opening takes the upstream's slots.
+    constexpr int maxOpening = 2;
     /// A single statement is tried at no more upstreams than a service usually has.
     constexpr int maxAttempts = 4;
     constexpr Model::Duration surplusCheckPeriod = std::chrono::milliseconds(400);
@@ -265,19 +267,20 @@
     const auto candidates = m_router.candidates(session, request, now);
     if (candidates.empty())
         return false;
-    const Connection* opening = m_pool.find(request.opening);
+    // Opening a connection costs the upstream as much as a statement or two, so any idle one is used first.
     for (const Directory::Upstream* upstream : candidates) {
         if (Connection* connection = m_pool.findIdle(upstream->id, session.customer)) {
             assign(session, *connection, now);
             return true;
         }
-        // A connection to a better upstream is worth more than an idle one to a worse.
-        if (opening && opening->state == ConnectionState::Opening && opening->upstream == upstream->id)
-            return false;
-        if (const ConnectionId opened = openFor(session, *upstream, now)) {
-            request.opening = opened;
-            return false;
-        }
+    }
+    const Connection* opening = m_pool.find(request.opening);
+    if (opening && opening->state == ConnectionState::Opening)
+        return false;
+    for (const Directory::Upstream* upstream : candidates) {
+        request.opening = openFor(session, *upstream, now);
+        if (request.opening != 0)
+            break;
     }
     return false;
 }
@@ -286,7 +289,7 @@
 ConnectionId Engine::openFor(const Session& session, const Directory::Upstream& upstream, Model::Time now)
 {
     const ConnectionShare limits = share(upstream.service, upstream.id);
-    if (!m_pool.mayOpen(upstream.id, limits.most + 1, now))
+    if (!m_pool.mayOpen(upstream.id, limits.most + 1, now) || m_pool.countOpening(upstream.id) >= maxOpening)
         return 0;
     if (m_pool.count(upstream.id) >= limits.kept) {
         if (const Connection* other = m_pool.findEvictable(upstream.id, session.customer))
--- a/src/libs/core/proxy/pool.h
+++ b/src/libs/core/proxy/pool.h
@@ -39,6 +39,7 @@
 
     int count(const std::string& upstream) const;
     int countInUse(const std::string& upstream) const;
+    int countOpening(const std::string& upstream) const;
 
     /// Idle connections that are no longer worth keeping.
     std::vector<ConnectionId> surplus(
@@ -51,6 +52,8 @@
     const std::unordered_map<ConnectionId, Connection>& connections() const { return m_connections; }
 
 private:
+    int count(const std::string& upstream, ConnectionState state) const;
+
     struct UpstreamEntry {
         std::vector<ConnectionId> connections;
         std::optional<Model::Time> closedUntil;
