--- a/src/libs/core/proxy/engine.cpp
+++ b/src/libs/core/proxy/engine.cpp
@@ -21,6 +21,8 @@
     constexpr Model::Duration openTimeout = std::chrono::milliseconds(700);
     /// A connection that does not answer messages of our own by then is closed.
     constexpr Model::Duration settleTimeout = std::chrono::seconds(2);
+    /// How often running statements are looked at.
+    constexpr Model::Duration overdueCheckPeriod = std::chrono::milliseconds(100);
     /// The answer of an upstream that works at its time limit is still on its way then.
     constexpr Model::Duration replySlack = std::chrono::milliseconds(50);
     /// A request is refused after this share of its target latency if nothing can run it; held longer, the
@@ -517,7 +519,7 @@
 
 void Engine::statementAnswered(Connection& connection, Reply reply, Model::Time sentAt, Model::Time now)
 {
-    m_router.observeLatency(connection.upstream, now - sentAt);
+    m_router.observeAnswer(connection.upstream, sentAt, now);
     Session* session = findSession(connection.session);
     if (!session) {
         connection.isInTransaction = reply.state != TransactionState::None;
@@ -811,14 +813,36 @@
             sendStatement(session, *connection, {}, now);
         return;
     }
+    const ConnectionId id = session.connection;
+    if (mayAbandon(session) && isAnswerOverdue(session, now)) {
+        m_hooks.disconnect(id);
+        return connectionLost(id, now);
+    }
     if (now < request.deadline + replySlack)
         return;
-    const ConnectionId id = session.connection;
     m_hooks.disconnect(id);
     request.attempts = maxAttempts;
     connectionLost(id, now);
 }
 
+/// Whether nothing is kept of the running statement if its connection is closed.
+bool Engine::mayAbandon(const Session& session)
+{
+    const Request& request = *session.request;
+    if (request.phase != RequestPhase::Running)
+        return false;
+    if (session.state == TransactionState::Open)
+        return request.statement.kind != StatementKind::Commit;
+    return !request.isWrite;
+}
+
+bool Engine::isAnswerOverdue(const Session& session, Model::Time now) const
+{
+    const auto connection = m_pool.connections().find(session.connection);
+    return connection != m_pool.connections().end()
+        && m_router.isAnswerOverdue(connection->second.upstream, session.request->sentAt, now);
+}
+
 void Engine::checkTransaction(Session& session, Model::Time now)
 {
     if (session.state != TransactionState::Open || session.connection == 0)
@@ -865,6 +889,8 @@
             next = std::min(next, std::max(*request.retryAt, now));
         if (request.phase == RequestPhase::Waiting && now - request.arrivedAt < holdLimit(session))
             next = std::min(next, request.arrivedAt + holdLimit(session));
+        if (request.phase == RequestPhase::Running)
+            next = std::min(next, std::max(now, request.sentAt) + overdueCheckPeriod);
         next = std::min(next, request.deadline + replySlack);
     }
     return next;
--- a/src/libs/core/proxy/engine.h
+++ b/src/libs/core/proxy/engine.h
@@ -108,6 +108,8 @@
     void closeConnection(ConnectionId id);
     void failCommands(Connection& connection);
     void checkRequest(Session& session, Model::Time now);
+    static bool mayAbandon(const Session& session);
+    bool isAnswerOverdue(const Session& session, Model::Time now) const;
     void checkTransaction(Session& session, Model::Time now);
     void closeSurplus(Model::Time now);
     void rejectOpen(SessionId id, const std::string& database, ResultCode code, std::string_view reason);
--- a/src/libs/core/proxy/router.cpp
+++ b/src/libs/core/proxy/router.cpp
@@ -8,7 +8,7 @@
 
     /// An upstream that does not lead is not asked again for the primary's work before this.
     constexpr Model::Duration deniedLeadPause = std::chrono::milliseconds(150);
-    /// After a replica lacked a position, reads prefer other upstreams for this long.
+    /// After a replica lacked a position, reads that need as much go elsewhere for this long.
     constexpr Model::Duration lagPause = std::chrono::milliseconds(250);
     /// After a failure, reads prefer other upstreams for this long.
     constexpr Model::Duration failurePause = std::chrono::seconds(1);
@@ -19,6 +19,10 @@
     constexpr Model::Duration primaryCost = std::chrono::milliseconds(25);
     constexpr Model::Duration behindCost = std::chrono::milliseconds(20);
     constexpr Model::Duration troubleCost = std::chrono::milliseconds(200);
+    /// Statements of an upstream are answered about in the order in which they were sent; those that take
+    /// long overlap with others by less than this.
+    constexpr Model::Duration overdueAge = std::chrono::milliseconds(300);
+    constexpr Model::Duration overdueLead = std::chrono::milliseconds(200);
     /// Weight of the newest sample in the moving average of latency: one in this many.
     constexpr int latencySamples = 8;
 
@@ -57,7 +61,7 @@
     }
     std::vector<std::pair<Model::Duration, const Directory::Upstream*>> ranked;
     for (const Directory::Upstream* upstream : m_view.upstreamsOf(service)) {
-        if (m_view.takesWork(*upstream) && !isAvoided(*upstream))
+        if (m_view.takesWork(*upstream) && !isAvoided(*upstream) && !isBehind(*upstream, *required, now))
             ranked.emplace_back(cost(*upstream, session, required, now), upstream);
     }
     std::ranges::sort(ranked, {}, &std::pair<Model::Duration, const Directory::Upstream*>::first);
@@ -66,6 +70,15 @@
     return result;
 }
 
+/// Whether the upstream lacked a position lately and was not seen to have caught up.
+bool Router::isBehind(
+    const Directory::Upstream& upstream, Model::LogPosition required, Model::Time now) const
+{
+    const auto found = m_knowledge.find(upstream.id);
+    return found != m_knowledge.end() && isRecent(found->second.laggedAt, now, lagPause)
+        && found->second.position < required;
+}
+
 Model::Duration Router::cost(const Directory::Upstream& upstream, const Session& session,
     const std::optional<Model::LogPosition>& required, Model::Time now) const
 {
@@ -83,7 +96,7 @@
     const bool isKnown = knowledge.position != Model::LogPosition {};
     if (required && isKnown && knowledge.position < *required && !isPrimary)
         total += behindCost;
-    if (isRecent(knowledge.laggedAt, now, lagPause) || isRecent(knowledge.failedAt, now, failurePause))
+    if (isRecent(knowledge.failedAt, now, failurePause))
         total += troubleCost;
     return total;
 }
@@ -163,10 +176,18 @@
     m_knowledge[upstream].laggedAt = now;
 }
 
-void Router::observeLatency(const std::string& upstream, Model::Duration latency)
+void Router::observeAnswer(const std::string& upstream, Model::Time sentAt, Model::Time now)
 {
-    Model::Duration& average = m_knowledge[upstream].latency;
-    average += (latency - average) / latencySamples;
+    Knowledge& knowledge = m_knowledge[upstream];
+    knowledge.latency += (now - sentAt - knowledge.latency) / latencySamples;
+    knowledge.newestAnswered = std::max(knowledge.newestAnswered, sentAt);
+}
+
+bool Router::isAnswerOverdue(const std::string& upstream, Model::Time sentAt, Model::Time now) const
+{
+    const auto found = m_knowledge.find(upstream);
+    return found != m_knowledge.end() && now - sentAt > overdueAge
+        && found->second.newestAnswered - sentAt > overdueLead;
 }
 
 void Router::observeFailure(const std::string& upstream, Model::Time now)
--- a/src/libs/core/proxy/router.h
+++ b/src/libs/core/proxy/router.h
@@ -37,8 +37,11 @@
     void observeNoLead(const std::string& upstream, Model::Time now);
     /// The upstream lacked a position that a request needed.
     void observeLag(const std::string& upstream, Model::Time now);
-    /// A statement took this long at the upstream.
-    void observeLatency(const std::string& upstream, Model::Duration latency);
+    /// A statement that was sent at `sentAt` was answered.
+    void observeAnswer(const std::string& upstream, Model::Time sentAt, Model::Time now);
+    /// Whether the answer to a statement sent at `sentAt` has to be taken for lost: the upstream has answered
+    /// others that were sent well after it.
+    bool isAnswerOverdue(const std::string& upstream, Model::Time sentAt, Model::Time now) const;
     /// The upstream did not answer, or its connection broke.
     void observeFailure(const std::string& upstream, Model::Time now);
 
@@ -54,8 +57,11 @@
         std::optional<Model::Time> failedAt;
         /// Moving average of a statement's time at the upstream.
         Model::Duration latency = std::chrono::milliseconds(10);
+        /// When the newest of the answered statements was sent.
+        Model::Time newestAnswered;
     };
 
+    bool isBehind(const Directory::Upstream& upstream, Model::LogPosition required, Model::Time now) const;
     Model::Duration cost(const Directory::Upstream& upstream, const Session& session,
         const std::optional<Model::LogPosition>& required, Model::Time now) const;
 
--- a/tests/auto/core/proxy/tst_enginefailures.cpp
+++ b/tests/auto/core/proxy/tst_enginefailures.cpp
@@ -122,6 +122,37 @@
     EXPECT_EQ(lastReply(session).code, ResultCode::InDoubt);
 }
 
+// Guards against a read whose answer was lost and that waits for its time limit (incident inc-3845).
+TEST_F(EngineFailures, AReadIsAbandonedWhenLaterOnesAreAnswered)
+{
+    const SessionId waiting = open("strict");
+    const ConnectionId link = run(waiting, StatementKind::Read);
+    answer(link, ResultCode::Complete, TransactionState::Open, 4);
+    take(link);
+    advance(290ms);
+    const SessionId other = open("strict", "key-bolt");
+    const ConnectionId second = run(other, StatementKind::Write);
+    advance(20ms);
+    EXPECT_FALSE(m_links.at(link).isClosed);
+    answer(second, ResultCode::Complete, TransactionState::None, 5);
+    advance(20ms);
+    EXPECT_TRUE(m_links.at(link).isClosed);
+    acceptConnections();
+    EXPECT_EQ(replyCount(waiting), 1U);
+}
+
+// Guards against a write that is abandoned: it may have run.
+TEST_F(EngineFailures, AWriteIsNotAbandonedBeforeItsTimeLimit)
+{
+    const SessionId waiting = open("strict");
+    const ConnectionId link = run(waiting, StatementKind::Write);
+    advance(290ms);
+    const ConnectionId second = run(open("strict", "key-bolt"), StatementKind::Write);
+    answer(second, ResultCode::Complete, TransactionState::None, 5);
+    advance(100ms);
+    EXPECT_FALSE(m_links.at(link).isClosed);
+}
+
 // Guards against a request that is held although nobody can run it: its caller could come back instead.
 TEST_F(EngineFailures, WithoutAPrimaryARequestIsRefusedSoon)
 {
