--- a/src/libs/core/proxy/router.cpp
+++ b/src/libs/core/proxy/router.cpp
@@ -8,7 +8,7 @@
 
     /// An upstream that does not lead is not asked again for the primary's work before this.
     constexpr Model::Duration deniedLeadPause = std::chrono::milliseconds(150);
-    /// After a replica lacked a position, reads that need as much go elsewhere for this long.
+    /// After a replica lacked a position, reads prefer other upstreams for this long.
     constexpr Model::Duration lagPause = std::chrono::milliseconds(250);
     /// After a failure, reads prefer other upstreams for this long.
     constexpr Model::Duration failurePause = std::chrono::seconds(1);
@@ -61,7 +61,7 @@
     }
     std::vector<std::pair<Model::Duration, const Directory::Upstream*>> ranked;
     for (const Directory::Upstream* upstream : m_view.upstreamsOf(service)) {
-        if (m_view.takesWork(*upstream) && !isAvoided(*upstream) && !isBehind(*upstream, *required, now))
+        if (m_view.takesWork(*upstream) && !isAvoided(*upstream))
             ranked.emplace_back(cost(*upstream, session, required, now), upstream);
     }
     std::ranges::sort(ranked, {}, &std::pair<Model::Duration, const Directory::Upstream*>::first);
@@ -70,15 +70,6 @@
     return result;
 }
 
-/// Whether the upstream lacked a position lately and was not seen to have caught up.
-bool Router::isBehind(
-    const Directory::Upstream& upstream, Model::LogPosition required, Model::Time now) const
-{
-    const auto found = m_knowledge.find(upstream.id);
-    return found != m_knowledge.end() && isRecent(found->second.laggedAt, now, lagPause)
-        && found->second.position < required;
-}
-
 Model::Duration Router::cost(const Directory::Upstream& upstream, const Session& session,
     const std::optional<Model::LogPosition>& required, Model::Time now) const
 {
@@ -96,7 +87,7 @@
     const bool isKnown = knowledge.position != Model::LogPosition {};
     if (required && isKnown && knowledge.position < *required && !isPrimary)
         total += behindCost;
-    if (isRecent(knowledge.failedAt, now, failurePause))
+    if (isRecent(knowledge.laggedAt, now, lagPause) || isRecent(knowledge.failedAt, now, failurePause))
         total += troubleCost;
     return total;
 }
--- a/src/libs/core/proxy/router.h
+++ b/src/libs/core/proxy/router.h
@@ -61,7 +61,6 @@
         Model::Time newestAnswered;
     };
 
-    bool isBehind(const Directory::Upstream& upstream, Model::LogPosition required, Model::Time now) const;
     Model::Duration cost(const Directory::Upstream& upstream, const Session& session,
         const std::optional<Model::LogPosition>& required, Model::Time now) const;
 
