Let evidence against an upstream expire, and lease the duty of promoting

Ruled out: the peers' opinions (all hosts had the same stale evidence). Change: evidence expires after 1.5 s and is dropped when an upstream becomes primary; a host that holds the duty keeps it for 3.2 s of the store's clock.

--- /dev/null
+++ b/src/libs/core/failover/duty.cpp
@@ -0,0 +1,23 @@
+#include "core/failover/duty.h"
+
+#include <algorithm>
+
+namespace Failover {
+
+namespace {
+
+    /// Two hosts that order in turn within 3 s would undo one another's promotions.
+    constexpr StoreTime leaseTime { 3200 };
+
+}
+
+std::optional<Duty> takeDuty(
+    const Duty& present, std::uint64_t version, const std::string& host, StoreTime now)
+{
+    if (!present.holder.empty() && present.holder != host && now < present.leaseEnd)
+        return std::nullopt;
+    // The version rises as well, should the row have been unreadable.
+    return Duty { std::max(present.token, version) + 1, host, now + leaseTime };
+}
+
+}
--- a/src/libs/core/failover/promotion.h
+++ b/src/libs/core/failover/promotion.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/directory/view.h"
+#include "core/failover/duty.h"
 #include "core/failover/primarywatch.h"
 #include "core/failover/upstreamstatus.h"
 
@@ -14,9 +15,6 @@
 
 namespace Failover {
 
-/// Proves that its owner is the newest holder of a duty: each holder gets a higher one.
-using FencingToken = std::uint64_t;
-
 enum class OrderResult : std::uint8_t {
     Accepted,
     /// A newer holder has given an order, or the upstream does not run.
--- a/src/libs/core/failover/reachability.cpp
+++ b/src/libs/core/failover/reachability.cpp
@@ -8,6 +8,8 @@
     constexpr Model::Duration silenceLimit = std::chrono::milliseconds(450);
     /// One failure may be that of a single connection.
     constexpr int failureLimit = 2;
+    /// Nothing is sent to an upstream that seems to be away, so that old evidence has to expire.
+    constexpr Model::Duration evidenceLifetime = std::chrono::milliseconds(1500);
     constexpr Model::Duration freshness = std::chrono::milliseconds(300);
 
 }
@@ -15,8 +17,10 @@
 void Reachability::sent(const std::string& upstream, Model::Time now)
 {
     Record& record = m_records[upstream];
-    if (!record.unansweredSince)
+    // A question that nobody waits for any more says nothing of the present.
+    if (!record.unansweredSince || now - *record.sentAt > evidenceLifetime)
         record.unansweredSince = now;
+    record.sentAt = now;
 }
 
 void Reachability::heard(const std::string& upstream, Model::Time now)
@@ -30,6 +34,8 @@
 void Reachability::failed(const std::string& upstream, Model::Time now)
 {
     Record& record = m_records[upstream];
+    if (record.failedAt && now - *record.failedAt > evidenceLifetime)
+        record.failures = 0;
     record.failedAt = now;
     ++record.failures;
 }
@@ -38,19 +44,23 @@
 {
     for (auto& [upstream, record] : m_records) {
         if (record.unansweredSince)
-            record.unansweredSince = now;
+            record.unansweredSince = record.sentAt = now;
         record.failures = 0;
     }
 }
 
+void Reachability::forget(const std::string& upstream) { m_records.erase(upstream); }
+
 ReachabilityState Reachability::state(const std::string& upstream, Model::Time now) const
 {
     const auto found = m_records.find(upstream);
     if (found == m_records.end())
         return ReachabilityState::Unknown;
     const Record& record = found->second;
-    const bool isSilent = record.unansweredSince && now - *record.unansweredSince > silenceLimit;
-    if (isSilent || record.failures >= failureLimit)
+    const bool isSilent = record.unansweredSince && now - *record.unansweredSince > silenceLimit
+        && now - *record.sentAt < evidenceLifetime;
+    const bool isFailing = record.failures >= failureLimit && now - *record.failedAt < evidenceLifetime;
+    if (isSilent || isFailing)
         return ReachabilityState::Unreachable;
     if (record.heardAt && now - *record.heardAt < freshness)
         return ReachabilityState::Reachable;
--- a/src/libs/core/failover/reachability.h
+++ b/src/libs/core/failover/reachability.h
@@ -27,6 +27,8 @@
     void failed(const std::string& upstream, Model::Time now);
     /// This process stood still, so that answers may wait unread.
     void stalled(Model::Time now);
+    /// What is known of the upstream no longer counts, because its role changed.
+    void forget(const std::string& upstream);
 
     ReachabilityState state(const std::string& upstream, Model::Time now) const;
 
@@ -35,6 +37,7 @@
         std::optional<Model::Time> heardAt;
         /// When the oldest message went out to which, and since which, nothing was heard.
         std::optional<Model::Time> unansweredSince;
+        std::optional<Model::Time> sentAt;
         std::optional<Model::Time> failedAt;
         int failures = 0;
     };
--- a/src/libs/logging/eventid.cpp
+++ b/src/libs/logging/eventid.cpp
@@ -9,7 +9,7 @@
 
     using enum EventId;
 
-    constexpr std::array<EventInfo, 40> table { {
+    constexpr std::array<EventInfo, 41> table { {
         { ProcessStarted, "process_started", Severity::Info, "the process listens on all its addresses" },
         { ProcessStopped, "process_stopped", Severity::Info, "the process ended after its last request" },
         { DrainStarted, "drain_started", Severity::Info, "SIGTERM received; no new requests are accepted" },
@@ -35,6 +35,8 @@
             "members are being fenced with a new term" },
         { PromotionFinished, "promotion_finished", Severity::Warning, "a member is primary of a new term" },
         { PromotionFailed, "promotion_failed", Severity::Warning, "a promotion ended without a primary" },
+        { DutyHeldElsewhere, "duty_held_elsewhere", Severity::Info,
+            "another host's lease on a service's promotions runs" },
         { UpstreamSilent, "upstream_silent", Severity::Warning,
             "a connection gave no answer and was closed" },
         { ConnectionFailed, "connection_failed", Severity::Warning,
--- a/src/libs/logging/eventid.h
+++ b/src/libs/logging/eventid.h
@@ -28,6 +28,7 @@
     PromotionStarted = 301,
     PromotionFinished = 302,
     PromotionFailed = 303,
+    DutyHeldElsewhere = 304,
     UpstreamSilent = 310,
     ConnectionFailed = 311,
     CatalogAdopted = 400,
--- a/src/libs/proxyhost/failovers.cpp
+++ b/src/libs/proxyhost/failovers.cpp
@@ -46,6 +46,7 @@
         return;
     const Model::Time now = EventLoop::now();
     for (const auto& [service, settings] : m_view.configuration()->services) {
+        noticeLead(service);
         if (m_promotions.contains(service)) {
             advance(service);
         } else if (canPromote(now) && !isPausing(service, now)) {
@@ -58,6 +59,18 @@
         m_timer.start(stepPeriod);
 }
 
+/// What was known of an upstream before it led says nothing of it as a primary.
+void Failovers::noticeLead(const std::string& service)
+{
+    const Directory::Upstream* primary = m_view.primaryOf(service);
+    if (!primary)
+        return;
+    std::uint64_t& known = m_knownLeads[service];
+    if (known != primary->leadsSince)
+        m_server.engine().forgetReachability(primary->id);
+    known = primary->leadsSince;
+}
+
 /// When the service's new primary is expected to lead; nothing if it is not being replaced.
 std::optional<Model::Time> Failovers::primaryExpected(const std::string& service, Model::Time now) const
 {
--- a/src/libs/proxyhost/platformworker.cpp
+++ b/src/libs/proxyhost/platformworker.cpp
@@ -4,7 +4,6 @@
 #include "logging/log.h"
 #include "proxyhost/rows.h"
 
-#include <algorithm>
 #include <chrono>
 #include <random>
 
@@ -84,26 +83,27 @@
         return std::nullopt;
     }
     StoreRow row { Tables::duties, service };
-    DutyRow duty;
+    Failover::Duty held;
     if (!present.rows.empty()) {
         row.version = present.rows.front().version;
-        duty = parseDutyRow(present.rows.front().value);
+        held = parseDutyRow(present.rows.front().value).duty;
     }
-    // The version rises as well, should the row have been unreadable.
-    duty.token = std::max(duty.token, row.version) + 1;
-    duty.holder = m_host;
-    duty.nonce = std::random_device {}();
-    row.value = formatDutyRow(duty);
+    const auto duty = Failover::takeDuty(held, row.version, m_host, present.storeTime);
+    if (!duty) {
+        Logging::write(Logging::EventId::DutyHeldElsewhere, { { "service", service }, { "holder", held.holder } });
+        return std::nullopt;
+    }
+    row.value = formatDutyRow({ *duty, std::random_device {}() });
     const StoreAnswer written = m_calls.commit({ { row, row.version } });
     if (written.status == StoreStatus::Done)
-        return duty.token;
+        return duty->token;
     logFailure("take the duty", written);
     if (written.status != StoreStatus::Unknown)
         return std::nullopt;
     // The answer was lost. A write that is done later only raises the token of a holder that has given up.
     const StoreAnswer again = m_calls.read(Tables::duties, service);
     if (again.status == StoreStatus::Done && !again.rows.empty() && again.rows.front().value == row.value)
-        return duty.token;
+        return duty->token;
     return std::nullopt;
 }
 
--- a/src/libs/proxyhost/rows.h
+++ b/src/libs/proxyhost/rows.h
@@ -1,22 +1,21 @@
 #pragma once
 
-#include "core/failover/promotion.h"
+#include "core/failover/duty.h"
 
 #include <cstdint>
 #include <string>
 
 namespace ProxyHost {
 
-/// Who may give orders for a service.
+/// The duty of replacing a service's primary, as it lies in the store.
 struct DutyRow {
-    Failover::FencingToken token = 0;
-    std::string holder;
+    Failover::Duty duty;
     /// Tells the holder's own write from one of the same host's earlier process.
     std::uint32_t nonce = 0;
 };
 
 std::string formatDutyRow(const DutyRow& row);
-/// Token 0 if the row cannot be read.
+/// A duty that nobody holds if the row cannot be read.
 DutyRow parseDutyRow(const std::string& value);
 
 /// How to reach a host's process.
--- a/src/libs/proxyhost/store.h
+++ b/src/libs/proxyhost/store.h
@@ -35,6 +35,8 @@
     std::vector<StoreRow> rows;
     /// The newest version in the store, or that of the transaction.
     std::uint64_t version = 0;
+    /// The store's steady clock.
+    Failover::StoreTime storeTime {};
     /// What went wrong, for logs.
     std::string error;
 };
--- a/tests/auto/core/failover/tst_reachability.cpp
+++ b/tests/auto/core/failover/tst_reachability.cpp
@@ -49,3 +49,19 @@
     EXPECT_NE(reachability.state("db", Time { 5s + 100ms }), ReachabilityState::Unreachable);
     EXPECT_EQ(reachability.state("db", Time { 5s + 600ms }), ReachabilityState::Unreachable);
 }
+
+// Guards against an upstream that was away once and is never asked again: when it led, each host took it for
+// dead at once, and two hosts promoted in turn (zones day of asahi-bindery, seed 533267098142).
+TEST(Reachability, OldEvidenceExpires)
+{
+    Reachability reachability;
+    reachability.failed("db", Time { 0s });
+    reachability.failed("db", Time { 0s });
+    reachability.sent("db", Time { 0s });
+    EXPECT_EQ(reachability.state("db", Time { 1s }), ReachabilityState::Unreachable);
+    EXPECT_EQ(reachability.state("db", Time { 5s }), ReachabilityState::Unknown);
+    reachability.sent("db", Time { 5s });
+    EXPECT_EQ(reachability.state("db", Time { 5s + 100ms }), ReachabilityState::Unknown);
+    reachability.failed("db", Time { 5s + 100ms });
+    EXPECT_EQ(reachability.state("db", Time { 5s + 200ms }), ReachabilityState::Unknown);
+}
