--- a/src/libs/core/allowance/fleetallowance.cpp
+++ b/src/libs/core/allowance/fleetallowance.cpp
@@ -36,9 +36,8 @@
 
 void FleetAllowance::setPeers(const std::vector<std::string>& hosts, Model::Time now)
 {
-    std::erase_if(m_peers, [&](const auto& peer) {
-        return std::ranges::find(hosts, peer.first) == hosts.end();
-    });
+    std::erase_if(
+        m_peers, [&](const auto& peer) { return std::ranges::find(hosts, peer.first) == hosts.end(); });
     for (const std::string& host : hosts) {
         if (host != m_self && !m_peers.contains(host))
             m_peers[host].knownSince = now;
@@ -47,9 +46,8 @@
 
 void FleetAllowance::setCustomers(const Directory::Configuration& configuration, Model::Time now)
 {
-    std::erase_if(m_buckets, [&](const auto& bucket) {
-        return !configuration.customers.contains(bucket.first);
-    });
+    std::erase_if(
+        m_buckets, [&](const auto& bucket) { return !configuration.customers.contains(bucket.first); });
     for (const auto& [name, customer] : configuration.customers)
         bucketOf(customer, now);
 }
@@ -143,8 +141,8 @@
     bucket.demandAt = now;
 }
 
-/// The hosts that are in contact divide by demand what the silent ones leave. A silent host's part stays as it
-/// was when it was heard last, so that both sides of a cut come to the same division.
+/// The hosts that are in contact divide by demand what the silent ones leave. A silent host's part stays as
+/// it was when it was heard last, so that both sides of a cut come to the same division.
 FleetAllowance::Parts FleetAllowance::parts(
     const std::string& customer, const Bucket& bucket, Model::Time now) const
 {
@@ -156,8 +154,8 @@
             continue;
         const auto usage = peer.usage.find(customer);
         if (isSilent(peer, now)) {
-            const double part
-                = usage == peer.usage.end() ? 1.0 / static_cast<double>(m_peers.size() + 1) : usage->second.part;
+            const double part = usage == peer.usage.end() ? 1.0 / static_cast<double>(m_peers.size() + 1)
+                                                          : usage->second.part;
             parts.silent.emplace(name, part);
             parts.reachable -= part;
             continue;
--- a/src/libs/core/failover/primarywatch.cpp
+++ b/src/libs/core/failover/primarywatch.cpp
@@ -31,8 +31,7 @@
     return "";
 }
 
-PrimaryWatch::PrimaryWatch(
-    const Directory::View& view, const Reachability& reachability, std::string self)
+PrimaryWatch::PrimaryWatch(const Directory::View& view, const Reachability& reachability, std::string self)
     : m_view(view)
     , m_reachability(reachability)
     , m_self(std::move(self))
@@ -86,8 +85,7 @@
 
 /// Whether no host gets answers from the upstream. Without contact to half of the hosts, this host may be
 /// the one that is cut off.
-bool PrimaryWatch::othersAgree(
-    const std::string& service, const std::string& upstream, Model::Time now) const
+bool PrimaryWatch::othersAgree(const std::string& service, const std::string& upstream, Model::Time now) const
 {
     const auto opinions = m_opinions.find(service);
     int heard = 1;
--- a/src/libs/core/failover/promotion.cpp
+++ b/src/libs/core/failover/promotion.cpp
@@ -128,9 +128,8 @@
 
 void Promotion::continueSurvey(Model::Time now)
 {
-    const bool isComplete = std::ranges::all_of(m_statuses, [&](const auto& entry) {
-        return entry.second || !m_hooks.isReachable(entry.first);
-    });
+    const bool isComplete = std::ranges::all_of(
+        m_statuses, [&](const auto& entry) { return entry.second || !m_hooks.isReachable(entry.first); });
     if (isComplete || now - m_phaseAt > surveyTimeout)
         return surveyed(now);
     if (now - m_askedAt < askAgainPeriod)
--- a/src/libs/core/failover/promotion.h
+++ b/src/libs/core/failover/promotion.h
@@ -57,8 +57,8 @@
 /// One replacement of a service's primary by the replica that has received the most. Used on one thread.
 class Promotion {
 public:
-    Promotion(const Directory::View& view, std::string service, PromotionReason reason,
-        PromotionHooks hooks, Model::Time now);
+    Promotion(const Directory::View& view, std::string service, PromotionReason reason, PromotionHooks hooks,
+        Model::Time now);
 
     /// Nothing if the duty could not be taken.
     void dutyTaken(std::optional<FencingToken> token, Model::Time now);
--- a/src/libs/core/proxy/engine.cpp
+++ b/src/libs/core/proxy/engine.cpp
@@ -73,8 +73,7 @@
     m_hooks.reply(id, localReply(TransactionState::None, {}));
 }
 
-void Engine::rejectOpen(
-    SessionId id, const std::string& database, ResultCode code, std::string_view reason)
+void Engine::rejectOpen(SessionId id, const std::string& database, ResultCode code, std::string_view reason)
 {
     Decision decision;
     decision.kind = DecisionKind::SessionRejected;
@@ -103,9 +102,9 @@
     }
     if (session->state == TransactionState::Failed || session->isAborted)
         return handleInFailedTransaction(*session, statement, now);
-    const bool isOperation
-        = session->state == TransactionState::None && (needsUpstream(statement.kind)
-              || statement.kind == StatementKind::Begin || statement.kind == StatementKind::BeginReadOnly);
+    const bool isOperation = session->state == TransactionState::None
+        && (needsUpstream(statement.kind) || statement.kind == StatementKind::Begin
+            || statement.kind == StatementKind::BeginReadOnly);
     if (isOperation && !beginOperation(*session, statement, now))
         return;
     if (needsUpstream(statement.kind))
@@ -193,8 +192,7 @@
         m_hooks.reply(session.id, localReply(session.state, session.lastCommit));
         return;
     }
-    const ResultCode code
-        = wasAborted || ends ? ResultCode::Aborted : ResultCode::Malformed;
+    const ResultCode code = wasAborted || ends ? ResultCode::Aborted : ResultCode::Malformed;
     m_hooks.reply(session.id, errorReply(code, "the transaction was rolled back", session.state));
 }
 
@@ -249,9 +247,8 @@
 {
     if (m_waiting.empty())
         return;
-    std::ranges::stable_sort(m_waiting, {}, [this](SessionId id) {
-        return m_sessions.at(id).route->priority;
-    });
+    std::ranges::stable_sort(
+        m_waiting, {}, [this](SessionId id) { return m_sessions.at(id).route->priority; });
     std::vector<SessionId> left;
     for (const SessionId id : std::exchange(m_waiting, {})) {
         Session& session = m_sessions.at(id);
--- a/src/libs/core/proxy/engine.h
+++ b/src/libs/core/proxy/engine.h
@@ -87,16 +87,16 @@
     bool tryAssign(Session& session, Model::Time now);
     ConnectionId openFor(const Session& session, const Directory::Upstream& upstream, Model::Time now);
     void assign(Session& session, Connection& connection, Model::Time now);
-    void sendStatement(Session& session, Connection& connection, std::vector<Command> commands,
-        Model::Time now);
+    void sendStatement(
+        Session& session, Connection& connection, std::vector<Command> commands, Model::Time now);
     void send(Connection& connection, const std::vector<Command>& commands, Model::Time now);
     Command statementCommand(const Session& session, const Connection& connection) const;
 
-    void beginAnswered(Connection& connection, CommandKind kind, const Reply& reply, Model::Time sentAt,
-        Model::Time now);
+    void beginAnswered(
+        Connection& connection, CommandKind kind, const Reply& reply, Model::Time sentAt, Model::Time now);
     void statementAnswered(Connection& connection, Reply reply, Model::Time sentAt, Model::Time now);
-    void completed(Session& session, Connection& connection, Reply reply, Model::Time sentAt,
-        Model::Time now);
+    void completed(
+        Session& session, Connection& connection, Reply reply, Model::Time sentAt, Model::Time now);
     void failedAlone(Session& session, Connection& connection, const Reply& reply, Model::Time now);
     void failedInTransaction(Session& session, Connection& connection, const Reply& reply, Model::Time now);
 
--- a/src/libs/core/proxy/pool.cpp
+++ b/src/libs/core/proxy/pool.cpp
@@ -129,13 +129,16 @@
     const auto entry = m_upstreams.find(upstream);
     if (entry == m_upstreams.end())
         return 0;
-    return static_cast<int>(std::ranges::count_if(entry->second.connections,
-        [&](ConnectionId id) { return m_connections.at(id).state == state; }));
+    return static_cast<int>(std::ranges::count_if(
+        entry->second.connections, [&](ConnectionId id) { return m_connections.at(id).state == state; }));
 }
 
 int Pool::countInUse(const std::string& upstream) const { return count(upstream, ConnectionState::InUse); }
 
-int Pool::countOpening(const std::string& upstream) const { return count(upstream, ConnectionState::Opening); }
+int Pool::countOpening(const std::string& upstream) const
+{
+    return count(upstream, ConnectionState::Opening);
+}
 
 std::map<std::string, int> Pool::openCounts() const
 {
--- a/src/libs/core/proxy/router.cpp
+++ b/src/libs/core/proxy/router.cpp
@@ -33,8 +33,8 @@
 
 }
 
-Router::Router(const Directory::View& view, Pool& pool, const Failover::Reachability& reachability,
-    std::string zone)
+Router::Router(
+    const Directory::View& view, Pool& pool, const Failover::Reachability& reachability, std::string zone)
     : m_view(view)
     , m_pool(pool)
     , m_reachability(reachability)
@@ -143,8 +143,8 @@
     return position;
 }
 
-void Router::observeLead(const std::string& service, const std::string& upstream,
-    Model::LogPosition position, Model::Time sentAt)
+void Router::observeLead(
+    const std::string& service, const std::string& upstream, Model::LogPosition position, Model::Time sentAt)
 {
     m_provenLeads[service] = upstream;
     m_knowledge[upstream].deniedLeadAt.reset();
--- a/src/libs/eventloop/tcpstream.cpp
+++ b/src/libs/eventloop/tcpstream.cpp
@@ -67,8 +67,8 @@
     uv_tcp_keepalive(&handle, 1, keepAliveDelaySeconds);
     int socket = -1;
     if (uv_fileno(reinterpret_cast<uv_handle_t*>(&handle), &socket) == 0) {
-        setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &keepAliveIntervalSeconds,
-            sizeof keepAliveIntervalSeconds);
+        setsockopt(
+            socket, IPPROTO_TCP, TCP_KEEPINTVL, &keepAliveIntervalSeconds, sizeof keepAliveIntervalSeconds);
         setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &keepAliveProbes, sizeof keepAliveProbes);
         setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeoutMs, sizeof userTimeoutMs);
     }
@@ -128,7 +128,10 @@
     return stream;
 }
 
-void TcpStream::setHooks(StreamHooks hooks) { m_d->hooks = std::make_shared<const StreamHooks>(std::move(hooks)); }
+void TcpStream::setHooks(StreamHooks hooks)
+{
+    m_d->hooks = std::make_shared<const StreamHooks>(std::move(hooks));
+}
 
 void TcpStream::write(std::string_view data)
 {
--- a/src/libs/eventloop/timer.cpp
+++ b/src/libs/eventloop/timer.cpp
@@ -32,8 +32,8 @@
 
 void Timer::start(Model::Duration delay)
 {
-    const auto rounded = std::max(
-        std::chrono::ceil<std::chrono::milliseconds>(delay), std::chrono::milliseconds(0));
+    const auto rounded
+        = std::max(std::chrono::ceil<std::chrono::milliseconds>(delay), std::chrono::milliseconds(0));
     // The library counts from its last look at the clock.
     uv_update_time(m_d->handle.loop);
     uv_timer_start(&m_d->handle, &Private::onTimer, static_cast<std::uint64_t>(rounded.count()), 0);
--- a/src/libs/probe/probeserver.cpp
+++ b/src/libs/probe/probeserver.cpp
@@ -65,8 +65,7 @@
         return "the HTTP library cannot be initialized";
     ulfius_add_endpoint_by_val(
         &m_d->instance, "GET", nullptr, m_settings.path.c_str(), 0, &Private::onProbe, m_d.get());
-    ulfius_add_endpoint_by_val(
-        &m_d->instance, "GET", nullptr, "/metrics", 0, &Private::onMetrics, m_d.get());
+    ulfius_add_endpoint_by_val(&m_d->instance, "GET", nullptr, "/metrics", 0, &Private::onMetrics, m_d.get());
     std::array<MHD_OptionItem, 6> options { {
         { MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<std::intptr_t>(&mhd_request_completed), nullptr },
         { MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<std::intptr_t>(&ulfius_uri_logger), nullptr },
--- a/src/libs/proxyhost/failovers.cpp
+++ b/src/libs/proxyhost/failovers.cpp
@@ -168,7 +168,8 @@
     const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now - promotion.startedAt());
     Logging::write(isDone ? Logging::EventId::PromotionFinished : Logging::EventId::PromotionFailed,
         { { "service", service }, { "upstream", promotion.candidate() },
-            { "token", std::to_string(promotion.token()) }, { "elapsedMs", std::to_string(elapsed.count()) } });
+            { "token", std::to_string(promotion.token()) },
+            { "elapsedMs", std::to_string(elapsed.count()) } });
     if (isDone && promotion.acceptedAt())
         m_leadDuration = now - *promotion.acceptedAt();
     m_lastEnded[service] = now;
--- a/src/libs/proxyhost/platformworker.cpp
+++ b/src/libs/proxyhost/platformworker.cpp
@@ -15,8 +15,7 @@
 
     void logFailure(const char* call, const StoreAnswer& answer)
     {
-        Logging::write(
-            Logging::EventId::StoreUnavailable, { { "call", call }, { "reason", answer.error } });
+        Logging::write(Logging::EventId::StoreUnavailable, { { "call", call }, { "reason", answer.error } });
     }
 
 }
@@ -90,7 +89,8 @@
     }
     const auto duty = Failover::takeDuty(held, row.version, m_host, present.storeTime);
     if (!duty) {
-        Logging::write(Logging::EventId::DutyHeldElsewhere, { { "service", service }, { "holder", held.holder } });
+        Logging::write(
+            Logging::EventId::DutyHeldElsewhere, { { "service", service }, { "holder", held.holder } });
         return std::nullopt;
     }
     row.value = formatDutyRow({ *duty, std::random_device {}() });
--- a/src/libs/proxyhost/proxyhost.cpp
+++ b/src/libs/proxyhost/proxyhost.cpp
@@ -36,8 +36,8 @@
           { settings.zone, settings.callers.ip, settings.callers.port,
               static_cast<std::size_t>(settings.maxDescriptors - otherDescriptors) },
           { [this](const Directory::Customer& customer, Model::Time now) {
-               return m_allowance.admit(customer, now);
-           } })
+              return m_allowance.admit(customer, now);
+          } })
     , m_fleet(loop, settings.host, m_allowance, m_server.engine().ledger(),
           [this](const std::string& service, Failover::Opinion opinion) {
               m_failovers.setOpinion(service, std::move(opinion));
@@ -157,7 +157,8 @@
 void ProxyHost::changeSettings(const Settings::ProxySettings& settings)
 {
     const bool needsRestart = settings.callers.text() != m_settings.callers.text()
-        || settings.probe.text() != m_settings.probe.text() || settings.store.text() != m_settings.store.text()
+        || settings.probe.text() != m_settings.probe.text()
+        || settings.store.text() != m_settings.store.text()
         || settings.promoter.text() != m_settings.promoter.text() || settings.zone != m_settings.zone;
     m_settings.shutdownMs = settings.shutdownMs;
     Logging::write(Logging::EventId::SettingsReloaded,
--- a/src/libs/proxyhost/rows.cpp
+++ b/src/libs/proxyhost/rows.cpp
@@ -6,9 +6,10 @@
 
 std::string formatDutyRow(const DutyRow& row)
 {
-    return nlohmann::json { { "token", row.duty.token }, { "holder", row.duty.holder },
-        { "leaseEndMs", row.duty.leaseEnd.count() }, { "nonce", row.nonce } }
-        .dump();
+    return nlohmann::json {
+        { "token", row.duty.token }, { "holder", row.duty.holder },
+        { "leaseEndMs", row.duty.leaseEnd.count() }, { "nonce", row.nonce }
+    }.dump();
 }
 
 DutyRow parseDutyRow(const std::string& value)
--- a/src/libs/sessionserver/server.cpp
+++ b/src/libs/sessionserver/server.cpp
@@ -30,7 +30,7 @@
     , m_statements(metrics.counter("parsleytack_statements_received_total"))
     , m_connectionsOpened(metrics.counter("parsleytack_upstream_connections_opened_total"))
     , m_sessions(metrics.gauge("parsleytack_sessions"))
-    , m_latency(metrics.histogram("parsleytack_statement_seconds"))
+    , m_latency(metrics.histogram("parsleytack_statement_microseconds"))
     , m_engine(view, m_settings.zone, engineHooks(std::move(hooks)))
 {
 }
@@ -53,14 +53,12 @@
     result.closeSession = [this](Proxy::SessionId id) { m_callers.erase(id); };
     result.connect = [this](Proxy::ConnectionId id, const Directory::Upstream& upstream,
                          const std::string& customer) { connect(id, upstream, customer); };
-    result.send = [this](Proxy::ConnectionId id, std::span<const Proxy::Command> commands) {
-        send(id, commands);
-    };
+    result.send
+        = [this](Proxy::ConnectionId id, std::span<const Proxy::Command> commands) { send(id, commands); };
     result.disconnect = [this](Proxy::ConnectionId id) { m_upstreams.erase(id); };
     result.admit = std::move(hooks.admit);
-    result.decided = [this](const Proxy::Decision& decision) {
-        m_decisionLog.write(decision, EventLoop::now());
-    };
+    result.decided
+        = [this](const Proxy::Decision& decision) { m_decisionLog.write(decision, EventLoop::now()); };
     result.answered = [this](const Proxy::Session& session, Proxy::ResultCode code, Model::Duration elapsed) {
         countAnswer(session, code, elapsed);
     };
@@ -77,8 +75,8 @@
         const auto caller = m_callers.find(id);
         if (caller == m_callers.end())
             return;
-        const bool isValid
-            = caller->second.lines.feed(data, [this, id](std::string_view line) { return receive(id, line); });
+        const bool isValid = caller->second.lines.feed(
+            data, [this, id](std::string_view line) { return receive(id, line); });
         if (!isValid)
             callerClosed(id);
         scheduleTick();
@@ -142,8 +140,7 @@
     m_callers.erase(caller);
 }
 
-void Server::connect(
-    Proxy::ConnectionId id, const Directory::Upstream& upstream, const std::string& customer)
+void Server::connect(Proxy::ConnectionId id, const Directory::Upstream& upstream, const std::string& customer)
 {
     m_connectionsOpened.add();
     UpstreamConnection connection { nullptr, Lines(m_codec.maxLine) };
@@ -256,7 +253,8 @@
     if (m_tickAt && now - *m_tickAt > stallLimit) {
         Logging::write(Logging::EventId::LoopStalled,
             { { "lateMs",
-                std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - *m_tickAt).count()) } });
+                std::to_string(
+                    std::chrono::duration_cast<std::chrono::milliseconds>(now - *m_tickAt).count()) } });
         m_engine.stalled(now);
     }
     m_tickAt.reset();
@@ -281,7 +279,8 @@
     Metrics::Counter*& counter = m_answers[{ session.database, code }];
     if (!counter) {
         counter = &m_metrics.counter("parsleytack_answers_total",
-            "database=\"" + session.database + "\",result=\"" + std::string(Proxy::resultInfo(code).name) + "\"");
+            "database=\"" + session.database + "\",result=\"" + std::string(Proxy::resultInfo(code).name)
+                + "\"");
     }
     counter->add();
 }
--- a/src/libs/settings/fieldreader.cpp
+++ b/src/libs/settings/fieldreader.cpp
@@ -54,8 +54,7 @@
     if (!field->is_array())
         return fail(name, "a list of addresses");
     for (const Json& item : *field) {
-        const auto parsed
-            = item.is_string() ? parseAddress(item.get<std::string>()) : parseAddress("");
+        const auto parsed = item.is_string() ? parseAddress(item.get<std::string>()) : parseAddress("");
         if (!parsed)
             return fail(name, "a list of addresses of the form IP:PORT");
         value.push_back(*parsed);
@@ -70,8 +69,7 @@
     const bool isInRange = field->is_number_integer() && field->get<std::int64_t>() >= minimum
         && field->get<std::int64_t>() <= maximum;
     if (!isInRange)
-        return fail(
-            name, "an integer from " + std::to_string(minimum) + " to " + std::to_string(maximum));
+        return fail(name, "an integer from " + std::to_string(minimum) + " to " + std::to_string(maximum));
     value = field->get<int>();
 }
 
--- a/src/tools/parsleytackd/main.cpp
+++ b/src/tools/parsleytackd/main.cpp
@@ -34,8 +34,8 @@
         std::string("Settings file (JSON); without it, the one that ") + settingsVariable + " names",
         !fromEnvironment, fromEnvironment ? fromEnvironment : "", "FILE", line);
     TCLAP::SwitchArg check("c", "check-settings", "Check the settings file and exit", line);
-    TCLAP::SwitchArg proxy("p", "session-proxy",
-        "Serve the database protocol in front of the platform's databases", line);
+    TCLAP::SwitchArg proxy(
+        "p", "session-proxy", "Serve the database protocol in front of the platform's databases", line);
     line.parse(argc, argv);
     return { settings.getValue(), check.getValue(), proxy.getValue() };
 }
--- a/src/tools/parsleytackd/sessionproxy.cpp
+++ b/src/tools/parsleytackd/sessionproxy.cpp
@@ -31,8 +31,8 @@
     std::signal(SIGPIPE, SIG_IGN);
     Logging::configure({ {}, settings.host, 0 });
     EventLoop::Loop loop;
-    ProxyHost::ProxyHost host(
-        loop, settings, Adapter::wireCodec(), Adapter::platformCalls(settings.store.text(), settings.promoter.text()));
+    ProxyHost::ProxyHost host(loop, settings, Adapter::wireCodec(),
+        Adapter::platformCalls(settings.store.text(), settings.promoter.text()));
     loop.onSignal(SIGTERM, [&host] { host.shutDown(); });
     loop.onSignal(SIGINT, [&host] { host.shutDown(); });
     loop.onSignal(SIGHUP, [&host, &settingsFile] { reload(settingsFile, host); });
--- a/tests/auto/core/allowance/tst_fleetallowance.cpp
+++ b/tests/auto/core/allowance/tst_fleetallowance.cpp
@@ -81,7 +81,8 @@
     void exchange()
     {
         for (std::size_t from = 0; from < m_hosts.size(); ++from) {
-            const UsageReport report { "host-" + std::to_string(from), m_incarnation, m_hosts[from].usage(m_now) };
+            const UsageReport report { "host-" + std::to_string(from), m_incarnation,
+                m_hosts[from].usage(m_now) };
             for (std::size_t to = 0; to < m_hosts.size(); ++to) {
                 if (to != from && !m_cut[from] && !m_cut[to])
                     m_hosts[to].receive(report, m_now);
--- a/tests/auto/core/proxy/enginefixture.cpp
+++ b/tests/auto/core/proxy/enginefixture.cpp
@@ -38,12 +38,14 @@
     setUpstream("r", Directory::Role::Replica);
     EngineHooks hooks;
     hooks.reply = [this](SessionId id, const Reply& reply) { m_replies[id].push_back(reply); };
-    hooks.rejectSession = [this](SessionId id, ResultCode code, std::string_view) { m_rejections[id] = code; };
+    hooks.rejectSession
+        = [this](SessionId id, ResultCode code, std::string_view) { m_rejections[id] = code; };
     hooks.closeSession = [this](SessionId id) { m_closedSessions.insert(id); };
-    hooks.connect = [this](ConnectionId id, const Directory::Upstream& upstream, const std::string& customer) {
-        m_links[id] = { upstream.id, customer, {}, false };
-        m_opening.push_back(id);
-    };
+    hooks.connect
+        = [this](ConnectionId id, const Directory::Upstream& upstream, const std::string& customer) {
+              m_links[id] = { upstream.id, customer, {}, false };
+              m_opening.push_back(id);
+          };
     hooks.send = [this](ConnectionId id, std::span<const Command> commands) {
         Link& link = m_links.at(id);
         link.commands.insert(link.commands.end(), commands.begin(), commands.end());
@@ -130,7 +132,10 @@
     return best;
 }
 
-std::vector<Command> EngineFixture::take(ConnectionId link) { return std::exchange(m_links.at(link).commands, {}); }
+std::vector<Command> EngineFixture::take(ConnectionId link)
+{
+    return std::exchange(m_links.at(link).commands, {});
+}
 
 void EngineFixture::answer(ConnectionId link, ResultCode code, TransactionState state, std::uint64_t position)
 {
--- a/tests/auto/platform/tst_desiredstate.cpp
+++ b/tests/auto/platform/tst_desiredstate.cpp
@@ -48,8 +48,9 @@
 // Guards against a configuration that is half read.
 TEST(DesiredState, WrongConfigurationsAreRefusedAsAWhole)
 {
-    for (const std::string& text : std::vector<std::string> { "{", "[]", replaced(state, "\"version\":7,", ""),
-             replaced(state, "\"apiKeys\":[\"k1\",\"k2\"],", ""), replaced(state, "1500", "\"soon\"") })
+    for (const std::string& text :
+        std::vector<std::string> { "{", "[]", replaced(state, "\"version\":7,", ""),
+            replaced(state, "\"apiKeys\":[\"k1\",\"k2\"],", ""), replaced(state, "1500", "\"soon\"") })
         EXPECT_FALSE(Adapter::parseConfiguration(text)) << text;
 }
 
--- a/tests/auto/platform/tst_wirecodec.cpp
+++ b/tests/auto/platform/tst_wirecodec.cpp
@@ -31,22 +31,24 @@
 // Guards against a statement that reaches the upstream with another id or text.
 TEST(WireCodec, StatementsPassUnchanged)
 {
-    for (const std::string& line : std::vector<std::string> { "QUERY 5c0e READ 1a4", "QUERY 5c0e WRITE 1a4 some data  with blanks ",
-             "QUERY 5c0e COMMIT", "QUERY 5c0e EXECUTE s1 1a4 xkqp", "QUERY 5c0e EXECUTE s1" })
+    for (const std::string& line :
+        std::vector<std::string> { "QUERY 5c0e READ 1a4", "QUERY 5c0e WRITE 1a4 some data  with blanks ",
+            "QUERY 5c0e COMMIT", "QUERY 5c0e EXECUTE s1 1a4 xkqp", "QUERY 5c0e EXECUTE s1" })
         EXPECT_EQ(passedOn(line), line + "\r\n");
 }
 
 // Guards against a line that is understood as something else than it says.
 TEST(WireCodec, WrongStatementsAreMalformed)
 {
-    for (const std::string& line : std::vector<std::string> { "QUERY 5c0e DROP x", "QUERY 5c0e BEGIN WRITE", "QUERY 5c0e READ",
-             "QUERY 5c0e COMMIT now", "QUERY 5c0e PREPARE s1 DELETE q", "QUERY 5c0e SET", "QUERY 5c0e",
-             "QUERY 5c0e AFTERLSN 1.2 READ x", "QUERY 5c0e STEPDOWN 9", "QUERY 5c0e read x" }) {
+    for (const std::string& line : std::vector<std::string> { "QUERY 5c0e DROP x", "QUERY 5c0e BEGIN WRITE",
+             "QUERY 5c0e READ", "QUERY 5c0e COMMIT now", "QUERY 5c0e PREPARE s1 DELETE q", "QUERY 5c0e SET",
+             "QUERY 5c0e", "QUERY 5c0e AFTERLSN 1.2 READ x", "QUERY 5c0e STEPDOWN 9", "QUERY 5c0e read x" }) {
         const CallerMessage message = codec.parseCaller(line);
         EXPECT_EQ(message.kind, CallerMessageKind::Statement) << line;
         EXPECT_EQ(message.statement.kind, StatementKind::Malformed) << line;
     }
-    for (const std::string& line : std::vector<std::string> { "", "QUERY", "QUERY ", "GET / HTTP/1.1", "STARTUP", "startup a b" })
+    for (const std::string& line :
+        std::vector<std::string> { "", "QUERY", "QUERY ", "GET / HTTP/1.1", "STARTUP", "startup a b" })
         EXPECT_EQ(codec.parseCaller(line).kind, CallerMessageKind::Invalid) << line;
 }
 
@@ -103,7 +105,8 @@
     EXPECT_EQ(codec.parseUpstream("ERROR SOMETHING new").code, ResultCode::Failed);
     EXPECT_EQ(codec.parseUpstream("COMPLETE 7.1f3.c").text, "7.1f3.c");
     EXPECT_EQ(codec.parseUpstream("DATAROW a b").text, "a b");
-    for (const std::string& line : std::vector<std::string> { "READY", "READY X 1.2", "READY I 1", "READY I x.y", "HELLO", "" })
+    for (const std::string& line :
+        std::vector<std::string> { "READY", "READY X 1.2", "READY I 1", "READY I x.y", "HELLO", "" })
         EXPECT_EQ(codec.parseUpstream(line).kind, UpstreamMessageKind::Invalid) << line;
 }
 
--- /dev/null
+++ b/tests/auto/sessionproxy/estate.cpp
@@ -0,0 +1,180 @@
+#include "estate.h"
+
+#include <cstdlib>
+#include <fstream>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <nlohmann/json.hpp>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+namespace {
+
+constexpr int receiveTimeoutSeconds = 5;
+
+int connectTo(const std::string& address)
+{
+    const std::size_t colon = address.rfind(':');
+    sockaddr_in target {};
+    target.sin_family = AF_INET;
+    target.sin_port = htons(static_cast<std::uint16_t>(std::atoi(address.c_str() + colon + 1)));
+    inet_pton(AF_INET, address.substr(0, colon).c_str(), &target.sin_addr);
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const timeval limit { receiveTimeoutSeconds, 0 };
+    setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    if (::connect(socket, reinterpret_cast<sockaddr*>(&target), sizeof target) == 0)
+        return socket;
+    ::close(socket);
+    return -1;
+}
+
+std::string temporaryFile(const std::string& name)
+{
+    static int s_count = 0;
+    return "/tmp/parsleytack-sessionproxy-" + std::to_string(getpid()) + "-" + std::to_string(++s_count) + "-"
+        + name;
+}
+
+}
+
+Client::Client(const std::string& address)
+    : m_socket(connectTo(address))
+{
+}
+
+Client::~Client()
+{
+    if (m_socket >= 0)
+        ::close(m_socket);
+}
+
+void Client::sendRaw(const std::string& bytes) const
+{
+    if (m_socket >= 0 && ::send(m_socket, bytes.data(), bytes.size(), MSG_NOSIGNAL) < 0)
+        return;
+}
+
+std::optional<std::string> Client::line()
+{
+    char buffer[4096];
+    while (m_socket >= 0) {
+        const std::size_t end = m_buffer.find("\r\n");
+        if (end != std::string::npos) {
+            std::string result = m_buffer.substr(0, end);
+            m_buffer.erase(0, end + 2);
+            return result;
+        }
+        const ssize_t size = ::recv(m_socket, buffer, sizeof buffer, 0);
+        if (size <= 0)
+            return std::nullopt;
+        m_buffer.append(buffer, static_cast<std::size_t>(size));
+    }
+    return std::nullopt;
+}
+
+std::string Client::open(const std::string& database, const std::string& key)
+{
+    sendRaw("STARTUP " + database + " " + key + "\r\n");
+    return line().value_or("");
+}
+
+std::vector<std::string> Client::query(const std::string& text)
+{
+    sendRaw("QUERY id" + std::to_string(++m_lastId) + " " + text + "\r\n");
+    std::vector<std::string> answer;
+    while (auto next = line()) {
+        const bool isLast = next->starts_with("READY");
+        answer.push_back(std::move(*next));
+        if (isLast)
+            break;
+    }
+    return answer;
+}
+
+bool isComplete(const std::vector<std::string>& answer)
+{
+    return answer.size() >= 2 && answer[answer.size() - 2].starts_with("COMPLETE")
+        && answer.back().starts_with("READY");
+}
+
+std::string errorCode(const std::vector<std::string>& answer)
+{
+    if (answer.empty() || !answer[0].starts_with("ERROR "))
+        return {};
+    const std::string rest = answer[0].substr(6);
+    return rest.substr(0, rest.find(' '));
+}
+
+Estate::Estate(int hosts)
+{
+    m_store = std::make_unique<Standins::RowStore>(
+        [this](const std::string&, const std::string& id) { return m_databases->promote(id); });
+    m_databases = std::make_unique<Standins::Databases>(
+        "ledger", 3, [this](const std::string& id) { registerDatabase(id); });
+    for (const std::string& id : m_databases->ids())
+        registerDatabase(id);
+    publish({ "key-1", "key-2" });
+    m_hosts.resize(static_cast<std::size_t>(hosts));
+    for (int i = 0; i < hosts; ++i) {
+        Host& host = m_hosts[static_cast<std::size_t>(i)];
+        host.callers = std::make_unique<Integration::ReservedPort>();
+        host.probe = std::make_unique<Integration::ReservedPort>();
+        host.peers = std::make_unique<Integration::ReservedPort>();
+        startHost(i);
+    }
+    for (int i = 0; i < hosts; ++i)
+        Integration::waitUntil([&] { return isReady(i); });
+}
+
+void Estate::registerDatabase(const std::string& id)
+{
+    const nlohmann::json entry { { "service", "ledger" }, { "address", m_databases->address(id) },
+        { "zone", "north" }, { "version", "v1" }, { "slots", 2 }, { "state", "ready" }, { "coldLeftMs", 0 },
+        { "dbRole", m_databases->isPrimary(id) ? "primary" : "replica" }, { "seq", 1 }, { "born", 1 } };
+    m_store->set("servers", id, entry.dump());
+}
+
+void Estate::publish(const std::vector<std::string>& keys, double rate)
+{
+    const auto route = [](const std::string& database, const std::string& kind) {
+        return nlohmann::json { { "name", database }, { "host", database }, { "routeKind", kind },
+            { "timeoutMs", 800 }, { "targetLatencyMs", 200 }, { "priority", 1 }, { "service", "ledger" },
+            { "maxStalenessMs", 1500 }, { "allowAnonymous", false } };
+    };
+    const nlohmann::json state { { "version", ++m_version },
+        { "routes", { route("strict", "primary"), route("bounded", "bounded"), route("own", "own_writes") } },
+        { "services", { { { "name", "ledger" }, { "maxConns", 40 } } } },
+        { "limits", { { "txIdleMs", 3000 } } },
+        { "tenants",
+            { { { "name", "acme" }, { "apiKeys", keys }, { "ratePerS", rate }, { "burst", rate } } } } };
+    m_store->set("op", "config", state.dump());
+}
+
+void Estate::startHost(int index)
+{
+    Host& host = m_hosts.at(static_cast<std::size_t>(index));
+    const auto portOf
+        = [](const std::string& address) { return std::atoi(address.c_str() + address.rfind(':') + 1); };
+    const int peerPort = portOf(host.peers->address());
+    const std::string name = "host-" + std::to_string(index);
+    const nlohmann::json settings { { "host", name }, { "zone", "north" },
+        { "callers", host.callers->address() }, { "probe", host.probe->address() }, { "probePath", "/ready" },
+        { "ip", "127.0.0.1" }, { "peerPorts", { peerPort, peerPort } }, { "store", m_store->address() },
+        { "promoter", m_store->address() }, { "shutdownMs", 4000 } };
+    const std::string file = temporaryFile(name + ".json");
+    std::ofstream(file) << settings.dump();
+    host.process = std::make_unique<Integration::Process>(PARSLEYTACKD,
+        std::vector<std::string> { "--session-proxy", "--settings", file }, temporaryFile(name + ".log"));
+}
+
+std::string Estate::get(int host, const std::string& path) const
+{
+    Client client(m_hosts.at(static_cast<std::size_t>(host)).probe->address());
+    client.sendRaw("GET " + path + " HTTP/1.1\r\nHost: test\r\nConnection: close\r\n\r\n");
+    std::string text;
+    while (const auto line = client.line())
+        text += *line + "\r\n";
+    return text + client.rest();
+}
--- /dev/null
+++ b/tests/auto/sessionproxy/tst_sessionproxy.cpp
@@ -0,0 +1,210 @@
+#include "estate.h"
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <thread>
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+using namespace std::chrono_literals;
+using Integration::waitUntil;
+
+namespace {
+
+/// Writes until it succeeds; returns whether it did within ten seconds. Each try has data of its own.
+bool writeUntilComplete(Estate& estate, int host, const std::string& data)
+{
+    int tries = 0;
+    return waitUntil(
+        [&] {
+            Client client(estate.callers(host));
+            if (!client.open("strict", "key-1").starts_with("READY"))
+                return false;
+            return isComplete(client.query("WRITE item " + data + std::to_string(++tries)));
+        },
+        10s);
+}
+
+}
+
+// Guards against a session that does not read its own writes, loses rows, or mixes up prepared statements.
+TEST(SessionProxy, ServesStatementsAndTransactions)
+{
+    Estate estate(2);
+    Client client(estate.callers(0));
+    ASSERT_EQ(client.open("own", "key-1"), "READY I -");
+    EXPECT_TRUE(isComplete(client.query("SET v1 abc")));
+    EXPECT_TRUE(isComplete(client.query("WRITE a one")));
+    for (int i = 0; i < 20; ++i) {
+        const std::string data = "value" + std::to_string(i);
+        EXPECT_TRUE(isComplete(client.query("WRITE a " + data)));
+        EXPECT_EQ(client.query("READ a").at(0), "DATAROW " + data);
+    }
+    EXPECT_TRUE(isComplete(client.query("PREPARE s WRITE q1")));
+    EXPECT_TRUE(isComplete(client.query("EXECUTE s a prepared")));
+    EXPECT_TRUE(isComplete(client.query("BEGIN")));
+    EXPECT_TRUE(isComplete(client.query("WRITE a inside")));
+    EXPECT_TRUE(isComplete(client.query("COMMIT")));
+    EXPECT_EQ(estate.databases().commits("inside"), 1);
+    EXPECT_TRUE(isComplete(client.query("BEGIN")));
+    EXPECT_TRUE(isComplete(client.query("WRITE a undone")));
+    EXPECT_TRUE(isComplete(client.query("ROLLBACK")));
+    EXPECT_EQ(estate.databases().commits("undone"), 0);
+    Client other(estate.callers(1));
+    ASSERT_EQ(other.open("strict", "key-2"), "READY I -");
+    EXPECT_EQ(other.query("READ a").at(0), "DATAROW inside");
+    EXPECT_EQ(estate.databases().customers(), std::set<std::string> { "acme" });
+    EXPECT_TRUE(estate.databases().faults().empty());
+}
+
+// Guards against a proxy that fails, or answers nothing, on input that no caller should send.
+TEST(SessionProxy, SurvivesHostileInput)
+{
+    Estate estate(1);
+    for (const std::string& bytes : std::vector<std::string> { "GET / HTTP/1.1\r\n\r\n", "\r\n\r\n",
+             std::string("\0\xff\xfe\n", 4), "QUERY 1 READ a\r\n", "STARTUP\r\n", std::string(1200000, 'x'),
+             "STARTUP own key-1\r\nSTARTUP own key-1\r\n" }) {
+        Client client(estate.callers(0));
+        client.sendRaw(bytes);
+        while (client.line()) { }
+    }
+    Client unknown(estate.callers(0));
+    EXPECT_TRUE(unknown.open("nowhere", "key-1").starts_with("ERROR NODB"));
+    Client stranger(estate.callers(0));
+    EXPECT_TRUE(stranger.open("own", "wrong").starts_with("ERROR NOAUTH"));
+    Client malformed(estate.callers(0));
+    ASSERT_EQ(malformed.open("own", "key-1"), "READY I -");
+    EXPECT_EQ(errorCode(malformed.query("DROP everything")), "MALFORMED");
+    EXPECT_EQ(errorCode(malformed.query("EXECUTE missing a b")), "NOSTMT");
+    EXPECT_TRUE(isComplete(malformed.query("WRITE a ok")));
+}
+
+// Guards against a crashed primary that nobody replaces, and a write that takes effect twice meanwhile.
+TEST(SessionProxy, ReplacesACrashedPrimary)
+{
+    Estate estate(3);
+    ASSERT_TRUE(writeUntilComplete(estate, 0, "before"));
+    const std::string former = estate.databases().primary();
+    estate.databases().crash(former);
+    for (int host = 0; host < 3; ++host)
+        EXPECT_TRUE(writeUntilComplete(estate, host, "after" + std::to_string(host) + "-"));
+    EXPECT_NE(estate.databases().primary(), former);
+    EXPECT_LE(estate.databases().commits("before1"), 1);
+    EXPECT_TRUE(estate.databases().faults().empty());
+}
+
+// Guards against a primary that leaves and is replaced only when it is gone.
+TEST(SessionProxy, ReplacesALeavingPrimaryBeforeItGoes)
+{
+    Estate estate(2);
+    ASSERT_TRUE(writeUntilComplete(estate, 0, "before"));
+    const std::string former = estate.databases().primary();
+    const nlohmann::json entry { { "service", "ledger" }, { "address", estate.databases().address(former) },
+        { "zone", "north" }, { "version", "v1" }, { "slots", 2 }, { "state", "draining" },
+        { "dbRole", "primary" } };
+    estate.store().set("servers", former, entry.dump());
+    EXPECT_TRUE(waitUntil([&] { return estate.databases().primary() != former; }, 10s));
+    EXPECT_TRUE(writeUntilComplete(estate, 1, "after"));
+}
+
+// Guards against a withdrawn key that goes on working on an open session.
+TEST(SessionProxy, AWithdrawnKeyStopsOnOpenSessions)
+{
+    Estate estate(1);
+    Client kept(estate.callers(0));
+    Client withdrawn(estate.callers(0));
+    ASSERT_EQ(kept.open("own", "key-1"), "READY I -");
+    ASSERT_EQ(withdrawn.open("own", "key-2"), "READY I -");
+    EXPECT_TRUE(isComplete(withdrawn.query("WRITE a 1")));
+    estate.publish({ "key-1" });
+    EXPECT_TRUE(waitUntil([&] { return errorCode(withdrawn.query("WRITE a 1")) == "NOAUTH"; }, 5s));
+    EXPECT_TRUE(isComplete(kept.query("WRITE a 1")));
+}
+
+// Guards against service that ends with an outage of the store.
+TEST(SessionProxy, ServesWhileTheStoreIsAway)
+{
+    Estate estate(1);
+    Client client(estate.callers(0));
+    ASSERT_EQ(client.open("own", "key-1"), "READY I -");
+    estate.store().setAway(true);
+    for (int i = 0; i < 20; ++i) {
+        EXPECT_TRUE(isComplete(client.query("WRITE a x")));
+        std::this_thread::sleep_for(50ms);
+    }
+    EXPECT_TRUE(estate.isReady(0));
+    estate.store().setAway(false);
+    estate.publish({ "key-2" });
+    EXPECT_TRUE(waitUntil([&] { return errorCode(client.query("WRITE a 1")) == "NOAUTH"; }, 5s));
+}
+
+// Guards against a customer that gets its whole rate at each host.
+TEST(SessionProxy, LimitsACustomerOverAllHosts)
+{
+    Estate estate(3);
+    estate.publish({ "key-1" }, 20);
+    std::this_thread::sleep_for(1s);
+    std::vector<std::unique_ptr<Client>> clients;
+    for (int host = 0; host < 3; ++host) {
+        clients.push_back(std::make_unique<Client>(estate.callers(host)));
+        ASSERT_EQ(clients.back()->open("own", "key-1"), "READY I -");
+    }
+    int served = 0;
+    const auto end = std::chrono::steady_clock::now() + 5s;
+    while (std::chrono::steady_clock::now() < end) {
+        for (const auto& client : clients)
+            served += isComplete(client->query("READ a")) ? 1 : 0;
+        std::this_thread::sleep_for(5ms);
+    }
+    // Rate times window and burst, a tenth more, and twenty.
+    EXPECT_LE(served, static_cast<int>((20 * 5 + 20) * 1.1 + 20));
+    EXPECT_GE(served, 60);
+}
+
+// Guards against a shutdown that cuts a request, waits for callers that rest, or outlives its time; and
+// against a host that ends on SIGHUP.
+TEST(SessionProxy, ShutsDownWithinItsTime)
+{
+    Estate estate(1);
+    Client idle(estate.callers(0));
+    ASSERT_EQ(idle.open("own", "key-1"), "READY I -");
+    Client resting(estate.callers(0));
+    ASSERT_EQ(resting.open("own", "key-1"), "READY I -");
+    EXPECT_TRUE(isComplete(resting.query("BEGIN")));
+    EXPECT_TRUE(isComplete(resting.query("WRITE a 1")));
+    estate.host(0).signal(SIGHUP);
+    EXPECT_TRUE(isComplete(idle.query("WRITE b 2")));
+    estate.host(0).signal(SIGTERM);
+    EXPECT_TRUE(waitUntil([&] { return !estate.isReady(0); }, 2s));
+    EXPECT_TRUE(isComplete(idle.query("WRITE b 3")));
+    EXPECT_EQ(estate.host(0).waitForExit(4s), 0);
+    EXPECT_EQ(estate.databases().commits("1"), 0);
+    const std::string log = estate.host(0).output();
+    for (const char* event : { "process_started", "settings_reloaded", "drain_started", "process_stopped" })
+        EXPECT_NE(log.find(event), std::string::npos) << event;
+}
+
+// Guards against metrics and logs from which a refused request cannot be explained.
+TEST(SessionProxy, ExplainsARefusedRequest)
+{
+    Estate estate(1);
+    Client client(estate.callers(0));
+    ASSERT_EQ(client.open("own", "key-2"), "READY I -");
+    EXPECT_TRUE(isComplete(client.query("WRITE a 1")));
+    estate.publish({ "key-1" });
+    ASSERT_TRUE(waitUntil([&] { return errorCode(client.query("WRITE a 1")) == "NOAUTH"; }, 5s));
+    const std::string log = estate.host(0).output();
+    const std::size_t refusal = log.find("request_refused");
+    ASSERT_NE(refusal, std::string::npos);
+    const std::string line = log.substr(refusal, log.find('\n', refusal) - refusal);
+    EXPECT_NE(line.find("\"request\":\"id"), std::string::npos) << line;
+    EXPECT_NE(line.find("\"reason\":\"unknown key\""), std::string::npos) << line;
+    EXPECT_NE(line.find("\"configuration\":\"2\""), std::string::npos) << line;
+    EXPECT_NE(
+        log.find("\"name\":\"catalog_adopted\",\"host\":\"host-0\",\"version\":\"2\""), std::string::npos);
+    EXPECT_NE(
+        estate.get(0, "/metrics").find("parsleytack_answers_total{database=\"own\",result=\"complete\"} "),
+        std::string::npos);
+}
--- a/tests/auto/settings/tst_proxysettings.cpp
+++ b/tests/auto/settings/tst_proxysettings.cpp
@@ -32,8 +32,8 @@
 // Guards against a process that starts with a missing or wrong field, and an error that does not name it.
 TEST(ProxySettings, NamesTheWrongField)
 {
-    for (const char* field : { "host", "zone", "callers", "probe", "probePath", "ip", "peerPorts", "store",
-             "promoter" }) {
+    for (const char* field :
+        { "host", "zone", "callers", "probe", "probePath", "ip", "peerPorts", "store", "promoter" }) {
         auto json = valid();
         json.erase(field);
         const auto settings = parseProxySettings(json.dump());
--- /dev/null
+++ b/tests/standins/sessionplatform/databases.cpp
@@ -0,0 +1,288 @@
+#include "sessionplatform/databases.h"
+
+#include <sstream>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace Standins {
+
+namespace {
+
+    std::vector<std::string> split(const std::string& line)
+    {
+        std::istringstream stream(line);
+        std::vector<std::string> words;
+        for (std::string word; stream >> word;)
+            words.push_back(word);
+        return words;
+    }
+
+    std::string error(const std::string& code) { return "ERROR " + code + " stand-in\r\n"; }
+
+}
+
+Databases::Databases(std::string service, int count, std::function<void(const std::string& id)> changed)
+    : m_service(std::move(service))
+    , m_changed(std::move(changed))
+{
+    for (int i = 0; i < count; ++i) {
+        auto member = std::make_unique<Member>();
+        member->id = "db-" + std::to_string(i);
+        member->listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        ::bind(member->listener, reinterpret_cast<sockaddr*>(&address), sizeof address);
+        ::listen(member->listener, 64);
+        socklen_t size = sizeof address;
+        ::getsockname(member->listener, reinterpret_cast<sockaddr*>(&address), &size);
+        member->port = ntohs(address.sin_port);
+        m_members.push_back(std::move(member));
+    }
+    m_primary = m_members.front()->id;
+    for (const auto& member : m_members)
+        member->thread = std::thread([this, &member = *member] { accept(member); });
+}
+
+Databases::~Databases()
+{
+    m_isStopping = true;
+    for (const std::string& id : ids())
+        crash(id);
+    for (const auto& member : m_members)
+        member->thread.join();
+    for (std::thread& thread : m_threads)
+        thread.join();
+}
+
+std::vector<std::string> Databases::ids() const
+{
+    std::vector<std::string> result;
+    for (const auto& member : m_members)
+        result.push_back(member->id);
+    return result;
+}
+
+std::string Databases::address(const std::string& id) const
+{
+    for (const auto& member : m_members) {
+        if (member->id == id)
+            return "127.0.0.1:" + std::to_string(member->port);
+    }
+    return {};
+}
+
+bool Databases::isPrimary(const std::string& id) const { return primary() == id; }
+
+std::string Databases::primary() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_primary;
+}
+
+bool Databases::isUp(const std::string& id) const
+{
+    const std::lock_guard lock(m_mutex);
+    for (const auto& member : m_members) {
+        if (member->id == id)
+            return member->isUp;
+    }
+    return false;
+}
+
+void Databases::crash(const std::string& id)
+{
+    const std::lock_guard lock(m_mutex);
+    for (const auto& member : m_members) {
+        if (member->id != id || !member->isUp)
+            continue;
+        member->isUp = false;
+        ::shutdown(member->listener, SHUT_RDWR);
+        for (const int socket : member->sockets)
+            ::shutdown(socket, SHUT_RDWR);
+    }
+}
+
+bool Databases::promote(const std::string& id)
+{
+    if (!isUp(id))
+        return false;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_primary == id)
+            return true;
+        m_primary = id;
+        ++m_term;
+    }
+    for (const std::string& member : ids())
+        m_changed(member);
+    return true;
+}
+
+int Databases::commits(const std::string& data) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_commits.find(data);
+    return found == m_commits.end() ? 0 : found->second;
+}
+
+std::set<std::string> Databases::customers() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_customers;
+}
+
+std::vector<std::string> Databases::faults() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_faults;
+}
+
+void Databases::accept(Member& member)
+{
+    while (true) {
+        const int socket = ::accept(member.listener, nullptr, nullptr);
+        const std::lock_guard lock(m_mutex);
+        if (socket < 0 || !member.isUp) {
+            if (socket >= 0)
+                ::close(socket);
+            ::close(member.listener);
+            return;
+        }
+        member.sockets.insert(socket);
+        m_threads.emplace_back([this, &member, socket] { serve(member, socket); });
+    }
+}
+
+void Databases::serve(Member& member, int socket)
+{
+    Link link;
+    std::string input;
+    char buffer[4096];
+    for (ssize_t size = 0; (size = ::recv(socket, buffer, sizeof buffer, 0)) > 0;) {
+        input.append(buffer, static_cast<std::size_t>(size));
+        std::string output;
+        for (std::size_t end = 0; (end = input.find("\r\n")) != std::string::npos;) {
+            output += answer(member, link, input.substr(0, end));
+            input.erase(0, end + 2);
+        }
+        if (::send(socket, output.data(), output.size(), MSG_NOSIGNAL) < 0)
+            break;
+    }
+    const std::lock_guard lock(m_mutex);
+    member.sockets.erase(socket);
+    ::close(socket);
+}
+
+std::string Databases::ready(const Link& link) const
+{
+    const char* state = link.isFailed ? "E" : link.isInTransaction ? "T" : "I";
+    return std::string("READY ") + state + " " + std::to_string(m_term) + "." + std::to_string(m_position)
+        + "\r\n";
+}
+
+std::string Databases::answer(Member& member, Link& link, const std::string& line)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto words = split(line);
+    if (words.size() == 4 && words[0] == "STARTUP" && !link.isOpen) {
+        if (words[1] != m_service || words[3] != member.id)
+            return error("WRONGNODE");
+        link.isOpen = true;
+        m_customers.insert(words[2]);
+        return ready(link);
+    }
+    if (words.size() < 3 || words[0] != "QUERY" || !link.isOpen) {
+        m_faults.push_back(line);
+        return error("MALFORMED") + ready(link);
+    }
+    return query(member, link, line) + ready(link);
+}
+
+std::string Databases::query(Member& member, Link& link, const std::string& line)
+{
+    std::vector<std::string> words = split(line);
+    const std::string id = words[1];
+    words.erase(words.begin(), words.begin() + 2);
+    if (words[0] == "AFTERLSN")
+        words.erase(words.begin(), words.begin() + 2);
+    const std::string& verb = words[0];
+    const bool isOwn = id == "-";
+    if (verb == "BEGIN") {
+        link.isReadOnly = words.size() > 1;
+        if (!link.isReadOnly && m_primary != member.id)
+            return error("READONLY");
+        if (link.isInTransaction)
+            m_faults.push_back(line);
+        link.isInTransaction = true;
+        return "COMPLETE -\r\n";
+    }
+    if (verb == "ROLLBACK") {
+        link = { true, false, false, false, {}, link.prepared };
+        return "COMPLETE -\r\n";
+    }
+    if (verb == "PREPARE") {
+        link.prepared[words.at(1)] = words.at(2) == "WRITE";
+        return "COMPLETE -\r\n";
+    }
+    if (verb == "RESET") {
+        link.prepared.clear();
+        return "COMPLETE -\r\n";
+    }
+    if (verb == "SET")
+        return "COMPLETE -\r\n";
+    if (verb == "STATUS" || verb == "STEPDOWN") {
+        return std::string("DATAROW ") + (m_primary == member.id ? "primary " : "replica ")
+            + std::to_string(m_term) + " " + std::to_string(m_term) + "." + std::to_string(m_position)
+            + " 0 0 0 1\r\nCOMPLETE -\r\n";
+    }
+    if (isOwn) {
+        m_faults.push_back(line);
+        return error("MALFORMED");
+    }
+    return run(member, link, id, std::move(words));
+}
+
+std::string Databases::run(Member& member, Link& link, const std::string& id, std::vector<std::string> words)
+{
+    bool isWrite = words[0] == "WRITE";
+    if (words[0] == "EXECUTE") {
+        const auto prepared = link.prepared.find(words.at(1));
+        if (prepared == link.prepared.end())
+            return error("NOSTMT");
+        isWrite = prepared->second;
+        words.erase(words.begin());
+    }
+    const std::string receipt = "COMPLETE receipt-" + id + "\r\n";
+    if (words[0] == "COMMIT") {
+        const bool isLost = !link.writes.empty() && m_primary != member.id;
+        for (const auto& [item, data] : link.writes) {
+            if (isLost)
+                break;
+            m_items[item] = data;
+            ++m_commits[data];
+        }
+        m_position += link.writes.empty() || isLost ? 0 : 1;
+        link = { true, false, false, false, {}, link.prepared };
+        return isLost ? error("READONLY") : receipt;
+    }
+    if ((isWrite || (link.isInTransaction && !link.isReadOnly)) && m_primary != member.id) {
+        link.isFailed = link.isInTransaction;
+        return error("READONLY");
+    }
+    if (!isWrite)
+        return "DATAROW " + m_items[words.at(1)] + "\r\n" + receipt;
+    if (link.isInTransaction) {
+        link.writes.emplace_back(words.at(1), words.at(2));
+        return receipt;
+    }
+    m_items[words.at(1)] = words.at(2);
+    ++m_commits[words.at(2)];
+    ++m_position;
+    return receipt;
+}
+
+}
--- /dev/null
+++ b/tests/standins/sessionplatform/databases.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace Standins {
+
+/// A database group that speaks the platform's line protocol: one primary, the others replicas that have
+/// every commit at once. Any thread may use it.
+class Databases {
+public:
+    /// `changed` is called when what a database says of itself changed.
+    Databases(std::string service, int count, std::function<void(const std::string& id)> changed);
+    ~Databases();
+    Databases(const Databases&) = delete;
+    Databases& operator=(const Databases&) = delete;
+
+    std::vector<std::string> ids() const;
+    std::string address(const std::string& id) const;
+    bool isPrimary(const std::string& id) const;
+    bool isUp(const std::string& id) const;
+    std::string primary() const;
+    /// Closes all connections and accepts no more.
+    void crash(const std::string& id);
+    /// False if the database does not run.
+    bool promote(const std::string& id);
+
+    /// How often a write of this data was committed.
+    int commits(const std::string& data) const;
+    /// Names that connections were opened for.
+    std::set<std::string> customers() const;
+    /// Statements that broke a rule, for example one outside its transaction.
+    std::vector<std::string> faults() const;
+
+private:
+    struct Member {
+        std::string id;
+        int listener = -1;
+        int port = 0;
+        bool isUp = true;
+        std::thread thread;
+        std::set<int> sockets;
+    };
+    struct Link {
+        bool isOpen = false;
+        bool isInTransaction = false;
+        bool isReadOnly = false;
+        bool isFailed = false;
+        std::vector<std::pair<std::string, std::string>> writes;
+        std::map<std::string, bool> prepared;
+    };
+
+    void accept(Member& member);
+    void serve(Member& member, int socket);
+    std::string answer(Member& member, Link& link, const std::string& line);
+    std::string query(Member& member, Link& link, const std::string& line);
+    std::string run(Member& member, Link& link, const std::string& id, std::vector<std::string> words);
+    std::string ready(const Link& link) const;
+
+    std::string m_service;
+    std::function<void(const std::string&)> m_changed;
+    mutable std::mutex m_mutex;
+    std::vector<std::unique_ptr<Member>> m_members;
+    std::vector<std::thread> m_threads;
+    std::string m_primary;
+    std::uint64_t m_term = 1;
+    std::uint64_t m_position = 0;
+    std::map<std::string, std::string> m_items;
+    std::map<std::string, int> m_commits;
+    std::set<std::string> m_customers;
+    std::vector<std::string> m_faults;
+    std::atomic<bool> m_isStopping = false;
+};
+
+}
--- /dev/null
+++ b/tests/standins/sessionplatform/rowstore.cpp
@@ -0,0 +1,175 @@
+#include "sessionplatform/rowstore.h"
+
+#include <chrono>
+
+#include <gnutls/gnutls.h>
+
+namespace Standins {
+
+namespace {
+
+    std::string base64(const std::string& text, bool isEncoding)
+    {
+        const gnutls_datum_t input { reinterpret_cast<unsigned char*>(const_cast<char*>(text.data())),
+            static_cast<unsigned>(text.size()) };
+        gnutls_datum_t output {};
+        if (text.empty()
+            || (isEncoding ? gnutls_base64_encode2(&input, &output) : gnutls_base64_decode2(&input, &output))
+                != 0)
+            return {};
+        std::string result(reinterpret_cast<char*>(output.data), output.size);
+        gnutls_free(output.data);
+        return result;
+    }
+
+    std::string parameter(const HttpRequest& request, const std::string& name)
+    {
+        const auto found = request.query.find(name);
+        return found == request.query.end() ? std::string() : found->second;
+    }
+
+}
+
+RowStore::RowStore(std::function<bool(const std::string& service, const std::string& id)> promote)
+    : m_promote(std::move(promote))
+    , m_server("127.0.0.1", 0, { [this](const HttpRequest& request) { return handle(request); }, nullptr })
+{
+}
+
+// The server waits for the calls that it answers, some of which wait for changes.
+RowStore::~RowStore() { setAway(true); }
+
+std::string RowStore::address() const { return "127.0.0.1:" + std::to_string(m_server.port()); }
+
+void RowStore::put(const Key& key, std::string value, bool isDeleted)
+{
+    m_rows[key] = { std::move(value), m_version, isDeleted };
+}
+
+void RowStore::set(const std::string& table, const std::string& key, const std::string& value)
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_version;
+    put({ table, key }, value, false);
+    m_changed.notify_all();
+}
+
+void RowStore::remove(const std::string& table, const std::string& key)
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_version;
+    put({ table, key }, {}, true);
+    m_changed.notify_all();
+}
+
+void RowStore::setAway(bool isAway)
+{
+    const std::lock_guard lock(m_mutex);
+    m_isAway = isAway;
+    m_changed.notify_all();
+}
+
+int RowStore::promotions() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_promotions;
+}
+
+Json RowStore::rowJson(const Key& key, const Row& row) const
+{
+    Json json { { "table", key.first }, { "part", "" }, { "key", key.second },
+        { "value", base64(row.value, true) }, { "rowVersion", row.version } };
+    if (row.isDeleted)
+        json["deleted"] = true;
+    return json;
+}
+
+HttpAnswer RowStore::answer(int status, Json rows) const
+{
+    const auto now = std::chrono::steady_clock::now().time_since_epoch();
+    return jsonAnswer(status,
+        { { "rows", std::move(rows) }, { "hasMore", false }, { "rowVersion", m_version },
+            { "nowMs", std::chrono::duration_cast<std::chrono::milliseconds>(now).count() } });
+}
+
+HttpAnswer RowStore::handle(const HttpRequest& request)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_isAway)
+            return jsonAnswer(503, Json::object());
+    }
+    if (request.path == "/promote")
+        return promote(request);
+    if (request.path == "/-/rows-get")
+        return rows(request);
+    if (request.path == "/-/rows-feed")
+        return feed(request);
+    if (request.path == "/-/rows-tx")
+        return transaction(Json::parse(request.body));
+    return jsonAnswer(404, Json::object());
+}
+
+HttpAnswer RowStore::rows(const HttpRequest& request)
+{
+    const std::lock_guard lock(m_mutex);
+    Json found = Json::array();
+    for (const auto& [key, row] : m_rows) {
+        if (key.first == parameter(request, "table") && key.second >= parameter(request, "from")
+            && !row.isDeleted)
+            found.push_back(rowJson(key, row));
+    }
+    return answer(200, std::move(found));
+}
+
+HttpAnswer RowStore::feed(const HttpRequest& request)
+{
+    const std::uint64_t after = request.number("after");
+    const auto changes = [&] {
+        Json found = Json::array();
+        for (const auto& [key, row] : m_rows) {
+            if (key.first == parameter(request, "table") && row.version > after)
+                found.push_back(rowJson(key, row));
+        }
+        return found;
+    };
+    std::unique_lock lock(m_mutex);
+    Json found;
+    m_changed.wait_for(lock, std::chrono::milliseconds(request.number("waitMs")), [&] {
+        found = changes();
+        return m_isAway || !found.empty();
+    });
+    return m_isAway ? jsonAnswer(503, Json::object()) : answer(200, std::move(found));
+}
+
+HttpAnswer RowStore::transaction(const Json& body)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto keyOf = [](const Json& entry) {
+        return Key { entry.at("table").get<std::string>(), entry.at("key").get<std::string>() };
+    };
+    for (const Json& entry : body.at("expect")) {
+        const auto row = m_rows.find(keyOf(entry));
+        const std::uint64_t version = row == m_rows.end() || row->second.isDeleted ? 0 : row->second.version;
+        if (version != entry.at("rowVersion").get<std::uint64_t>())
+            return answer(412, Json::array());
+    }
+    ++m_version;
+    for (const Json& entry : body.at("setKeys"))
+        put(keyOf(entry), base64(entry.at("value").get<std::string>(), false), false);
+    for (const Json& entry : body.at("deleteKeys"))
+        put(keyOf(entry), {}, true);
+    m_changed.notify_all();
+    return answer(200, Json::array());
+}
+
+HttpAnswer RowStore::promote(const HttpRequest& request)
+{
+    const Json body = Json::parse(request.body);
+    const bool isDone = m_promote(body.at("service").get<std::string>(), body.at("id").get<std::string>());
+    const std::lock_guard lock(m_mutex);
+    m_promotions += isDone ? 1 : 0;
+    return jsonAnswer(isDone ? 200 : 409, Json::object());
+}
+
+}
