--- a/src/libs/core/proxy/engine.h
+++ b/src/libs/core/proxy/engine.h
@@ -45,7 +45,7 @@
 
     void connectionOpened(ConnectionId id, Model::LogPosition position, Model::Time now);
     void connectionRefused(ConnectionId id, ResultCode code, Model::Time now);
-    void connectionReply(ConnectionId id, Reply reply, Model::Time now);
+    void connectionReply(ConnectionId id, const Reply& reply, Model::Time now);
     void connectionLost(ConnectionId id, Model::Time now);
 
     /// Configuration, upstreams or zones changed.
@@ -77,6 +77,11 @@
     const Router& router() const { return m_router; }
 
 private:
+    /// Between two tries of a statement that a busy upstream did not run.
+    static constexpr Model::Duration busyPause = std::chrono::milliseconds(15);
+    /// A single statement is tried at no more upstreams than a service usually has.
+    static constexpr int maxAttempts = 4;
+
     Session* findSession(SessionId id);
     bool beginOperation(Session& session, const Statement& statement, Model::Time now);
     void answer(Session& session, const Statement& statement, Model::Time now);
@@ -94,14 +99,14 @@
 
     void beginAnswered(
         Connection& connection, CommandKind kind, const Reply& reply, Model::Time sentAt, Model::Time now);
-    void statementAnswered(Connection& connection, Reply reply, Model::Time sentAt, Model::Time now);
+    void statementAnswered(Connection& connection, const Reply& reply, Model::Time sentAt, Model::Time now);
     void completed(
         Session& session, Connection& connection, Reply reply, Model::Time sentAt, Model::Time now);
     void failedAlone(Session& session, Connection& connection, const Reply& reply, Model::Time now);
     void failedInTransaction(Session& session, Connection& connection, const Reply& reply, Model::Time now);
 
     void retry(Session& session, std::string_view reason, Model::Time now);
-    void finish(Session& session, Reply reply, Model::Time now);
+    void finish(Session& session, const Reply& reply, Model::Time now);
     void refuse(Session& session, ResultCode code, std::string_view reason, Model::Time now);
     void lostInUse(Session& session, const std::string& upstream, Model::Time now);
     void release(Connection& connection, Model::Time now);
--- /dev/null
+++ b/src/libs/core/proxy/engineconnections.cpp
@@ -0,0 +1,401 @@
+#include "core/proxy/engine.h"
+
+#include "core/proxy/reply.h"
+
+#include <algorithm>
+#include <array>
+
+namespace Proxy {
+
+namespace {
+
+    /// A connection that is not open by then counts as unreachable.
+    constexpr Model::Duration openTimeout = std::chrono::milliseconds(700);
+    /// A connection that does not answer messages of our own by then is closed.
+    constexpr Model::Duration settleTimeout = std::chrono::seconds(2);
+
+}
+
+void Engine::send(Connection& connection, const std::vector<Command>& commands, Model::Time now)
+{
+    for (const Command& command : commands)
+        connection.pending.push_back({ command.kind, now, {} });
+    connection.changedAt = now;
+    m_reachability.sent(connection.upstream, now);
+    m_hooks.send(connection.id, commands);
+}
+
+void Engine::connectionOpened(ConnectionId id, Model::LogPosition position, Model::Time now)
+{
+    Connection* connection = m_pool.find(id);
+    if (!connection || connection->state != ConnectionState::Opening)
+        return;
+    connection->state = ConnectionState::Idle;
+    connection->changedAt = now;
+    m_reachability.heard(connection->upstream, now);
+    m_router.observePosition(connection->upstream, position);
+    if (connection->first) {
+        connection->state = ConnectionState::Settling;
+        send(*connection, { *connection->first }, now);
+        connection->pending.back().answered = std::move(connection->firstAnswered);
+    }
+    dispatch(now);
+}
+
+void Engine::command(
+    const std::string& upstream, const Command& command, AnswerHook answered, Model::Time now)
+{
+    Connection* connection = m_pool.findAnyIdle(upstream);
+    if (connection) {
+        connection->state = ConnectionState::Settling;
+        send(*connection, { command }, now);
+        connection->pending.back().answered = std::move(answered);
+        return;
+    }
+    const Directory::Upstream* target = m_view.findUpstream(upstream);
+    if (!target)
+        return answered(std::nullopt);
+    // Upstreams accept messages of the proxy itself without a customer.
+    Connection& opened = m_pool.add(*target, {}, now);
+    opened.first = command;
+    opened.firstAnswered = std::move(answered);
+    m_reachability.sent(upstream, now);
+    m_hooks.connect(opened.id, *target, {});
+}
+
+/// Tells those who wait for answers on a lost connection that none will come.
+void Engine::failCommands(Connection& connection)
+{
+    if (connection.firstAnswered)
+        connection.firstAnswered(std::nullopt);
+    for (const PendingReply& pending : connection.pending) {
+        if (pending.answered)
+            pending.answered(std::nullopt);
+    }
+}
+
+void Engine::connectionRefused(ConnectionId id, ResultCode code, Model::Time now)
+{
+    Connection* connection = m_pool.find(id);
+    if (!connection)
+        return;
+    Decision decision;
+    decision.kind = DecisionKind::ConnectionRefused;
+    decision.customer = connection->customer;
+    decision.upstream = connection->upstream;
+    decision.code = code;
+    decision.reason = "refused by the upstream";
+    decision.age = now - connection->changedAt;
+    m_hooks.decided(decision);
+    m_reachability.heard(connection->upstream, now);
+    if (code == ResultCode::ConnectionLimit)
+        m_pool.refused(connection->upstream, now);
+    else
+        m_pool.unreachable(connection->upstream, now);
+    Connection refused = m_pool.take(id);
+    failCommands(refused);
+    dispatch(now);
+}
+
+void Engine::connectionReply(ConnectionId id, const Reply& reply, Model::Time now)
+{
+    Connection* connection = m_pool.find(id);
+    if (!connection)
+        return;
+    if (connection->pending.empty())
+        return connectionLost(id, now);
+    const PendingReply pending = std::move(connection->pending.front());
+    connection->pending.pop_front();
+    m_reachability.heard(connection->upstream, now);
+    if (reply.position != Model::LogPosition {})
+        m_router.observePosition(connection->upstream, reply.position);
+    switch (pending.kind) {
+    case CommandKind::Begin:
+    case CommandKind::BeginReadOnly:
+        beginAnswered(*connection, pending.kind, reply, pending.sentAt, now);
+        break;
+    case CommandKind::Statement:
+        statementAnswered(*connection, reply, pending.sentAt, now);
+        break;
+    case CommandKind::Rollback:
+        connection->isInTransaction = false;
+        break;
+    case CommandKind::Reset:
+    case CommandKind::Set:
+    case CommandKind::Prepare:
+        // The record of the connection is wrong now.
+        if (reply.code != ResultCode::Complete) {
+            m_hooks.disconnect(id);
+            return connectionLost(id, now);
+        }
+        break;
+    case CommandKind::Status:
+    case CommandKind::StepDown:
+        if (pending.answered)
+            pending.answered(reply);
+        break;
+    }
+    connection = m_pool.find(id);
+    if (!connection || connection->session != 0 || !connection->pending.empty())
+        return;
+    if (connection->state == ConnectionState::InUse || connection->state == ConnectionState::Settling)
+        release(*connection, now);
+}
+
+void Engine::beginAnswered(
+    Connection& connection, CommandKind kind, const Reply& reply, Model::Time sentAt, Model::Time now)
+{
+    if (reply.code == ResultCode::Complete) {
+        connection.isInTransaction = true;
+        if (kind == CommandKind::Begin)
+            m_router.observeLead(connection.service, connection.upstream, reply.position, sentAt);
+        if (Session* session = findSession(connection.session))
+            sendStatement(*session, connection, {}, now);
+        return;
+    }
+    if (reply.code == ResultCode::ReadOnly)
+        m_router.observeNoLead(connection.upstream, now);
+    if (reply.code == ResultCode::Lagging)
+        m_router.observeLag(connection.upstream, now);
+    Session* session = findSession(connection.session);
+    if (!session)
+        return;
+    session->request->lastCode = reply.code;
+    if (reply.code == ResultCode::ReadOnly)
+        --session->request->attempts;
+    else if (reply.code != ResultCode::Busy)
+        session->request->avoided.push_back(connection.upstream);
+    connection.session = 0;
+    session->connection = 0;
+    retry(*session, "transaction not begun", now);
+}
+
+void Engine::statementAnswered(
+    Connection& connection, const Reply& reply, Model::Time sentAt, Model::Time now)
+{
+    m_router.observeAnswer(connection.upstream, sentAt, now);
+    Session* session = findSession(connection.session);
+    if (!session) {
+        connection.isInTransaction = reply.state != TransactionState::None;
+        return;
+    }
+    if (reply.code == ResultCode::Complete)
+        return completed(*session, connection, reply, sentAt, now);
+    if (session->state == TransactionState::None)
+        return failedAlone(*session, connection, reply, now);
+    failedInTransaction(*session, connection, reply, now);
+}
+
+void Engine::completed(
+    Session& session, Connection& connection, Reply reply, Model::Time sentAt, Model::Time now)
+{
+    const Request& request = *session.request;
+    const bool isCommit = request.statement.kind == StatementKind::Commit;
+    const bool isSingleWrite = session.state == TransactionState::None && request.isWrite;
+    if (isSingleWrite || (isCommit && session.hasWritten)) {
+        // An answered write proves that the upstream led when it ran.
+        m_router.observeLead(connection.service, connection.upstream, reply.position, sentAt);
+        session.lastCommit = std::max(session.lastCommit, reply.position);
+    }
+    if (request.isWrite)
+        session.hasWritten = true;
+    if (isCommit) {
+        connection.isInTransaction = false;
+        session.state = TransactionState::None;
+    }
+    reply.state = session.state;
+    if (session.state == TransactionState::None) {
+        connection.session = 0;
+        session.connection = 0;
+        // The session's next statement may be here already, and finds its connection idle.
+        if (connection.pending.empty())
+            release(connection, now);
+    }
+    finish(session, reply, now);
+}
+
+/// A statement outside a transaction did not succeed.
+void Engine::failedAlone(Session& session, Connection& connection, const Reply& reply, Model::Time now)
+{
+    Request& request = *session.request;
+    const std::string upstream = connection.upstream;
+    request.lastCode = reply.code;
+    connection.session = 0;
+    session.connection = 0;
+    if (reply.code == ResultCode::ReadOnly)
+        m_router.observeNoLead(upstream, now);
+    if (reply.code == ResultCode::Lagging)
+        m_router.observeLag(upstream, now);
+    const bool mayRepeat = resultInfo(reply.code).isNotRun || !request.isWrite;
+    if (!mayRepeat || reply.code == ResultCode::Malformed) {
+        finish(session, errorReply(reply.code, reply.text, TransactionState::None), now);
+        return;
+    }
+    if (reply.code == ResultCode::UnknownStatement)
+        closeConnection(connection.id);
+    // An upstream that does not lead is left out for a while by the router.
+    if (reply.code == ResultCode::ReadOnly)
+        --request.attempts;
+    else if (reply.code != ResultCode::Busy && reply.code != ResultCode::UnknownStatement)
+        request.avoided.push_back(upstream);
+    retry(session, "upstream did not run it", now);
+}
+
+void Engine::failedInTransaction(
+    Session& session, Connection& connection, const Reply& reply, Model::Time now)
+{
+    Request& request = *session.request;
+    const bool isCommit = request.statement.kind == StatementKind::Commit;
+    if (reply.code == ResultCode::Busy && reply.state == TransactionState::Open
+        && now + busyPause < request.deadline) {
+        request.phase = RequestPhase::Preparing;
+        request.retryAt = now + busyPause;
+        return;
+    }
+    if (reply.code == ResultCode::ReadOnly)
+        m_router.observeNoLead(connection.upstream, now);
+    session.state = isCommit ? TransactionState::None : TransactionState::Failed;
+    connection.isInTransaction = reply.state != TransactionState::None;
+    connection.session = 0;
+    session.connection = 0;
+    decided(DecisionKind::TransactionAborted, session, reply.code, "statement failed", now);
+    finish(session, errorReply(reply.code, reply.text, session.state), now);
+}
+
+void Engine::connectionLost(ConnectionId id, Model::Time now)
+{
+    Connection* connection = m_pool.find(id);
+    if (!connection)
+        return;
+    Connection lost = m_pool.take(id);
+    if (lost.state != ConnectionState::Idle)
+        m_reachability.failed(lost.upstream, now);
+    if (lost.state != ConnectionState::Idle) {
+        Decision decision;
+        decision.kind = DecisionKind::ConnectionLost;
+        decision.customer = lost.customer;
+        decision.upstream = lost.upstream;
+        decision.code = ResultCode::Failed;
+        decision.reason = "broken or silent";
+        decision.age = now - lost.changedAt;
+        m_hooks.decided(decision);
+        m_router.observeFailure(lost.upstream, now);
+    }
+    failCommands(lost);
+    if (lost.state == ConnectionState::Opening)
+        m_pool.unreachable(lost.upstream, now);
+    if (Session* session = findSession(lost.session)) {
+        session->connection = 0;
+        lostInUse(*session, lost.upstream, now);
+    }
+    dispatch(now);
+}
+
+/// The session's connection is gone.
+void Engine::lostInUse(Session& session, const std::string& upstream, Model::Time now)
+{
+    if (!session.request) {
+        session.isAborted = session.state == TransactionState::Open;
+        return;
+    }
+    Request& request = *session.request;
+    request.lastCode = ResultCode::Failed;
+    const bool isStarted = request.target == Target::Transaction || session.hasWritten;
+    const bool isTransaction = session.state == TransactionState::Open;
+    if (request.phase != RequestPhase::Running && !isStarted) {
+        request.avoided.push_back(upstream);
+        return retry(session, "connection lost before it was sent", now);
+    }
+    if (isTransaction) {
+        const bool isCommit = request.statement.kind == StatementKind::Commit;
+        const bool isInDoubt = isCommit && session.hasWritten && request.phase == RequestPhase::Running;
+        session.state = isCommit ? TransactionState::None : TransactionState::Failed;
+        const ResultCode code = isInDoubt ? ResultCode::InDoubt : ResultCode::Aborted;
+        decided(isInDoubt ? DecisionKind::RequestInDoubt : DecisionKind::TransactionAborted, session, code,
+            "connection lost", now);
+        finish(session, errorReply(code, "the connection to the upstream was lost", session.state), now);
+        return;
+    }
+    if (request.isWrite) {
+        decided(DecisionKind::RequestInDoubt, session, ResultCode::InDoubt, "connection lost", now);
+        finish(session,
+            errorReply(ResultCode::InDoubt, "the connection to the upstream was lost", session.state), now);
+        return;
+    }
+    request.avoided.push_back(upstream);
+    retry(session, "connection lost", now);
+}
+
+/// Returns a connection that no session uses to the pool, after a roll-back if it is in a transaction.
+void Engine::release(Connection& connection, Model::Time now)
+{
+    if (connection.isInTransaction) {
+        connection.state = ConnectionState::Settling;
+        const std::array commands { Command { CommandKind::Rollback } };
+        connection.pending.push_back({ CommandKind::Rollback, now });
+        m_hooks.send(connection.id, commands);
+        return;
+    }
+    connection.state = ConnectionState::Idle;
+    connection.changedAt = now;
+    const Directory::Upstream* upstream = m_view.findUpstream(connection.upstream);
+    if (!upstream || !m_view.takesWork(*upstream))
+        closeConnection(connection.id);
+    dispatch(now);
+}
+
+/// Separates the session from its connection, which goes back to the pool once it has answered.
+void Engine::detach(Session& session, Model::Time now)
+{
+    Connection* connection = m_pool.find(session.connection);
+    session.connection = 0;
+    if (!connection)
+        return;
+    connection->session = 0;
+    connection->changedAt = now;
+    if (connection->pending.empty())
+        release(*connection, now);
+    else
+        connection->state = ConnectionState::Settling;
+}
+
+void Engine::closeConnection(ConnectionId id)
+{
+    m_pool.remove(id);
+    m_hooks.disconnect(id);
+}
+
+void Engine::directoryChanged(Model::Time now)
+{
+    std::vector<ConnectionId> closing;
+    for (const auto& [id, connection] : m_pool.connections()) {
+        const Directory::Upstream* upstream = m_view.findUpstream(connection.upstream);
+        if (connection.state == ConnectionState::Idle && (!upstream || !m_view.takesWork(*upstream)))
+            closing.push_back(id);
+    }
+    for (const ConnectionId id : closing)
+        closeConnection(id);
+    dispatch(now);
+}
+
+void Engine::closeSurplus(Model::Time now)
+{
+    const auto shareOf = [this](const std::string& service, const std::string& upstream) {
+        return share(service, upstream);
+    };
+    for (const ConnectionId id : m_pool.surplus(shareOf, now))
+        closeConnection(id);
+    std::vector<ConnectionId> overdue;
+    for (const auto& [id, connection] : m_pool.connections()) {
+        const Model::Duration age = now - connection.changedAt;
+        if ((connection.state == ConnectionState::Opening && age > openTimeout)
+            || (connection.state == ConnectionState::Settling && age > settleTimeout))
+            overdue.push_back(id);
+    }
+    for (const ConnectionId id : overdue) {
+        m_hooks.disconnect(id);
+        connectionLost(id, now);
+    }
+}
+
+}
--- /dev/null
+++ b/src/libs/core/proxy/enginetime.cpp
@@ -0,0 +1,165 @@
+#include "core/proxy/engine.h"
+
+#include <algorithm>
+
+namespace Proxy {
+
+namespace {
+
+    constexpr Model::Duration surplusCheckPeriod = std::chrono::milliseconds(400);
+    /// How often running statements are looked at.
+    constexpr Model::Duration overdueCheckPeriod = std::chrono::milliseconds(100);
+    /// The answer of an upstream that works at its time limit is still on its way then.
+    constexpr Model::Duration replySlack = std::chrono::milliseconds(50);
+    /// A request is refused after this share of its target latency if nothing can run it; held longer, the
+    /// caller would lose time that it needs for its own retry.
+    constexpr int holdDivisor = 5;
+
+}
+
+void Engine::setPrimaryExpected(const std::string& service, std::optional<Model::Time> at)
+{
+    if (at)
+        m_primaryExpected[service] = *at;
+    else
+        m_primaryExpected.erase(service);
+}
+
+void Engine::tick(Model::Time now)
+{
+    const std::vector<SessionId> active(m_active.begin(), m_active.end());
+    for (const SessionId id : active) {
+        Session* session = findSession(id);
+        if (!session)
+            continue;
+        if (session->request)
+            checkRequest(*session, now);
+        else
+            checkTransaction(*session, now);
+    }
+    if (now >= m_nextSurplusCheck) {
+        m_nextSurplusCheck = now + surplusCheckPeriod;
+        closeSurplus(now);
+    }
+    dispatch(now);
+}
+
+void Engine::checkRequest(Session& session, Model::Time now)
+{
+    Request& request = *session.request;
+    if (request.phase == RequestPhase::Waiting) {
+        // Without a known primary the others are only asked whether they lead.
+        const bool hasCandidates = request.target == Target::Primary
+            ? m_router.primary(session.route->service, now) != nullptr
+            : !m_router.candidates(session, request, now).empty();
+        if (now >= request.deadline)
+            return refuse(session, ResultCode::Busy, "no connection in time", now);
+        if (!hasCandidates && now - request.arrivedAt >= holdLimit(session))
+            return refuse(session, ResultCode::Busy, "no upstream can run it", now);
+        return;
+    }
+    if (request.retryAt && request.phase == RequestPhase::Preparing && now >= *request.retryAt
+        && request.target == Target::Transaction) {
+        request.retryAt.reset();
+        if (Connection* connection = m_pool.find(session.connection))
+            sendStatement(session, *connection, {}, now);
+        return;
+    }
+    const ConnectionId id = session.connection;
+    if (mayAbandon(session) && isAnswerOverdue(session, now)) {
+        m_hooks.disconnect(id);
+        return connectionLost(id, now);
+    }
+    if (now < request.deadline + replySlack)
+        return;
+    m_hooks.disconnect(id);
+    request.attempts = maxAttempts;
+    connectionLost(id, now);
+}
+
+/// Whether nothing is kept of the running statement if its connection is closed.
+bool Engine::mayAbandon(const Session& session)
+{
+    const Request& request = *session.request;
+    if (request.phase != RequestPhase::Running)
+        return false;
+    if (session.state == TransactionState::Open)
+        return request.statement.kind != StatementKind::Commit;
+    return !request.isWrite;
+}
+
+bool Engine::isAnswerOverdue(const Session& session, Model::Time now) const
+{
+    const auto connection = m_pool.connections().find(session.connection);
+    return connection != m_pool.connections().end()
+        && m_router.isAnswerOverdue(connection->second.upstream, session.request->sentAt, now);
+}
+
+void Engine::checkTransaction(Session& session, Model::Time now)
+{
+    if (session.state != TransactionState::Open || session.connection == 0)
+        return;
+    if (now - session.lastActivity < session.configuration->limits.idleTransaction)
+        return;
+    decided(DecisionKind::TransactionAborted, session, ResultCode::Aborted, "idle transaction", now);
+    session.isAborted = true;
+    detach(session, now);
+}
+
+Model::Time Engine::nextTick(Model::Time now) const
+{
+    Model::Time next = std::max(m_nextSurplusCheck, now);
+    for (const SessionId id : m_active) {
+        const Session& session = m_sessions.at(id);
+        if (!session.request) {
+            if (session.connection != 0)
+                next = std::min(next, session.lastActivity + session.configuration->limits.idleTransaction);
+            continue;
+        }
+        const Request& request = *session.request;
+        if (request.retryAt && request.phase != RequestPhase::Running)
+            next = std::min(next, std::max(*request.retryAt, now));
+        if (request.phase == RequestPhase::Waiting && now - request.arrivedAt < holdLimit(session))
+            next = std::min(next, request.arrivedAt + holdLimit(session));
+        if (request.phase == RequestPhase::Running)
+            next = std::min(next, std::max(now, request.sentAt) + overdueCheckPeriod);
+        next = std::min(next, request.deadline + replySlack);
+    }
+    return next;
+}
+
+void Engine::closeIdleSessions()
+{
+    std::vector<SessionId> idle;
+    for (const auto& [id, session] : m_sessions) {
+        if (!m_active.contains(id))
+            idle.push_back(id);
+    }
+    for (const SessionId id : idle) {
+        m_sessions.erase(id);
+        m_hooks.closeSession(id);
+    }
+}
+
+void Engine::endIdleTransactions(Model::Time now)
+{
+    const std::vector<SessionId> active(m_active.begin(), m_active.end());
+    for (const SessionId id : active) {
+        const Session* session = findSession(id);
+        if (!session || session->request)
+            continue;
+        decided(DecisionKind::TransactionAborted, *session, ResultCode::Aborted, "shutdown", now);
+        sessionClosed(id, now);
+        m_hooks.closeSession(id);
+    }
+}
+
+Model::Duration Engine::holdLimit(const Session& session) const
+{
+    const auto expected = m_primaryExpected.find(session.route->service);
+    if (expected != m_primaryExpected.end() && expected->second < session.request->deadline)
+        return session.route->statementTimeout;
+    return session.route->targetLatency / holdDivisor;
+}
+
+}
--- a/src/libs/core/proxy/resultcode.cpp
+++ b/src/libs/core/proxy/resultcode.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-    constexpr std::array<ResultInfo, 14> s_results { {
+    constexpr std::array<ResultInfo, 14> results { {
         { ResultCode::Complete, "complete", false },
         { ResultCode::NoDatabase, "no_database", true },
         { ResultCode::InvalidKey, "invalid_key", true },
@@ -25,8 +25,8 @@
 
 }
 
-std::span<const ResultInfo> resultTable() { return s_results; }
+std::span<const ResultInfo> resultTable() { return results; }
 
-const ResultInfo& resultInfo(ResultCode code) { return s_results.at(static_cast<std::size_t>(code)); }
+const ResultInfo& resultInfo(ResultCode code) { return results.at(static_cast<std::size_t>(code)); }
 
 }
--- a/src/libs/core/proxy/session.h
+++ b/src/libs/core/proxy/session.h
@@ -46,9 +46,9 @@
     std::optional<Model::Time> retryAt;
     /// The connection that is being opened for it; 0 for none.
     ConnectionId opening = 0;
+    /// The upstream that it went to last; empty before the first try.
+    std::string upstream;
     int attempts = 0;
-    /// The highest position that an upstream was asked for was missing there.
-    bool sawLag = false;
     /// Upstreams that could not run it.
     std::vector<std::string> avoided;
     /// How its last attempt ended.
--- a/src/libs/eventloop/tcpstream.cpp
+++ b/src/libs/eventloop/tcpstream.cpp
@@ -29,8 +29,8 @@
     // One buffer serves all streams: what was read is consumed before the next read.
     void allocate(uv_handle_t* /*handle*/, std::size_t /*suggested*/, uv_buf_t* buffer)
     {
-        static std::array<char, readBufferSize> s_buffer;
-        *buffer = uv_buf_init(s_buffer.data(), s_buffer.size());
+        static std::array<char, readBufferSize> readBuffer;
+        *buffer = uv_buf_init(readBuffer.data(), readBuffer.size());
     }
 
     bool parseAddress(const std::string& address, sockaddr_in& result)
--- a/src/libs/logging/log.cpp
+++ b/src/libs/logging/log.cpp
@@ -7,8 +7,6 @@
 #include <poll.h>
 #include <unistd.h>
 
-INITIALIZE_EASYLOGGINGPP
-
 namespace Logging {
 
 namespace {
--- a/src/libs/sessionserver/server.cpp
+++ b/src/libs/sessionserver/server.cpp
@@ -196,7 +196,7 @@
         reply.state = message.state;
         reply.position = message.position;
         if (std::exchange(connection.isOpen, true))
-            m_engine.connectionReply(id, std::move(reply), now);
+            m_engine.connectionReply(id, reply, now);
         else
             m_engine.connectionOpened(id, reply.position, now);
         break;
--- a/src/libs/settings/proxysettings.h
+++ b/src/libs/settings/proxysettings.h
@@ -7,7 +7,7 @@
 
 namespace Settings {
 
-/// The settings of a `parsleytackd` that runs as a session proxy. docs/settings.md describes the fields.
+/// The settings of a `parsleytackd` that runs as a session proxy. docs/proxysettings.md describes the fields.
 struct ProxySettings {
     std::string host;
     std::string zone;
--- a/src/tools/parsleytack/exitcode.h
+++ b/src/tools/parsleytack/exitcode.h
@@ -2,7 +2,7 @@
 
 namespace Tool {
 
-/// Exit codes of the program. docs/operations.md lists them.
+/// Exit codes of the program. docs/OPERATIONS.md lists them.
 enum class ExitCode {
     Done = 0,
     Refused = 1,
--- a/src/tools/parsleytackd/exitcode.h
+++ b/src/tools/parsleytackd/exitcode.h
@@ -1,6 +1,6 @@
 #pragma once
 
-/// Exit codes; docs/operations.md lists them.
+/// Exit codes; docs/OPERATIONS.md lists them.
 enum class ExitCode {
     Done = 0,
     Usage = 2,
--- a/tests/auto/core/catalog/tst_check.cpp
+++ b/tests/auto/core/catalog/tst_check.cpp
@@ -163,7 +163,7 @@
 // Guards against an example in the operators' page that hosts refuse.
 TEST(Check, ExampleOfTheOperatorsPage)
 {
-    std::ifstream file(std::string(PARSLEYTACK_DOCS_DIR) + "/operations.md");
+    std::ifstream file(std::string(PARSLEYTACK_DOCS_DIR) + "/OPERATIONS.md");
     const std::string page { std::istreambuf_iterator<char>(file), {} };
     const std::string opening = "```json\n";
     const std::size_t begin = page.find(opening);
--- a/tests/auto/core/proxy/enginefixture.cpp
+++ b/tests/auto/core/proxy/enginefixture.cpp
@@ -145,7 +145,7 @@
     reply.text = code == ResultCode::Complete ? "receipt" : "reason";
     if (position != 0)
         reply.position = { m_term, position };
-    m_engine->connectionReply(link, std::move(reply), m_now);
+    m_engine->connectionReply(link, reply, m_now);
 }
 
 void EngineFixture::observePrimary(std::uint64_t position)
--- a/tests/auto/sessionproxy/estate.cpp
+++ b/tests/auto/sessionproxy/estate.cpp
@@ -32,8 +32,8 @@
 
 std::string temporaryFile(const std::string& name)
 {
-    static int s_count = 0;
-    return "/tmp/parsleytack-sessionproxy-" + std::to_string(getpid()) + "-" + std::to_string(++s_count) + "-"
+    static int count = 0;
+    return "/tmp/parsleytack-sessionproxy-" + std::to_string(getpid()) + "-" + std::to_string(++count) + "-"
         + name;
 }
 
--- a/tests/auto/settings/tst_proxysettings.cpp
+++ b/tests/auto/settings/tst_proxysettings.cpp
@@ -1,5 +1,8 @@
+#include "../doctable.h"
 #include "settings/proxysettings.h"
 
+#include <set>
+
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
@@ -50,6 +53,19 @@
     EXPECT_FALSE(parseProxySettings("[settings]"));
 }
 
+// Guards against a page that describes other fields than the program reads.
+TEST(ProxySettings, ThePageListsAllFields)
+{
+    std::set<std::string> documented;
+    for (const auto& row : readDocTable("proxysettings.md"))
+        documented.insert(row.at(0).substr(1, row.at(0).size() - 2));
+    std::set<std::string> read;
+    const auto json = valid();
+    for (const auto& [field, value] : json.items())
+        read.insert(field);
+    EXPECT_EQ(documented, read);
+}
+
 // Guards against a start that fails because the platform added a field.
 TEST(ProxySettings, IgnoresFieldsThatItDoesNotKnow)
 {
--- a/tests/standins/sessionplatform/databases.cpp
+++ b/tests/standins/sessionplatform/databases.cpp
@@ -1,5 +1,6 @@
 #include "sessionplatform/databases.h"
 
+#include <cstdlib>
 #include <sstream>
 
 #include <arpa/inet.h>
@@ -35,7 +36,8 @@
         sockaddr_in address {};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        ::bind(member->listener, reinterpret_cast<sockaddr*>(&address), sizeof address);
+        if (::bind(member->listener, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0)
+            std::abort();
         ::listen(member->listener, 64);
         socklen_t size = sizeof address;
         ::getsockname(member->listener, reinterpret_cast<sockaddr*>(&address), &size);
@@ -256,7 +258,7 @@
         isWrite = prepared->second;
         words.erase(words.begin());
     }
-    const std::string receipt = "COMPLETE receipt-" + id + "\r\n";
+    std::string receipt = "COMPLETE receipt-" + id + "\r\n";
     if (words[0] == "COMMIT") {
         const bool isLost = !link.writes.empty() && m_primary != member.id;
         for (const auto& [item, data] : link.writes) {
