Log changes of upstreams and zones; bridge entries that expire in an outage

Reading that code showed that an upstream missing from a full listing was never removed (after a lost history it went on getting work), and that entries which expired in an outage of the store were dropped at once although they are back within 2 s. Change: three events; missing entries are removed after 2.5 s unless they come back.

--- /dev/null
+++ b/src/libs/core/directory/departures.cpp
@@ -0,0 +1,29 @@
+#include "core/directory/departures.h"
+
+namespace Directory {
+
+namespace {
+
+    /// Upstreams that live register again within about two seconds of the store's return.
+    constexpr Model::Duration grace = std::chrono::milliseconds(2500);
+
+}
+
+void Departures::missing(const std::string& upstream, Model::Time now)
+{
+    m_missingSince.try_emplace(upstream, now);
+}
+
+std::vector<std::string> Departures::takeGone(Model::Time now)
+{
+    std::vector<std::string> gone;
+    for (const auto& [upstream, since] : m_missingSince) {
+        if (now - since >= grace)
+            gone.push_back(upstream);
+    }
+    for (const std::string& upstream : gone)
+        m_missingSince.erase(upstream);
+    return gone;
+}
+
+}
--- a/src/libs/logging/eventid.cpp
+++ b/src/libs/logging/eventid.cpp
@@ -9,7 +9,7 @@
 
     using enum EventId;
 
-    constexpr std::array<EventInfo, 41> table { {
+    constexpr std::array<EventInfo, 44> table { {
         { ProcessStarted, "process_started", Severity::Info, "the process listens on all its addresses" },
         { ProcessStopped, "process_stopped", Severity::Info, "the process ended after its last request" },
         { DrainStarted, "drain_started", Severity::Info, "SIGTERM received; no new requests are accepted" },
@@ -41,6 +41,10 @@
             "a connection gave no answer and was closed" },
         { ConnectionFailed, "connection_failed", Severity::Warning,
             "a connection to an upstream cannot be opened" },
+        { UpstreamChanged, "upstream_changed", Severity::Info,
+            "an upstream was registered, or its entry changed" },
+        { UpstreamGone, "upstream_gone", Severity::Info, "an upstream is no longer registered" },
+        { ZoneChanged, "zone_changed", Severity::Info, "an availability zone was taken out or brought back" },
         { CatalogAdopted, "catalog_adopted", Severity::Info,
             "a newer configuration is in force on this host" },
         { CatalogRejected, "catalog_rejected", Severity::Warning, "a configuration was not adopted" },
--- a/src/libs/proxyhost/proxyhost.cpp
+++ b/src/libs/proxyhost/proxyhost.cpp
@@ -3,6 +3,7 @@
 #include "logging/log.h"
 #include "proxyhost/rows.h"
 
+#include <algorithm>
 #include <random>
 
 namespace ProxyHost {
@@ -20,6 +21,8 @@
     constexpr int watchesPerReport = 2;
     /// A host that sends no reports for so long holds no connections.
     constexpr Model::Duration reportLifetime = std::chrono::seconds(2);
+    /// Entries that go so soon after an outage of the store may have expired in it.
+    constexpr Model::Duration outageAftermath = std::chrono::milliseconds(2500);
     /// Parts of the time that a shutdown may take: open transactions are rolled back after the first, the
     /// process ends after the second.
     constexpr double transactionPart = 0.5;
@@ -70,6 +73,8 @@
     m_failovers.setHostCount(hosts);
     m_server.engine().ledger().setHostCount(hosts);
     m_server.engine().ledger().forget(now - reportLifetime);
+    for (const std::string& upstream : m_departures.takeGone(now))
+        removeUpstream(upstream);
     m_failovers.update();
     if (++m_watchCount % watchesPerReport == 0)
         publish();
@@ -94,33 +99,39 @@
     };
     events.zonesOut = [this](const std::vector<std::string>& zones) {
         const auto before = m_view.zonesOut();
-        for (const std::string& zone : before)
-            m_view.setZoneIn(zone);
+        for (const std::string& zone : before) {
+            if (std::ranges::find(zones, zone) == zones.end())
+                setZone(zone, false);
+        }
         for (const std::string& zone : zones)
-            m_view.setZoneOut(zone);
+            setZone(zone, true);
         m_server.directoryChanged();
     };
     events.zone = [this](const std::string& zone, bool isOut) {
-        if (isOut)
-            m_view.setZoneOut(zone);
-        else
-            m_view.setZoneIn(zone);
+        setZone(zone, isOut);
         m_server.directoryChanged();
     };
     events.upstreams = [this](const std::vector<Directory::Upstream>& upstreams) {
+        for (const auto& [id, upstream] : m_view.upstreams()) {
+            if (std::ranges::find(upstreams, id, &Directory::Upstream::id) == upstreams.end())
+                m_departures.missing(id, EventLoop::now());
+        }
         for (const Directory::Upstream& upstream : upstreams)
-            m_view.setUpstream(upstream);
+            setUpstream(upstream);
         m_hasUpstreams = true;
         updateReadiness();
         m_server.directoryChanged();
     };
     events.upstream = [this](const Directory::Upstream& upstream) {
-        m_view.setUpstream(upstream);
+        setUpstream(upstream);
         m_server.directoryChanged();
     };
     events.upstreamGone = [this](const std::string& id) {
-        m_view.removeUpstream(id);
-        m_server.directoryChanged();
+        const Model::Time now = EventLoop::now();
+        if (!m_lostTables.empty() || now - m_storeReachedAt < outageAftermath)
+            m_departures.missing(id, now);
+        else
+            removeUpstream(id);
     };
     events.hosts = [this](const std::vector<StoreRow>& rows, bool isComplete) {
         m_fleet.hostsChanged(rows, isComplete, EventLoop::now());
@@ -128,6 +139,7 @@
     events.storeReached = [this](const std::string& table) {
         Logging::write(Logging::EventId::StoreRecovered, { { "table", table } });
         m_lostTables.erase(table);
+        m_storeReachedAt = EventLoop::now();
         m_failovers.setStoreReachable(m_lostTables.empty());
     };
     events.storeLost = [this](const std::string& table, const std::string& error) {
@@ -138,6 +150,39 @@
     return events;
 }
 
+void ProxyHost::setUpstream(const Directory::Upstream& upstream)
+{
+    Logging::write(Logging::EventId::UpstreamChanged,
+        { { "upstream", upstream.id }, { "service", upstream.service }, { "zone", upstream.zone },
+            { "role", upstream.role == Directory::Role::Primary ? "primary" : "replica" },
+            { "availability",
+                upstream.availability == Directory::Availability::Ready ? "ready" : "draining" },
+            { "revision", std::to_string(upstream.revision) } });
+    m_departures.seen(upstream.id);
+    m_view.setUpstream(upstream);
+}
+
+void ProxyHost::removeUpstream(const std::string& id)
+{
+    if (!m_view.findUpstream(id))
+        return;
+    Logging::write(Logging::EventId::UpstreamGone, { { "upstream", id } });
+    m_departures.seen(id);
+    m_view.removeUpstream(id);
+    m_server.directoryChanged();
+}
+
+void ProxyHost::setZone(const std::string& zone, bool isOut)
+{
+    if (m_view.isZoneOut(zone) == isOut)
+        return;
+    Logging::write(Logging::EventId::ZoneChanged, { { "zone", zone }, { "state", isOut ? "out" : "in" } });
+    if (isOut)
+        m_view.setZoneOut(zone);
+    else
+        m_view.setZoneIn(zone);
+}
+
 void ProxyHost::adopt(std::shared_ptr<const Directory::Configuration> configuration)
 {
     const std::string version = std::to_string(configuration->version);
--- a/src/libs/proxyhost/proxyhost.h
+++ b/src/libs/proxyhost/proxyhost.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/allowance/fleetallowance.h"
+#include "core/directory/departures.h"
 #include "core/directory/view.h"
 #include "eventloop/loop.h"
 #include "eventloop/timer.h"
@@ -37,6 +38,9 @@
 
 private:
     void adopt(std::shared_ptr<const Directory::Configuration> configuration);
+    void setUpstream(const Directory::Upstream& upstream);
+    void removeUpstream(const std::string& id);
+    void setZone(const std::string& zone, bool isOut);
     void updateReadiness();
     void continueShutdown();
     void watch();
@@ -57,6 +61,8 @@
     EventLoop::Timer m_shutdownTimer;
     std::optional<Model::Time> m_shutdownAt;
     bool m_hasUpstreams = false;
+    Directory::Departures m_departures;
+    Model::Time m_storeReachedAt;
     /// Tables of the store that cannot be followed now.
     std::set<std::string> m_lostTables;
 };
--- a/tests/auto/sessionproxy/tst_sessionproxy.cpp
+++ b/tests/auto/sessionproxy/tst_sessionproxy.cpp
@@ -91,6 +91,10 @@
     for (int host = 0; host < 3; ++host)
         EXPECT_TRUE(writeUntilComplete(estate, host, "after" + std::to_string(host) + "-"));
     EXPECT_NE(estate.databases().primary(), former);
+    // The log shows the new primary's entry, from which an engineer dates the change.
+    const std::string entry = R"("upstream_changed","host":"host-0","upstream":")"
+        + estate.databases().primary() + R"(","service":"ledger","zone":"north","role":"primary")";
+    EXPECT_NE(estate.host(0).output().find(entry), std::string::npos);
     EXPECT_LE(estate.databases().commits("before1"), 1);
     EXPECT_TRUE(estate.databases().faults().empty());
 }
@@ -140,6 +144,25 @@
     EXPECT_TRUE(waitUntil([&] { return errorCode(client.query("WRITE a 1")) == "NOAUTH"; }, 5s));
 }
 
+// Guards against a service that is lost because its entries expired while the store was away.
+TEST(SessionProxy, EntriesThatExpireInAnOutageAreBridged)
+{
+    Estate estate(1);
+    Client client(estate.callers(0));
+    ASSERT_EQ(client.open("own", "key-1"), "READY I -");
+    estate.store().setAway(true);
+    std::this_thread::sleep_for(500ms);
+    for (const std::string& id : estate.databases().ids())
+        estate.store().remove("servers", id);
+    estate.store().setAway(false);
+    for (int i = 0; i < 20; ++i) {
+        EXPECT_TRUE(isComplete(client.query("WRITE a x")));
+        std::this_thread::sleep_for(100ms);
+    }
+    // Those that stay away are gone.
+    EXPECT_TRUE(waitUntil([&] { return errorCode(client.query("WRITE a x")) == "BUSY"; }, 5s));
+}
+
 // Guards against a customer that gets its whole rate at each host.
 TEST(SessionProxy, LimitsACustomerOverAllHosts)
 {
