--- a/src/libs/core/failover/promotion.cpp
+++ b/src/libs/core/failover/promotion.cpp
@@ -163,8 +163,7 @@
     std::string best;
     std::optional<Model::LogPosition> bestPosition;
     for (const Directory::Upstream* upstream : m_view.upstreamsOf(m_service)) {
-        const bool isRefused = std::ranges::find(m_refused, upstream->id) != m_refused.end();
-        if (upstream->id == m_former || !m_view.takesWork(*upstream) || isRefused)
+        if (upstream->id == m_former || !m_view.takesWork(*upstream))
             continue;
         const auto status = m_statuses.find(upstream->id);
         const bool isKnown = status != m_statuses.end() && status->second;
@@ -198,7 +197,6 @@
         break;
     case OrderResult::Refused:
         // Either the upstream does not run, or a newer holder acts; a new try takes the duty again.
-        m_refused.push_back(m_candidate);
         enter(PromotionPhase::Failed, now);
         break;
     case OrderResult::Unavailable:
--- a/src/libs/core/failover/promotion.h
+++ b/src/libs/core/failover/promotion.h
@@ -11,7 +11,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <vector>
 
 namespace Failover {
 
@@ -113,7 +112,6 @@
     /// Its last position, if it stepped down.
     Model::LogPosition m_target;
     std::string m_candidate;
-    std::vector<std::string> m_refused;
     /// When an order without a clear answer is given again.
     std::optional<Model::Time> m_repeatAt;
 };
--- a/src/libs/core/proxy/engine.h
+++ b/src/libs/core/proxy/engine.h
@@ -72,7 +72,6 @@
     /// Rolls the transactions back that wait for their caller, and closes their sessions.
     void endIdleTransactions(Model::Time now);
     std::size_t sessionCount() const { return m_sessions.size(); }
-    std::size_t busySessionCount() const { return m_active.size(); }
     const Pool& pool() const { return m_pool; }
     const Router& router() const { return m_router; }
 
