--- a/src/libs/core/directory/view.h
+++ b/src/libs/core/directory/view.h
@@ -30,11 +30,17 @@
     /// The upstreams of a service in ascending order of their ids.
     std::vector<const Upstream*> upstreamsOf(std::string_view service) const;
     /// The primary of a service, or null. The entry of a crashed primary still announces the role for a
-    /// while, so that the newest announcement counts.
+    /// while, so that the newest announcement counts. Fenced upstreams are left out.
     const Upstream* primaryOf(std::string_view service) const;
     /// Whether new work may be sent to the upstream.
     bool acceptsWork(const Upstream& upstream) const;
 
+    /// Excludes an upstream from being its service's primary, because a promotion replaces it. The fence ends
+    /// when the upstream announces the replica role in an entry newer than `revision`: it can become the
+    /// primary again only by another promotion.
+    void fence(const std::string& id, std::uint64_t revision);
+    bool isFenced(std::string_view id) const { return m_fences.contains(id); }
+
     void setZoneOut(const std::string& zone) { m_zonesOut.insert(zone); }
     void setZoneIn(const std::string& zone) { m_zonesOut.erase(zone); }
     bool isZoneOut(const std::string& zone) const { return m_zonesOut.contains(zone); }
@@ -44,6 +50,8 @@
     std::shared_ptr<const Configuration> m_configuration;
     std::map<std::string, Upstream, std::less<>> m_upstreams;
     std::set<std::string> m_zonesOut;
+    /// The revisions of the fences by id of the upstream.
+    std::map<std::string, std::uint64_t, std::less<>> m_fences;
 };
 
 }
--- /dev/null
+++ b/src/libs/core/failover/primaryfences.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "core/directory/view.h"
+#include "core/failover/primarypermission.h"
+#include "core/failover/promotionlease.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Failover {
+
+/// The fences of a service, as they stand in the row of its promotion lease.
+struct ServiceFences {
+    std::string service;
+    /// Version of the row.
+    std::uint64_t version = 0;
+    std::vector<FencedUpstream> fences;
+};
+
+/// Tracks the fences of all services, and which hosts have acknowledged them. Used on one thread.
+class PrimaryFences {
+public:
+    PrimaryFences(Directory::View& view, const PrimaryPermission& permission);
+
+    /// Applies the fences of a service. Returns false if these or newer ones are known already.
+    bool apply(const ServiceFences& fences, Model::Time now);
+    /// The fences that this host reports to the others: those that a host may not have read from the store
+    /// yet.
+    std::vector<ServiceFences> reported(Model::Time now) const;
+    /// Another host has applied the service's fences of this version.
+    void acknowledged(const std::string& host, const std::string& service, std::uint64_t version);
+
+    /// Whether no host uses an upstream any more that the newest fences of the service exclude: each has
+    /// acknowledged them, or a majority has and the permission of the others has ended, or every permission
+    /// has ended that was based on an earlier read of the store. Has to be called repeatedly from the
+    /// acquisition of the lease until it returns true. `hosts` are the hosts that were
+    /// registered when the store had accepted the fences.
+    bool isEffective(const std::string& service, const std::vector<std::string>& hosts, Model::Time now);
+
+private:
+    struct Known {
+        ServiceFences fences;
+        Model::Time since;
+        /// Version that each host has acknowledged.
+        std::map<std::string, std::uint64_t> acknowledged;
+        /// When the acknowledgements of a majority were complete.
+        std::optional<Model::Time> majoritySince;
+    };
+
+    static std::uint64_t versionOf(const FencedUpstream& fence, const ServiceFences& fences);
+    bool areOlderThan(const ServiceFences& fences, Model::Duration age, Model::Time now) const;
+
+    Directory::View& m_view;
+    const PrimaryPermission& m_permission;
+    std::map<std::string, Known> m_services;
+    /// When this host learned of each fence, by id of the upstream and version of the row that added it.
+    std::map<std::pair<std::string, std::uint64_t>, Model::Time> m_knownSince;
+};
+
+}
--- /dev/null
+++ b/src/libs/core/failover/primarypermission.cpp
@@ -0,0 +1,86 @@
+#include "core/failover/primarypermission.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace Failover {
+
+namespace {
+
+    /// The store is read this often while the messages of the other hosts suffice.
+    constexpr Model::Duration storeReadPeriod = std::chrono::seconds(8);
+    /// The store is read if the permission ends within this time.
+    constexpr Model::Duration renewalMargin = std::chrono::milliseconds(700);
+
+}
+
+void PrimaryPermission::setHosts(const std::vector<std::string>& hosts, Model::Time now)
+{
+    std::erase_if(
+        m_hosts, [&](const auto& host) { return std::ranges::find(hosts, host.first) == hosts.end(); });
+    for (const std::string& host : hosts)
+        m_hosts.try_emplace(host, Host { now, std::nullopt });
+    if (!m_listedSince)
+        m_listedSince = now;
+    update(now);
+}
+
+void PrimaryPermission::contacted(const std::string& host, Model::Time sentAt, Model::Time now)
+{
+    const auto entry = m_hosts.find(host);
+    if (entry == m_hosts.end())
+        return;
+    entry->second.heardAt = std::max(entry->second.heardAt.value_or(sentAt), sentAt);
+    update(now);
+}
+
+void PrimaryPermission::storeRead(Model::Time startedAt, Model::Time now)
+{
+    m_storeReadAt = std::max(m_storeReadAt.value_or(startedAt), startedAt);
+    update(now);
+}
+
+bool PrimaryPermission::isInAllLists(const std::string& host, Model::Time now) const
+{
+    const auto entry = m_hosts.find(host);
+    if (entry == m_hosts.end())
+        return false;
+    return entry->second.knownSince == m_listedSince || now - entry->second.knownSince > maxStoreReadAge;
+}
+
+/// Since when a majority of the fleet, this host included, has sent messages; `nullopt` if too few have.
+std::optional<Model::Time> PrimaryPermission::majorityHeardAt(Model::Time now) const
+{
+    const std::size_t others = (m_hosts.size() + 1) / 2;
+    if (others == 0)
+        return now;
+    std::vector<Model::Time> heard;
+    for (const auto& [name, host] : m_hosts) {
+        if (host.heardAt)
+            heard.push_back(*host.heardAt);
+    }
+    if (heard.size() < others)
+        return std::nullopt;
+    const auto last = heard.begin() + static_cast<std::ptrdiff_t>(others - 1);
+    std::ranges::nth_element(heard, last, std::ranges::greater {});
+    return *last;
+}
+
+void PrimaryPermission::update(Model::Time now)
+{
+    if (!m_storeReadAt)
+        return;
+    m_validUntil = *m_storeReadAt + permissionDuration;
+    if (const auto heardAt = majorityHeardAt(now)) {
+        const Model::Time byMajority
+            = std::min(*heardAt + permissionDuration, *m_storeReadAt + maxStoreReadAge);
+        m_validUntil = std::max(m_validUntil, byMajority);
+    }
+}
+
+bool PrimaryPermission::needsStoreRead(Model::Time now) const
+{
+    return !m_storeReadAt || now - *m_storeReadAt >= storeReadPeriod || now + renewalMargin >= m_validUntil;
+}
+
+}
--- a/src/libs/core/failover/promotion.cpp
+++ b/src/libs/core/failover/promotion.cpp
@@ -7,6 +7,8 @@
 namespace {
 
     constexpr Model::Duration leaseTimeout = std::chrono::seconds(4);
+    /// Less than the duration of the lease, which begins when the store has written it.
+    constexpr Model::Duration leaseUse = std::chrono::milliseconds(3000);
     /// A replica that has not reported its position may hold acknowledged commits that no other replica has,
     /// so the survey waits for it unless it is unreachable.
     constexpr Model::Duration surveyTimeout = std::chrono::milliseconds(1200);
@@ -29,6 +31,8 @@
     switch (phase) {
     case PromotionPhase::TakingDuty:
         return "taking_duty";
+    case PromotionPhase::Fencing:
+        return "fencing";
     case PromotionPhase::Surveying:
         return "surveying";
     case PromotionPhase::SteppingDown:
@@ -48,19 +52,28 @@
 }
 
 Promotion::Promotion(const Directory::View& view, std::string service, PromotionReason reason,
-    PromotionHooks hooks, Model::Time now)
+    std::string previousPrimary, PromotionHooks hooks, Model::Time now)
     : m_view(view)
     , m_service(std::move(service))
     , m_reason(reason)
     , m_hooks(std::move(hooks))
     , m_startedAt(now)
     , m_phaseAt(now)
+    , m_previousPrimary(std::move(previousPrimary))
 {
-    if (const Directory::Upstream* primary = view.primaryOf(m_service))
-        m_previousPrimary = primary->id;
-    m_hooks.acquireLease(m_service);
+    // A primary that leaves is asked to step down, which ends its use without a fence.
+    acquireLease(m_reason == PromotionReason::Leaving ? std::string() : m_previousPrimary, now);
 }
 
+void Promotion::acquireLease(const std::string& fenced, Model::Time now)
+{
+    enter(PromotionPhase::TakingDuty, now);
+    m_leaseRequestedAt = now;
+    m_hooks.acquireLease(m_service, fenced);
+}
+
+Model::Time Promotion::leaseEnd() const { return m_leaseRequestedAt + leaseUse; }
+
 void Promotion::enter(PromotionPhase phase, Model::Time now)
 {
     m_phase = phase;
@@ -77,7 +90,8 @@
     // Another upstream may have become the primary while the store handled the lease.
     if (hasNewPrimary())
         return enter(PromotionPhase::Finished, now);
-    survey(now);
+    enter(PromotionPhase::Fencing, now);
+    update(now);
 }
 
 /// Whether another upstream is the primary already.
@@ -94,7 +108,9 @@
     m_outstanding.clear();
     m_statusRequestedAt = now;
     for (const Directory::Upstream* upstream : m_view.upstreamsOf(m_service)) {
-        if (upstream->id != m_previousPrimary || m_reason == PromotionReason::Leaving)
+        const bool isRequested = upstream->id == m_previousPrimary ? m_reason == PromotionReason::Leaving
+                                                                   : !m_view.isFenced(upstream->id);
+        if (isRequested)
             m_statuses[upstream->id];
     }
     if (m_statuses.empty())
@@ -118,6 +134,9 @@
     if (m_phase == PromotionPhase::Surveying)
         return continueSurvey(now);
     if (m_phase == PromotionPhase::SteppingDown && upstream == m_previousPrimary) {
+        const bool isStillPrimary = !status || status->role == Directory::Role::Primary;
+        if (isStillPrimary && m_hooks.isFenceEffective)
+            return stepDownFailed(now);
         if (status)
             m_target = status->received;
         enter(PromotionPhase::CatchingUp, now);
@@ -143,19 +162,35 @@
 
 void Promotion::finishSurvey(Model::Time now)
 {
-    const auto previousStatus = m_statuses.find(m_previousPrimary);
-    const bool canStepDown = m_reason == PromotionReason::Leaving && previousStatus != m_statuses.end()
-        && previousStatus->second && previousStatus->second->role == Directory::Role::Primary;
-    if (!canStepDown)
+    const auto previous = m_statuses.find(m_previousPrimary);
+    if (m_reason != PromotionReason::Leaving || previous == m_statuses.end())
+        return promoteBestReplica(now);
+    if (!previous->second)
+        return stepDownFailed(now);
+    if (previous->second->role != Directory::Role::Primary)
         return promoteBestReplica(now);
+    enter(PromotionPhase::SteppingDown, now);
+    m_outstanding.clear();
+    m_hooks.stepDown(m_previousPrimary, nextTerm());
+}
+
+/// The term of the next primary, as far as the upstreams' statuses show it.
+std::uint64_t Promotion::nextTerm() const
+{
     std::uint64_t term = 0;
     for (const auto& [upstream, status] : m_statuses) {
         if (status)
             term = std::max(term, status->term);
     }
-    enter(PromotionPhase::SteppingDown, now);
-    m_outstanding.clear();
-    m_hooks.stepDown(m_previousPrimary, term + 1);
+    return term + 1;
+}
+
+/// On a platform that does not take the role from the previous primary, it continues as one until it is asked
+/// to step down or reaches the new primary.
+void Promotion::stepDownPreviousPrimary()
+{
+    if (m_hooks.isFenceEffective && m_view.findUpstream(m_previousPrimary))
+        m_hooks.stepDown(m_previousPrimary, nextTerm());
 }
 
 std::string Promotion::bestReplica() const
@@ -163,7 +198,8 @@
     std::string best;
     std::optional<Model::LogPosition> bestPosition;
     for (const Directory::Upstream* upstream : m_view.upstreamsOf(m_service)) {
-        if (upstream->id == m_previousPrimary || !m_view.acceptsWork(*upstream))
+        if (upstream->id == m_previousPrimary || !m_view.acceptsWork(*upstream)
+            || m_view.isFenced(upstream->id))
             continue;
         const auto status = m_statuses.find(upstream->id);
         const bool isKnown = status != m_statuses.end() && status->second;
@@ -183,6 +219,14 @@
     if (m_candidate.empty())
         return enter(PromotionPhase::Failed, now);
     enter(PromotionPhase::Requesting, now);
+    requestPromotion(now);
+}
+
+/// Another host may hold the lease once it has ended. It is acquired again then, by a new promotion.
+void Promotion::requestPromotion(Model::Time now)
+{
+    if (now > leaseEnd())
+        return enter(PromotionPhase::Failed, now);
     m_hooks.requestPromotion(m_service, m_candidate, m_token);
 }
 
@@ -213,6 +257,15 @@
     return m_acceptedAt ? *m_acceptedAt + promotionDuration : now + preparationDuration + promotionDuration;
 }
 
+/// The previous primary may still run requests. Where a promotion does not prevent that, it is fenced first.
+void Promotion::stepDownFailed(Model::Time now)
+{
+    if (!m_hooks.isFenceEffective)
+        return promoteBestReplica(now);
+    m_reason = PromotionReason::Unreachable;
+    acquireLease(m_previousPrimary, now);
+}
+
 void Promotion::update(Model::Time now)
 {
     const Model::Duration elapsed = now - m_phaseAt;
@@ -221,12 +274,18 @@
         if (elapsed > leaseTimeout)
             enter(PromotionPhase::Failed, now);
         break;
+    case PromotionPhase::Fencing:
+        if (!m_hooks.isFenceEffective || m_hooks.isFenceEffective(m_service, now))
+            survey(now);
+        else if (now > leaseEnd())
+            enter(PromotionPhase::Failed, now);
+        break;
     case PromotionPhase::Surveying:
         continueSurvey(now);
         break;
     case PromotionPhase::SteppingDown:
         if (elapsed > stepDownTimeout)
-            promoteBestReplica(now);
+            stepDownFailed(now);
         break;
     case PromotionPhase::CatchingUp: {
         const std::string best = bestReplica();
@@ -247,14 +306,15 @@
         // Promotion requests are idempotent.
         if (m_retryAt && now >= *m_retryAt) {
             m_retryAt.reset();
-            m_hooks.requestPromotion(m_service, m_candidate, m_token);
+            requestPromotion(now);
         }
         break;
     case PromotionPhase::Awaiting: {
         const Directory::Upstream* primary = m_view.primaryOf(m_service);
-        if (primary && primary->id == m_candidate)
+        if (primary && primary->id == m_candidate) {
+            stepDownPreviousPrimary();
             enter(PromotionPhase::Finished, now);
-        else if (elapsed > promotionTimeout)
+        } else if (elapsed > promotionTimeout)
             enter(PromotionPhase::Failed, now);
         break;
     }
--- a/src/libs/core/failover/promotion.h
+++ b/src/libs/core/failover/promotion.h
@@ -27,6 +27,8 @@
 enum class PromotionPhase : std::uint8_t {
     /// Acquires the promotion lease; printed as `taking_duty`.
     TakingDuty,
+    /// Waits until no host uses the previous primary any more.
+    Fencing,
     /// Requests the log positions of the service's upstreams.
     Surveying,
     /// The current primary is requested to stop accepting writes.
@@ -45,7 +47,11 @@
 
 /// Callbacks that a promotion needs. Answers are delivered by calls of `Promotion`.
 struct PromotionHooks {
-    std::function<void(const std::string& service)> acquireLease;
+    /// Acquires the lease, and sets a fence on the upstream `fenced` unless it is empty.
+    std::function<void(const std::string& service, const std::string& fenced)> acquireLease;
+    /// Whether no host uses the fenced upstreams of the service any more; empty if the platform's promotion
+    /// takes the role from the previous primary.
+    std::function<bool(const std::string& service, Model::Time now)> isFenceEffective;
     std::function<void(const std::string& upstream)> requestStatus;
     std::function<void(const std::string& upstream, std::uint64_t term)> stepDown;
     std::function<void(const std::string& service, const std::string& upstream, FencingToken)>
@@ -60,8 +66,10 @@
 /// thread.
 class Promotion {
 public:
-    Promotion(const Directory::View& view, std::string service, PromotionReason reason, PromotionHooks hooks,
-        Model::Time now);
+    /// `previousPrimary` is the last known primary of the service, also if it is no longer registered; empty
+    /// if none is known.
+    Promotion(const Directory::View& view, std::string service, PromotionReason reason,
+        std::string previousPrimary, PromotionHooks hooks, Model::Time now);
 
     /// `nullopt` if the lease could not be acquired.
     void leaseAcquired(std::optional<FencingToken> token, Model::Time now);
@@ -82,6 +90,8 @@
     PromotionReason reason() const { return m_reason; }
     Model::Time startedAt() const { return m_startedAt; }
     FencingToken token() const { return m_token; }
+    /// Until when the promotion request may be sent.
+    Model::Time leaseEnd() const;
     /// When the new primary is expected to accept writes if it takes `promotionDuration` from the acceptance
     /// of the promotion request.
     Model::Time expectedEnd(Model::Duration promotionDuration, Model::Time now) const;
@@ -90,6 +100,11 @@
 
 private:
     void enter(PromotionPhase phase, Model::Time now);
+    void acquireLease(const std::string& fenced, Model::Time now);
+    void requestPromotion(Model::Time now);
+    void stepDownPreviousPrimary();
+    void stepDownFailed(Model::Time now);
+    std::uint64_t nextTerm() const;
     void survey(Model::Time now);
     void requestStatus(const std::string& upstream);
     void continueSurvey(Model::Time now);
@@ -105,6 +120,8 @@
     PromotionPhase m_phase = PromotionPhase::TakingDuty;
     Model::Time m_startedAt;
     Model::Time m_phaseAt;
+    /// When the acquisition of the lease began.
+    Model::Time m_leaseRequestedAt;
     Model::Time m_statusRequestedAt;
     FencingToken m_token = 0;
     std::optional<Model::Time> m_acceptedAt;
--- a/src/libs/core/proxy/connection.h
+++ b/src/libs/core/proxy/connection.h
@@ -64,6 +64,8 @@
     /// The session that uses the connection, or 0.
     SessionId session = 0;
     bool isInTransaction = false;
+    /// The session relies on the upstream being the primary, and not only on a position of its log.
+    bool reliesOnPrimary = false;
     /// A message of the proxy itself that is sent once the connection is open.
     std::optional<Command> first;
     std::function<void(const std::optional<Reply>&)> firstAnswered;
--- a/src/libs/core/proxy/engine.cpp
+++ b/src/libs/core/proxy/engine.cpp
@@ -18,7 +18,7 @@
 Engine::Engine(const Directory::View& view, std::string zone, EngineHooks hooks)
     : m_view(view)
     , m_hooks(std::move(hooks))
-    , m_router(view, m_pool, m_reachability, std::move(zone))
+    , m_router(view, m_pool, m_reachability, std::move(zone), m_hooks.mayUsePrimaries)
 {
 }
 
@@ -164,6 +164,8 @@
     if (session.request->target == Target::Transaction) {
         Connection* connection = m_pool.find(session.connection);
         session.request->upstream = connection->upstream;
+        if (!isUseAllowed(*connection, now))
+            return endUse(connection->id, now);
         enterHop(*session.request, HopKind::Upstream, now);
         sendStatement(session, *connection, commandsToMatch(*connection, session.context, shape), now);
         return;
@@ -253,6 +255,7 @@
     std::optional<Model::LogPosition> after;
     if (request.target == Target::Fresh)
         after = m_router.requiredPosition(session, now);
+    connection.reliesOnPrimary = !after;
     const bool isTransaction = session.state == TransactionState::Open;
     if (isTransaction || (!request.isWrite && !after)) {
         // Only the primary begins a transaction for writing, so a read inside one cannot run on a previous
--- a/src/libs/core/proxy/engine.h
+++ b/src/libs/core/proxy/engine.h
@@ -28,6 +28,8 @@
     std::function<bool(const Directory::Customer&, Model::Time)> admit;
     /// Describes the state of the customer's limit that `admit` checked, for the log entry of a refusal.
     std::function<std::string(const Directory::Customer&)> explainLimit;
+    /// Whether this host may use primaries now; empty if it always may.
+    std::function<bool(Model::Time)> mayUsePrimaries;
     std::function<void(const Decision&)> decided;
     /// Whether the hops of the next statement for an upstream are recorded.
     std::function<bool()> isNextTraced;
@@ -55,6 +57,11 @@
 
     /// Has to be called after a change of configuration, upstreams or zones.
     void directoryChanged(Model::Time now);
+    /// Ends the use of upstreams that this host may no longer use as primaries. Writes and commits that were
+    /// sent to them are in doubt, open transactions are rolled back, and reads are tried elsewhere. Should be
+    /// called as soon as a fence is set or the permission to use primaries has ended; results that arrive
+    /// after that are discarded in any case.
+    void endDisallowedUses(Model::Time now);
     using AnswerHook = std::function<void(const std::optional<Reply>&)>;
     /// Sends a message of the proxy itself to an upstream. `answered` is called with the reply, or with
     /// `nullopt` if the upstream is unknown or the connection fails before a reply arrives.
@@ -134,6 +141,8 @@
     void detach(Session& session, Model::Time now);
     void closeConnection(ConnectionId id);
     void failCommands(Connection& connection);
+    bool isUseAllowed(const Connection& connection, Model::Time now) const;
+    void endUse(ConnectionId id, Model::Time now);
     void checkRequest(Session& session, Model::Time now);
     static bool mayAbandon(const Session& session);
     bool isAnswerOverdue(const Session& session, Model::Time now) const;
--- a/src/libs/core/proxy/engineconnections.cpp
+++ b/src/libs/core/proxy/engineconnections.cpp
@@ -104,6 +104,9 @@
         return;
     if (connection->pending.empty())
         return connectionLost(id, now);
+    // The upstream may have run the request after another one became the primary.
+    if (reply.code == ResultCode::Complete && !isUseAllowed(*connection, now))
+        return endUse(id, now);
     const PendingReply pending = std::move(connection->pending.front());
     connection->pending.pop_front();
     m_reachability.responseReceived(connection->upstream, now);
@@ -294,6 +297,40 @@
     dispatch(now);
 }
 
+bool Engine::isUseAllowed(const Connection& connection, Model::Time now) const
+{
+    return connection.session == 0 || !connection.reliesOnPrimary
+        || m_router.isPrimaryAllowed(connection.upstream, now);
+}
+
+/// Closes a connection to an upstream that must not be used as a primary. Says nothing about its
+/// reachability.
+void Engine::endUse(ConnectionId id, Model::Time now)
+{
+    m_hooks.disconnect(id);
+    Connection ended = m_pool.take(id);
+    failCommands(ended);
+    if (Session* session = findSession(ended.session)) {
+        session->connection = 0;
+        sessionConnectionLost(*session, ended.upstream, now);
+    }
+    dispatch(now);
+}
+
+void Engine::endDisallowedUses(Model::Time now)
+{
+    std::vector<ConnectionId> disallowed;
+    for (const auto& [id, connection] : m_pool.connections()) {
+        if (!isUseAllowed(connection, now))
+            disallowed.push_back(id);
+    }
+    for (const ConnectionId id : disallowed) {
+        const Connection* connection = m_pool.find(id);
+        if (connection && !isUseAllowed(*connection, now))
+            endUse(id, now);
+    }
+}
+
 /// Handles the loss of the connection that the session used.
 void Engine::sessionConnectionLost(Session& session, const std::string& upstream, Model::Time now)
 {
--- a/src/libs/core/proxy/router.cpp
+++ b/src/libs/core/proxy/router.cpp
@@ -35,12 +35,13 @@
 
 }
 
-Router::Router(
-    const Directory::View& view, Pool& pool, const Failover::Reachability& reachability, std::string zone)
+Router::Router(const Directory::View& view, Pool& pool, const Failover::Reachability& reachability,
+    std::string zone, PermissionHook mayUsePrimaries)
     : m_view(view)
     , m_pool(pool)
     , m_reachability(reachability)
     , m_zone(std::move(zone))
+    , m_mayUsePrimaries(std::move(mayUsePrimaries))
 {
 }
 
@@ -94,9 +95,14 @@
     return total;
 }
 
+bool Router::isPrimaryAllowed(const std::string& upstream, Model::Time now) const
+{
+    return !m_view.isFenced(upstream) && (!m_mayUsePrimaries || m_mayUsePrimaries(now));
+}
+
 bool Router::mayBePrimary(const Directory::Upstream& upstream, Model::Time now) const
 {
-    if (!m_view.acceptsWork(upstream))
+    if (!m_view.acceptsWork(upstream) || !isPrimaryAllowed(upstream.id, now))
         return false;
     if (m_reachability.state(upstream.id, now) == Failover::ReachabilityState::Unreachable)
         return false;
--- a/src/libs/core/proxy/router.h
+++ b/src/libs/core/proxy/router.h
@@ -6,6 +6,7 @@
 #include "core/proxy/pool.h"
 #include "core/proxy/session.h"
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -17,8 +18,12 @@
 /// Decides which upstreams may run a request, and in which order they are tried. Used on one thread.
 class Router {
 public:
+    /// Returns whether this host may use primaries now.
+    using PermissionHook = std::function<bool(Model::Time now)>;
+
+    /// Without `mayUsePrimaries`, primaries may always be used.
     Router(const Directory::View& view, Pool& pool, const Failover::Reachability& reachability,
-        std::string zone);
+        std::string zone, PermissionHook mayUsePrimaries = {});
 
     /// Returns the upstreams that may run the request now, best first.
     std::vector<const Directory::Upstream*> candidates(
@@ -26,6 +31,9 @@
     /// Returns the presumed primary of the service: the upstream that confirmed the role last, otherwise the
     /// one that the directory names. Null if neither can be the primary now.
     const Directory::Upstream* primary(const std::string& service, Model::Time now) const;
+    /// Returns whether the upstream may be used as a primary: this host has the permission to use primaries,
+    /// and no fence excludes the upstream.
+    bool isPrimaryAllowed(const std::string& upstream, Model::Time now) const;
     /// Returns the position that an upstream's log must have reached to run a read of the session. `nullopt`
     /// if only the primary may run it, because of the route or because no recent position is known.
     std::optional<Model::LogPosition> requiredPosition(const Session& session, Model::Time now) const;
@@ -76,6 +84,7 @@
     Pool& m_pool;
     const Failover::Reachability& m_reachability;
     std::string m_zone;
+    PermissionHook m_mayUsePrimaries;
     std::unordered_map<std::string, UpstreamStats> m_upstreamStats;
     std::unordered_map<std::string, Freshness> m_freshness;
     /// The upstream that confirmed the primary role last, by service. The directory may not name it yet.
--- a/src/libs/logging/eventid.cpp
+++ b/src/libs/logging/eventid.cpp
@@ -9,7 +9,7 @@
 
     using enum EventId;
 
-    constexpr std::array<EventInfo, 47> table { {
+    constexpr std::array<EventInfo, 50> table { {
         { ProcessStarted, "process_started", Severity::Info, "the process listens on all its addresses" },
         { ProcessStopped, "process_stopped", Severity::Info, "the process ended after its last request" },
         { DrainStarted, "drain_started", Severity::Info, "SIGTERM received; no new requests are accepted" },
@@ -37,6 +37,12 @@
         { PromotionFailed, "promotion_failed", Severity::Warning, "a promotion ended without a new primary" },
         { DutyHeldElsewhere, "duty_held_elsewhere", Severity::Info,
             "another host holds the promotion lease of a service" },
+        { PrimaryFenced, "primary_fenced", Severity::Info,
+            "an upstream is not used as a primary any more, because a promotion replaces it" },
+        { PrimaryPermissionGained, "primary_permission_gained", Severity::Info,
+            "the host may use primaries: it would learn of a promotion in time" },
+        { PrimaryPermissionLost, "primary_permission_lost", Severity::Warning,
+            "the host uses no primaries, because it would not learn of a promotion in time" },
         { UpstreamSilent, "upstream_silent", Severity::Warning,
             "a connection did not respond and was closed" },
         { ConnectionFailed, "connection_failed", Severity::Warning,
--- a/src/libs/proxyhost/failovers.cpp
+++ b/src/libs/proxyhost/failovers.cpp
@@ -25,13 +25,13 @@
 }
 
 Failovers::Failovers(EventLoop::Loop& loop, const Directory::View& view, SessionServer::Server& server,
-    PlatformWorker& worker, std::string self, std::function<void()> leaseAcquired)
+    PlatformWorker& worker, std::string self, Hooks hooks)
     : m_loop(loop)
     , m_view(view)
     , m_server(server)
     , m_worker(worker)
     , m_self(self)
-    , m_leaseAcquired(std::move(leaseAcquired))
+    , m_hooks(std::move(hooks))
     , m_promotionDuration(usualPromotionDuration)
     , m_watch(view, server.engine().reachability(), std::move(self))
     , m_timer(loop, [this] { update(); })
@@ -82,10 +82,10 @@
     const Directory::Upstream* primary = m_view.primaryOf(service);
     if (!primary)
         return;
-    std::uint64_t& known = m_knownPrimaryRevisions[service];
-    if (known != primary->primarySince)
+    KnownPrimary& known = m_knownPrimaries[service];
+    if (known.since != primary->primarySince)
         m_server.engine().resetReachability(primary->id);
-    known = primary->primarySince;
+    known = { primary->id, primary->primarySince };
 }
 
 /// Returns when the service is expected to have its new primary; `nullopt` if no host is replacing the
@@ -118,36 +118,16 @@
         { { "service", service }, { "reason", std::string(Failover::promotionReasonName(reason)) },
             { "primary", primary ? primary->id : std::string() } });
     Failover::PromotionHooks hooks;
-    hooks.acquireLease = [this](const std::string& name) {
-        m_worker.acquireLease(name, [this, name](std::optional<Failover::FencingToken> token) {
-            const auto promotion = m_promotions.find(name);
-            if (promotion == m_promotions.end())
-                return;
-            const Model::Time now = EventLoop::now();
-            if (!token && now - promotion->second->startedAt() > storeResponseLimit)
-                m_storeFailedAt = now;
-            promotion->second->leaseAcquired(token, now);
-            if (token)
-                m_leaseAcquired();
-            advance(name);
-        });
-    };
+    hooks.acquireLease
+        = [this](const std::string& name, const std::string& fenced) { acquireLease(name, fenced); };
+    hooks.isFenceEffective = m_hooks.isFenceEffective;
     hooks.requestStatus
         = [this, service](const std::string& upstream) { requestStatus(service, upstream, 0); };
     hooks.stepDown = [this, service](const std::string& upstream, std::uint64_t term) {
         requestStatus(service, upstream, term);
     };
-    hooks.requestPromotion
-        = [this](const std::string& name, const std::string& upstream, Failover::FencingToken token) {
-              m_worker.promote(
-                  { name, upstream, m_self, token }, [this, name](Failover::PromotionRequestResult result) {
-                      const auto promotion = m_promotions.find(name);
-                      if (promotion == m_promotions.end())
-                          return;
-                      promotion->second->promotionAnswered(result, EventLoop::now());
-                      advance(name);
-                  });
-          };
+    hooks.requestPromotion = [this](const std::string& name, const std::string& upstream,
+                                 Failover::FencingToken token) { requestPromotion(name, upstream, token); };
     hooks.isReachable = [this](const std::string& upstream) {
         return m_server.engine().reachability().state(upstream, EventLoop::now())
             != Failover::ReachabilityState::Unreachable;
@@ -155,7 +135,55 @@
     hooks.knownPosition
         = [this](const std::string& upstream) { return m_server.engine().router().position(upstream); };
     m_promotions.emplace(service,
-        std::make_unique<Failover::Promotion>(m_view, service, reason, std::move(hooks), EventLoop::now()));
+        std::make_unique<Failover::Promotion>(
+            m_view, service, reason, m_knownPrimaries[service].upstream, std::move(hooks), EventLoop::now()));
+}
+
+void Failovers::acquireLease(const std::string& service, const std::string& fenced)
+{
+    std::optional<Failover::FenceChange> change;
+    if (m_hooks.isFenceEffective)
+        change = fenceChange(service, fenced);
+    m_worker.acquireLease(service, change,
+        [this, service](const std::optional<AcquiredLease>& lease) { leaseAcquired(service, lease); });
+}
+
+void Failovers::leaseAcquired(const std::string& service, const std::optional<AcquiredLease>& lease)
+{
+    if (lease)
+        m_hooks.leaseAcquired(*lease);
+    const auto promotion = m_promotions.find(service);
+    if (promotion == m_promotions.end())
+        return;
+    const Model::Time now = EventLoop::now();
+    if (!lease && now - promotion->second->startedAt() > storeResponseLimit)
+        m_storeFailedAt = now;
+    promotion->second->leaseAcquired(lease ? std::optional(lease->token) : std::nullopt, now);
+    advance(service);
+}
+
+Failover::FenceChange Failovers::fenceChange(const std::string& service, const std::string& fenced) const
+{
+    Failover::FenceChange change { fenced, {} };
+    for (const Directory::Upstream* upstream : m_view.upstreamsOf(service)) {
+        if (upstream->role == Directory::Role::Replica)
+            change.replicas.emplace(upstream->id, upstream->revision);
+    }
+    return change;
+}
+
+void Failovers::requestPromotion(
+    const std::string& service, const std::string& upstream, Failover::FencingToken token)
+{
+    const Model::Time sendBefore = m_promotions.at(service)->leaseEnd();
+    m_worker.promote({ service, upstream, m_self, token, sendBefore },
+        [this, service](Failover::PromotionRequestResult result) {
+            const auto promotion = m_promotions.find(service);
+            if (promotion == m_promotions.end())
+                return;
+            promotion->second->promotionAnswered(result, EventLoop::now());
+            advance(service);
+        });
 }
 
 /// Requests an upstream's status. If `stepDownTerm` is not 0, a primary of a lower term becomes a replica
--- a/src/libs/proxyhost/failovers.h
+++ b/src/libs/proxyhost/failovers.h
@@ -25,10 +25,16 @@
 /// thread.
 class Failovers {
 public:
-    /// `leaseAcquired` is called when this host has acquired a promotion lease, which should be reported to
-    /// the other hosts at once.
+    struct Hooks {
+        /// This host has acquired a promotion lease, which should be reported to the other hosts at once.
+        std::function<void(const AcquiredLease&)> leaseAcquired;
+        /// Whether no host uses the fenced upstreams of the service any more; empty if the promoter takes the
+        /// role from the previous primary.
+        std::function<bool(const std::string& service, Model::Time now)> isFenceEffective;
+    };
+
     Failovers(EventLoop::Loop& loop, const Directory::View& view, SessionServer::Server& server,
-        PlatformWorker& worker, std::string self, std::function<void()> leaseAcquired);
+        PlatformWorker& worker, std::string self, Hooks hooks);
 
     /// Another host has reported the health of the service's primary.
     void setHealthObservation(const std::string& service, Failover::HealthObservation observation);
@@ -54,6 +60,11 @@
     void start(const std::string& service, Failover::PromotionReason reason);
     void advance(const std::string& service);
     void requestStatus(const std::string& service, const std::string& upstream, std::uint64_t stepDownTerm);
+    void acquireLease(const std::string& service, const std::string& fenced);
+    void leaseAcquired(const std::string& service, const std::optional<AcquiredLease>& lease);
+    Failover::FenceChange fenceChange(const std::string& service, const std::string& fenced) const;
+    void requestPromotion(
+        const std::string& service, const std::string& upstream, Failover::FencingToken token);
     void noticePrimary(const std::string& service);
     std::optional<Model::Time> primaryExpected(const std::string& service, Model::Time now) const;
     bool isPausing(const std::string& service, Model::Time now) const;
@@ -63,15 +74,20 @@
     SessionServer::Server& m_server;
     PlatformWorker& m_worker;
     std::string m_self;
-    std::function<void()> m_leaseAcquired;
+    Hooks m_hooks;
     /// Time from an accepted promotion request to the end of the promotion, as in the last successful one.
     Model::Duration m_promotionDuration;
     Failover::PrimaryWatch m_watch;
     EventLoop::Timer m_timer;
     std::map<std::string, std::unique_ptr<Failover::Promotion>> m_promotions;
     std::map<std::string, Model::Time> m_lastEnded;
-    /// By service, the revision in which the current primary became the primary.
-    std::map<std::string, std::uint64_t> m_knownPrimaryRevisions;
+    struct KnownPrimary {
+        std::string upstream;
+        /// The revision in which it became the primary.
+        std::uint64_t since = 0;
+    };
+    /// The last known primary of each service, also if it is no longer registered.
+    std::map<std::string, KnownPrimary> m_knownPrimaries;
     bool m_isStoreReachable = false;
     /// When the acquisition of a lease last failed because the store did not respond.
     std::optional<Model::Time> m_storeFailedAt;
--- a/src/libs/proxyhost/fleet.cpp
+++ b/src/libs/proxyhost/fleet.cpp
@@ -39,6 +39,56 @@
         }
     }
 
+    std::uint64_t microseconds(Model::Time time)
+    {
+        return static_cast<std::uint64_t>(time.time_since_epoch().count());
+    }
+
+    Model::Time timeFromWire(std::uint64_t microseconds)
+    {
+        return Model::Time(Model::Duration(static_cast<std::int64_t>(microseconds)));
+    }
+
+    void writeFences(const FenceReport& fences, Wire::HostReport& report)
+    {
+        report.set_sent_at_us(fences.sentAt ? microseconds(*fences.sentAt) : 0);
+        for (const Failover::Receipt& receipt : fences.receipts) {
+            Wire::ReportReceipt& entry = *report.add_receipts();
+            entry.set_sender(receipt.sender);
+            entry.set_incarnation(receipt.incarnation);
+            entry.set_sequence(receipt.sequence);
+            entry.set_received_at_us(microseconds(receipt.receivedAt));
+        }
+        for (const Failover::ServiceFences& service : fences.fences) {
+            Wire::ServiceFences& entry = *report.add_fences();
+            entry.set_service(service.service);
+            entry.set_version(service.version);
+            for (const Failover::FencedUpstream& fence : service.fences) {
+                Wire::FencedUpstream& upstream = *entry.add_upstreams();
+                upstream.set_upstream(fence.upstream);
+                upstream.set_since(fence.since);
+            }
+        }
+    }
+
+    FenceReport readFences(const Wire::HostReport& report)
+    {
+        FenceReport fences;
+        if (report.sent_at_us() != 0)
+            fences.sentAt = timeFromWire(report.sent_at_us());
+        for (const Wire::ReportReceipt& entry : report.receipts()) {
+            fences.receipts.push_back({ entry.sender(), entry.incarnation(), entry.sequence(),
+                timeFromWire(entry.received_at_us()) });
+        }
+        for (const Wire::ServiceFences& entry : report.fences()) {
+            Failover::ServiceFences service { entry.service(), entry.version(), {} };
+            for (const Wire::FencedUpstream& upstream : entry.upstreams())
+                service.fences.push_back({ upstream.upstream(), upstream.since() });
+            fences.fences.push_back(std::move(service));
+        }
+        return fences;
+    }
+
 }
 
 Fleet::Fleet(EventLoop::Loop& loop, std::string self, Allowance::FleetAllowance& allowance,
@@ -69,16 +119,21 @@
         else if (row.key != m_self)
             m_hosts[row.key] = address;
     }
-    std::vector<std::string> names;
     std::set<std::string> addresses;
-    for (const auto& [name, address] : m_hosts) {
-        names.push_back(name);
+    for (const auto& [name, address] : m_hosts)
         addresses.insert(address);
-    }
-    m_allowance.setPeers(names, now);
+    m_allowance.setPeers(hostNames(), now);
     m_bus.setPeers(addresses);
 }
 
+std::vector<std::string> Fleet::hostNames() const
+{
+    std::vector<std::string> names;
+    for (const auto& [name, address] : m_hosts)
+        names.push_back(name);
+    return names;
+}
+
 void Fleet::setHostCount(int count)
 {
     m_plan.setHostCount(count);
@@ -126,6 +181,7 @@
         entry.set_upstream(Proxy::ConnectionLedger::hashOf(upstream));
         entry.set_open(static_cast<std::uint32_t>(open));
     }
+    writeFences(own.fences, report);
     m_bus.publish(report.SerializeAsString());
 }
 
@@ -139,6 +195,10 @@
     const Model::Time now = EventLoop::now();
     if (report.host() != m_self)
         m_lastReportAt = now;
+    if (m_hooks.fencesReported) {
+        m_hooks.fencesReported(
+            report.host(), report.incarnation(), report.sequence(), readFences(report), now);
+    }
     Allowance::UsageReport usage { report.host(), report.incarnation(), {} };
     for (const Wire::CustomerUsage& entry : report.usage())
         usage.usage.push_back({ entry.customer(), entry.admitted(), entry.demand(), entry.available() });
--- a/src/libs/proxyhost/fleet.h
+++ b/src/libs/proxyhost/fleet.h
@@ -4,6 +4,7 @@
 #include "core/failover/primarywatch.h"
 #include "core/proxy/connectionledger.h"
 #include "peerbus/peerbus.h"
+#include "proxyhost/primaryguard.h"
 #include "proxyhost/store.h"
 
 #include <cstdint>
@@ -41,6 +42,7 @@
     /// Versions of the newest changes that the host has read of the operators' and the upstreams' tables.
     std::uint64_t operatorsVersion = 0;
     std::uint64_t upstreamsVersion = 0;
+    FenceReport fences;
 };
 
 /// Exchanges reports with the other hosts: the usage of customers, the health of primaries, open connections
@@ -54,6 +56,10 @@
         std::function<void(const std::string& host, bool canPromote)> hostReported;
         /// A host has reported the version of the newest change of a table that it has read.
         std::function<void(StoreTable, std::uint64_t version)> changeReported;
+        /// A host has reported its fences; empty if they are not used.
+        std::function<void(const std::string& host, std::uint64_t incarnation, std::uint64_t sequence,
+            const FenceReport& fences, Model::Time now)>
+            fencesReported;
     };
 
     Fleet(EventLoop::Loop& loop, std::string self, Allowance::FleetAllowance& allowance,
@@ -67,9 +73,13 @@
     /// Reports are sent only once it is set.
     void setIncarnation(std::uint64_t incarnation) { m_incarnation = incarnation; }
     std::uint64_t incarnation() const { return m_incarnation; }
+    /// Sequence number of the next report.
+    std::uint64_t nextSequence() const { return m_sequence + 1; }
 
     /// Rows of the hosts table changed; `isComplete` is set if these are all rows of the table.
     void hostsChanged(const std::vector<StoreRow>& rows, bool isComplete, Model::Time now);
+    /// The other registered hosts.
+    std::vector<std::string> hostNames() const;
     /// Sets the number of live hosts, this one included.
     void setHostCount(int count);
     /// The schedule of this host's reports.
--- a/src/libs/proxyhost/platformworker.cpp
+++ b/src/libs/proxyhost/platformworker.cpp
@@ -63,18 +63,20 @@
     }
 }
 
-void PlatformWorker::acquireLease(
-    const std::string& service, std::function<void(std::optional<Failover::FencingToken>)> done)
+void PlatformWorker::acquireLease(const std::string& service,
+    const std::optional<Failover::FenceChange>& fenceChange,
+    std::function<void(const std::optional<AcquiredLease>&)> done)
 {
-    enqueue([this, service, done = std::move(done)] {
-        const auto token = acquireLeaseNow(service);
-        m_loop.post([done, token] { done(token); });
+    enqueue([this, service, fenceChange, done = std::move(done)] {
+        const auto lease = acquireLeaseNow(service, fenceChange);
+        m_loop.post([done, lease] { done(lease); });
     });
 }
 
 /// Each acquisition raises the token and is written only if the row has not changed, so that no two holders
 /// get the same token.
-std::optional<Failover::FencingToken> PlatformWorker::acquireLeaseNow(const std::string& service)
+std::optional<AcquiredLease> PlatformWorker::acquireLeaseNow(
+    const std::string& service, const std::optional<Failover::FenceChange>& fenceChange)
 {
     const StoreAnswer current = m_calls.read(Tables::promotionLeases, service);
     if (current.status != StoreStatus::Done) {
@@ -87,32 +89,72 @@
         row.version = current.rows.front().version;
         currentLease = parsePromotionLeaseRow(current.rows.front().value).lease;
     }
-    const auto lease = Failover::acquireLease(currentLease, row.version, m_host, current.storeTime);
+    auto lease = Failover::acquireLease(currentLease, row.version, m_host, current.storeTime);
     if (!lease) {
         Logging::write(Logging::EventId::DutyHeldElsewhere,
             { { "service", service }, { "holder", currentLease.holder } });
         return std::nullopt;
     }
+    if (fenceChange)
+        lease->fences = Failover::changeFences(currentLease.fences, row.version, *fenceChange);
     row.value = formatPromotionLeaseRow({ *lease, std::random_device {}() });
     const StoreAnswer written = m_calls.commit({ { row, row.version } });
-    if (written.status == StoreStatus::Done)
-        return lease->token;
-    logFailure("acquire the promotion lease", written);
-    if (written.status != StoreStatus::Unknown)
+    std::uint64_t version = written.version;
+    if (written.status != StoreStatus::Done) {
+        logFailure("acquire the promotion lease", written);
+        if (written.status != StoreStatus::Unknown)
+            return std::nullopt;
+        // The answer was lost. If the write is executed later, it only raises the token of a host that has
+        // abandoned the acquisition.
+        const StoreAnswer reread = m_calls.read(Tables::promotionLeases, service);
+        if (reread.status != StoreStatus::Done || reread.rows.empty()
+            || reread.rows.front().value != row.value)
+            return std::nullopt;
+        version = reread.rows.front().version;
+    }
+    AcquiredLease acquired { lease->token, { service, version, lease->fences }, {} };
+    if (!fenceChange)
+        return acquired;
+    // Read after the fences were written: a host that registers later reads them before it uses a primary.
+    const StoreAnswer hosts = m_calls.readAll(Tables::hosts);
+    if (hosts.status != StoreStatus::Done) {
+        logFailure("read the hosts", hosts);
         return std::nullopt;
-    // The answer was lost. If the write is executed later, it only raises the token of a host that has
-    // abandoned the acquisition.
-    const StoreAnswer reread = m_calls.read(Tables::promotionLeases, service);
-    if (reread.status == StoreStatus::Done && !reread.rows.empty() && reread.rows.front().value == row.value)
-        return lease->token;
-    return std::nullopt;
+    }
+    for (const StoreRow& host : hosts.rows)
+        acquired.hosts.push_back(host.key);
+    return acquired;
+}
+
+void PlatformWorker::readFences(std::function<void(const std::optional<FenceState>&)> done)
+{
+    enqueue([this, done = std::move(done)] {
+        const auto state = readFencesNow();
+        m_loop.post([done, state] { done(state); });
+    });
+}
+
+std::optional<FenceState> PlatformWorker::readFencesNow()
+{
+    const StoreAnswer leases = m_calls.readAll(Tables::promotionLeases);
+    const StoreAnswer hosts = leases.status == StoreStatus::Done ? m_calls.readAll(Tables::hosts) : leases;
+    if (hosts.status != StoreStatus::Done) {
+        logFailure("read the fences", hosts);
+        return std::nullopt;
+    }
+    FenceState state { {}, hosts.rows };
+    for (const StoreRow& row : leases.rows)
+        state.fences.push_back({ row.key, row.version, parsePromotionLeaseRow(row.value).lease.fences });
+    return state;
 }
 
 void PlatformWorker::promote(
     const PromotionRequest& request, std::function<void(Failover::PromotionRequestResult)> done)
 {
     enqueue([this, request, done = std::move(done)] {
-        const Failover::PromotionRequestResult result = m_calls.promote(request);
+        const bool isTooLate = EventLoop::now() > request.sendBefore;
+        const Failover::PromotionRequestResult result
+            = isTooLate ? Failover::PromotionRequestResult::Unavailable : m_calls.promote(request);
         m_loop.post([done, result] { done(result); });
     });
 }
--- a/src/libs/proxyhost/platformworker.h
+++ b/src/libs/proxyhost/platformworker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/failover/primaryfences.h"
 #include "proxyhost/store.h"
 
 #include <condition_variable>
@@ -9,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace EventLoop {
 class Loop;
@@ -22,6 +24,21 @@
     constexpr const char* promotionLeases = "duties";
 }
 
+/// An acquired promotion lease.
+struct AcquiredLease {
+    Failover::FencingToken token = 0;
+    /// The service's fences as of the acquisition.
+    Failover::ServiceFences fences;
+    /// The hosts that were registered after the acquisition, if fences are used.
+    std::vector<std::string> hosts;
+};
+
+/// The rows of all promotion leases and of all hosts, each as of a time after the call.
+struct FenceState {
+    std::vector<Failover::ServiceFences> fences;
+    std::vector<StoreRow> hosts;
+};
+
 /// Makes blocking calls to the platform, one at a time, on a thread of its own. Results are delivered on the
 /// loop's thread.
 class PlatformWorker {
@@ -31,10 +48,14 @@
     PlatformWorker(const PlatformWorker&) = delete;
     PlatformWorker& operator=(const PlatformWorker&) = delete;
 
-    /// Acquires the promotion lease of a service for this host. `done` gets the fencing token, or `nullopt`
-    /// if another host holds the lease or was faster, or the store gave no definite answer.
-    void acquireLease(
-        const std::string& service, std::function<void(std::optional<Failover::FencingToken>)> done);
+    /// Acquires the promotion lease of a service for this host. With a `fenceChange`, also changes the
+    /// service's fences and reads the registered hosts. `done` gets `nullopt` if another host holds the lease
+    /// or was faster, or the store gave no definite answer.
+    void acquireLease(const std::string& service, const std::optional<Failover::FenceChange>& fenceChange,
+        std::function<void(const std::optional<AcquiredLease>&)> done);
+    /// Reads the fences of all services and the registered hosts. `done` gets `nullopt` if the store gave no
+    /// answer.
+    void readFences(std::function<void(const std::optional<FenceState>&)> done);
     /// Sends a promotion request to the platform's promoter.
     void promote(const PromotionRequest& request, std::function<void(Failover::PromotionRequestResult)> done);
     /// Writes the host's own row and retries until it is written. `done` gets the version of the row.
@@ -45,7 +66,9 @@
 private:
     void enqueue(std::function<void()> task);
     void run();
-    std::optional<Failover::FencingToken> acquireLeaseNow(const std::string& service);
+    std::optional<AcquiredLease> acquireLeaseNow(
+        const std::string& service, const std::optional<Failover::FenceChange>& fenceChange);
+    std::optional<FenceState> readFencesNow();
     std::optional<std::uint64_t> registerNow(const std::string& value);
 
     EventLoop::Loop& m_loop;
--- /dev/null
+++ b/src/libs/proxyhost/primaryguard.cpp
@@ -0,0 +1,147 @@
+#include "proxyhost/primaryguard.h"
+
+#include "eventloop/loop.h"
+#include "logging/log.h"
+
+namespace ProxyHost {
+
+namespace {
+
+    /// Between two reads of the store while the reports of the other hosts do not suffice.
+    constexpr Model::Duration readPeriod = std::chrono::milliseconds(400);
+
+}
+
+PrimaryGuard::PrimaryGuard(
+    EventLoop::Loop& loop, Directory::View& view, PlatformCalls calls, std::string self, Hooks hooks)
+    : m_self(std::move(self))
+    , m_hooks(std::move(hooks))
+    , m_worker(loop, std::move(calls), m_self)
+    , m_fences(view, m_permission)
+{
+}
+
+void PrimaryGuard::registered(std::uint64_t incarnation)
+{
+    m_incarnation = incarnation;
+    m_sendTimes.setIncarnation(incarnation);
+}
+
+void PrimaryGuard::setHosts(const std::vector<std::string>& hosts, Model::Time now)
+{
+    std::vector<std::string> others;
+    for (const std::string& host : hosts) {
+        if (host != m_self)
+            others.push_back(host);
+    }
+    m_permission.setHosts(others, now);
+}
+
+FenceReport PrimaryGuard::takeReport(std::uint64_t sequence, Model::Time now)
+{
+    m_sendTimes.sent(sequence, now);
+    FenceReport report;
+    if (m_hasReadStore && !m_isShuttingDown)
+        report.sentAt = now;
+    report.receipts = m_sendTimes.takeReceipts();
+    report.fences = m_fences.reported(now);
+    return report;
+}
+
+void PrimaryGuard::receive(const std::string& host, std::uint64_t incarnation, std::uint64_t sequence,
+    const FenceReport& report, Model::Time now)
+{
+    if (host == m_self)
+        return;
+    m_sendTimes.received(host, incarnation, sequence, now);
+    for (const Failover::Receipt& receipt : report.receipts) {
+        if (receipt.sender == m_self)
+            m_sendTimes.receiptArrived(host, incarnation, receipt);
+    }
+    bool isAnyNew = false;
+    for (const Failover::ServiceFences& fences : report.fences) {
+        isAnyNew |= apply(fences, now);
+        m_fences.acknowledged(host, fences.service, fences.version);
+    }
+    if (report.sentAt) {
+        if (const auto notBefore = m_sendTimes.notSentBefore(host, incarnation, *report.sentAt))
+            m_permission.contacted(host, *notBefore, now);
+    }
+    if (isAnyNew) {
+        m_hooks.endUses();
+        m_hooks.publish();
+    }
+}
+
+/// Returns whether the fences are new to this host.
+bool PrimaryGuard::apply(const Failover::ServiceFences& fences, Model::Time now)
+{
+    if (!m_fences.apply(fences, now))
+        return false;
+    if (fences.fences.empty())
+        return false;
+    Logging::write(Logging::EventId::PrimaryFenced,
+        { { "service", fences.service }, { "upstream", fences.fences.back().upstream },
+            { "version", std::to_string(fences.version) } });
+    return true;
+}
+
+void PrimaryGuard::leaseAcquired(const AcquiredLease& lease, Model::Time now)
+{
+    m_awaitedHosts[lease.fences.service] = lease.hosts;
+    std::erase(m_awaitedHosts[lease.fences.service], m_self);
+    if (!apply(lease.fences, now))
+        return;
+    m_hooks.endUses();
+    m_hooks.publish();
+}
+
+bool PrimaryGuard::isFenceEffective(const std::string& service, Model::Time now)
+{
+    return m_fences.isEffective(service, m_awaitedHosts[service], now);
+}
+
+void PrimaryGuard::update(Model::Time now)
+{
+    const bool hasPermission = m_permission.isValid(now);
+    if (hasPermission != m_hadPermission) {
+        m_hadPermission = hasPermission;
+        Logging::write(hasPermission ? Logging::EventId::PrimaryPermissionGained
+                                     : Logging::EventId::PrimaryPermissionLost);
+        if (!hasPermission)
+            m_hooks.endUses();
+    }
+    const bool isReadDue = !m_readStartedAt || now - *m_readStartedAt >= readPeriod;
+    if (m_incarnation != 0 && !m_isReadingStore && isReadDue && m_permission.needsStoreRead(now))
+        readStore(now);
+}
+
+void PrimaryGuard::readStore(Model::Time now)
+{
+    m_isReadingStore = true;
+    m_readStartedAt = now;
+    m_worker.readFences([this, startedAt = now](const std::optional<FenceState>& state) {
+        m_isReadingStore = false;
+        if (state)
+            storeRead(*state, startedAt, EventLoop::now());
+    });
+}
+
+void PrimaryGuard::storeRead(const FenceState& state, Model::Time startedAt, Model::Time now)
+{
+    bool isAnyNew = false;
+    for (const Failover::ServiceFences& fences : state.fences)
+        isAnyNew |= apply(fences, now);
+    std::vector<std::string> hosts;
+    for (const StoreRow& row : state.hosts)
+        hosts.push_back(row.key);
+    setHosts(hosts, now);
+    m_hasReadStore = true;
+    m_permission.storeRead(startedAt, now);
+    if (isAnyNew) {
+        m_hooks.endUses();
+        m_hooks.publish();
+    }
+}
+
+}
--- a/src/libs/proxyhost/proxyhost.cpp
+++ b/src/libs/proxyhost/proxyhost.cpp
@@ -30,30 +30,21 @@
 }
 
 ProxyHost::ProxyHost(EventLoop::Loop& loop, const Settings::ProxySettings& settings,
-    SessionServer::Codec codec, PlatformCalls calls)
+    SessionServer::Codec codec, const std::function<PlatformCalls()>& calls)
     : m_loop(loop)
     , m_settings(settings)
     , m_allowance(settings.host)
     , m_server(loop, m_view, std::move(codec), m_metrics,
           { settings.zone, settings.callers.ip, settings.callers.port,
               static_cast<std::size_t>(settings.maxDescriptors - reservedDescriptors) },
-          { [this](const Directory::Customer& customer, Model::Time now) {
-               return m_allowance.admit(customer, now);
-           },
-              [this](const Directory::Customer& customer) { return m_allowance.describe(customer.name); } })
-    , m_fleet(loop, settings.host, m_allowance, m_server.engine().ledger(),
-          { [this](const std::string& service, Failover::HealthObservation observation) {
-               m_failovers.setHealthObservation(service, std::move(observation));
-           },
-              [this](const std::string& host, bool canPromote) {
-                  m_staleHostRows.reportReceived(host, EventLoop::now());
-                  m_failovers.setHost(host, canPromote);
-              },
-              [this](StoreTable table, std::uint64_t version) {
-                  m_missedChanges[table].reportedByPeer(version, EventLoop::now());
-              } })
-    , m_worker(loop, std::move(calls), settings.host)
-    , m_failovers(loop, m_view, m_server, m_worker, settings.host, [this] { publish(); })
+          serverHooks())
+    , m_fleet(loop, settings.host, m_allowance, m_server.engine().ledger(), fleetHooks())
+    , m_worker(loop, calls(), settings.host)
+    , m_guard(settings.promoterChecksFencing
+              ? nullptr
+              : std::make_unique<PrimaryGuard>(loop, m_view, calls(), settings.host,
+                  PrimaryGuard::Hooks { [this] { m_server.endDisallowedUses(); }, [this] { publish(); } }))
+    , m_failovers(loop, m_view, m_server, m_worker, settings.host, failoverHooks())
     , m_checkTimer(loop, [this] { runPeriodicChecks(); })
     , m_probe({ settings.probe.ip, settings.probe.port, settings.probePath }, m_metrics)
     , m_shutdownTimer(loop, [this] { continueShutdown(); })
@@ -61,6 +52,57 @@
 {
 }
 
+SessionServer::ServerHooks ProxyHost::serverHooks()
+{
+    SessionServer::ServerHooks hooks;
+    hooks.admit = [this](const Directory::Customer& customer, Model::Time now) {
+        return m_allowance.admit(customer, now);
+    };
+    hooks.explainLimit
+        = [this](const Directory::Customer& customer) { return m_allowance.describe(customer.name); };
+    if (!m_settings.promoterChecksFencing)
+        hooks.mayUsePrimaries = [this](Model::Time now) { return m_guard->mayUsePrimaries(now); };
+    return hooks;
+}
+
+Fleet::Hooks ProxyHost::fleetHooks()
+{
+    Fleet::Hooks hooks;
+    hooks.healthObserved = [this](const std::string& service, Failover::HealthObservation observation) {
+        m_failovers.setHealthObservation(service, std::move(observation));
+    };
+    hooks.hostReported = [this](const std::string& host, bool canPromote) {
+        m_staleHostRows.reportReceived(host, EventLoop::now());
+        m_failovers.setHost(host, canPromote);
+    };
+    hooks.changeReported = [this](StoreTable table, std::uint64_t version) {
+        m_missedChanges[table].reportedByPeer(version, EventLoop::now());
+    };
+    if (!m_settings.promoterChecksFencing) {
+        hooks.fencesReported = [this](const std::string& host, std::uint64_t incarnation,
+                                   std::uint64_t sequence, const FenceReport& fences, Model::Time now) {
+            m_guard->receive(host, incarnation, sequence, fences, now);
+        };
+    }
+    return hooks;
+}
+
+Failovers::Hooks ProxyHost::failoverHooks()
+{
+    Failovers::Hooks hooks;
+    hooks.leaseAcquired = [this](const AcquiredLease& lease) {
+        if (m_guard)
+            m_guard->leaseAcquired(lease, EventLoop::now());
+        publish();
+    };
+    if (m_guard) {
+        hooks.isFenceEffective = [this](const std::string& service, Model::Time now) {
+            return m_guard->isFenceEffective(service, now);
+        };
+    }
+    return hooks;
+}
+
 std::optional<std::string> ProxyHost::start()
 {
     if (auto error = m_server.listen())
@@ -78,8 +120,11 @@
     m_worker.registerHost(m_ownRow, [this](std::uint64_t version) {
         m_ownRowVersion = version;
         // Other hosts identify this process by its first incarnation, which a rewritten row does not change.
-        if (m_fleet.incarnation() == 0)
-            m_fleet.setIncarnation(version);
+        if (m_fleet.incarnation() != 0)
+            return;
+        m_fleet.setIncarnation(version);
+        if (m_guard)
+            m_guard->registered(version);
     });
 }
 
@@ -87,6 +132,8 @@
 {
     const Model::Time now = EventLoop::now();
     m_fleet.hostsChanged(rows, isComplete, now);
+    if (m_guard)
+        m_guard->setHosts(m_fleet.hostNames(), now);
     bool isOwnRowDeleted
         = isComplete && std::ranges::find(rows, m_settings.host, &StoreRow::key) == rows.end();
     std::vector<Directory::HostEntry> entries;
@@ -134,6 +181,8 @@
     deleteStaleHostRow(now);
     checkMissedChanges(StoreTable::Operators, now);
     checkMissedChanges(StoreTable::Upstreams, now);
+    if (m_guard)
+        m_guard->update(now);
     m_failovers.update();
     if (m_fleet.isReportDue(m_failovers.isAnyPrimarySuspected(now), now))
         publish();
@@ -168,10 +217,13 @@
     // others report their observations of that primary. In a small fleet every report includes all primaries.
     const auto scope = m_fleet.plan().isRateReduced() ? Failovers::ObservationScope::Suspected
                                                       : Failovers::ObservationScope::All;
+    if (m_fleet.incarnation() == 0)
+        return;
     m_fleet.publish({ m_failovers.healthObservations(scope), m_server.engine().pool().openCounts(),
                         configuration ? configuration->version : 0, m_failovers.canPromote(now),
                         m_missedChanges[StoreTable::Operators].version(),
-                        m_missedChanges[StoreTable::Upstreams].version() },
+                        m_missedChanges[StoreTable::Upstreams].version(),
+                        m_guard ? m_guard->takeReport(m_fleet.nextSequence(), now) : FenceReport {} },
         now);
 }
 
@@ -306,6 +358,8 @@
         return;
     Logging::write(Logging::EventId::DrainStarted);
     m_shutdownAt = EventLoop::now();
+    if (m_guard)
+        m_guard->shutDown();
     if (m_ownRowVersion != 0)
         m_worker.deleteHostRow(m_settings.host, m_ownRowVersion);
     updateReadiness();
--- a/src/libs/proxyhost/proxyhost.h
+++ b/src/libs/proxyhost/proxyhost.h
@@ -12,11 +12,13 @@
 #include "proxyhost/failovers.h"
 #include "proxyhost/fleet.h"
 #include "proxyhost/platformworker.h"
+#include "proxyhost/primaryguard.h"
 #include "proxyhost/storeevents.h"
 #include "sessionserver/server.h"
 #include "settings/proxysettings.h"
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -27,8 +29,9 @@
 /// reports of other hosts and the readiness probe. Used on the loop's thread.
 class ProxyHost {
 public:
+    /// `calls` returns calls for one more thread.
     ProxyHost(EventLoop::Loop& loop, const Settings::ProxySettings& settings, SessionServer::Codec codec,
-        PlatformCalls calls);
+        const std::function<PlatformCalls()>& calls);
 
     /// Starts to listen on all addresses and to register the host in the store. Returns an error message if
     /// an address cannot be listened on.
@@ -54,6 +57,9 @@
     void checkMissedChanges(StoreTable table, Model::Time now);
     void checkPeerNotifications(Model::Time now);
     void publish();
+    SessionServer::ServerHooks serverHooks();
+    Fleet::Hooks fleetHooks();
+    Failovers::Hooks failoverHooks();
     void registerHost();
     void setHosts(const std::vector<StoreRow>& rows, bool isComplete);
     void deleteStaleHostRow(Model::Time now);
@@ -66,6 +72,8 @@
     SessionServer::Server m_server;
     Fleet m_fleet;
     PlatformWorker m_worker;
+    /// Null if the promoter takes the role from the previous primary.
+    std::unique_ptr<PrimaryGuard> m_guard;
     Failovers m_failovers;
     EventLoop::Timer m_checkTimer;
     Probe::ProbeServer m_probe;
--- a/src/libs/proxyhost/rows.cpp
+++ b/src/libs/proxyhost/rows.cpp
@@ -6,10 +6,11 @@
 
 std::string formatPromotionLeaseRow(const PromotionLeaseRow& row)
 {
-    return nlohmann::json {
-        { "token", row.lease.token }, { "holder", row.lease.holder },
-        { "leaseEndMs", row.lease.leaseEnd.count() }, { "nonce", row.nonce }
-    }.dump();
+    nlohmann::json json { { "token", row.lease.token }, { "holder", row.lease.holder },
+        { "leaseEndMs", row.lease.leaseEnd.count() }, { "nonce", row.nonce } };
+    for (const Failover::FencedUpstream& fence : row.lease.fences)
+        json["fences"].push_back({ { "upstream", fence.upstream }, { "since", fence.since } });
+    return json.dump();
 }
 
 PromotionLeaseRow parsePromotionLeaseRow(const std::string& value)
@@ -21,6 +22,11 @@
         row.lease.holder = json.at("holder").get<std::string>();
         row.lease.leaseEnd = Failover::StoreTime(json.at("leaseEndMs").get<std::int64_t>());
         row.nonce = json.at("nonce").get<std::uint32_t>();
+        if (json.contains("fences")) {
+            for (const auto& fence : json.at("fences"))
+                row.lease.fences.push_back(
+                    { fence.at("upstream").get<std::string>(), fence.at("since").get<std::uint64_t>() });
+        }
         return row;
     } catch (const nlohmann::json::exception&) {
         return {};
--- a/src/libs/proxyhost/store.h
+++ b/src/libs/proxyhost/store.h
@@ -62,6 +62,8 @@
     /// Name of the host that holds the promotion lease, and the fencing token of its acquisition.
     std::string holder;
     Failover::FencingToken token = 0;
+    /// The request must not be sent later than this, since another host may hold the lease by then.
+    Model::Time sendBefore = Model::Time::max();
 };
 
 /// Callbacks through which the host controls the watching of the store.
@@ -77,6 +79,8 @@
 struct PlatformCalls {
     /// Returns the row, or no row if it does not exist.
     std::function<StoreAnswer(const std::string& table, const std::string& key)> read;
+    /// Returns all rows of a table.
+    std::function<StoreAnswer(const std::string& table)> readAll;
     /// Writes the rows in one transaction.
     std::function<StoreAnswer(const std::vector<StoreWrite>&)> commit;
     std::function<Failover::PromotionRequestResult(const PromotionRequest&)> promote;
--- a/src/libs/sessionserver/server.cpp
+++ b/src/libs/sessionserver/server.cpp
@@ -60,6 +60,7 @@
     result.disconnect = [this](Proxy::ConnectionId id) { m_upstreams.erase(id); };
     result.admit = std::move(hooks.admit);
     result.explainLimit = std::move(hooks.explainLimit);
+    result.mayUsePrimaries = std::move(hooks.mayUsePrimaries);
     result.decided
         = [this](const Proxy::Decision& decision) { m_decisionLog.write(decision, EventLoop::now()); };
     result.isNextTraced = [] { return Logging::isNextTraceSampled(); };
@@ -236,6 +237,12 @@
     scheduleTick();
 }
 
+void Server::endDisallowedUses()
+{
+    m_engine.endDisallowedUses(EventLoop::now());
+    scheduleTick();
+}
+
 void Server::sendCommand(const std::string& upstream, const Proxy::Command& command,
     std::function<void(const std::optional<Failover::UpstreamStatus>&)> answered)
 {
--- a/src/libs/sessionserver/server.h
+++ b/src/libs/sessionserver/server.h
@@ -37,6 +37,8 @@
     std::function<bool(const Directory::Customer&, Model::Time)> admit;
     /// The figures on which the last decision of `admit` for the customer was based, for logs.
     std::function<std::string(const Directory::Customer&)> explainLimit;
+    /// Whether this host may use primaries now; empty if it always may.
+    std::function<bool(Model::Time)> mayUsePrimaries;
 };
 
 /// Serves callers: owns the sockets of callers and upstreams and connects them to the engine. Used on the
@@ -55,6 +57,8 @@
 
     /// Has to be called after a change of the configuration, the upstreams or the zones.
     void directoryChanged();
+    /// Ends the use of upstreams that this host may no longer use as primaries.
+    void endDisallowedUses();
     /// Closes the sessions that have neither an open transaction nor a pending request.
     void closeIdleSessions();
     /// Rolls back the transactions that wait for their caller, and closes their sessions.
--- a/src/libs/settings/fieldreader.cpp
+++ b/src/libs/settings/fieldreader.cpp
@@ -74,6 +74,16 @@
     value = field->get<int>();
 }
 
+void FieldReader::boolean(const char* name, bool& value)
+{
+    const Json* field = find(name, false);
+    if (!field)
+        return;
+    if (!field->is_boolean())
+        return fail(name, "true or false");
+    value = field->get<bool>();
+}
+
 void FieldReader::fraction(const char* name, double& value)
 {
     const Json* field = find(name, false);
--- a/src/libs/settings/fieldreader.h
+++ b/src/libs/settings/fieldreader.h
@@ -26,6 +26,8 @@
     void addresses(const char* name, std::vector<Address>& value);
     /// Reads an optional integer; both bounds are inclusive.
     void integer(const char* name, int& value, int minimum, int maximum);
+    /// Reads an optional Boolean value.
+    void boolean(const char* name, bool& value);
     /// Reads an optional number from 0 to 1.
     void fraction(const char* name, double& value);
     /// Reads a required array of two integers within the bounds, in ascending order.
--- a/src/libs/settings/proxysettings.cpp
+++ b/src/libs/settings/proxysettings.cpp
@@ -40,6 +40,7 @@
     reader.range("peerPorts", settings.firstPeerPort, settings.lastPeerPort, 1, maxPort);
     reader.address("store", settings.store);
     reader.address("promoter", settings.promoter);
+    reader.boolean("promoterChecksFencing", settings.promoterChecksFencing);
     reader.integer("shutdownMs", settings.shutdownMs, 0, maxShutdownMs);
     reader.integer("maxDescriptors", settings.maxDescriptors, minDescriptors, maxDescriptors);
     reader.integer("forgetHostsAfterS", settings.forgetHostsAfterS, 1, maxForgetHostsAfterS);
--- a/src/libs/settings/proxysettings.h
+++ b/src/libs/settings/proxysettings.h
@@ -28,6 +28,9 @@
     Address store;
     /// Address of the platform's promoter, which replaces the primary of a service on request.
     Address promoter;
+    /// Whether the promoter checks fencing tokens and takes the role from the previous primary. If not, the
+    /// hosts keep each other from using a primary that is being replaced.
+    bool promoterChecksFencing = true;
     /// Maximum duration of a shutdown, in ms.
     int shutdownMs = 6000;
     /// Maximum number of file descriptors that the process opens.
--- a/src/tools/parsleytackd/sessionproxy.cpp
+++ b/src/tools/parsleytackd/sessionproxy.cpp
@@ -33,7 +33,7 @@
     Logging::configure({ {}, settings.host, settings.traceSampleRate });
     EventLoop::Loop loop;
     ProxyHost::ProxyHost host(loop, settings, Adapter::wireCodec(),
-        Adapter::platformCalls(settings.store.text(), settings.promoter.text()));
+        [&settings] { return Adapter::platformCalls(settings.store.text(), settings.promoter.text()); });
     loop.onSignal(SIGTERM, [&host] { host.shutDown(); });
     loop.onSignal(SIGINT, [&host] { host.shutDown(); });
     loop.onSignal(SIGHUP, [&host, &settingsFile] { reload(settingsFile, host); });
--- /dev/null
+++ b/tests/auto/core/failover/tst_primaryfences.cpp
@@ -0,0 +1,109 @@
+#include "core/failover/primaryfences.h"
+
+#include <gtest/gtest.h>
+
+using namespace Failover;
+using namespace std::chrono_literals;
+using Directory::Role;
+using Model::Time;
+
+namespace {
+
+const std::vector<std::string> others { "b", "c", "d", "e" };
+
+class PrimaryFencesTest : public testing::Test {
+protected:
+    void SetUp() override
+    {
+        m_permission.setHosts(others, Time { 0ms });
+        setUpstream("p", Role::Primary, 3);
+        ASSERT_TRUE(m_fences.apply({ "ledger", 10, { { "p", 0 } } }, Time { 0ms }));
+    }
+
+    void setUpstream(const std::string& id, Role role, std::uint64_t revision)
+    {
+        Directory::Upstream upstream;
+        upstream.id = id;
+        upstream.service = "ledger";
+        upstream.role = role;
+        upstream.revision = revision;
+        m_view.setUpstream(upstream);
+    }
+
+    bool isEffective(Time now) { return m_fences.isEffective("ledger", others, now); }
+
+    Directory::View m_view;
+    PrimaryPermission m_permission;
+    PrimaryFences m_fences { m_view, m_permission };
+};
+
+}
+
+// Guards against a promotion that waits although all hosts have stopped to use the previous primary.
+TEST_F(PrimaryFencesTest, TakesEffectWithAllAcknowledgements)
+{
+    for (const std::string& host : others) {
+        EXPECT_FALSE(isEffective(Time { 10ms }));
+        m_fences.acknowledged(host, "ledger", 10);
+    }
+    EXPECT_TRUE(isEffective(Time { 10ms }));
+}
+
+// Guards against a promotion while a host that does not respond still has its permission.
+TEST_F(PrimaryFencesTest, WaitsForThePermissionOfSilentHosts)
+{
+    m_fences.acknowledged("b", "ledger", 10);
+    EXPECT_FALSE(isEffective(Time { 10s }));
+    m_fences.acknowledged("c", "ledger", 9);
+    EXPECT_FALSE(isEffective(Time { 12s }));
+    m_fences.acknowledged("c", "ledger", 10);
+    EXPECT_FALSE(isEffective(Time { 12s }));
+    EXPECT_FALSE(isEffective(Time { 13500ms }));
+    EXPECT_TRUE(isEffective(Time { 13600ms }));
+}
+
+// Guards against a service that never gets a primary because most of the hosts are gone.
+TEST_F(PrimaryFencesTest, TakesEffectWithoutAMajorityOnceNoEarlierReadCounts)
+{
+    EXPECT_FALSE(isEffective(Time { 22s }));
+    EXPECT_TRUE(isEffective(Time { 22100ms }));
+}
+
+// Guards against a previous primary whose entry lapsed and returns while it still takes itself for the
+// primary (platform without a fence behind a promotion).
+TEST_F(PrimaryFencesTest, KeepsUpstreamOutUntilItAnnouncesTheReplicaRole)
+{
+    EXPECT_EQ(m_view.primaryOf("ledger"), nullptr);
+    m_view.removeUpstream("p");
+    setUpstream("p", Role::Primary, 12);
+    EXPECT_EQ(m_view.primaryOf("ledger"), nullptr);
+    // An entry from before the fence.
+    setUpstream("p", Role::Replica, 9);
+    EXPECT_TRUE(m_view.isFenced("p"));
+    setUpstream("p", Role::Replica, 13);
+    EXPECT_FALSE(m_view.isFenced("p"));
+    setUpstream("p", Role::Primary, 20);
+    ASSERT_NE(m_view.primaryOf("ledger"), nullptr);
+}
+
+// Guards against older fences that replace newer ones.
+TEST_F(PrimaryFencesTest, IgnoresOlderFences)
+{
+    EXPECT_FALSE(m_fences.apply({ "ledger", 8, { { "q", 0 } } }, Time { 20ms }));
+    EXPECT_FALSE(m_view.isFenced("q"));
+    ASSERT_EQ(m_fences.reported(Time { 30ms }).size(), 1U);
+    EXPECT_EQ(m_fences.reported(Time { 30ms }).front().version, 10U);
+}
+
+// Guards against a fence that ends although its upstream never stepped down, and against fences of upstreams
+// that are replicas again.
+TEST(ChangeFences, KeepsFencesUntilTheUpstreamIsAReplica)
+{
+    const std::vector<FencedUpstream> current { { "p", 0 }, { "q", 4 } };
+    EXPECT_EQ(changeFences(current, 10, { "r", {} }),
+        (std::vector<FencedUpstream> { { "p", 10 }, { "q", 4 }, { "r", 0 } }));
+    EXPECT_EQ(changeFences(current, 10, { "p", { { "p", 9 }, { "q", 5 } } }),
+        (std::vector<FencedUpstream> { { "p", 10 } }));
+    EXPECT_EQ(
+        changeFences(current, 10, { {}, { { "p", 11 } } }), (std::vector<FencedUpstream> { { "q", 4 } }));
+}
--- a/tests/auto/core/failover/tst_promotion.cpp
+++ b/tests/auto/core/failover/tst_promotion.cpp
@@ -33,7 +33,10 @@
     Promotion promotion(PromotionReason reason)
     {
         PromotionHooks hooks;
-        hooks.acquireLease = [this](const std::string&) { ++m_leasesRequested; };
+        hooks.acquireLease = [this](const std::string&, const std::string& fenced) {
+            ++m_leasesRequested;
+            m_fenced = fenced;
+        };
         hooks.requestStatus = [this](const std::string& upstream) { m_statusRequests.push_back(upstream); };
         hooks.stepDown = [this](const std::string& upstream, std::uint64_t term) {
             m_steppedDown = upstream;
@@ -45,7 +48,9 @@
         };
         hooks.isReachable = [this](const std::string& upstream) { return !m_unreachable.contains(upstream); };
         hooks.knownPosition = [](const std::string&) { return Model::LogPosition {}; };
-        return { m_view, "ledger", reason, std::move(hooks), Time { 0ms } };
+        if (m_needsFence)
+            hooks.isFenceEffective = [this](const std::string&, Time) { return m_isFenceEffective; };
+        return { m_view, "ledger", reason, "p", std::move(hooks), Time { 0ms } };
     }
 
     static UpstreamStatus status(std::uint64_t position, Role role = Role::Replica)
@@ -56,6 +61,9 @@
     Directory::View m_view;
     std::uint64_t m_revision = 0;
     int m_leasesRequested = 0;
+    std::string m_fenced;
+    bool m_needsFence = false;
+    bool m_isFenceEffective = false;
     std::vector<std::string> m_statusRequests;
     std::string m_steppedDown;
     std::uint64_t m_stepDownTerm = 0;
@@ -177,3 +185,57 @@
     EXPECT_EQ(run.phase(), PromotionPhase::Failed);
     EXPECT_TRUE(m_statusRequests.empty());
 }
+
+// Guards against two primaries on a platform whose promotion does not take the role from the previous one.
+TEST_F(PromotionTest, RequestsNothingBeforeTheFenceIsEffective)
+{
+    m_needsFence = true;
+    Promotion run = promotion(PromotionReason::Unreachable);
+    EXPECT_EQ(m_fenced, "p");
+    run.leaseAcquired(1, Time { 10ms });
+    run.update(Time { 500ms });
+    EXPECT_EQ(run.phase(), PromotionPhase::Fencing);
+    // Positions reported earlier would lack commits that the previous primary still accepted.
+    EXPECT_TRUE(m_statusRequests.empty());
+    m_isFenceEffective = true;
+    run.update(Time { 510ms });
+    run.statusArrived("q", status(100), Time { 520ms });
+    run.statusArrived("r", status(101), Time { 520ms });
+    ASSERT_EQ(m_promotionRequests, std::vector<std::string> { "r" });
+    run.promotionAnswered(PromotionRequestResult::Accepted, Time { 530ms });
+    setUpstream("r", Role::Primary);
+    run.update(Time { 900ms });
+    EXPECT_EQ(run.phase(), PromotionPhase::Finished);
+    EXPECT_EQ(m_steppedDown, "p");
+    EXPECT_EQ(m_stepDownTerm, 4U);
+}
+
+// Guards against a planned change without a fence although the previous primary may not have stepped down.
+TEST_F(PromotionTest, FencesPrimaryThatDoesNotStepDown)
+{
+    m_needsFence = true;
+    Promotion run = promotion(PromotionReason::Leaving);
+    EXPECT_EQ(m_fenced, "");
+    m_isFenceEffective = true;
+    run.leaseAcquired(1, Time { 10ms });
+    run.statusArrived("p", status(100, Role::Primary), Time { 20ms });
+    run.statusArrived("q", status(100), Time { 20ms });
+    run.statusArrived("r", status(100), Time { 20ms });
+    EXPECT_EQ(m_steppedDown, "p");
+    run.update(Time { 500ms });
+    EXPECT_EQ(m_fenced, "p");
+    EXPECT_EQ(m_leasesRequested, 2);
+    EXPECT_TRUE(m_promotionRequests.empty());
+}
+
+// Guards against a promotion request by a host that was frozen until another host could hold the lease: the
+// platform may not check the token.
+TEST_F(PromotionTest, SendsNoRequestAfterTheEndOfTheLease)
+{
+    Promotion run = promotion(PromotionReason::Unreachable);
+    run.leaseAcquired(1, Time { 10ms });
+    run.statusArrived("q", status(100), Time { 20ms });
+    run.statusArrived("r", status(101), Time { 3100ms });
+    EXPECT_TRUE(m_promotionRequests.empty());
+    EXPECT_EQ(run.phase(), PromotionPhase::Failed);
+}
--- a/tests/auto/core/proxy/enginefixture.cpp
+++ b/tests/auto/core/proxy/enginefixture.cpp
@@ -53,6 +53,7 @@
     hooks.disconnect = [this](ConnectionId id) { m_links.at(id).isClosed = true; };
     hooks.admit = [this](const Directory::Customer&, Model::Time) { return m_isAdmitted; };
     hooks.explainLimit = [](const Directory::Customer&) { return std::string("rate=1"); };
+    hooks.mayUsePrimaries = [this](Model::Time) { return m_mayUsePrimaries; };
     hooks.decided = [this](const Decision& decision) { m_decisions.push_back(decision); };
     hooks.isNextTraced = [this] { return m_isTraced; };
     hooks.answered = [this](const Session& session, ResultCode, Model::Duration) {
--- a/tests/auto/core/proxy/enginefixture.h
+++ b/tests/auto/core/proxy/enginefixture.h
@@ -58,6 +58,7 @@
     Directory::View m_view;
     Model::Time m_now { std::chrono::seconds(100) };
     bool m_isAdmitted = true;
+    bool m_mayUsePrimaries = true;
     bool m_isTraced = false;
     /// Hops of the traced statement that was answered last.
     std::vector<Proxy::Hop> m_hops;
--- a/tests/auto/core/proxy/tst_enginefailures.cpp
+++ b/tests/auto/core/proxy/tst_enginefailures.cpp
@@ -296,3 +296,77 @@
     send(second, statement(StatementKind::Write, "item"));
     EXPECT_EQ(m_links.size(), links + 1);
 }
+
+// Guards against the confirmation of a write that the previous primary ran beside a new one.
+TEST_F(EngineFailures, DoesNotConfirmWriteOfFencedPrimary)
+{
+    const SessionId session = open("strict");
+    const ConnectionId link = run(session, StatementKind::Write);
+    m_view.fence("p", 100);
+    answer(link, ResultCode::Complete, TransactionState::None, 9);
+    EXPECT_EQ(lastReply(session).code, ResultCode::InDoubt);
+    EXPECT_TRUE(m_links.at(link).isClosed);
+}
+
+// Guards against the loss of the answer that a fenced primary did not run a write.
+TEST_F(EngineFailures, ReportsWriteThatFencedPrimaryDidNotRun)
+{
+    const SessionId session = open("strict");
+    const ConnectionId link = run(session, StatementKind::Write);
+    m_view.fence("p", 100);
+    answer(link, ResultCode::Busy);
+    advance(900ms);
+    EXPECT_EQ(lastReply(session).code, ResultCode::Busy);
+}
+
+// Guards against a commit on the previous primary, whose transaction began before the fence.
+TEST_F(EngineFailures, RollsBackOpenTransactionsOfFencedPrimary)
+{
+    const SessionId session = open("strict");
+    send(session, statement(StatementKind::Begin));
+    const ConnectionId link = run(session, StatementKind::Write);
+    answer(link);
+    take(link);
+    answer(link, ResultCode::Complete, TransactionState::Open);
+    m_view.fence("p", 100);
+    send(session, statement(StatementKind::Commit));
+    EXPECT_EQ(lastReply(session).code, ResultCode::Aborted);
+    EXPECT_TRUE(take(link).empty());
+    EXPECT_TRUE(m_links.at(link).isClosed);
+}
+
+// Guards against requests that wait for the reply of a primary that is not used any more, and against writes
+// that a host sends without the permission to use primaries.
+TEST_F(EngineFailures, UsesNoPrimaryWithoutPermission)
+{
+    const SessionId writer = open("strict");
+    const ConnectionId link = run(writer, StatementKind::Write);
+    m_mayUsePrimaries = false;
+    m_engine->endDisallowedUses(m_now);
+    EXPECT_EQ(lastReply(writer).code, ResultCode::InDoubt);
+    EXPECT_TRUE(m_links.at(link).isClosed);
+    const SessionId other = open("strict", "key-bolt");
+    send(other, statement(StatementKind::Write, "a 1"));
+    acceptConnections();
+    for (const auto& [id, opened] : m_links)
+        EXPECT_TRUE(opened.isClosed || opened.commands.empty());
+    m_mayUsePrimaries = true;
+    advance(20ms);
+    acceptConnections();
+    EXPECT_FALSE(take(linkTo("p")).empty());
+}
+
+// Guards against bounded reads that end with the permission: they rely on a position, not on the role.
+TEST_F(EngineFailures, KeepsBoundedReadsWithoutPermission)
+{
+    observePrimary(5);
+    const SessionId session = open("bounded", "key-bolt");
+    send(session, statement(StatementKind::Read, "item"));
+    acceptConnections();
+    const ConnectionId link = linkTo(linkTo("q") != 0 ? "q" : "r");
+    ASSERT_NE(link, 0U);
+    m_mayUsePrimaries = false;
+    m_engine->endDisallowedUses(m_now);
+    answer(link);
+    EXPECT_EQ(lastReply(session).code, ResultCode::Complete);
+}
--- a/tests/auto/sessionproxy/testcluster.cpp
+++ b/tests/auto/sessionproxy/testcluster.cpp
@@ -109,7 +109,8 @@
     return rest.substr(0, rest.find(' '));
 }
 
-TestCluster::TestCluster(int hosts, Path path)
+TestCluster::TestCluster(int hosts, Path path, Fencing fencing)
+    : m_fencing(fencing)
 {
     m_store = std::make_unique<Standins::RowStore>(
         [this](const std::string&, const std::string& id) { return m_databases->promote(id); });
@@ -187,7 +188,8 @@
     const nlohmann::json settings { { "host", name }, { "zone", "north" },
         { "callers", host.callers->address() }, { "probe", host.probe->address() }, { "probePath", "/ready" },
         { "ip", "127.0.0.1" }, { "peerPorts", { peerPort, peerPort } }, { "store", store },
-        { "promoter", store }, { "shutdownMs", 4000 }, { "forgetHostsAfterS", m_forgetHostsAfterS },
+        { "promoter", store }, { "promoterChecksFencing", m_fencing == Fencing::Promoter },
+        { "shutdownMs", 4000 }, { "forgetHostsAfterS", m_forgetHostsAfterS },
         { "traceSampleRate", m_traceSampleRate } };
     const std::string file = temporaryFile(name + ".json");
     std::ofstream(file) << settings.dump();
--- a/tests/auto/sessionproxy/testcluster.h
+++ b/tests/auto/sessionproxy/testcluster.h
@@ -52,8 +52,16 @@
         Links,
     };
 
+    /// What keeps the hosts from using a primary that is being replaced.
+    enum class Fencing : std::uint8_t {
+        /// The promoter takes the role from it.
+        Promoter,
+        /// The hosts agree on it among themselves.
+        Hosts,
+    };
+
     /// Starts the hosts and waits until they are ready.
-    explicit TestCluster(int hosts, Path path = Path::Direct);
+    explicit TestCluster(int hosts, Path path = Path::Direct, Fencing fencing = Fencing::Promoter);
 
     /// These settings apply to hosts that are started later. The time is in seconds; the rate is the fraction
     /// of traced statements, from 0 to 1.
@@ -101,6 +109,7 @@
     std::vector<Standins::Link*> m_databaseLinks;
     std::vector<Standins::Link*> m_storeLinks;
     std::vector<Host> m_hosts;
+    Fencing m_fencing;
     int m_version = 0;
     int m_forgetHostsAfterS = 600;
     double m_traceSampleRate = 0;
--- a/tests/auto/sessionproxy/tst_sessionproxy.cpp
+++ b/tests/auto/sessionproxy/tst_sessionproxy.cpp
@@ -103,6 +103,28 @@
     EXPECT_TRUE(cluster.databases().protocolViolations().empty());
 }
 
+// Guards against hosts that never get the permission to use a primary, or a promotion that never takes place,
+// where the promoter does not take the role from the previous primary; and against a promotion without a
+// fence there.
+TEST(SessionProxy, FencesCrashedPrimaryBeforeItsReplacement)
+{
+    TestCluster cluster(3, TestCluster::Path::Direct, TestCluster::Fencing::Hosts);
+    ASSERT_TRUE(writeUntilComplete(cluster, 0, "before"));
+    const std::string previousPrimary = cluster.databases().primary();
+    // A host that does not respond delays the promotion until its permission has ended.
+    cluster.host(2).signal(SIGSTOP);
+    cluster.databases().crash(previousPrimary);
+    for (int host = 0; host < 2; ++host)
+        EXPECT_TRUE(writeUntilComplete(cluster, host, "after" + std::to_string(host) + "-"));
+    EXPECT_NE(cluster.databases().primary(), previousPrimary);
+    const std::string fenced
+        = R"("primary_fenced","host":"host-0","service":"ledger","upstream":")" + previousPrimary + '"';
+    EXPECT_NE(cluster.host(0).output().find(fenced), std::string::npos);
+    cluster.host(2).signal(SIGCONT);
+    EXPECT_TRUE(writeUntilComplete(cluster, 2, "resumed-"));
+    EXPECT_TRUE(cluster.databases().protocolViolations().empty());
+}
+
 // Guards against a draining primary that is replaced only after it has stopped.
 TEST(SessionProxy, ReplacesDrainingPrimaryBeforeItStops)
 {
--- a/tests/auto/settings/tst_proxysettings.cpp
+++ b/tests/auto/settings/tst_proxysettings.cpp
@@ -15,8 +15,8 @@
     return { { "host", "front-1" }, { "zone", "north" }, { "callers", "10.0.0.1:8465" },
         { "probe", "10.0.0.1:8460" }, { "probePath", "/ready" }, { "ip", "10.0.0.1" },
         { "peerPorts", { 7560, 7575 } }, { "store", "10.0.0.9:8466" }, { "promoter", "10.0.0.8:8466" },
-        { "shutdownMs", 6000 }, { "maxDescriptors", 4200 }, { "forgetHostsAfterS", 60 },
-        { "traceSampleRate", 0.5 } };
+        { "promoterChecksFencing", false }, { "shutdownMs", 6000 }, { "maxDescriptors", 4200 },
+        { "forgetHostsAfterS", 60 }, { "traceSampleRate", 0.5 } };
 }
 
 }
@@ -30,6 +30,7 @@
     EXPECT_EQ(settings->probePath, "/ready");
     EXPECT_EQ(settings->firstPeerPort, 7560);
     EXPECT_EQ(settings->lastPeerPort, 7575);
+    EXPECT_FALSE(settings->promoterChecksFencing);
     EXPECT_EQ(settings->shutdownMs, 6000);
     EXPECT_EQ(settings->forgetHostsAfterS, 60);
     EXPECT_EQ(settings->traceSampleRate, 0.5);
