Start no promotion that needs a fence without a majority of reports

They could not complete it, but their fence ended the use of the primary by the six other hosts when the cut healed, and attempts repeated until 17 s.

--- a/src/libs/core/failover/primarywatch.cpp
+++ b/src/libs/core/failover/primarywatch.cpp
@@ -71,7 +71,9 @@
 std::optional<PromotionReason> PrimaryWatch::due(const std::string& service, Model::Time now)
 {
     const auto found = reason(service, now, Evidence::All);
-    if (!found) {
+    // An attempt of the smaller part of a partitioned fleet would end the use of the primary by the others
+    // once the partition heals.
+    if (!found || (m_needsMajority && !isMajorityReporting(now))) {
         m_suspicions.erase(service);
         return std::nullopt;
     }
@@ -141,6 +143,13 @@
     return since;
 }
 
+bool PrimaryWatch::isMajorityReporting(Model::Time now) const
+{
+    const auto reporting = std::ranges::count_if(m_hosts,
+        [&](const auto& entry) { return now - entry.second.lastReportAt <= m_reportPeriod + reportDelay; });
+    return (reporting + 1) * 2 > m_hostCount;
+}
+
 /// Number of hosts that precede this one in an order by hash that differs between services, at most
 /// `maxRank`.
 int PrimaryWatch::rank(const std::string& service, Model::Time now) const
--- a/src/libs/core/failover/primarywatch.h
+++ b/src/libs/core/failover/primarywatch.h
@@ -46,6 +46,9 @@
     void setHost(const std::string& host, bool canPromote, Model::Time now);
     /// The period in which the hosts report.
     void setReportPeriod(Model::Duration period) { m_reportPeriod = period; }
+    /// Whether a promotion needs the acknowledgements of a majority of the hosts. If so, none is due while
+    /// fewer hosts report.
+    void setNeedsMajority(bool needsMajority) { m_needsMajority = needsMajority; }
     /// Number of live hosts, including this one.
     void setHostCount(int count) { m_hostCount = count; }
 
@@ -74,12 +77,14 @@
         const std::string& service, Model::Time now, Evidence evidence) const;
     bool isUnreachableForOthers(
         const std::string& service, const std::string& upstream, Model::Time now) const;
+    bool isMajorityReporting(Model::Time now) const;
     int rank(const std::string& service, Model::Time now) const;
 
     const Directory::View& m_view;
     const Reachability& m_reachability;
     std::string m_self;
     int m_hostCount = 1;
+    bool m_needsMajority = false;
     Model::Duration m_reportPeriod = std::chrono::milliseconds(200);
     std::map<std::string, Host> m_hosts;
     std::map<std::string, std::map<std::string, HealthObservation>> m_healthObservations;
--- a/src/libs/proxyhost/failovers.cpp
+++ b/src/libs/proxyhost/failovers.cpp
@@ -36,6 +36,7 @@
     , m_watch(view, server.engine().reachability(), std::move(self))
     , m_timer(loop, [this] { update(); })
 {
+    m_watch.setNeedsMajority(m_hooks.isFenceEffective != nullptr);
 }
 
 void Failovers::setHealthObservation(const std::string& service, Failover::HealthObservation observation)
--- a/tests/auto/core/failover/tst_primarywatch.cpp
+++ b/tests/auto/core/failover/tst_primarywatch.cpp
@@ -157,3 +157,25 @@
     setUpstream("p", Role::Primary, Availability::Draining);
     EXPECT_FALSE(m_watch.due("ledger", Time { 1100ms }));
 }
+
+// Guards against a promotion that the smaller part of a partitioned fleet begins and cannot complete: its
+// fence ends the use of the primary by the larger part once the partition heals (trouble-1 of deployment
+// maillebois-prod).
+TEST_F(PrimaryWatchTest, NothingIsDueWithoutTheMajorityThatAFenceNeeds)
+{
+    m_watch.setHostCount(9);
+    m_watch.setNeedsMajority(true);
+    m_view.removeUpstream("p");
+    std::optional<PromotionReason> reason;
+    for (Time now { 0ms }; now < Time { 3s }; now += 100ms) {
+        for (const char* host : { "a", "b", "c" })
+            m_watch.setHost(host, false, now);
+        EXPECT_FALSE(m_watch.due("ledger", now));
+    }
+    for (Time now { 3s }; !reason && now < Time { 5s }; now += 100ms) {
+        for (const char* host : { "a", "b", "c", "d" })
+            m_watch.setHost(host, false, now);
+        reason = m_watch.due("ledger", now);
+    }
+    EXPECT_EQ(reason, PromotionReason::Missing);
+}
