Open connections between hosts again sooner after a cut

Cause: after a cut of seven seconds one direction between two hosts came back two seconds later than the other, since the operating system repeats a lost connection request only after seconds and ZeroMQ paused for up to 2 s. The promoter did not hear acknowledgements that had been sent and waited for the permission of three hosts to end.

--- a/src/libs/peerbus/peerbus.cpp
+++ b/src/libs/peerbus/peerbus.cpp
@@ -18,7 +18,9 @@
     constexpr int heartbeatIntervalMs = 1000;
     constexpr int heartbeatTimeoutMs = 2500;
     constexpr int minReconnectMs = 200;
-    constexpr int maxReconnectMs = 2000;
+    constexpr int maxReconnectMs = 500;
+    /// The operating system repeats a lost connection request only after seconds.
+    constexpr int connectTimeoutMs = 500;
 
     std::string endpoint(const std::string& address) { return "tcp://" + address; }
 
@@ -31,6 +33,7 @@
         socket.set(zmq::sockopt::heartbeat_timeout, heartbeatTimeoutMs);
         socket.set(zmq::sockopt::reconnect_ivl, minReconnectMs);
         socket.set(zmq::sockopt::reconnect_ivl_max, maxReconnectMs);
+        socket.set(zmq::sockopt::connect_timeout, connectTimeoutMs);
     }
 
 }
