Decide by registration times which hosts a silent host knows

On the other side a host could rely for 22 s on a list read while the others still registered.

Change: a host's row carries the store's time of its registration, which may take 0.5 s. A host reads the store again after half of the time since its start, so that its list dates from the second half of it. The promoting host counts for each silent host the hosts that its list must include.

--- a/src/libs/core/failover/primaryfences.cpp
+++ b/src/libs/core/failover/primaryfences.cpp
@@ -11,11 +11,27 @@
     /// Covers the difference of the hosts' clock rates over `permissionDuration`.
     constexpr Model::Duration clockMargin = std::chrono::milliseconds(20);
 
+    /// Returns how many hosts the list of `host` includes at least, itself included. It has read the list
+    /// after its registration, in the second half of the time since then, and within `maxStoreReadAge`.
+    std::size_t leastListedHosts(const AwaitedHosts& awaited, const RegisteredHost& host)
+    {
+        const auto maxAge = std::chrono::duration_cast<StoreTime>(maxStoreReadAge + clockMargin);
+        const StoreTime readAt
+            = std::max(awaited.fencedAt - maxAge, (host.registeredAt + awaited.fencedAt) / 2);
+        const auto isListed
+            = [&](StoreTime registeredAt) { return registeredAt + maxRegistrationTime <= readAt; };
+        std::size_t count = 1 + (isListed(awaited.ownRegistrationAt) ? 1 : 0);
+        for (const RegisteredHost& other : awaited.hosts) {
+            if (other.name != host.name && isListed(other.registeredAt))
+                ++count;
+        }
+        return count;
+    }
+
 }
 
-PrimaryFences::PrimaryFences(Directory::View& view, const PrimaryPermission& permission)
+PrimaryFences::PrimaryFences(Directory::View& view)
     : m_view(view)
-    , m_permission(permission)
 {
 }
 
@@ -62,23 +78,20 @@
     });
 }
 
-bool PrimaryFences::isEffective(
-    const std::string& service, const std::vector<std::string>& hosts, Model::Time now)
+bool PrimaryFences::isEffective(const std::string& service, const AwaitedHosts& awaited, Model::Time now)
 {
     Known& known = m_services[service];
-    int missing = 0;
-    // This host has acknowledged the fences and is in all lists.
-    int inAllLists = 1;
-    for (const std::string& host : hosts) {
-        const auto entry = known.acknowledged.find(host);
+    std::vector<RegisteredHost> missing;
+    for (const RegisteredHost& host : awaited.hosts) {
+        const auto entry = known.acknowledged.find(host.name);
         if (entry == known.acknowledged.end() || entry->second < known.fences.version)
-            ++missing;
-        if (m_permission.isInAllLists(host, now))
-            ++inAllLists;
+            missing.push_back(host);
     }
-    if (missing == 0 || areOlderThan(known.fences, maxStoreReadAge + clockMargin, now))
+    if (missing.empty() || areOlderThan(known.fences, maxStoreReadAge + clockMargin, now))
         return true;
-    if (missing * 2 >= inAllLists)
+    const bool isMajorityAcknowledged = std::ranges::all_of(missing,
+        [&](const RegisteredHost& host) { return missing.size() * 2 < leastListedHosts(awaited, host); });
+    if (!isMajorityAcknowledged)
         return false;
     if (!known.majoritySince)
         known.majoritySince = now;
--- a/src/libs/core/failover/primaryfences.h
+++ b/src/libs/core/failover/primaryfences.h
@@ -21,10 +21,29 @@
     std::vector<FencedUpstream> fences;
 };
 
+/// A host as registered in the store.
+struct RegisteredHost {
+    std::string name;
+    /// No later than its registration, and no earlier than `maxRegistrationTime` before it.
+    StoreTime registeredAt {};
+};
+
+/// A host's registration takes at most this long; otherwise the host registers again.
+constexpr StoreTime maxRegistrationTime { 500 };
+
+/// The hosts whose acknowledgements a promotion needs.
+struct AwaitedHosts {
+    /// The hosts that were registered after the store had accepted the fences, without this one.
+    std::vector<RegisteredHost> hosts;
+    /// When this host was registered, and no later than when the store accepted the fences.
+    StoreTime ownRegistrationAt {};
+    StoreTime fencedAt {};
+};
+
 /// Tracks the fences of all services, and which hosts have acknowledged them. Used on one thread.
 class PrimaryFences {
 public:
-    PrimaryFences(Directory::View& view, const PrimaryPermission& permission);
+    explicit PrimaryFences(Directory::View& view);
 
     /// Applies the fences of a service. Returns false if these or newer ones are known already.
     bool apply(const ServiceFences& fences, Model::Time now);
@@ -37,9 +56,8 @@
     /// Whether no host uses an upstream any more that the newest fences of the service exclude: each has
     /// acknowledged them, or a majority has and the permission of the others has ended, or every permission
     /// has ended that was based on an earlier read of the store. Has to be called repeatedly from the
-    /// acquisition of the lease until it returns true. `hosts` are the hosts that were
-    /// registered when the store had accepted the fences.
-    bool isEffective(const std::string& service, const std::vector<std::string>& hosts, Model::Time now);
+    /// acquisition of the lease until it returns true.
+    bool isEffective(const std::string& service, const AwaitedHosts& awaited, Model::Time now);
 
 private:
     struct Known {
@@ -55,7 +73,6 @@
     bool areOlderThan(const ServiceFences& fences, Model::Duration age, Model::Time now) const;
 
     Directory::View& m_view;
-    const PrimaryPermission& m_permission;
     std::map<std::string, Known> m_services;
     /// When this host learned of each fence, by id of the upstream and version of the row that added it.
     std::map<std::pair<std::string, std::uint64_t>, Model::Time> m_knownSince;
--- a/src/libs/core/failover/primarypermission.cpp
+++ b/src/libs/core/failover/primarypermission.cpp
@@ -19,9 +19,7 @@
     std::erase_if(
         m_hosts, [&](const auto& host) { return std::ranges::find(hosts, host.first) == hosts.end(); });
     for (const std::string& host : hosts)
-        m_hosts.try_emplace(host, Host { now, std::nullopt });
-    if (!m_listedSince)
-        m_listedSince = now;
+        m_hosts.try_emplace(host, std::nullopt);
     update(now);
 }
 
@@ -30,24 +28,18 @@
     const auto entry = m_hosts.find(host);
     if (entry == m_hosts.end())
         return;
-    entry->second.heardAt = std::max(entry->second.heardAt.value_or(sentAt), sentAt);
+    entry->second = std::max(entry->second.value_or(sentAt), sentAt);
     update(now);
 }
 
 void PrimaryPermission::storeRead(Model::Time startedAt, Model::Time now)
 {
+    if (!m_firstStoreReadAt)
+        m_firstStoreReadAt = startedAt;
     m_storeReadAt = std::max(m_storeReadAt.value_or(startedAt), startedAt);
     update(now);
 }
 
-bool PrimaryPermission::isInAllLists(const std::string& host, Model::Time now) const
-{
-    const auto entry = m_hosts.find(host);
-    if (entry == m_hosts.end())
-        return false;
-    return entry->second.knownSince == m_listedSince || now - entry->second.knownSince > maxStoreReadAge;
-}
-
 /// Since when a majority of the fleet, this host included, has sent messages; `nullopt` if too few have.
 std::optional<Model::Time> PrimaryPermission::majorityHeardAt(Model::Time now) const
 {
@@ -55,9 +47,9 @@
     if (others == 0)
         return now;
     std::vector<Model::Time> heard;
-    for (const auto& [name, host] : m_hosts) {
-        if (host.heardAt)
-            heard.push_back(*host.heardAt);
+    for (const auto& [name, heardAt] : m_hosts) {
+        if (heardAt)
+            heard.push_back(*heardAt);
     }
     if (heard.size() < others)
         return std::nullopt;
@@ -72,8 +64,8 @@
         return;
     m_validUntil = *m_storeReadAt + permissionDuration;
     if (const auto heardAt = majorityHeardAt(now)) {
-        const Model::Time byMajority
-            = std::min(*heardAt + permissionDuration, *m_storeReadAt + maxStoreReadAge);
+        const Model::Duration maxAge = std::min(*m_storeReadAt - *m_firstStoreReadAt, maxStoreReadAge);
+        const Model::Time byMajority = std::min(*heardAt + permissionDuration, *m_storeReadAt + maxAge);
         m_validUntil = std::max(m_validUntil, byMajority);
     }
 }
--- a/src/libs/core/failover/primarypermission.h
+++ b/src/libs/core/failover/primarypermission.h
@@ -13,7 +13,9 @@
 /// set. A promotion waits for this long for hosts that have not acknowledged its fence.
 constexpr Model::Duration permissionDuration = std::chrono::milliseconds(1500);
 /// A host reads the promotion leases and the list of hosts in the store at least this often while it holds a
-/// permission. Longer than most outages of the store.
+/// permission. Longer than most outages of the store. A host that started less than twice this time ago reads
+/// them more often: after half of the time since its start, so that its list includes the hosts that started
+/// together with it.
 constexpr Model::Duration maxStoreReadAge = std::chrono::seconds(22);
 
 /// Decides whether this host may use any upstream as a primary.
@@ -37,22 +39,14 @@
     /// Whether the store should be read now: the messages of the other hosts do not suffice, or the last
     /// read will soon be too old.
     bool needsStoreRead(Model::Time now) const;
-    /// Whether the host has been registered for long enough to be in every other host's list.
-    bool isInAllLists(const std::string& host, Model::Time now) const;
 
 private:
-    struct Host {
-        Model::Time knownSince;
-        /// The newest message of the host cannot have been sent before this time.
-        std::optional<Model::Time> heardAt;
-    };
-
     void update(Model::Time now);
     std::optional<Model::Time> majorityHeardAt(Model::Time now) const;
 
-    std::map<std::string, Host> m_hosts;
-    /// When the first list of hosts arrived: their registration may be older.
-    std::optional<Model::Time> m_listedSince;
+    /// By host, the time before which it cannot have sent its newest message; `nullopt` before the first one.
+    std::map<std::string, std::optional<Model::Time>> m_hosts;
+    std::optional<Model::Time> m_firstStoreReadAt;
     std::optional<Model::Time> m_storeReadAt;
     Model::Time m_validUntil = Model::Time::min();
 };
--- a/src/libs/proxyhost/platformworker.cpp
+++ b/src/libs/proxyhost/platformworker.cpp
@@ -112,7 +112,7 @@
             return std::nullopt;
         version = reread.rows.front().version;
     }
-    AcquiredLease acquired { lease->token, { service, version, lease->fences }, {} };
+    AcquiredLease acquired { lease->token, { service, version, lease->fences }, {}, current.storeTime };
     if (!fenceChange)
         return acquired;
     // Read after the fences were written: a host that registers later reads them before it uses a primary.
@@ -122,7 +122,7 @@
         return std::nullopt;
     }
     for (const StoreRow& host : hosts.rows)
-        acquired.hosts.push_back(host.key);
+        acquired.hosts.push_back({ host.key, parseHostRow(host.value).registeredAt });
     return acquired;
 }
 
@@ -159,32 +159,31 @@
     });
 }
 
-void PlatformWorker::registerHost(const std::string& value, std::function<void(std::uint64_t version)> done)
+void PlatformWorker::registerHost(const HostRow& host, std::function<void(std::uint64_t version)> done)
 {
-    enqueue([this, value, done = std::move(done)] {
-        if (const auto version = registerNow(value)) {
+    enqueue([this, host, done = std::move(done)] {
+        const Model::Time startedAt = EventLoop::now();
+        const auto version = registerNow(host);
+        if (version && EventLoop::now() - startedAt < Failover::maxRegistrationTime) {
             m_loop.post([done, version] { done(*version); });
             return;
         }
         std::this_thread::sleep_for(registerRetryPause);
-        registerHost(value, done);
+        registerHost(host, done);
     });
 }
 
-std::optional<std::uint64_t> PlatformWorker::registerNow(const std::string& value)
+std::optional<std::uint64_t> PlatformWorker::registerNow(HostRow host)
 {
     const StoreAnswer current = m_calls.read(Tables::hosts, m_host);
     if (current.status != StoreStatus::Done) {
         logFailure("read the host's row", current);
         return std::nullopt;
     }
-    StoreRow row { Tables::hosts, m_host, value };
-    if (!current.rows.empty()) {
+    host.registeredAt = current.storeTime;
+    StoreRow row { Tables::hosts, m_host, formatHostRow(host) };
+    if (!current.rows.empty())
         row.version = current.rows.front().version;
-        // An earlier attempt was executed although its answer was lost.
-        if (current.rows.front().value == value)
-            return row.version;
-    }
     const StoreAnswer written = m_calls.commit({ { row, row.version } });
     if (written.status == StoreStatus::Done)
         return written.version;
--- a/src/libs/proxyhost/platformworker.h
+++ b/src/libs/proxyhost/platformworker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/failover/primaryfences.h"
+#include "proxyhost/rows.h"
 #include "proxyhost/store.h"
 
 #include <condition_variable>
@@ -29,8 +30,10 @@
     Failover::FencingToken token = 0;
     /// The service's fences as of the acquisition.
     Failover::ServiceFences fences;
-    /// The hosts that were registered after the acquisition, if fences are used.
-    std::vector<std::string> hosts;
+    /// The hosts that were registered after the acquisition, if fences are used, with this one.
+    std::vector<Failover::RegisteredHost> hosts;
+    /// Time of the store just before the acquisition.
+    Failover::StoreTime acquiredAt {};
 };
 
 /// The rows of all promotion leases and of all hosts, each as of a time after the call.
@@ -58,8 +61,9 @@
     void readFences(std::function<void(const std::optional<FenceState>&)> done);
     /// Sends a promotion request to the platform's promoter.
     void promote(const PromotionRequest& request, std::function<void(Failover::PromotionRequestResult)> done);
-    /// Writes the host's own row and retries until it is written. `done` gets the version of the row.
-    void registerHost(const std::string& value, std::function<void(std::uint64_t version)> done);
+    /// Writes the host's own row and retries until it is written, within the time that other hosts assume.
+    /// `done` gets the version of the row.
+    void registerHost(const HostRow& host, std::function<void(std::uint64_t version)> done);
     /// Deletes the row of this host, or a stale host row, if it still has this version.
     void deleteHostRow(const std::string& host, std::uint64_t version);
 
@@ -69,7 +73,7 @@
     std::optional<AcquiredLease> acquireLeaseNow(
         const std::string& service, const std::optional<Failover::FenceChange>& fenceChange);
     std::optional<FenceState> readFencesNow();
-    std::optional<std::uint64_t> registerNow(const std::string& value);
+    std::optional<std::uint64_t> registerNow(HostRow host);
 
     EventLoop::Loop& m_loop;
     PlatformCalls m_calls;
--- a/src/libs/proxyhost/primaryguard.cpp
+++ b/src/libs/proxyhost/primaryguard.cpp
@@ -17,7 +17,7 @@
     : m_self(std::move(self))
     , m_hooks(std::move(hooks))
     , m_worker(loop, std::move(calls), m_self)
-    , m_fences(view, m_permission)
+    , m_fences(view)
 {
 }
 
@@ -88,8 +88,14 @@
 
 void PrimaryGuard::leaseAcquired(const AcquiredLease& lease, Model::Time now)
 {
-    m_awaitedHosts[lease.fences.service] = lease.hosts;
-    std::erase(m_awaitedHosts[lease.fences.service], m_self);
+    Failover::AwaitedHosts awaited { {}, lease.acquiredAt, lease.acquiredAt };
+    for (const Failover::RegisteredHost& host : lease.hosts) {
+        if (host.name == m_self)
+            awaited.ownRegistrationAt = host.registeredAt;
+        else
+            awaited.hosts.push_back(host);
+    }
+    m_awaitedHosts[lease.fences.service] = std::move(awaited);
     if (!apply(lease.fences, now))
         return;
     m_hooks.endUses();
--- a/src/libs/proxyhost/primaryguard.h
+++ b/src/libs/proxyhost/primaryguard.h
@@ -76,7 +76,7 @@
     std::uint64_t m_incarnation = 0;
     bool m_isShuttingDown = false;
     /// The hosts whose acknowledgements a promotion of this host needs, by service.
-    std::map<std::string, std::vector<std::string>> m_awaitedHosts;
+    std::map<std::string, Failover::AwaitedHosts> m_awaitedHosts;
     bool m_hasReadStore = false;
     bool m_isReadingStore = false;
     std::optional<Model::Time> m_readStartedAt;
--- a/src/libs/proxyhost/proxyhost.cpp
+++ b/src/libs/proxyhost/proxyhost.cpp
@@ -109,7 +109,7 @@
         return error;
     if (auto error = m_fleet.listen(m_settings.ip, m_settings.firstPeerPort, m_settings.lastPeerPort))
         return error;
-    m_ownRow = formatHostRow({ m_fleet.address(), std::random_device {}() });
+    m_ownRow = { m_fleet.address(), std::random_device {}(), {} };
     registerHost();
     m_checkTimer.start(checkPeriod);
     return m_probe.start();
--- a/src/libs/proxyhost/proxyhost.h
+++ b/src/libs/proxyhost/proxyhost.h
@@ -83,7 +83,7 @@
     Directory::MissingUpstreams m_missingUpstreams;
     Directory::StaleHostRows m_staleHostRows;
     /// Content of the host's own row, and its version when it was last written; 0 if it was not written yet.
-    std::string m_ownRow;
+    HostRow m_ownRow;
     std::uint64_t m_ownRowVersion = 0;
     Model::Time m_storeAvailableSince;
     StoreControl m_storeControl;
--- a/src/libs/proxyhost/rows.cpp
+++ b/src/libs/proxyhost/rows.cpp
@@ -35,14 +35,17 @@
 
 std::string formatHostRow(const HostRow& row)
 {
-    return nlohmann::json { { "address", row.address }, { "nonce", row.nonce } }.dump();
+    return nlohmann::json {
+        { "address", row.address }, { "nonce", row.nonce }, { "registeredAtMs", row.registeredAt.count() }
+    }.dump();
 }
 
 HostRow parseHostRow(const std::string& value)
 {
     try {
         const auto json = nlohmann::json::parse(value);
-        return { json.at("address").get<std::string>(), json.at("nonce").get<std::uint32_t>() };
+        return { json.at("address").get<std::string>(), json.at("nonce").get<std::uint32_t>(),
+            Failover::StoreTime(json.value("registeredAtMs", std::int64_t {})) };
     } catch (const nlohmann::json::exception&) {
         return {};
     }
--- a/src/libs/proxyhost/rows.h
+++ b/src/libs/proxyhost/rows.h
@@ -24,6 +24,8 @@
     std::string address;
     /// Distinguishes the row of this process from one by an earlier process of the same host.
     std::uint32_t nonce = 0;
+    /// Time of the store just before the row was written; 0 if it is unknown.
+    Failover::StoreTime registeredAt {};
 };
 
 std::string formatHostRow(const HostRow& row);
