Read hosts that register together within a second

Cause: hosts that start together may each read the table of hosts before the others have registered, and read it again only after 4 s.

Test: ReadPacer.HostsThatStartTogetherLearnOfEachOtherWithinASecond (4 s before), ReadsOfHostRowsBecomeRare.

--- a/tests/auto/core/directory/tst_readpacer.cpp
+++ b/tests/auto/core/directory/tst_readpacer.cpp
@@ -50,3 +50,26 @@
     EXPECT_EQ(pacer.pauseAfterRead(Time { 20s }), 0ms);
     EXPECT_EQ(pacer.pauseAfterRead(Time { 20s }), 800ms);
 }
+
+// Guards against hosts that start together and learn of each other only after seconds: until then each
+// divides a customer's rate among too few hosts (test LimitsCustomerRateAcrossHosts of the session proxy, up
+// to 256 operations where 152 are allowed).
+TEST(ReadPacer, HostsThatStartTogetherLearnOfEachOtherWithinASecond)
+{
+    ReadPacer pacer = hostRowsPacer();
+    const Time lastRegistration { 300ms };
+    Time read { 0ms };
+    while (read < lastRegistration)
+        read += pacer.pauseAfterRead(read);
+    EXPECT_LE(read, Time { 1s });
+}
+
+// Guards against calls that grow with the number of restarts while a whole fleet restarts.
+TEST(ReadPacer, ReadsOfHostRowsBecomeRare)
+{
+    ReadPacer pacer = hostRowsPacer();
+    int reads = 0;
+    for (Time now { 0ms }; now < Time { 30s }; ++reads)
+        now += pacer.pauseAfterRead(now);
+    EXPECT_LE(reads, 12);
+}
