Read the store early enough to outlive its outages

Cause: with the list of hosts bound to the second half of a host's life, the store was read again just before the last read stopped to count.

Change: the store is read after half of the time for which the last read counts. Test: PrimaryPermission.OutlivesOutageThatBeginsBeforeARead.

--- a/src/libs/core/failover/primarypermission.cpp
+++ b/src/libs/core/failover/primarypermission.cpp
@@ -7,8 +7,11 @@
 
 namespace {
 
-    /// The store is read this often while the messages of the other hosts suffice.
-    constexpr Model::Duration storeReadPeriod = std::chrono::seconds(8);
+    /// While the messages of the other hosts suffice, the store is read after half of the time for which the
+    /// last read counts, so that the permission outlives an outage of the store of the same length, but no
+    /// less often than in the first period and no more often than in the second.
+    constexpr Model::Duration maxStoreReadPeriod = std::chrono::seconds(8);
+    constexpr Model::Duration minStoreReadPeriod = std::chrono::milliseconds(700);
     /// The store is read if the permission ends within this time.
     constexpr Model::Duration renewalMargin = std::chrono::milliseconds(700);
 
@@ -72,7 +75,11 @@
 
 bool PrimaryPermission::needsStoreRead(Model::Time now) const
 {
-    return !m_storeReadAt || now - *m_storeReadAt >= storeReadPeriod || now + renewalMargin >= m_validUntil;
+    if (!m_storeReadAt || now + renewalMargin >= m_validUntil)
+        return true;
+    const Model::Duration period
+        = std::clamp((*m_storeReadAt - *m_firstStoreReadAt) / 2, minStoreReadPeriod, maxStoreReadPeriod);
+    return now - *m_storeReadAt >= period;
 }
 
 }
--- a/tests/auto/core/failover/tst_primarypermission.cpp
+++ b/tests/auto/core/failover/tst_primarypermission.cpp
@@ -4,6 +4,7 @@
 
 using namespace Failover;
 using namespace std::chrono_literals;
+using Model::Duration;
 using Model::Time;
 
 namespace {
@@ -90,3 +91,25 @@
     EXPECT_TRUE(permission.isValid(Time { 7999ms }));
     EXPECT_FALSE(permission.isValid(Time { 8s }));
 }
+
+// Guards against hosts that lose the permission because the store cannot be reached just when it is to be
+// read again (trouble-1 of deployment maillebois-prod: five of nine hosts, one second after they were cut off
+// from the store).
+TEST(PrimaryPermission, OutlivesOutageThatBeginsBeforeARead)
+{
+    for (Duration startOfOutage = 10s; startOfOutage < 30s; startOfOutage += 500ms) {
+        PrimaryPermission permission = fleetOfFive();
+        Time now { 0ms };
+        for (; now < Time { startOfOutage }; now += 100ms) {
+            for (const char* host : { "b", "c" })
+                permission.contacted(host, now, now);
+            if (permission.needsStoreRead(now))
+                permission.storeRead(now, now);
+        }
+        // A third of the uptime, and 7 s in the long run: the outages of these deployments.
+        const Duration outage = std::min<Duration>(startOfOutage / 3, 7s);
+        for (const char* host : { "b", "c" })
+            permission.contacted(host, now + outage, now + outage);
+        EXPECT_TRUE(permission.isValid(now + outage)) << startOfOutage.count();
+    }
+}
