Do not read the store before each report of a mid-size fleet

Cause: the store was read when a permission had 0.7 s left.

Change: 0.35 s.

What remains are the reads every 8 s and the receipts.

Comments of the report and of the guard say what they hold now.

--- a/src/libs/core/failover/primarypermission.cpp
+++ b/src/libs/core/failover/primarypermission.cpp
@@ -12,8 +12,9 @@
     /// less often than in the first period and no more often than in the second.
     constexpr Model::Duration maxStoreReadPeriod = std::chrono::seconds(8);
     constexpr Model::Duration minStoreReadPeriod = std::chrono::milliseconds(700);
-    /// The store is read if the permission ends within this time.
-    constexpr Model::Duration renewalMargin = std::chrono::milliseconds(700);
+    /// The store is read if the permission ends within this time. Shorter than what remains of it when the
+    /// reports of a fleet of some tens of hosts, which all arrive together, are due again.
+    constexpr Model::Duration renewalMargin = std::chrono::milliseconds(350);
 
 }
 
--- a/src/libs/core/failover/primarypermission.h
+++ b/src/libs/core/failover/primarypermission.h
@@ -29,7 +29,8 @@
 public:
     /// Sets the hosts that are registered in the store, without this one.
     void setHosts(const std::vector<std::string>& hosts, Model::Time now);
-    /// A message was received that the host cannot have sent before `sentAt`, and whose fences are known now.
+    /// A message was received that the host cannot have sent before `sentAt`. The fences that it reports have
+    /// to be applied first.
     void contacted(const std::string& host, Model::Time sentAt, Model::Time now);
     /// The promotion leases and the hosts were read by a call to the store that began at `startedAt`.
     void storeRead(Model::Time startedAt, Model::Time now);
--- a/src/libs/core/failover/promotion.h
+++ b/src/libs/core/failover/promotion.h
@@ -47,6 +47,7 @@
 
 std::string_view promotionPhaseName(PromotionPhase phase);
 
+/// Whether the acquisition of a lease also ends the use of any primary of the service.
 enum class Fence : std::uint8_t { None, Set };
 
 /// Callbacks that a promotion needs. Answers are delivered by calls of `Promotion`.
--- a/src/libs/proxyhost/fleet.h
+++ b/src/libs/proxyhost/fleet.h
@@ -42,6 +42,7 @@
     /// Versions of the newest changes that the host has read of the operators' and the upstreams' tables.
     std::uint64_t operatorsVersion = 0;
     std::uint64_t upstreamsVersion = 0;
+    /// Empty if the promoter checks fencing tokens.
     FenceReport fences;
 };
 
@@ -56,7 +57,7 @@
         std::function<void(const std::string& host, bool canPromote)> hostReported;
         /// A host has reported the version of the newest change of a table that it has read.
         std::function<void(StoreTable, std::uint64_t version)> changeReported;
-        /// A host has reported its fences; empty if they are not used.
+        /// A host has reported the allowed primaries that it knows; empty if they are not used.
         std::function<void(const std::string& host, std::uint64_t incarnation, std::uint64_t sequence,
             const FenceReport& fences, Model::Time now)>
             fencesReported;
--- a/src/libs/proxyhost/primaryguard.h
+++ b/src/libs/proxyhost/primaryguard.h
@@ -19,7 +19,7 @@
 
 namespace ProxyHost {
 
-/// The part of a host's report that concerns fences.
+/// The part of a host's report from which the others learn which primaries may be used.
 struct FenceReport {
     /// When the report was sent, on the clock of its sender. `nullopt` if the sender may not know all
     /// allowed primaries.
@@ -29,12 +29,12 @@
 };
 
 /// Keeps this host from using a primary that is being replaced, on a platform whose promotions do not take
-/// the role from it: holds the host's permission to use primaries, exchanges fences with the other hosts and
-/// reads them from the store. Used on the loop's thread.
+/// the role from it: holds the permission to use primaries, exchanges the allowed primaries with the other
+/// hosts and reads them from the store. Used on the loop's thread.
 class PrimaryGuard {
 public:
     /// `endUses` is called when the use of a primary may have become disallowed, `publish` when the other
-    /// hosts should learn of fences at once.
+    /// hosts should learn of a change at once.
     struct Hooks {
         std::function<void()> endUses;
         std::function<void()> publish;
--- a/tests/auto/core/failover/tst_primarypermission.cpp
+++ b/tests/auto/core/failover/tst_primarypermission.cpp
@@ -63,21 +63,28 @@
     EXPECT_FALSE(permission.isValid(Time { 22s }));
 }
 
-// Guards against store calls that grow with the fleet's traffic: they have a price.
+// Guards against store calls that grow with the fleet's traffic: they have a price. A fleet of 59 hosts,
+// which started together, reports every 885 ms (quiet-1 of deployment maillebois-prod-grown, 0.863 to 0.730).
 TEST(PrimaryPermission, RarelyReadsTheStoreWhileAMajorityReports)
 {
-    PrimaryPermission permission = fleetOfFive();
-    permission.storeRead(Time { 0ms }, Time { 0ms });
-    int reads = 0;
-    for (Time now { 0ms }; now < Time { 60s }; now += 200ms) {
-        for (const char* host : { "b", "c", "d", "e" })
-            permission.contacted(host, now, now);
-        if (permission.needsStoreRead(now)) {
-            permission.storeRead(now, now);
-            ++reads;
+    for (const Duration reportPeriod : { Duration(200ms), Duration(885ms) }) {
+        PrimaryPermission permission = fleetOfFive();
+        permission.storeRead(Time { 0ms }, Time { 0ms });
+        int reads = 0;
+        Time reportedAt { 0ms };
+        for (Time now { 0ms }; now < Time { 60s }; now += 100ms) {
+            if (now - reportedAt >= reportPeriod) {
+                reportedAt = now;
+                for (const char* host : { "b", "c", "d", "e" })
+                    permission.contacted(host, now - 20ms, now);
+            }
+            if (permission.needsStoreRead(now)) {
+                permission.storeRead(now, now);
+                ++reads;
+            }
         }
+        EXPECT_LE(reads, 15);
     }
-    EXPECT_LE(reads, 15);
 }
 
 // Guards against a host that relies for long on a list of hosts that it read while the others registered.
