Show that a large fleet exceeds a customer's limit, by failing tests

The tests repeat it in simulated time: 195 hosts, a customer without recent requests that then sends 4.8 times its rate.

--- /dev/null
+++ b/tests/auto/core/allowance/fleetsimulation.cpp
@@ -0,0 +1,118 @@
+#include "fleetsimulation.h"
+
+#include <algorithm>
+
+using namespace Allowance;
+using namespace std::chrono_literals;
+using Model::Duration;
+using Model::Time;
+
+namespace {
+
+constexpr Duration step = 5ms;
+constexpr Duration window = 5s;
+
+}
+
+FleetSimulation::FleetSimulation(int hosts, Directory::Customer customer)
+    : m_customer(std::move(customer))
+    , m_isPartitioned(static_cast<std::size_t>(hosts), false)
+    , m_incarnations(static_cast<std::size_t>(hosts), 1)
+{
+    m_reportPlan.setHostCount(hosts);
+    for (int i = 0; i < hosts; ++i)
+        m_names.push_back("host-" + std::to_string(i));
+    for (std::size_t i = 0; i < m_names.size(); ++i)
+        m_hosts.push_back(newHost(i));
+}
+
+FleetAllowance FleetSimulation::newHost(std::size_t index) const
+{
+    FleetAllowance host(m_names[index]);
+    host.setReportPeriod(m_reportPlan.period());
+    host.setPeers(m_names, m_now);
+    Directory::Configuration configuration;
+    configuration.customers.emplace(m_customer.name, m_customer);
+    host.setCustomers(configuration, m_now);
+    return host;
+}
+
+void FleetSimulation::restart(int host)
+{
+    const auto index = static_cast<std::size_t>(host);
+    m_hosts.at(index) = newHost(index);
+    ++m_incarnations.at(index);
+}
+
+std::vector<Time> FleetSimulation::run(const std::vector<double>& rates, Duration duration)
+{
+    std::vector<Time> admitted;
+    const Time end = m_now + duration;
+    for (; m_now < end; m_now += step) {
+        for (std::size_t i = 0; i < m_hosts.size(); ++i)
+            offer(i, rates.at(i), admitted);
+        for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+            if (isDue(i, m_reportPlan.period()))
+                report(i);
+        }
+    }
+    return admitted;
+}
+
+std::vector<Time> FleetSimulation::runEvenly(double rate, Duration duration)
+{
+    return run(std::vector<double>(m_hosts.size(), rate / static_cast<double>(m_hosts.size())), duration);
+}
+
+bool FleetSimulation::isDue(std::size_t host, Duration period) const
+{
+    const Duration offset = period * static_cast<int>(host) / static_cast<int>(m_hosts.size());
+    return (m_now - Time() + offset) % period < step;
+}
+
+bool FleetSimulation::isConnected(std::size_t from, std::size_t to) const
+{
+    return to != from && !m_isPartitioned[from] && !m_isPartitioned[to];
+}
+
+void FleetSimulation::offer(std::size_t host, double rate, std::vector<Time>& admitted)
+{
+    std::poisson_distribution<int> count(rate * std::chrono::duration<double>(step).count());
+    for (int n = rate > 0 ? count(m_generator) : 0; n > 0; --n) {
+        ++m_offered;
+        bool isAdmitted = m_hosts[host].admit(m_customer, m_now);
+        for (int retry = 0; !isAdmitted && retry < m_retries; ++retry)
+            isAdmitted = m_hosts[m_generator() % m_hosts.size()].admit(m_customer, m_now);
+        if (isAdmitted)
+            admitted.push_back(m_now);
+        else
+            ++m_refused;
+    }
+}
+
+void FleetSimulation::report(std::size_t from)
+{
+    const UsageReport report { m_names[from], m_incarnations[from], m_hosts[from].usage(m_now) };
+    for (std::size_t to = 0; to < m_hosts.size(); ++to) {
+        if (isConnected(from, to))
+            m_hosts[to].receive(report, m_now);
+    }
+}
+
+std::size_t maxAdmittedInWindow(const std::vector<Time>& admitted)
+{
+    std::size_t result = 0;
+    std::size_t first = 0;
+    for (std::size_t last = 0; last < admitted.size(); ++last) {
+        while (admitted[last] - admitted[first] > window)
+            ++first;
+        result = std::max(result, last - first + 1);
+    }
+    return result;
+}
+
+std::size_t permittedInWindow(const Directory::Customer& customer)
+{
+    const double limit = customer.rate * std::chrono::duration<double>(window).count() + customer.burst;
+    return static_cast<std::size_t>(limit * 1.1 + 20);
+}
--- /dev/null
+++ b/tests/auto/core/allowance/tst_largefleet.cpp
@@ -0,0 +1,99 @@
+#include "fleetsimulation.h"
+
+#include <gtest/gtest.h>
+
+using namespace Allowance;
+using namespace std::chrono_literals;
+using Model::Time;
+
+namespace {
+
+/// The size of the large deployment.
+constexpr int hosts = 195;
+/// Customers usually send this fraction of their rate, and up to `busyFactor` times that when they are busy.
+constexpr double usualFraction = 1 / 1.6;
+constexpr double busyFactor = 7.7;
+constexpr int retries = 2;
+
+std::vector<Directory::Customer> customers()
+{
+    return { { "small", 5, 5 }, { "medium", 24, 24 }, { "large", 100, 100 }, { "largest", 235, 235 } };
+}
+
+double usualRate(const Directory::Customer& customer) { return customer.rate * usualFraction; }
+double busyRate(const Directory::Customer& customer) { return usualRate(customer) * busyFactor; }
+
+}
+
+// Guards against an allowance for each host that does not depend on the number of hosts: 195 hosts, each with
+// a few operations between two reports, together exceed the limit of a customer that turns busy (QUOTA on
+// deployment tsh-approvals-large).
+TEST(LargeFleet, CustomerThatTurnsBusyStaysWithinItsLimit)
+{
+    for (const Directory::Customer& customer : customers()) {
+        FleetSimulation fleet(hosts, customer);
+        fleet.setRetries(retries);
+        fleet.run(std::vector<double>(hosts, 0), 7s);
+        const auto admitted = fleet.runEvenly(busyRate(customer), 8s);
+        EXPECT_LE(maxAdmittedInWindow(admitted), permittedInWindow(customer)) << customer.name;
+    }
+}
+
+// Guards against the same where a fifth of the hosts get all the requests.
+TEST(LargeFleet, CustomerOfFewHostsThatTurnsBusyStaysWithinItsLimit)
+{
+    for (const Directory::Customer& customer : customers()) {
+        FleetSimulation fleet(hosts, customer);
+        fleet.setRetries(retries);
+        fleet.run(std::vector<double>(hosts, 0), 7s);
+        std::vector<double> rates(hosts, 0);
+        for (int i = 0; i < hosts; i += 5)
+            rates[static_cast<std::size_t>(i)] = busyRate(customer) * 5 / hosts;
+        EXPECT_LE(maxAdmittedInWindow(fleet.run(rates, 8s)), permittedInWindow(customer)) << customer.name;
+    }
+}
+
+// Guards against a limit that does not hold while all hosts of a large fleet start again at once.
+TEST(LargeFleet, LimitHoldsAfterRestartOfAllHosts)
+{
+    for (const Directory::Customer& customer : customers()) {
+        FleetSimulation fleet(hosts, customer);
+        fleet.setRetries(retries);
+        fleet.runEvenly(usualRate(customer), 7s);
+        std::vector<Time> admitted = fleet.runEvenly(busyRate(customer), 4s);
+        for (int host = 0; host < hosts; ++host)
+            fleet.restart(host);
+        const auto more = fleet.runEvenly(busyRate(customer), 8s);
+        admitted.insert(admitted.end(), more.begin(), more.end());
+        EXPECT_LE(maxAdmittedInWindow(admitted), permittedInWindow(customer)) << customer.name;
+    }
+}
+
+// Guards against limits that no longer hold at the design size.
+TEST(LargeFleet, LimitHoldsAtTheDesignSize)
+{
+    constexpr int designSize = 810;
+    const Directory::Customer customer { "medium", 24, 24 };
+    FleetSimulation fleet(designSize, customer);
+    fleet.setRetries(retries);
+    fleet.run(std::vector<double>(designSize, 0), 26s);
+    EXPECT_LE(maxAdmittedInWindow(fleet.runEvenly(busyRate(customer), 7s)), permittedInWindow(customer));
+}
+
+// Guards against false refusals of a customer below its rate, and against refusals that continue after it has
+// exceeded its rate for a while.
+TEST(LargeFleet, RefusesLittleBelowTheRate)
+{
+    const Directory::Customer customer = customers().back();
+    FleetSimulation fleet(hosts, customer);
+    fleet.setRetries(retries);
+    fleet.runEvenly(usualRate(customer), 12s);
+    fleet.resetCounts();
+    fleet.runEvenly(usualRate(customer), 10s);
+    EXPECT_LT(static_cast<double>(fleet.refused()), 0.01 * static_cast<double>(fleet.offered()));
+    fleet.runEvenly(busyRate(customer), 6s);
+    fleet.runEvenly(usualRate(customer), 4s);
+    fleet.resetCounts();
+    fleet.runEvenly(usualRate(customer), 10s);
+    EXPECT_LT(static_cast<double>(fleet.refused()), 0.01 * static_cast<double>(fleet.offered()));
+}
