Log when the fleet has exceeded a customer's limit

The logs show refused operations only, so that an exceeded limit leaves no trace: it cannot be told whether many hosts admitted operations that they had not reported yet, or a restarted fleet used its burst again. Event 504 names the customer, the excess, and how many hosts are live, admit its operations and started recently; at most one line per customer and host in 5 s.

--- a/src/libs/core/allowance/fleetallowance.cpp
+++ b/src/libs/core/allowance/fleetallowance.cpp
@@ -41,6 +41,13 @@
     /// A deficit beyond this many seconds of the rate is written off: its operations precede the windows over
     /// which the limit applies.
     constexpr double maxDeficitSeconds = 5;
+    /// Operations beyond the limit that are tolerated: a fraction of those that the limit permits in
+    /// `overrunWindow`, and a fixed number.
+    constexpr double toleratedFraction = 0.1;
+    constexpr double toleratedOperations = 20;
+    constexpr Model::Duration overrunWindow = std::chrono::seconds(5);
+    /// A host counts as started recently for this long.
+    constexpr Model::Duration recentStart = std::chrono::seconds(10);
 
     double seconds(Model::Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
@@ -270,6 +277,7 @@
         for (auto& [customer, usage] : peer.usage)
             usage.admitted = 0;
         peer.incarnation = report.incarnation;
+        peer.startedAt = now;
     }
     for (const Usage& reported : report.usage) {
         PeerUsage& usage = peer.usage[reported.customer];
@@ -308,6 +316,34 @@
         > std::chrono::duration_cast<Model::Duration>(m_reportPeriod * overduePeriods);
 }
 
+std::vector<Overrun> FleetAllowance::takeOverruns(Model::Time now)
+{
+    std::vector<Overrun> result;
+    for (auto& [name, bucket] : m_buckets) {
+        const double permitted = bucket.rate * seconds(overrunWindow) + bucket.burst;
+        const double tolerated = toleratedFraction * permitted + toleratedOperations;
+        const bool wasReported = bucket.overrunReportedAt && now - *bucket.overrunReportedAt < overrunWindow;
+        if (wasReported || -bucket.tokens <= tolerated)
+            continue;
+        bucket.overrunReportedAt = now;
+        result.push_back(overrunOf(name, bucket, now));
+    }
+    return result;
+}
+
+Overrun FleetAllowance::overrunOf(const std::string& customer, const Bucket& bucket, Model::Time now) const
+{
+    Overrun overrun { customer, bucket.rate, bucket.burst, -bucket.tokens, liveHosts(now), 1, 1 };
+    for (const auto& [name, peer] : m_peers) {
+        const auto usage = peer.usage.find(customer);
+        if (usage != peer.usage.end() && usage->second.admittedRate > 0)
+            ++overrun.admittingHosts;
+        if (peer.startedAt && now - *peer.startedAt < recentStart)
+            ++overrun.startedHosts;
+    }
+    return overrun;
+}
+
 std::vector<Usage> FleetAllowance::usage(Model::Time now)
 {
     std::vector<Usage> result;
--- a/src/libs/core/allowance/fleetallowance.h
+++ b/src/libs/core/allowance/fleetallowance.h
@@ -31,6 +31,20 @@
     std::vector<Usage> usage;
 };
 
+/// A customer whose operations in the whole fleet have exceeded its limit, by a host's estimate.
+struct Overrun {
+    std::string customer;
+    double rate = 0;
+    double burst = 0;
+    /// Operations beyond the limit.
+    double excess = 0;
+    /// Hosts that count as live, hosts that admit operations of the customer, and hosts that started within
+    /// the last seconds; this one included.
+    int liveHosts = 0;
+    int admittingHosts = 0;
+    int startedHosts = 0;
+};
+
 /// Limits the rate of each customer's operations over the whole fleet without a request to another host per
 /// operation.
 ///
@@ -61,6 +75,9 @@
     std::vector<Usage> usage(Model::Time now);
     /// Number of hosts that are not presumed dead, including this one.
     int liveHosts(Model::Time now) const;
+    /// The customers that have exceeded their limits by more than a tolerance; each is returned at most once
+    /// in several seconds.
+    std::vector<Overrun> takeOverruns(Model::Time now);
 
 private:
     struct PeerUsage {
@@ -83,6 +100,8 @@
     };
     struct Peer {
         std::uint64_t incarnation = 0;
+        /// When the first report of this incarnation arrived.
+        std::optional<Model::Time> startedAt;
         std::optional<Model::Time> lastReportAt;
         Model::Time knownSince;
         std::map<std::string, PeerUsage> usage;
@@ -111,6 +130,7 @@
         /// The joint share of this host and those that report to it.
         double reachableShare = 1;
         std::optional<Model::Time> sharesUpdatedAt;
+        std::optional<Model::Time> overrunReportedAt;
     };
 
     Bucket& bucketOf(const Directory::Customer& customer, Model::Time now);
@@ -120,6 +140,7 @@
     static void refundUnused(Bucket& bucket, PeerUsage& usage, Model::Time now);
     static void setEstimatedRate(PeerUsage& usage, double rate, Model::Time now);
     static double shareOf(double demand, double total, int hosts);
+    Overrun overrunOf(const std::string& customer, const Bucket& bucket, Model::Time now) const;
     bool isReportOverdue(const Peer& peer, Model::Time now) const;
     bool isShareReserved(const Peer& peer, Model::Time now) const;
     bool isPresumedDead(const Peer& peer, Model::Time now) const;
--- a/src/libs/logging/eventid.cpp
+++ b/src/libs/logging/eventid.cpp
@@ -9,7 +9,7 @@
 
     using enum EventId;
 
-    constexpr std::array<EventInfo, 51> table { {
+    constexpr std::array<EventInfo, 52> table { {
         { ProcessStarted, "process_started", Severity::Info, "the process listens on all its addresses" },
         { ProcessStopped, "process_stopped", Severity::Info, "the process ended after its last request" },
         { DrainStarted, "drain_started", Severity::Info, "SIGTERM received; no new requests are accepted" },
@@ -73,6 +73,8 @@
             "the lease lapsed, so the quota slots are acquired again" },
         { SlotReleased, "slot_released", Severity::Info, "the host released quota slots" },
         { LeaseLapsed, "lease_lapsed", Severity::Warning, "a newer process of this host holds the lease" },
+        { CustomerLimitExceeded, "customer_limit_exceeded", Severity::Warning,
+            "the hosts together have admitted more of a customer's operations than its limit permits" },
         { RequestRefused, "request_refused", Severity::Info, "a statement was refused and did not run" },
         { RequestRetried, "request_retried", Severity::Info, "a statement that had no effect is retried" },
         { RequestInDoubt, "request_in_doubt", Severity::Warning,
--- a/src/libs/logging/eventid.h
+++ b/src/libs/logging/eventid.h
@@ -52,6 +52,7 @@
     SlotLost = 501,
     SlotReleased = 502,
     LeaseLapsed = 503,
+    CustomerLimitExceeded = 504,
     RequestRefused = 600,
     RequestRetried = 601,
     RequestInDoubt = 602,
--- a/src/libs/proxyhost/proxyhost.cpp
+++ b/src/libs/proxyhost/proxyhost.cpp
@@ -186,9 +186,22 @@
     m_failovers.update();
     if (m_fleet.isReportDue(m_failovers.isAnyPrimarySuspected(now), now))
         publish();
+    logOverruns(now);
     m_checkTimer.start(checkPeriod);
 }
 
+void ProxyHost::logOverruns(Model::Time now)
+{
+    for (const Allowance::Overrun& overrun : m_allowance.takeOverruns(now)) {
+        Logging::write(Logging::EventId::CustomerLimitExceeded,
+            { { "customer", overrun.customer }, { "rate", std::to_string(overrun.rate) },
+                { "burst", std::to_string(overrun.burst) }, { "excess", std::to_string(overrun.excess) },
+                { "hosts", std::to_string(overrun.liveHosts) },
+                { "admitting", std::to_string(overrun.admittingHosts) },
+                { "started", std::to_string(overrun.startedHosts) } });
+    }
+}
+
 void ProxyHost::checkMissedChanges(StoreTable table, Model::Time now)
 {
     if (!m_missedChanges[table].takeMissed(now))
--- a/src/libs/proxyhost/proxyhost.h
+++ b/src/libs/proxyhost/proxyhost.h
@@ -56,6 +56,7 @@
     void runPeriodicChecks();
     void checkMissedChanges(StoreTable table, Model::Time now);
     void checkPeerNotifications(Model::Time now);
+    void logOverruns(Model::Time now);
     void publish();
     SessionServer::ServerHooks serverHooks();
     Fleet::Hooks fleetHooks();
--- a/tests/auto/core/allowance/tst_fleetallowance.cpp
+++ b/tests/auto/core/allowance/tst_fleetallowance.cpp
@@ -175,3 +175,26 @@
     // The estimate for b is half of 50/s, so that 75/s remain.
     EXPECT_NEAR(allowance.usage(now).front().available - before, 7.5, 0.1);
 }
+
+// Guards against an exceeded limit that the log does not show, or that fills the log.
+TEST(FleetAllowance, ReportsExceededLimitOnce)
+{
+    const Time now { 100s };
+    FleetAllowance host("a");
+    host.setPeers({ "a", "b", "c" }, now);
+    Directory::Configuration configuration;
+    configuration.customers.emplace(customer.name, customer);
+    host.setCustomers(configuration, now);
+    host.receive({ "b", 1, { { "acme", 0, 10, 100 } } }, now);
+    host.receive({ "b", 1, { { "acme", 100, 10, 0 } } }, now);
+    EXPECT_TRUE(host.takeOverruns(now).empty());
+    host.receive({ "b", 1, { { "acme", 300, 10, 0 } } }, now);
+    const auto overruns = host.takeOverruns(now);
+    ASSERT_EQ(overruns.size(), 1U);
+    EXPECT_EQ(overruns.front().customer, "acme");
+    EXPECT_GT(overruns.front().excess, 100);
+    EXPECT_EQ(overruns.front().liveHosts, 3);
+    EXPECT_EQ(overruns.front().admittingHosts, 2);
+    EXPECT_EQ(overruns.front().startedHosts, 2);
+    EXPECT_TRUE(host.takeOverruns(now).empty());
+}
