Count customers' operations at counting hosts between the reports

Cause: in a fleet of 195 hosts a host reports every 2.9 s. Up to then each host may use three surplus tokens and one token of its own, whatever the customer's limit is: 585 and 195 operations that no other host knows of, for a customer whose limit permits 1,571 in 5 s. The class of fault: an allowance for each host that does not shrink as the number of hosts grows.

Ruled out: a restarted fleet as the only cause (no host had started when the excess was logged first). Shares alone: with 195 hosts a host's share of most limits is far below one operation, so that callers would be refused below the limit.

Change: each host sends its counts every 100 ms to two counting hosts for each customer (rendezvous hashing over the reporting hosts). These know the balance within a tenth of a second and send it to all hosts while it is low. The reports stay as they are and correct what gets lost. Small fleets report often enough and send no counts.

--- a/src/libs/core/allowance/fleetallowance.cpp
+++ b/src/libs/core/allowance/fleetallowance.cpp
@@ -48,6 +48,8 @@
     constexpr Model::Duration overrunWindow = std::chrono::seconds(5);
     /// A host counts as started recently for this long.
     constexpr Model::Duration recentStart = std::chrono::seconds(10);
+    /// A balance from a counting host is outdated after this time; it sends several a second while it is low.
+    constexpr Model::Duration balanceLifetime = std::chrono::milliseconds(500);
 
     double seconds(Model::Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
@@ -265,48 +267,140 @@
                       : evenlyDividedFraction / hosts + (1 - evenlyDividedFraction) * demand / total;
 }
 
+/// Returns the host with this incarnation, or null if a newer one is known.
+FleetAllowance::Peer* FleetAllowance::findPeer(
+    const std::string& host, std::uint64_t incarnation, Model::Time now)
+{
+    Peer& peer = m_peers[host];
+    if (incarnation < peer.incarnation)
+        return nullptr;
+    if (incarnation > peer.incarnation) {
+        for (auto& [customer, usage] : peer.usage) {
+            usage.admitted = 0;
+            usage.reported = 0;
+        }
+        peer.incarnation = incarnation;
+        peer.startedAt = now;
+    }
+    return &peer;
+}
+
 void FleetAllowance::receive(const UsageReport& report, Model::Time now)
 {
     if (report.host == m_self)
         return;
-    const auto [entry, isNewPeer] = m_peers.try_emplace(report.host);
-    Peer& peer = entry->second;
-    if (report.incarnation < peer.incarnation)
+    Peer* peer = findPeer(report.host, report.incarnation, now);
+    if (!peer)
         return;
-    if (report.incarnation > peer.incarnation) {
-        for (auto& [customer, usage] : peer.usage)
-            usage.admitted = 0;
-        peer.incarnation = report.incarnation;
-        peer.startedAt = now;
-    }
     for (const Usage& reported : report.usage) {
-        PeerUsage& usage = peer.usage[reported.customer];
+        PeerUsage& usage = peer->usage[reported.customer];
         // Reports may arrive out of order; the counts only increase.
-        if (reported.admitted < usage.admitted)
+        if (reported.admitted < usage.reported)
             continue;
-        const double admitted = static_cast<double>(reported.admitted - usage.admitted);
+        const std::uint64_t known = std::max(usage.admitted, reported.admitted);
         const auto bucket = m_buckets.find(reported.customer);
         if (bucket != m_buckets.end()) {
             refill(reported.customer, bucket->second, now);
             if (!usage.lastIncludedAt) {
                 bucket->second.tokens = std::min(bucket->second.tokens, reported.available);
             } else {
-                const double rate
-                    = admitted / std::max(seconds(m_reportPeriod), seconds(now - *usage.lastIncludedAt));
+                const double rate = static_cast<double>(reported.admitted - usage.reported)
+                    / std::max(seconds(m_reportPeriod), seconds(now - *usage.lastIncludedAt));
                 usage.admittedRate += newestReportWeight * (rate - usage.admittedRate);
             }
             const double before = usage.estimatedRate;
             setEstimatedRate(usage, std::min(usage.admittedRate, bucket->second.rate * usage.share), now);
             bucket->second.estimatedRate += usage.estimatedRate - before;
             if (usage.lastIncludedAt)
-                bucket->second.tokens -= admitted - usage.estimatedOperations;
+                bucket->second.tokens
+                    -= static_cast<double>(known - usage.admitted) - usage.estimatedOperations;
         }
-        usage.admitted = reported.admitted;
+        usage.admitted = known;
+        usage.reported = reported.admitted;
         usage.demand = reported.demand;
         usage.estimatedOperations = 0;
         usage.lastIncludedAt = now;
     }
-    peer.lastReportAt = now;
+    peer->lastReportAt = now;
+}
+
+std::vector<Count> FleetAllowance::takeCounts()
+{
+    std::vector<Count> result;
+    for (auto& [name, bucket] : m_buckets) {
+        if (bucket.admitted == bucket.counted)
+            continue;
+        result.push_back({ name, bucket.admitted, bucket.admitted - bucket.counted });
+        bucket.counted = bucket.admitted;
+    }
+    return result;
+}
+
+void FleetAllowance::receiveCounts(
+    const std::string& host, std::uint64_t incarnation, const std::vector<Count>& counts, Model::Time now)
+{
+    Peer* peer = host == m_self ? nullptr : findPeer(host, incarnation, now);
+    if (!peer)
+        return;
+    for (const Count& count : counts) {
+        PeerUsage& usage = peer->usage[count.customer];
+        const auto bucket = m_buckets.find(count.customer);
+        if (bucket == m_buckets.end() || count.admitted <= usage.admitted)
+            continue;
+        refill(count.customer, bucket->second, now);
+        setEstimatedRate(usage, usage.estimatedRate, now);
+        // Without an earlier count it is unknown which of the operations precede the windows over which the
+        // limit applies.
+        const std::uint64_t admitted = usage.lastIncludedAt ? count.admitted - usage.admitted : count.recent;
+        const double charged = std::min(usage.estimatedOperations, static_cast<double>(admitted));
+        bucket->second.tokens -= static_cast<double>(admitted) - charged;
+        usage.estimatedOperations -= charged;
+        usage.admitted = count.admitted;
+    }
+}
+
+std::vector<Balance> FleetAllowance::takeLowBalances(
+    const std::function<bool(const std::string&)>& isCounted, Model::Time now)
+{
+    std::vector<Balance> result;
+    for (auto& [name, bucket] : m_buckets) {
+        if (!isCounted(name))
+            continue;
+        refill(name, bucket, now);
+        const bool isLow = bucket.tokens < bucket.burst * lowWatermark;
+        if (isLow || bucket.wasLow)
+            result.push_back({ name, bucket.tokens });
+        bucket.wasLow = isLow;
+    }
+    return result;
+}
+
+void FleetAllowance::receiveBalances(
+    const std::string& host, const std::vector<Balance>& balances, Model::Time now)
+{
+    for (const Balance& balance : balances) {
+        const auto found = m_buckets.find(balance.customer);
+        if (found == m_buckets.end())
+            continue;
+        Bucket& bucket = found->second;
+        refill(balance.customer, bucket, now);
+        bucket.receivedBalances[host] = { balance.available, now };
+        std::erase_if(bucket.receivedBalances,
+            [&](const auto& received) { return now - received.second.receivedAt > balanceLifetime; });
+        bucket.tokens = balance.available;
+        for (const auto& [sender, received] : bucket.receivedBalances)
+            bucket.tokens = std::min(bucket.tokens, received.available);
+    }
+}
+
+std::vector<std::string> FleetAllowance::reportingHosts(Model::Time now) const
+{
+    std::vector<std::string> result { m_self };
+    for (const auto& [name, peer] : m_peers) {
+        if (!isNotReporting(peer, now))
+            result.push_back(name);
+    }
+    return result;
 }
 
 bool FleetAllowance::isReportOverdue(const Peer& peer, Model::Time now) const
--- a/src/libs/core/allowance/fleetallowance.h
+++ b/src/libs/core/allowance/fleetallowance.h
@@ -4,6 +4,7 @@
 #include "core/model/time.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -23,6 +24,23 @@
     double available = 0;
 };
 
+/// Operations of a customer that a host has admitted, sent to the customer's counting hosts ahead of the
+/// host's report.
+struct Count {
+    std::string customer;
+    /// Operations admitted since the host's process started.
+    std::uint64_t admitted = 0;
+    /// Those among them that were admitted since the previous count.
+    std::uint64_t recent = 0;
+};
+
+/// Operations of a customer that the whole fleet may still start at once, as known to a counting host;
+/// negative for a deficit.
+struct Balance {
+    std::string customer;
+    double available = 0;
+};
+
 /// Periodic report of a host to the others about its customers.
 struct UsageReport {
     std::string host;
@@ -53,7 +71,11 @@
 /// the low watermark a host may also use surplus tokens; below it, only its own share of the rate, which is
 /// proportional to its share of the demand. Otherwise all hosts could use the same tokens before they receive
 /// each other's reports, which would multiply the rate by the number of hosts. A host that stops reporting is
-/// assumed to use its share. Used on one thread.
+/// assumed to use its share.
+///
+/// In a large fleet, whose reports are rare, a customer's counting hosts (`CountingPlan`) get the counts of
+/// all hosts several times a second. They notify the others of the balance while it is below the low
+/// watermark. Used on one thread.
 class FleetAllowance {
 public:
     explicit FleetAllowance(std::string self);
@@ -73,6 +95,21 @@
     void receive(const UsageReport& report, Model::Time now);
     /// The entries of this host's own report.
     std::vector<Usage> usage(Model::Time now);
+
+    /// Returns the counts of the customers with operations since the previous call.
+    std::vector<Count> takeCounts();
+    /// Charges the operations that another host has counted, if it has not reported them yet.
+    void receiveCounts(const std::string& host, std::uint64_t incarnation, const std::vector<Count>& counts,
+        Model::Time now);
+    /// Returns the balances of the customers that are below the low watermark and of those that were in the
+    /// previous call. `isCounted` tells whether this host counts a customer's operations.
+    std::vector<Balance> takeLowBalances(
+        const std::function<bool(const std::string& customer)>& isCounted, Model::Time now);
+    /// Replaces this host's estimate of the balances by those of a counting host.
+    void receiveBalances(const std::string& host, const std::vector<Balance>& balances, Model::Time now);
+    /// The hosts that report, including this one.
+    std::vector<std::string> reportingHosts(Model::Time now) const;
+
     /// Number of hosts that are not presumed dead, including this one.
     int liveHosts(Model::Time now) const;
     /// The customers that have exceeded their limits by more than a tolerance; each is returned at most once
@@ -82,6 +119,8 @@
 private:
     struct PeerUsage {
         std::uint64_t admitted = 0;
+        /// The part of `admitted` that the host's last report included.
+        std::uint64_t reported = 0;
         double demand = 0;
         /// The host's share (0 to 1) of the rate, as of its last report.
         double share = 0;
@@ -100,12 +139,16 @@
     };
     struct Peer {
         std::uint64_t incarnation = 0;
-        /// When the first report of this incarnation arrived.
+        /// When the first report or count of this incarnation arrived.
         std::optional<Model::Time> startedAt;
         std::optional<Model::Time> lastReportAt;
         Model::Time knownSince;
         std::map<std::string, PeerUsage> usage;
     };
+    struct ReceivedBalance {
+        double available = 0;
+        Model::Time receivedAt;
+    };
     struct Bucket {
         double rate = 0;
         double burst = 0;
@@ -121,6 +164,12 @@
         std::uint64_t requested = 0;
         std::uint64_t requestedBefore = 0;
         std::uint64_t admittedBefore = 0;
+        /// The part of `admitted` that the counting hosts were sent.
+        std::uint64_t counted = 0;
+        /// Whether the customer's balance was below the low watermark when it was last sent to the others.
+        bool wasLow = false;
+        /// The newest balances by counting host.
+        std::map<std::string, ReceivedBalance> receivedBalances;
         Model::Time refilledAt;
         Model::Time demandAt;
         /// Estimate of the operations per second that the other hosts admit.
@@ -134,6 +183,7 @@
     };
 
     Bucket& bucketOf(const Directory::Customer& customer, Model::Time now);
+    Peer* findPeer(const std::string& host, std::uint64_t incarnation, Model::Time now);
     void refill(const std::string& customer, Bucket& bucket, Model::Time now);
     void updateDemand(Bucket& bucket, Model::Time now) const;
     void updateShares(const std::string& customer, Bucket& bucket, Model::Time now);
--- a/src/libs/peerbus/peerbus.cpp
+++ b/src/libs/peerbus/peerbus.cpp
@@ -3,6 +3,7 @@
 #include "eventloop/loop.h"
 
 #include <algorithm>
+#include <map>
 #include <vector>
 
 #include <uv.h>
@@ -39,7 +40,8 @@
 }
 
 struct Bus::Private {
-    ReceiveHook received;
+    /// By prefix.
+    std::map<std::string, ReceiveHook> subscriptions;
     zmq::context_t context { 1 };
     zmq::socket_t publisher { context, zmq::socket_type::pub };
     zmq::socket_t subscriber { context, zmq::socket_type::sub };
@@ -54,7 +56,15 @@
     {
         zmq::message_t message;
         while (subscriber.recv(message, zmq::recv_flags::dontwait))
-            received({ message.data<char>(), message.size() });
+            dispatch({ message.data<char>(), message.size() });
+    }
+
+    void dispatch(std::string_view message) const
+    {
+        for (const auto& [prefix, received] : subscriptions) {
+            if (message.starts_with(prefix))
+                received(message);
+        }
     }
 
     static void onReadable(uv_poll_t* handle, int /*status*/, int /*events*/)
@@ -63,13 +73,11 @@
     }
 };
 
-Bus::Bus(EventLoop::Loop& loop, ReceiveHook received)
+Bus::Bus(EventLoop::Loop& loop)
     : m_d(std::make_unique<Private>())
 {
-    m_d->received = std::move(received);
     configure(m_d->publisher);
     configure(m_d->subscriber);
-    m_d->subscriber.set(zmq::sockopt::subscribe, "");
     m_d->poll = new uv_poll_t {};
     m_d->poll->data = m_d.get();
     uv_poll_init(loop.handle(), m_d->poll, m_d->subscriber.get(zmq::sockopt::fd));
@@ -97,6 +105,12 @@
     return "cannot bind any peer port on " + ip + ": " + error;
 }
 
+void Bus::subscribe(const std::string& prefix, ReceiveHook received)
+{
+    m_d->subscriptions.insert_or_assign(prefix, std::move(received));
+    m_d->subscriber.set(zmq::sockopt::subscribe, prefix);
+}
+
 int Bus::port() const { return m_d->port; }
 
 void Bus::setPeers(const std::set<std::string>& addresses)
--- a/src/libs/peerbus/peerbus.h
+++ b/src/libs/peerbus/peerbus.h
@@ -21,7 +21,7 @@
 public:
     using ReceiveHook = std::function<void(std::string_view message)>;
 
-    Bus(EventLoop::Loop& loop, ReceiveHook received);
+    explicit Bus(EventLoop::Loop& loop);
     ~Bus();
     Bus(const Bus&) = delete;
     Bus& operator=(const Bus&) = delete;
@@ -32,10 +32,13 @@
     /// The port that the bus listens on; 0 before `listen` has succeeded.
     int port() const;
 
+    /// Receives the messages that start with `prefix`; messages without a subscription are not sent to this
+    /// host. No prefix may be the start of another one.
+    void subscribe(const std::string& prefix, ReceiveHook received);
     /// Sets the addresses (IP:PORT) of the hosts whose messages are received, and disconnects from all
     /// others.
     void setPeers(const std::set<std::string>& addresses);
-    /// Sends `message` to all connected hosts and does not block.
+    /// Sends `message` to all connected hosts that have subscribed to a prefix of it, and does not block.
     void publish(std::string_view message);
 
 private:
--- a/src/libs/proxyhost/fleet.cpp
+++ b/src/libs/proxyhost/fleet.cpp
@@ -5,6 +5,7 @@
 #include "proxyhost/rows.h"
 #include "wire/hostreport.pb.h"
 
+#include <cmath>
 #include <set>
 
 namespace ProxyHost {
@@ -13,6 +14,15 @@
 
     /// Report periods without a report from any other host after which this host counts as receiving none.
     constexpr int reportTimeoutPeriods = 4;
+    /// How often the list of the hosts that count customers' operations is updated.
+    constexpr Model::Duration countingHostsPeriod = std::chrono::seconds(1);
+
+    /// Start of each report: the tag of its first field.
+    constexpr const char* reportPrefix = "\x0a";
+
+    /// Precedes the counts that are sent to one host, or to all if `host` is empty. The first byte starts no
+    /// protobuf message, so that hosts of earlier releases discard these messages.
+    std::string countsPrefix(const std::string& host) { return '\x07' + host + '\n'; }
 
     Wire::PrimaryView::State wireState(Failover::ReachabilityState state)
     {
@@ -89,8 +99,15 @@
     , m_allowance(allowance)
     , m_ledger(ledger)
     , m_hooks(std::move(hooks))
-    , m_bus(loop, [this](std::string_view message) { receive(message); })
+    , m_countingPlan(m_self)
+    , m_bus(loop)
 {
+    m_bus.subscribe(reportPrefix, [this](std::string_view message) { receive(message); });
+    for (const std::string& prefix : { countsPrefix(m_self), countsPrefix({}) }) {
+        m_bus.subscribe(prefix, [this, length = prefix.size()](std::string_view message) {
+            receiveCounts(message.substr(length));
+        });
+    }
 }
 
 std::optional<std::string> Fleet::listen(const std::string& ip, int firstPort, int lastPort)
@@ -177,6 +194,76 @@
     m_bus.publish(report.SerializeAsString());
 }
 
+void Fleet::sendCounts(Model::Time now)
+{
+    if (m_incarnation == 0 || !m_plan.isRateReduced())
+        return;
+    updateCountingHosts(now);
+    std::map<std::string, Wire::CustomerCounts> messages;
+    for (const Allowance::Count& count : m_allowance.takeCounts()) {
+        for (const std::string& host : m_countingPlan.otherCountingHosts(count.customer)) {
+            Wire::CustomerCount& entry = *messages[host].add_counts();
+            entry.set_customer(count.customer);
+            entry.set_admitted(count.admitted);
+            entry.set_recent(count.recent);
+        }
+    }
+    for (auto& [host, message] : messages) {
+        message.set_host(m_self);
+        message.set_incarnation(m_incarnation);
+        m_bus.publish(countsPrefix(host) + message.SerializeAsString());
+    }
+    sendLowBalances(now);
+}
+
+void Fleet::updateCountingHosts(Model::Time now)
+{
+    if (m_countingHostsUpdatedAt && now - *m_countingHostsUpdatedAt < countingHostsPeriod)
+        return;
+    m_countingHostsUpdatedAt = now;
+    m_countingPlan.setHosts(m_allowance.reportingHosts(now));
+}
+
+void Fleet::sendLowBalances(Model::Time now)
+{
+    const auto isCounted
+        = [this](const std::string& customer) { return m_countingPlan.isCountingHost(m_self, customer); };
+    Wire::CustomerCounts message;
+    for (const Allowance::Balance& balance : m_allowance.takeLowBalances(isCounted, now)) {
+        Wire::CustomerBalance& entry = *message.add_balances();
+        entry.set_customer(balance.customer);
+        entry.set_available(static_cast<float>(balance.available));
+    }
+    if (message.balances().empty())
+        return;
+    message.set_host(m_self);
+    message.set_incarnation(m_incarnation);
+    m_bus.publish(countsPrefix({}) + message.SerializeAsString());
+}
+
+void Fleet::receiveCounts(std::string_view message)
+{
+    Wire::CustomerCounts received;
+    if (!received.ParseFromArray(message.data(), static_cast<int>(message.size()))) {
+        Logging::write(Logging::EventId::PeerMessageMalformed);
+        return;
+    }
+    const Model::Time now = EventLoop::now();
+    std::vector<Allowance::Count> counts;
+    for (const Wire::CustomerCount& entry : received.counts())
+        counts.push_back({ entry.customer(), entry.admitted(), entry.recent() });
+    m_allowance.receiveCounts(received.host(), received.incarnation(), counts, now);
+    std::vector<Allowance::Balance> balances;
+    for (const Wire::CustomerBalance& entry : received.balances()) {
+        // A counting host has its own counts, which may be newer.
+        const bool isCountedHere = m_countingPlan.isCountingHost(m_self, entry.customer());
+        const bool isSenderCounting = m_countingPlan.isCountingHost(received.host(), entry.customer());
+        if (!isCountedHere && isSenderCounting && std::isfinite(entry.available()))
+            balances.push_back({ entry.customer(), entry.available() });
+    }
+    m_allowance.receiveBalances(received.host(), balances, now);
+}
+
 void Fleet::receive(std::string_view message)
 {
     Wire::HostReport report;
--- a/src/libs/proxyhost/fleet.h
+++ b/src/libs/proxyhost/fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/allowance/countingplan.h"
 #include "core/allowance/reportplan.h"
 #include "core/failover/primarywatch.h"
 #include "core/proxy/connectionledger.h"
@@ -47,7 +48,8 @@
 };
 
 /// Exchanges reports with the other hosts: the usage of customers, the health of primaries, open connections
-/// and the versions of changes read from the store. Used on the loop's thread.
+/// and the versions of changes read from the store. In a large fleet, also sends counts of customers'
+/// operations between the reports. Used on the loop's thread.
 class Fleet {
 public:
     struct Hooks {
@@ -91,15 +93,24 @@
     bool isReportDue(bool isPrimarySuspected, Model::Time now) const;
     /// Sends a report to all other hosts. Does nothing before the incarnation is set.
     void publish(const OwnState& own, Model::Time now);
+    /// Sends the counts of customers' operations to the counting hosts, and low balances to all hosts. Does
+    /// nothing if the reports are frequent, or before the incarnation is set. Has to be called several times
+    /// a second.
+    void sendCounts(Model::Time now);
 
 private:
     void receive(std::string_view message);
+    void receiveCounts(std::string_view message);
+    void updateCountingHosts(Model::Time now);
+    void sendLowBalances(Model::Time now);
 
     std::string m_self;
     Allowance::FleetAllowance& m_allowance;
     Proxy::ConnectionLedger& m_ledger;
     Hooks m_hooks;
     Allowance::ReportPlan m_plan;
+    Allowance::CountingPlan m_countingPlan;
+    std::optional<Model::Time> m_countingHostsUpdatedAt;
     PeerBus::Bus m_bus;
     std::string m_address;
     std::uint64_t m_incarnation = 0;
--- a/src/libs/proxyhost/proxyhost.cpp
+++ b/src/libs/proxyhost/proxyhost.cpp
@@ -186,6 +186,7 @@
     m_failovers.update();
     if (m_fleet.isReportDue(m_failovers.isAnyPrimarySuspected(now), now))
         publish();
+    m_fleet.sendCounts(now);
     logOverruns(now);
     m_checkTimer.start(checkPeriod);
 }
--- a/tests/auto/core/allowance/fleetsimulation.cpp
+++ b/tests/auto/core/allowance/fleetsimulation.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr Duration step = 5ms;
+constexpr Duration countPeriod = 100ms;
+constexpr Duration countingHostsPeriod = 1s;
 constexpr Duration window = 5s;
 
 }
@@ -22,8 +24,10 @@
     m_reportPlan.setHostCount(hosts);
     for (int i = 0; i < hosts; ++i)
         m_names.push_back("host-" + std::to_string(i));
-    for (std::size_t i = 0; i < m_names.size(); ++i)
+    for (std::size_t i = 0; i < m_names.size(); ++i) {
         m_hosts.push_back(newHost(i));
+        m_countingPlans.emplace_back(m_names[i]);
+    }
 }
 
 FleetAllowance FleetSimulation::newHost(std::size_t index) const
@@ -41,6 +45,7 @@
 {
     const auto index = static_cast<std::size_t>(host);
     m_hosts.at(index) = newHost(index);
+    m_countingPlans.at(index) = CountingPlan(m_names[index]);
     ++m_incarnations.at(index);
 }
 
@@ -54,6 +59,12 @@
         for (std::size_t i = 0; i < m_hosts.size(); ++i) {
             if (isDue(i, m_reportPlan.period()))
                 report(i);
+            if (!m_reportPlan.isRateReduced())
+                continue;
+            if (isDue(i, countingHostsPeriod))
+                m_countingPlans[i].setHosts(m_hosts[i].reportingHosts(m_now));
+            if (isDue(i, countPeriod))
+                sendCounts(i);
         }
     }
     return admitted;
@@ -99,6 +110,31 @@
     }
 }
 
+void FleetSimulation::sendCounts(std::size_t from)
+{
+    const std::vector<Count> counts = m_hosts[from].takeCounts();
+    const auto targets = m_countingPlans[from].otherCountingHosts(m_customer.name);
+    for (std::size_t to = 0; to < m_hosts.size() && !counts.empty(); ++to) {
+        if (isConnected(from, to) && std::ranges::find(targets, m_names[to]) != targets.end())
+            m_hosts[to].receiveCounts(m_names[from], m_incarnations[from], counts, m_now);
+    }
+    sendLowBalances(from);
+}
+
+void FleetSimulation::sendLowBalances(std::size_t from)
+{
+    const auto isCounted = [&](const std::string& customer) {
+        return m_countingPlans[from].isCountingHost(m_names[from], customer);
+    };
+    const auto balances = m_hosts[from].takeLowBalances(isCounted, m_now);
+    for (std::size_t to = 0; to < m_hosts.size() && !balances.empty(); ++to) {
+        CountingPlan& plan = m_countingPlans[to];
+        if (isConnected(from, to) && !plan.isCountingHost(m_names[to], m_customer.name)
+            && plan.isCountingHost(m_names[from], m_customer.name))
+            m_hosts[to].receiveBalances(m_names[from], balances, m_now);
+    }
+}
+
 std::size_t maxAdmittedInWindow(const std::vector<Time>& admitted)
 {
     std::size_t result = 0;
--- a/tests/auto/core/allowance/fleetsimulation.h
+++ b/tests/auto/core/allowance/fleetsimulation.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/allowance/countingplan.h"
 #include "core/allowance/fleetallowance.h"
 #include "core/allowance/reportplan.h"
 
@@ -9,8 +10,9 @@
 #include <string>
 #include <vector>
 
-/// Simulates hosts that report to one another the use of one customer's limit. Each host reports at a moment
-/// of its own within the report period. Hosts can be partitioned from all others and restarted.
+/// Simulates hosts that report to one another the use of one customer's limit, and that send counts between
+/// the reports if the fleet is large. Each host does so at a moment of its own within the period. Hosts can
+/// be partitioned from all others and restarted.
 class FleetSimulation {
 public:
     FleetSimulation(int hosts, Directory::Customer customer);
@@ -39,12 +41,15 @@
     bool isDue(std::size_t host, Model::Duration period) const;
     bool isConnected(std::size_t from, std::size_t to) const;
     void report(std::size_t from);
+    void sendCounts(std::size_t from);
+    void sendLowBalances(std::size_t from);
 
     Directory::Customer m_customer;
     std::vector<std::string> m_names;
     std::vector<bool> m_isPartitioned;
     Allowance::ReportPlan m_reportPlan;
     std::vector<Allowance::FleetAllowance> m_hosts;
+    std::vector<Allowance::CountingPlan> m_countingPlans;
     std::vector<std::uint64_t> m_incarnations;
     Model::Time m_now { std::chrono::seconds(1000) };
     std::mt19937 m_generator { 4711 };
--- /dev/null
+++ b/tests/auto/core/allowance/tst_countingplan.cpp
@@ -0,0 +1,104 @@
+#include "core/allowance/countingplan.h"
+#include "core/allowance/fleetallowance.h"
+
+#include <gtest/gtest.h>
+
+using namespace Allowance;
+using namespace std::chrono_literals;
+using Model::Time;
+
+namespace {
+
+const Directory::Customer customer { "acme", 100, 100 };
+
+FleetAllowance hostWithPeers(const std::vector<std::string>& hosts, Time now)
+{
+    FleetAllowance host(hosts.front());
+    host.setPeers(hosts, now);
+    Directory::Configuration configuration;
+    configuration.customers.emplace(customer.name, customer);
+    host.setCustomers(configuration, now);
+    return host;
+}
+
+double available(FleetAllowance& host, Time now) { return host.usage(now).front().available; }
+
+}
+
+// Guards against hosts that assign a customer to different counting hosts, each of which then knows a part of
+// its operations only.
+TEST(CountingPlan, AllHostsAgree)
+{
+    CountingPlan first("a");
+    CountingPlan second("b");
+    first.setHosts({ "a", "b", "c", "d" });
+    second.setHosts({ "d", "c", "b", "a" });
+    for (int i = 0; i < 100; ++i) {
+        const std::string name = "customer-" + std::to_string(i);
+        for (const std::string host : { "a", "b", "c", "d" })
+            EXPECT_EQ(first.isCountingHost(host, name), second.isCountingHost(host, name));
+    }
+}
+
+// Guards against a host that leaves and changes the assignments of customers that it did not count.
+TEST(CountingPlan, KeepsAssignmentsOfOtherHosts)
+{
+    CountingPlan before("a");
+    CountingPlan after("a");
+    before.setHosts({ "a", "b", "c", "d" });
+    after.setHosts({ "a", "b", "c" });
+    for (int i = 0; i < 100; ++i) {
+        const std::string name = "customer-" + std::to_string(i);
+        if (before.isCountingHost("d", name))
+            continue;
+        EXPECT_EQ(before.otherCountingHosts(name), after.otherCountingHosts(name));
+    }
+}
+
+// Guards against operations that are charged twice, by a count and by the report that includes them.
+TEST(FleetAllowance, ChargesCountedOperationsOnce)
+{
+    const Time now { 100s };
+    FleetAllowance host = hostWithPeers({ "a", "b" }, now);
+    host.receive({ "b", 1, { { "acme", 10, 0, 100 } } }, now);
+    const double before = available(host, now);
+    host.receiveCounts("b", 1, { { "acme", 13, 3 } }, now);
+    EXPECT_DOUBLE_EQ(available(host, now), before - 3);
+    host.receiveCounts("b", 1, { { "acme", 13, 3 } }, now);
+    host.receive({ "b", 1, { { "acme", 14, 0, 100 } } }, now);
+    EXPECT_DOUBLE_EQ(available(host, now), before - 4);
+}
+
+// Guards against a count that charges all operations since the start of a host whose reports did not arrive
+// yet.
+TEST(FleetAllowance, ChargesOnlyRecentOperationsOfUnknownHost)
+{
+    const Time now { 100s };
+    FleetAllowance host = hostWithPeers({ "a", "b" }, now);
+    const double before = available(host, now);
+    host.receiveCounts("b", 1, { { "acme", 5000, 2 } }, now);
+    EXPECT_DOUBLE_EQ(available(host, now), before - 2);
+}
+
+// Guards against counts of an earlier process of a host, which arrive late.
+TEST(FleetAllowance, IgnoresCountsOfEarlierProcess)
+{
+    const Time now { 100s };
+    FleetAllowance host = hostWithPeers({ "a", "b" }, now);
+    host.receive({ "b", 2, { { "acme", 0, 0, 100 } } }, now);
+    const double before = available(host, now);
+    host.receiveCounts("b", 1, { { "acme", 900, 900 } }, now);
+    EXPECT_DOUBLE_EQ(available(host, now), before);
+}
+
+// Guards against a host that admits more because one of two counting hosts has missed operations.
+TEST(FleetAllowance, UsesTheLowerOfTwoBalances)
+{
+    const Time now { 100s };
+    FleetAllowance host = hostWithPeers({ "a", "b", "c" }, now);
+    host.receiveBalances("b", { { "acme", -5 } }, now);
+    host.receiveBalances("c", { { "acme", 30 } }, now);
+    EXPECT_DOUBLE_EQ(available(host, now), -5);
+    host.receiveBalances("c", { { "acme", 30 } }, now + 1s);
+    EXPECT_DOUBLE_EQ(available(host, now + 1s), 30);
+}
--- a/tests/auto/core/allowance/tst_largefleet.cpp
+++ b/tests/auto/core/allowance/tst_largefleet.cpp
@@ -1,5 +1,7 @@
 #include "fleetsimulation.h"
 
+#include "core/allowance/countingplan.h"
+
 #include <gtest/gtest.h>
 
 using namespace Allowance;
@@ -23,6 +25,28 @@
 double usualRate(const Directory::Customer& customer) { return customer.rate * usualFraction; }
 double busyRate(const Directory::Customer& customer) { return usualRate(customer) * busyFactor; }
 
+/// The names of all hosts of a simulated fleet.
+std::vector<std::string> hostNames()
+{
+    std::vector<std::string> names;
+    for (int i = 0; i < hosts; ++i)
+        names.push_back("host-" + std::to_string(i));
+    return names;
+}
+
+/// The indices of the hosts that count the customer's operations.
+std::vector<int> countingHosts(const Directory::Customer& customer)
+{
+    CountingPlan plan("host-0");
+    plan.setHosts(hostNames());
+    std::vector<int> result;
+    for (int i = 0; i < hosts; ++i) {
+        if (plan.isCountingHost("host-" + std::to_string(i), customer.name))
+            result.push_back(i);
+    }
+    return result;
+}
+
 }
 
 // Guards against an allowance for each host that does not depend on the number of hosts: 195 hosts, each with
@@ -53,6 +77,20 @@
     }
 }
 
+// Guards against a limit that depends on a single counting host, which may be cut off from the others.
+TEST(LargeFleet, LimitHoldsWithoutOneCountingHost)
+{
+    const Directory::Customer customer = customers().back();
+    for (const int host : countingHosts(customer)) {
+        FleetSimulation fleet(hosts, customer);
+        fleet.setRetries(retries);
+        fleet.run(std::vector<double>(hosts, 0), 7s);
+        fleet.setPartitioned(host, true);
+        EXPECT_LE(maxAdmittedInWindow(fleet.runEvenly(busyRate(customer), 8s)), permittedInWindow(customer))
+            << host;
+    }
+}
+
 // Guards against a limit that does not hold while all hosts of a large fleet start again at once.
 TEST(LargeFleet, LimitHoldsAfterRestartOfAllHosts)
 {
