Let few hosts count customers' operations

Only as many hosts count as the square root of their number (14 of 195), so that a message carries the balances of many customers. Counts are sent every 200 ms, a balance every 400 ms, and for one more report period after the balance has risen, since the other hosts' estimates date from before.

--- a/src/libs/core/allowance/countingplan.cpp
+++ b/src/libs/core/allowance/countingplan.cpp
@@ -3,13 +3,29 @@
 #include "core/model/rendezvous.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace Allowance {
 
+namespace {
+
+    /// Returns the square root of the number of hosts, chosen so that a host that leaves changes the choice
+    /// by one host at most.
+    std::vector<std::string> countingHostsAmong(std::vector<std::string> hosts)
+    {
+        const auto count = static_cast<std::size_t>(std::ceil(std::sqrt(hosts.size())));
+        std::ranges::sort(hosts, {}, [](const std::string& host) { return Model::stableHash(host); });
+        hosts.resize(count);
+        return hosts;
+    }
+
+}
+
 CountingPlan::CountingPlan(std::string self)
     : m_self(std::move(self))
     , m_hosts { m_self }
+    , m_counting { m_self }
 {
 }
 
@@ -20,6 +36,7 @@
     if (sorted == m_hosts)
         return;
     m_hosts = std::move(sorted);
+    m_counting = countingHostsAmong(m_hosts);
     m_assigned.clear();
 }
 
@@ -44,8 +61,8 @@
     if (!isNew)
         return entry->second;
     for (std::size_t rank = 0; rank < hostsPerCustomer; ++rank) {
-        const int index = Model::rendezvousIndex(customer + '#' + std::to_string(rank), m_hosts);
-        entry->second[rank] = m_hosts.at(static_cast<std::size_t>(index));
+        const int index = Model::rendezvousIndex(customer + '#' + std::to_string(rank), m_counting);
+        entry->second[rank] = m_counting.at(static_cast<std::size_t>(index));
     }
     return entry->second;
 }
--- a/src/libs/core/allowance/countingplan.h
+++ b/src/libs/core/allowance/countingplan.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/model/time.h"
+
 #include <array>
 #include <map>
 #include <string>
@@ -7,12 +9,16 @@
 
 namespace Allowance {
 
+/// How often each host sends its counts, and how often a counting host looks for low balances.
+constexpr Model::Duration countPeriod = std::chrono::milliseconds(200);
+
 /// Assigns each customer to the hosts that count its operations in a large fleet.
 ///
 /// The regular reports of a large fleet are rare, so that several seconds of operations are unknown to the
 /// other hosts. Each host therefore also sends its counts to the customer's counting hosts several times a
 /// second, and these notify all hosts when the customer's limit is nearly used up. There are two counting
-/// hosts for each customer, so that one may fail. Used on one thread.
+/// hosts for each customer, so that one may fail. Few hosts count, so that the notifications of many
+/// customers at once fit into few messages. Used on one thread.
 class CountingPlan {
 public:
     explicit CountingPlan(std::string self);
@@ -30,8 +36,10 @@
     const CountingHosts& countingHosts(const std::string& customer);
 
     std::string m_self;
-    /// In ascending order.
+    /// All hosts that can count, in ascending order.
     std::vector<std::string> m_hosts;
+    /// The hosts among them that do.
+    std::vector<std::string> m_counting;
     /// By customer. The same host may be assigned twice.
     std::map<std::string, CountingHosts> m_assigned;
 };
--- a/src/libs/core/allowance/fleetallowance.cpp
+++ b/src/libs/core/allowance/fleetallowance.cpp
@@ -48,8 +48,9 @@
     constexpr Model::Duration overrunWindow = std::chrono::seconds(5);
     /// A host counts as started recently for this long.
     constexpr Model::Duration recentStart = std::chrono::seconds(10);
-    /// A balance from a counting host is outdated after this time; it sends several a second while it is low.
-    constexpr Model::Duration balanceLifetime = std::chrono::milliseconds(500);
+    /// How often a balance is sent to the other hosts, and after which time it is outdated.
+    constexpr Model::Duration balancePeriod = std::chrono::milliseconds(400);
+    constexpr Model::Duration balanceLifetime = std::chrono::seconds(1);
 
     double seconds(Model::Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
@@ -359,7 +360,7 @@
     }
 }
 
-std::vector<Balance> FleetAllowance::takeLowBalances(
+std::vector<Balance> FleetAllowance::takeBalances(
     const std::function<bool(const std::string&)>& isCounted, Model::Time now)
 {
     std::vector<Balance> result;
@@ -367,10 +368,16 @@
         if (!isCounted(name))
             continue;
         refill(name, bucket, now);
-        const bool isLow = bucket.tokens < bucket.burst * lowWatermark;
-        if (isLow || bucket.wasLow)
-            result.push_back({ name, bucket.tokens });
-        bucket.wasLow = isLow;
+        if (bucket.tokens < bucket.burst * lowWatermark)
+            bucket.lowAt = now;
+        // The other hosts estimate the use from reports, and would take the last period's use for the present
+        // one.
+        const bool wasLow = bucket.lowAt && now - *bucket.lowAt < m_reportPeriod;
+        const bool isDue = !bucket.balanceSentAt || now - *bucket.balanceSentAt >= balancePeriod;
+        if (!wasLow || !isDue)
+            continue;
+        result.push_back({ name, bucket.tokens });
+        bucket.balanceSentAt = now;
     }
     return result;
 }
--- a/src/libs/core/allowance/fleetallowance.h
+++ b/src/libs/core/allowance/fleetallowance.h
@@ -101,9 +101,10 @@
     /// Charges the operations that another host has counted, if it has not reported them yet.
     void receiveCounts(const std::string& host, std::uint64_t incarnation, const std::vector<Count>& counts,
         Model::Time now);
-    /// Returns the balances of the customers that are below the low watermark and of those that were in the
-    /// previous call. `isCounted` tells whether this host counts a customer's operations.
-    std::vector<Balance> takeLowBalances(
+    /// Returns the balances that are due to be sent to the other hosts: of the customers that are below the
+    /// low watermark or were within the last report period. `isCounted` tells whether this host counts a
+    /// customer's operations.
+    std::vector<Balance> takeBalances(
         const std::function<bool(const std::string& customer)>& isCounted, Model::Time now);
     /// Replaces this host's estimate of the balances by those of a counting host.
     void receiveBalances(const std::string& host, const std::vector<Balance>& balances, Model::Time now);
@@ -166,8 +167,9 @@
         std::uint64_t admittedBefore = 0;
         /// The part of `admitted` that the counting hosts were sent.
         std::uint64_t counted = 0;
-        /// Whether the customer's balance was below the low watermark when it was last sent to the others.
-        bool wasLow = false;
+        /// When the balance was last below the low watermark, and when this host last sent it to the others.
+        std::optional<Model::Time> lowAt;
+        std::optional<Model::Time> balanceSentAt;
         /// The newest balances by counting host.
         std::map<std::string, ReceivedBalance> receivedBalances;
         Model::Time refilledAt;
--- a/src/libs/proxyhost/fleet.cpp
+++ b/src/libs/proxyhost/fleet.cpp
@@ -196,8 +196,10 @@
 
 void Fleet::sendCounts(Model::Time now)
 {
-    if (m_incarnation == 0 || !m_plan.isRateReduced())
+    const bool isDue = !m_countsSentAt || now - *m_countsSentAt >= Allowance::countPeriod;
+    if (m_incarnation == 0 || !m_plan.isRateReduced() || !isDue)
         return;
+    m_countsSentAt = now;
     updateCountingHosts(now);
     std::map<std::string, Wire::CustomerCounts> messages;
     for (const Allowance::Count& count : m_allowance.takeCounts()) {
@@ -213,7 +215,7 @@
         message.set_incarnation(m_incarnation);
         m_bus.publish(countsPrefix(host) + message.SerializeAsString());
     }
-    sendLowBalances(now);
+    sendBalances(now);
 }
 
 void Fleet::updateCountingHosts(Model::Time now)
@@ -224,12 +226,12 @@
     m_countingPlan.setHosts(m_allowance.reportingHosts(now));
 }
 
-void Fleet::sendLowBalances(Model::Time now)
+void Fleet::sendBalances(Model::Time now)
 {
     const auto isCounted
         = [this](const std::string& customer) { return m_countingPlan.isCountingHost(m_self, customer); };
     Wire::CustomerCounts message;
-    for (const Allowance::Balance& balance : m_allowance.takeLowBalances(isCounted, now)) {
+    for (const Allowance::Balance& balance : m_allowance.takeBalances(isCounted, now)) {
         Wire::CustomerBalance& entry = *message.add_balances();
         entry.set_customer(balance.customer);
         entry.set_available(static_cast<float>(balance.available));
--- a/src/libs/proxyhost/fleet.h
+++ b/src/libs/proxyhost/fleet.h
@@ -102,7 +102,7 @@
     void receive(std::string_view message);
     void receiveCounts(std::string_view message);
     void updateCountingHosts(Model::Time now);
-    void sendLowBalances(Model::Time now);
+    void sendBalances(Model::Time now);
 
     std::string m_self;
     Allowance::FleetAllowance& m_allowance;
@@ -111,6 +111,7 @@
     Allowance::ReportPlan m_plan;
     Allowance::CountingPlan m_countingPlan;
     std::optional<Model::Time> m_countingHostsUpdatedAt;
+    std::optional<Model::Time> m_countsSentAt;
     PeerBus::Bus m_bus;
     std::string m_address;
     std::uint64_t m_incarnation = 0;
