Lower the watermark below which hosts stay within their shares

Below the low watermark a host uses only its own share of the rate, which refuses callers of a customer that is below its limit if a share is a fraction of an operation. Since balances are known within a few tenths of a second, a quarter of the burst is enough as a reserve instead of half.

The limits hold in all tests.

--- a/src/libs/core/allowance/fleetallowance.cpp
+++ b/src/libs/core/allowance/fleetallowance.cpp
@@ -24,7 +24,7 @@
     /// Weight of the newest report in the moving average of the operations that another host admits.
     constexpr double newestReportWeight = 0.5;
     /// Below this fraction of the burst, hosts stay within their shares of the rate.
-    constexpr double lowWatermark = 0.5;
+    constexpr double lowWatermark = 0.25;
     /// Operations that a host may start at once from its own share, however small the share is.
     constexpr double minOwnBurst = 1;
     /// Between two reports, a host uses at most this many times its share of the tokens above the low
