Send balances only with the reports of most hosts

A counting host that is cut off from most hosts reserves their shares and sees every balance fall. Its balances would make the hosts that it still reaches refuse operations below the limit. It now sends none unless it reaches hosts with half of the rate; the second counting host and the regular reports remain. Found by reading the new code; the test fails without the check.

--- a/src/libs/core/allowance/fleetallowance.cpp
+++ b/src/libs/core/allowance/fleetallowance.cpp
@@ -51,6 +51,9 @@
     /// How often a balance is sent to the other hosts, and after which time it is outdated.
     constexpr Model::Duration balancePeriod = std::chrono::milliseconds(400);
     constexpr Model::Duration balanceLifetime = std::chrono::seconds(1);
+    /// A host that reaches hosts with less than this share of the rate sends no balances: it does not know
+    /// the use of most hosts and would make those that it reaches refuse operations.
+    constexpr double minCountingShare = 0.5;
 
     double seconds(Model::Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
@@ -374,7 +377,7 @@
         // one.
         const bool wasLow = bucket.lowAt && now - *bucket.lowAt < m_reportPeriod;
         const bool isDue = !bucket.balanceSentAt || now - *bucket.balanceSentAt >= balancePeriod;
-        if (!wasLow || !isDue)
+        if (!wasLow || !isDue || bucket.reachableShare < minCountingShare)
             continue;
         result.push_back({ name, bucket.tokens });
         bucket.balanceSentAt = now;
--- a/tests/auto/core/allowance/tst_countingplan.cpp
+++ b/tests/auto/core/allowance/tst_countingplan.cpp
@@ -115,3 +115,26 @@
     host.receiveBalances("c", { { "acme", 30 } }, now + 2s);
     EXPECT_DOUBLE_EQ(available(host, now + 2s), 30);
 }
+
+// Guards against a counting host that is cut off from most hosts and makes those that it still reaches refuse
+// operations below the limit.
+TEST(FleetAllowance, SendsNoBalancesWithoutMostHosts)
+{
+    Time now { 100s };
+    const auto isCounted = [](const std::string&) { return true; };
+    FleetAllowance host = hostWithPeers({ "a", "b", "c", "d", "e" }, now);
+    std::uint64_t admitted = 0;
+    for (int i = 0; i < 3; ++i) {
+        now += 200ms;
+        admitted += 100;
+        for (const std::string peer : { "b", "c", "d", "e" })
+            host.receive({ peer, 1, { { "acme", admitted, 50, 0 } } }, now);
+    }
+    EXPECT_EQ(host.takeBalances(isCounted, now).size(), 1U);
+    for (int i = 0; i < 10; ++i) {
+        now += 200ms;
+        admitted += 100;
+        host.receive({ "b", 1, { { "acme", admitted, 50, 0 } } }, now);
+    }
+    EXPECT_TRUE(host.takeBalances(isCounted, now).empty());
+}
