Admit no operations before the list of hosts is known

The same class of fault elsewhere: a starting host reads the configuration and the list of hosts on two threads. If the configuration arrives first, it takes itself for the only host and has the whole burst of each customer; 195 hosts that start at once have 195 bursts.

A bucket is filled only when the hosts are known, and a configuration that arrives before waits for them, so that callers' sessions wait as before the first configuration instead of being refused. A host that can read the configuration but not the list of hosts does not become ready.

--- a/src/libs/core/allowance/fleetallowance.cpp
+++ b/src/libs/core/allowance/fleetallowance.cpp
@@ -72,6 +72,21 @@
         if (host != m_self && !m_peers.contains(host))
             m_peers[host].knownSince = now;
     }
+    if (m_arePeersKnown)
+        return;
+    m_arePeersKnown = true;
+    for (auto& [customer, bucket] : m_buckets)
+        fillInitially(bucket, now);
+}
+
+/// Gives the bucket this host's part of the burst: how much of it the other hosts have used is unknown before
+/// their first reports.
+void FleetAllowance::fillInitially(Bucket& bucket, Model::Time now) const
+{
+    bucket.tokens = bucket.burst / liveHosts(now);
+    bucket.ownTokens = bucket.tokens;
+    bucket.refilledAt = now;
+    bucket.sharesUpdatedAt.reset();
 }
 
 void FleetAllowance::setCustomers(const Directory::Configuration& configuration, Model::Time now)
@@ -108,6 +123,8 @@
 {
     Bucket& bucket = bucketOf(customer, now);
     ++bucket.requested;
+    if (!m_arePeersKnown)
+        return false;
     const bool isBelowWatermark = bucket.tokens < bucket.burst * lowWatermark;
     const double usable = bucket.ownTokens + (isBelowWatermark ? 0 : bucket.surplusTokens);
     if (bucket.tokens < 1 || usable < 1)
@@ -137,15 +154,12 @@
 {
     const auto [entry, isNew] = m_buckets.try_emplace(customer.name);
     Bucket& bucket = entry->second;
+    bucket.rate = customer.rate;
+    bucket.burst = customer.burst;
     if (isNew) {
-        // How much of the burst the other hosts have used is unknown before their first reports.
-        bucket.tokens = customer.burst / liveHosts(now);
-        bucket.ownTokens = bucket.tokens;
-        bucket.refilledAt = now;
+        fillInitially(bucket, now);
         bucket.demandAt = now;
     }
-    bucket.rate = customer.rate;
-    bucket.burst = customer.burst;
     refill(customer.name, bucket, now);
     updateDemand(bucket, now);
     return bucket;
--- a/src/libs/core/allowance/fleetallowance.h
+++ b/src/libs/core/allowance/fleetallowance.h
@@ -83,7 +83,8 @@
     /// The period in which the hosts report. A host counts as not reporting after several missed reports.
     void setReportPeriod(Model::Duration period) { m_reportPeriod = period; }
 
-    /// Sets the hosts that may admit operations; this host's own name is ignored.
+    /// Sets the hosts that may admit operations; this host's own name is ignored. Before the first call this
+    /// host admits no operations of limited customers, since its share is unknown.
     void setPeers(const std::vector<std::string>& hosts, Model::Time now);
     /// Sets the customers of the configuration in force and removes the buckets of all others.
     void setCustomers(const Directory::Configuration& configuration, Model::Time now);
@@ -185,6 +186,7 @@
     };
 
     Bucket& bucketOf(const Directory::Customer& customer, Model::Time now);
+    void fillInitially(Bucket& bucket, Model::Time now) const;
     Peer* findPeer(const std::string& host, std::uint64_t incarnation, Model::Time now);
     void refill(const std::string& customer, Bucket& bucket, Model::Time now);
     void updateDemand(Bucket& bucket, Model::Time now) const;
@@ -200,6 +202,7 @@
 
     std::string m_self;
     Model::Duration m_reportPeriod = std::chrono::milliseconds(200);
+    bool m_arePeersKnown = false;
     std::map<std::string, Peer> m_peers;
     std::map<std::string, Bucket> m_buckets;
 };
--- a/src/libs/proxyhost/proxyhost.cpp
+++ b/src/libs/proxyhost/proxyhost.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <random>
+#include <utility>
 
 namespace ProxyHost {
 
@@ -132,6 +133,9 @@
 {
     const Model::Time now = EventLoop::now();
     m_fleet.hostsChanged(rows, isComplete, now);
+    m_areHostsKnown = true;
+    if (m_firstConfiguration)
+        adopt(std::exchange(m_firstConfiguration, nullptr));
     if (m_guard)
         m_guard->setHosts(m_fleet.hostNames(), now);
     bool isOwnRowDeleted
@@ -336,6 +340,12 @@
 
 void ProxyHost::adopt(std::shared_ptr<const Directory::Configuration> configuration)
 {
+    // Before the first list of hosts, this host admits no operations of limited customers. Sessions wait for
+    // the first configuration, so that their callers need not be refused.
+    if (!m_areHostsKnown) {
+        m_firstConfiguration = std::move(configuration);
+        return;
+    }
     const std::string version = std::to_string(configuration->version);
     if (!m_view.adopt(std::move(configuration)))
         return;
--- a/src/libs/proxyhost/proxyhost.h
+++ b/src/libs/proxyhost/proxyhost.h
@@ -81,6 +81,9 @@
     EventLoop::Timer m_shutdownTimer;
     std::optional<Model::Time> m_shutdownAt;
     bool m_hasUpstreams = false;
+    bool m_areHostsKnown = false;
+    /// The newest configuration that was read before the list of hosts.
+    std::shared_ptr<const Directory::Configuration> m_firstConfiguration;
     Directory::MissingUpstreams m_missingUpstreams;
     Directory::StaleHostRows m_staleHostRows;
     /// Content of the host's own row, and its version when it was last written; 0 if it was not written yet.
--- a/tests/auto/core/allowance/tst_fleetallowance.cpp
+++ b/tests/auto/core/allowance/tst_fleetallowance.cpp
@@ -122,6 +122,31 @@
     EXPECT_LE(maxAdmittedInWindow(admitted), permittedInWindow(customer));
 }
 
+// Guards against the burst of each host of a restarted fleet: a host that reads the configuration before the
+// list of hosts takes itself for the only one.
+TEST(FleetAllowance, HostsThatDoNotKnowTheOthersGetNoBurst)
+{
+    constexpr int count = 195;
+    std::vector<std::string> names;
+    for (int i = 0; i < count; ++i)
+        names.push_back("host-" + std::to_string(i));
+    Directory::Configuration configuration;
+    configuration.customers.emplace(customer.name, customer);
+    int admitted = 0;
+    for (const std::string& name : names) {
+        FleetAllowance host(name);
+        Time now { 100s };
+        host.setCustomers(configuration, now);
+        now += 20ms;
+        for (int i = 0; i < 200; ++i)
+            admitted += host.admit(customer, now) ? 1 : 0;
+        host.setPeers(names, now);
+        for (int i = 0; i < 200; ++i)
+            admitted += host.admit(customer, now) ? 1 : 0;
+    }
+    EXPECT_LE(admitted, static_cast<int>(customer.burst));
+}
+
 // Guards against a delayed or duplicate report that returns tokens to the bucket. Reports of an earlier
 // incarnation are outdated as well.
 TEST(FleetAllowance, IgnoresOutdatedReports)
@@ -144,6 +169,7 @@
 TEST(FleetAllowance, RemovesBucketsOfDeletedCustomers)
 {
     FleetAllowance host("a");
+    host.setPeers({ "a" }, Time { 1s });
     EXPECT_TRUE(host.admit(customer, Time { 1s }));
     EXPECT_EQ(host.usage(Time { 1s }).size(), 1U);
     host.setCustomers({}, Time { 2s });
