Show that hosts miss changes of a restored store, by a failing test

The store may come back from a copy some seconds old.

The stand-in for the store can keep a copy of its rows and return to it; its answers carry the era, and changes after a version that it does not have get status 410. The test withdraws a key with a change whose version the hosts have seen before the store was restored; they serve the key for good.

--- a/tests/auto/sessionproxy/tst_sessionproxy.cpp
+++ b/tests/auto/sessionproxy/tst_sessionproxy.cpp
@@ -192,6 +192,29 @@
     EXPECT_TRUE(waitUntil([&] { return errorCode(client.query("WRITE a x")) == "BUSY"; }, 5s));
 }
 
+// Guards against a change that hosts never read because the store was restored from an older copy, and the
+// change has a version that they have seen before (CONFIG on own day restored).
+TEST(SessionProxy, ReadsChangeWithVersionOfBeforeStoreWasRestored)
+{
+    TestCluster cluster(2);
+    cluster.store().saveCopy();
+    cluster.publish({ "key-1", "key-2", "key-3" });
+    std::vector<std::unique_ptr<Client>> clients;
+    for (int host = 0; host < 2; ++host) {
+        EXPECT_TRUE(
+            waitUntil([&] { return Client(cluster.callers(host)).open("own", "key-3") == "READY I -"; }, 5s));
+        clients.push_back(std::make_unique<Client>(cluster.callers(host)));
+        ASSERT_EQ(clients.back()->open("own", "key-3"), "READY I -");
+    }
+    cluster.store().setUnavailable(true);
+    std::this_thread::sleep_for(500ms);
+    cluster.store().restore();
+    cluster.publish({ "key-1", "key-2" });
+    cluster.store().setUnavailable(false);
+    for (const auto& client : clients)
+        EXPECT_TRUE(waitUntil([&] { return errorCode(client->query("WRITE a 1")) == "NOAUTH"; }, 5s));
+}
+
 // Guards against a customer that gets its full rate at each host, instead of once across all hosts.
 TEST(SessionProxy, LimitsCustomerRateAcrossHosts)
 {
--- a/tests/standins/common/httpserver.cpp
+++ b/tests/standins/common/httpserver.cpp
@@ -82,6 +82,8 @@
             return MHD_NO;
         MHD_Response* response = MHD_create_response_from_buffer(
             answer.body.size(), const_cast<char*>(answer.body.data()), MHD_RESPMEM_MUST_COPY);
+        for (const auto& [name, value] : answer.headers)
+            MHD_add_response_header(response, name.c_str(), value.c_str());
         if (answer.closesConnection)
             MHD_add_response_header(response, "Connection", "close");
         const MHD_Result result
--- a/tests/standins/common/httpserver.h
+++ b/tests/standins/common/httpserver.h
@@ -32,6 +32,7 @@
 struct HttpResponse {
     int status = 200;
     std::string body = {};
+    std::map<std::string, std::string> headers = {};
     /// Closes the connection after the response was sent.
     bool closesConnection = false;
     /// Closes the connection without sending a response.
--- a/tests/standins/sessionplatform/rowstore.cpp
+++ b/tests/standins/sessionplatform/rowstore.cpp
@@ -80,6 +80,22 @@
     m_changed.notify_all();
 }
 
+void RowStore::saveCopy()
+{
+    const std::lock_guard lock(m_mutex);
+    m_savedRows = m_rows;
+    m_savedVersion = m_version;
+}
+
+void RowStore::restore()
+{
+    const std::lock_guard lock(m_mutex);
+    m_rows = m_savedRows;
+    m_version = m_savedVersion;
+    ++m_era;
+    m_changed.notify_all();
+}
+
 int RowStore::promotions() const
 {
     const std::lock_guard lock(m_mutex);
@@ -104,6 +120,14 @@
 }
 
 HttpResponse RowStore::handle(const HttpRequest& request)
+{
+    HttpResponse response = handleCall(request);
+    const std::lock_guard lock(m_mutex);
+    response.headers["Store-Era"] = std::to_string(m_era);
+    return response;
+}
+
+HttpResponse RowStore::handleCall(const HttpRequest& request)
 {
     {
         const std::lock_guard lock(m_mutex);
@@ -145,6 +169,8 @@
         return found;
     };
     std::unique_lock lock(m_mutex);
+    if (after > m_version)
+        return jsonResponse(410, Json::object());
     Json found;
     m_changed.wait_for(lock, std::chrono::milliseconds(request.number("waitMs")), [&] {
         found = changes();
--- a/tests/standins/sessionplatform/rowstore.h
+++ b/tests/standins/sessionplatform/rowstore.h
@@ -31,6 +31,11 @@
     /// While the store is unavailable, it responds to every call with HTTP status 503, also to pending long
     /// polls.
     void setUnavailable(bool isUnavailable);
+    /// Keeps a copy of all rows, to which `restore` returns.
+    void saveCopy();
+    /// Loses all that was written since the last `saveCopy`, as a store that is restored from a copy. Its
+    /// versions go back and its era rises.
+    void restore();
     /// Number of successful promotions.
     int promotions() const;
 
@@ -43,6 +48,7 @@
     using Key = std::pair<std::string, std::string>;
 
     HttpResponse handle(const HttpRequest& request);
+    HttpResponse handleCall(const HttpRequest& request);
     HttpResponse rows(const HttpRequest& request);
     HttpResponse feed(const HttpRequest& request);
     HttpResponse transaction(const Json& body);
@@ -56,6 +62,10 @@
     std::condition_variable m_changed;
     std::map<Key, Row> m_rows;
     std::uint64_t m_version = 0;
+    /// Increases with each `restore`.
+    std::uint64_t m_era = 1;
+    std::map<Key, Row> m_savedRows;
+    std::uint64_t m_savedVersion = 0;
     bool m_isUnavailable = false;
     int m_promotions = 0;
     HttpServer m_server;
