Order the store's versions across its restorations

What callers saw: after the store had come back from an older copy, a change that operators had published was not in force on any host; a route that they had added was not served (CONFIG).

Cause: hosts order all that they read by the store's version, which goes back when the store is restored. A watcher that had read up to version 24 asked for the changes after 24 also when the store had been restored to 22 and had given 24 to the next change: the answer was empty, and no error. The class of fault: something is ordered by a version that is not monotonic.

Change: a version outside the adapter has the store's epoch (its answers tell it) in its upper bits, so that versions rise also across restorations, wherever they are compared: watchers, changes that other hosts report, incarnations of hosts, primaries, rows of hosts. Changes after a version of an earlier epoch count as lost history. A conditional write that expects a version of an earlier epoch is refused, or has an unknown outcome if the store has carried it out. After an outage the first call does not wait for changes, since the epoch shows only in an answer.

Ruled out: configurations that come back older (hosts keep the highest version that operators gave); an operator's change that the store lost (it is written again).

The test fails before and passes after.

--- a/src/libs/http/connection.cpp
+++ b/src/libs/http/connection.cpp
@@ -119,6 +119,16 @@
         curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE, static_cast<long>(request.body.size()));
         curl_easy_setopt(handle, CURLOPT_POSTFIELDS, request.body.c_str());
     }
+
+    /// Value of a header of the last response; empty if there is none.
+    std::string responseHeader(const std::string& name) const
+    {
+        constexpr int lastRequest = -1;
+        curl_header* header = nullptr;
+        if (curl_easy_header(handle, name.c_str(), 0, CURLH_HEADER, lastRequest, &header) != CURLHE_OK)
+            return {};
+        return header->value;
+    }
 };
 
 Connection::Connection(const std::string& address)
@@ -147,6 +157,8 @@
         curl_easy_getinfo(m_d->handle, CURLINFO_RESPONSE_CODE, &code);
         response.status = Status::Answered;
         response.code = static_cast<int>(code);
+        if (!request.responseHeader.empty())
+            response.header = m_d->responseHeader(request.responseHeader);
         return response;
     }
     long requestSize = 0;
--- a/src/libs/http/connection.h
+++ b/src/libs/http/connection.h
@@ -38,6 +38,8 @@
     std::string body;
     /// Header lines of the form `Name: value`.
     std::vector<std::string> headers;
+    /// Name of the response header whose value is returned; none if it is empty.
+    std::string responseHeader;
     /// Limit for the whole exchange, including the connection set-up.
     std::chrono::milliseconds timeout { 5000 };
     ConnectionUse use = ConnectionUse::OpenIfNeeded;
@@ -48,6 +50,8 @@
     /// HTTP status code; 0 if no complete response was received.
     int code = 0;
     std::string body;
+    /// Value of the header named in the request; empty if there is none.
+    std::string header;
     /// Error message for logs; empty with `Status::Answered`.
     std::string error;
 
--- a/src/libs/proxyhost/store.h
+++ b/src/libs/proxyhost/store.h
@@ -14,7 +14,8 @@
     std::string table;
     std::string key;
     std::string value;
-    /// Assigned by the store and higher with every transaction; 0 for a row that does not exist.
+    /// Higher with every transaction, also after the store was restored from an older copy; 0 for a row that
+    /// does not exist.
     std::uint64_t version = 0;
     /// The row was deleted; set only in changes.
     bool isDeleted = false;
@@ -43,6 +44,8 @@
     std::vector<StoreRow> rows;
     /// For reads, the newest version in the store; for writes, the version of the transaction.
     std::uint64_t version = 0;
+    /// Rises each time that the store is restored from an older copy.
+    std::uint64_t epoch = 0;
     /// Time of the store's steady clock when it answered, in milliseconds.
     Failover::StoreTime storeTime {};
     /// Error message for logs.
--- a/src/tools/parsleytackd/sessionproxy.cpp
+++ b/src/tools/parsleytackd/sessionproxy.cpp
@@ -32,8 +32,10 @@
     std::signal(SIGPIPE, SIG_IGN);
     Logging::configure({ {}, settings.host, settings.traceSampleRate });
     EventLoop::Loop loop;
-    ProxyHost::ProxyHost host(loop, settings, Adapter::wireCodec(),
-        [&settings] { return Adapter::platformCalls(settings.store.text(), settings.promoter.text()); });
+    const auto storeEpoch = std::make_shared<Adapter::StoreEpoch>();
+    ProxyHost::ProxyHost host(loop, settings, Adapter::wireCodec(), [&settings, storeEpoch] {
+        return Adapter::platformCalls(settings.store.text(), settings.promoter.text(), storeEpoch);
+    });
     loop.onSignal(SIGTERM, [&host] { host.shutDown(); });
     loop.onSignal(SIGINT, [&host] { host.shutDown(); });
     loop.onSignal(SIGHUP, [&host, &settingsFile] { reload(settingsFile, host); });
@@ -42,7 +44,7 @@
         return ExitCode::ListenFailed;
     }
     Logging::write(Logging::EventId::ProcessStarted, { { "callers", settings.callers.text() } });
-    Adapter::StoreWatcher watcher(settings.store.text(), host.storeEvents(),
+    Adapter::StoreWatcher watcher(settings.store.text(), storeEpoch, host.storeEvents(),
         [&loop](std::function<void()> task) { loop.post(std::move(task)); });
     host.setStoreControl({ [&watcher](ProxyHost::StoreTable table) { watcher.reread(table); },
         [&watcher](bool hasPeerNotifications) { watcher.setPeerNotifications(hasPeerNotifications); } });
--- /dev/null
+++ b/tests/auto/platform/tst_storeclient.cpp
@@ -0,0 +1,88 @@
+#include "platform/storeclient.h"
+#include "sessionplatform/rowstore.h"
+
+#include <gtest/gtest.h>
+
+using namespace Adapter;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A store, and a client that has a process to itself.
+struct Fixture {
+    Standins::RowStore store { [](const std::string&, const std::string&) { return true; } };
+    StoreClient client { store.address(), std::make_shared<StoreEpoch>() };
+
+    std::uint64_t versionOf(const std::string& key) { return client.row("table", key).rows.at(0).version; }
+};
+
+StoreWrite write(const std::string& key, std::uint64_t expectedVersion)
+{
+    return { { "table", key, "own" }, expectedVersion };
+}
+
+}
+
+// Guards against a row that looks older than the one that it replaces, since the store was restored from an
+// older copy in between and counts from there.
+TEST(StoreClient, VersionsRiseAfterStoreWasRestored)
+{
+    Fixture fixture;
+    fixture.store.set("table", "key", "first");
+    fixture.store.saveCopy();
+    for (int i = 0; i < 5; ++i)
+        fixture.store.set("table", "key", "lost");
+    const std::uint64_t lost = fixture.versionOf("key");
+    fixture.store.restore();
+    EXPECT_GT(fixture.versionOf("key"), lost);
+    EXPECT_GT(fixture.client.rows("table").version, lost);
+}
+
+// Guards against changes that a host misses because the restored store has reached the version again that the
+// host has read up to.
+TEST(StoreClient, RefusesChangesSinceVersionOfBeforeRestoration)
+{
+    Fixture fixture;
+    fixture.store.set("table", "key", "first");
+    fixture.store.saveCopy();
+    fixture.store.set("table", "key", "lost");
+    const std::uint64_t version = fixture.client.rows("table").version;
+    fixture.store.restore();
+    EXPECT_EQ(fixture.client.changes("table", version, 0ms).status, StoreStatus::Refused);
+    fixture.store.set("table", "key", "again");
+    EXPECT_EQ(fixture.client.changes("table", version, 0ms).status, StoreStatus::Refused);
+    fixture.store.set("table", "key", "later");
+    EXPECT_EQ(fixture.client.changes("table", version, 0ms).status, StoreStatus::Refused);
+    const StoreAnswer all = fixture.client.rows("table");
+    EXPECT_EQ(all.rows.at(0).value, "later");
+    EXPECT_EQ(fixture.client.changes("table", all.version, 0ms).status, StoreStatus::Done);
+}
+
+// Guards against a conditional write whose condition holds by chance: the restored store has given the
+// expected version to another content of the row.
+TEST(StoreClient, WritesNothingThatExpectsVersionOfBeforeRestoration)
+{
+    Fixture fixture;
+    fixture.store.saveCopy();
+    fixture.store.set("table", "key", "lost");
+    const std::uint64_t version = fixture.versionOf("key");
+    fixture.store.restore();
+    fixture.store.set("table", "key", "again");
+    const std::uint64_t newVersion = fixture.versionOf("key");
+    EXPECT_EQ(fixture.client.commit({ write("key", version) }).status, StoreStatus::Refused);
+    EXPECT_EQ(fixture.client.row("table", "key").rows.at(0).value, "again");
+    EXPECT_EQ(fixture.client.commit({ write("key", newVersion) }).status, StoreStatus::Done);
+}
+
+// Guards against the same where this write is the first call after the restoration: that it was carried out
+// shows only afterwards, and it must not be taken for a success.
+TEST(StoreClient, ReportsNoSuccessOfWriteAcrossRestoration)
+{
+    Fixture fixture;
+    fixture.store.saveCopy();
+    fixture.store.set("table", "key", "lost");
+    const std::uint64_t version = fixture.versionOf("key");
+    fixture.store.restore();
+    fixture.store.set("table", "key", "again");
+    EXPECT_EQ(fixture.client.commit({ write("key", version) }).status, StoreStatus::Unknown);
+}
