Raise the fencing token above the version of the store

A promotion's token is one more than that of the lease's row, or than the row's version. The token now exceeds the version of the store itself, which rises across restorations. A lease whose row was read and written in different epochs is not used: another host may have read the same state.

--- a/src/libs/core/failover/promotionlease.cpp
+++ b/src/libs/core/failover/promotionlease.cpp
@@ -12,12 +12,13 @@
 }
 
 std::optional<PromotionLease> acquireLease(
-    const PromotionLease& current, std::uint64_t version, const std::string& host, StoreTime now)
+    const PromotionLease& current, std::uint64_t storeVersion, const std::string& host, StoreTime now)
 {
     if (!current.holder.empty() && current.holder != host && now < current.leaseEnd)
         return std::nullopt;
-    // The row's version keeps the token increasing if the row was unreadable and its token is unknown.
-    return PromotionLease { std::max(current.token, version) + 1, host, now + leaseDuration,
+    // The store's version keeps the token increasing if the row was unreadable, and if the store lost later
+    // acquisitions because it was restored from an older copy.
+    return PromotionLease { std::max(current.token, storeVersion) + 1, host, now + leaseDuration,
         current.primary };
 }
 
--- a/src/libs/core/failover/promotionlease.h
+++ b/src/libs/core/failover/promotionlease.h
@@ -26,9 +26,9 @@
 };
 
 /// Returns the lease after its acquisition by `host`, or `nullopt` while another host holds it. A holder can
-/// acquire its own lease again. `version` is that of the lease's row in the store, which increases with every
-/// change. The primary is that of `current`.
+/// acquire its own lease again. `storeVersion` is that of the store, which increases with every change of any
+/// row. The primary is that of `current`.
 std::optional<PromotionLease> acquireLease(
-    const PromotionLease& current, std::uint64_t version, const std::string& host, StoreTime now);
+    const PromotionLease& current, std::uint64_t storeVersion, const std::string& host, StoreTime now);
 
 }
--- a/src/libs/proxyhost/platformworker.cpp
+++ b/src/libs/proxyhost/platformworker.cpp
@@ -87,7 +87,7 @@
         version = current.rows.front().version;
         currentLease = parsePromotionLeaseRow(current.rows.front().value).lease;
     }
-    auto lease = Failover::acquireLease(currentLease, version, m_host, current.storeTime);
+    auto lease = Failover::acquireLease(currentLease, current.version, m_host, current.storeTime);
     if (!lease) {
         Logging::write(Logging::EventId::DutyHeldElsewhere,
             { { "service", service }, { "holder", currentLease.holder } });
@@ -96,9 +96,10 @@
     if (fence == Failover::Fence::Set)
         lease->primary = std::string();
     const auto written = writeLease(service, *lease, version);
-    if (!written)
+    // If the store was restored from an older copy since it was read, another host may get the same token.
+    if (!written || written->epoch != current.epoch)
         return std::nullopt;
-    AcquiredLease acquired { service, *lease, *written, {}, current.storeTime };
+    AcquiredLease acquired { service, *lease, written->version, {}, current.storeTime };
     if (fence == Failover::Fence::None)
         return acquired;
     // Read after the fence was written: a host that registers later reads it before it uses a primary.
@@ -112,22 +113,22 @@
     return acquired;
 }
 
-/// Writes the row of a lease if it still has the expected version. Returns the new version.
-std::optional<std::uint64_t> PlatformWorker::writeLease(
+/// Writes the row of a lease if it still has the expected version.
+std::optional<PlatformWorker::WrittenRow> PlatformWorker::writeLease(
     const std::string& service, const Failover::PromotionLease& lease, std::uint64_t expectedVersion)
 {
     StoreRow row { Tables::promotionLeases, service };
     row.value = formatPromotionLeaseRow({ lease, std::random_device {}() });
     const StoreAnswer written = m_calls.commit({ { row, expectedVersion } });
     if (written.status == StoreStatus::Done)
-        return written.version;
+        return WrittenRow { written.version, written.epoch };
     logFailure("write the promotion lease", written);
     if (written.status != StoreStatus::Unknown)
         return std::nullopt;
     // The answer was lost. If the write is executed later, another host acquires the lease again.
     const StoreAnswer reread = m_calls.read(Tables::promotionLeases, service);
     if (reread.status == StoreStatus::Done && !reread.rows.empty() && reread.rows.front().value == row.value)
-        return reread.rows.front().version;
+        return WrittenRow { reread.rows.front().version, reread.epoch };
     return std::nullopt;
 }
 
@@ -136,8 +137,8 @@
     enqueue([this, lease, upstream, done = std::move(done)] {
         std::optional<AcquiredLease> changed = lease;
         changed->lease.primary = upstream;
-        if (const auto version = writeLease(lease.service, changed->lease, lease.version))
-            changed->version = *version;
+        if (const auto written = writeLease(lease.service, changed->lease, lease.version))
+            changed->version = written->version;
         else
             changed.reset();
         m_loop.post([done, changed] { done(changed); });
--- a/src/libs/proxyhost/platformworker.h
+++ b/src/libs/proxyhost/platformworker.h
@@ -75,7 +75,13 @@
     void enqueue(std::function<void()> task);
     void run();
     std::optional<AcquiredLease> acquireLeaseNow(const std::string& service, Failover::Fence fence);
-    std::optional<std::uint64_t> writeLease(
+    struct WrittenRow {
+        std::uint64_t version = 0;
+        /// The store's epoch when the row had this version.
+        std::uint64_t epoch = 0;
+    };
+
+    std::optional<WrittenRow> writeLease(
         const std::string& service, const Failover::PromotionLease& lease, std::uint64_t expectedVersion);
     std::optional<FenceState> readFencesNow();
     std::optional<std::uint64_t> registerNow(HostRow host);
--- a/tests/auto/core/failover/tst_promotionlease.cpp
+++ b/tests/auto/core/failover/tst_promotionlease.cpp
@@ -37,3 +37,11 @@
     ASSERT_TRUE(taken);
     EXPECT_EQ(taken->token, 42U);
 }
+
+// Guards against a token that is given again after the lease's row was lost.
+TEST(PromotionLease, TokenExceedsVersionOfStore)
+{
+    const auto taken = acquireLease({ 5, "b", 0ms, {} }, 1000, "a", 1ms);
+    ASSERT_TRUE(taken);
+    EXPECT_EQ(taken->token, 1001U);
+}
