Remember when a removed upstream became the primary

The newest announcement of a primary counts, by the version of its entry. When the store is restored from an older copy, the entry of a crashed primary that had expired appears again, with a version higher than that of the present primary's announcement, and writes go to it until it expires once more. The view keeps when a removed upstream became the primary; its entry counts as a new announcement only after a restart.

--- a/src/libs/core/directory/view.cpp
+++ b/src/libs/core/directory/view.cpp
@@ -12,16 +12,34 @@
 
 void View::setUpstream(Upstream upstream)
 {
-    const auto known = m_upstreams.find(upstream.id);
-    const bool wasPrimary = known != m_upstreams.end() && known->second.role == Role::Primary
-        && known->second.startedAt == upstream.startedAt;
     if (upstream.role == Role::Primary)
-        upstream.primarySince = wasPrimary ? known->second.primarySince : upstream.revision;
+        upstream.primarySince = knownPrimarySince(upstream).value_or(upstream.revision);
     const std::string id = upstream.id;
     m_upstreams.insert_or_assign(id, std::move(upstream));
 }
 
-void View::removeUpstream(const std::string& id) { m_upstreams.erase(id); }
+/// The revision with which this incarnation of the upstream became the primary, if that is known.
+std::optional<std::uint64_t> View::knownPrimarySince(const Upstream& upstream) const
+{
+    const auto known = m_upstreams.find(upstream.id);
+    if (known != m_upstreams.end()) {
+        const bool wasPrimary
+            = known->second.role == Role::Primary && known->second.startedAt == upstream.startedAt;
+        return wasPrimary ? std::optional(known->second.primarySince) : std::nullopt;
+    }
+    const auto removed = m_removedPrimaries.find(upstream.id);
+    if (removed != m_removedPrimaries.end() && removed->second.startedAt == upstream.startedAt)
+        return removed->second.primarySince;
+    return std::nullopt;
+}
+
+void View::removeUpstream(const std::string& id)
+{
+    const Upstream* known = findUpstream(id);
+    if (known && known->role == Role::Primary)
+        m_removedPrimaries.insert_or_assign(id, RemovedPrimary { known->startedAt, known->primarySince });
+    m_upstreams.erase(id);
+}
 
 const Upstream* View::findUpstream(std::string_view id) const
 {
--- a/src/libs/core/directory/view.h
+++ b/src/libs/core/directory/view.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -47,8 +48,18 @@
     const std::set<std::string>& zonesOut() const { return m_zonesOut; }
 
 private:
+    struct RemovedPrimary {
+        std::int64_t startedAt = 0;
+        std::uint64_t primarySince = 0;
+    };
+
+    std::optional<std::uint64_t> knownPrimarySince(const Upstream& upstream) const;
+
     std::shared_ptr<const Configuration> m_configuration;
     std::map<std::string, Upstream, std::less<>> m_upstreams;
+    /// Former primaries by id. Their entries may appear again without being newer, if the store is restored
+    /// from an older copy.
+    std::map<std::string, RemovedPrimary, std::less<>> m_removedPrimaries;
     std::set<std::string> m_zonesOut;
     /// The only upstream that may be the primary, by service.
     std::map<std::string, std::string, std::less<>> m_allowedPrimaries;
--- a/tests/auto/core/directory/tst_view.cpp
+++ b/tests/auto/core/directory/tst_view.cpp
@@ -76,6 +76,23 @@
     EXPECT_EQ(view.primaryOf("ledger")->id, "a");
 }
 
+// Guards against a crashed primary that counts as the newest again: its entry had expired, and appears once
+// more as the store is restored from an older copy.
+TEST(View, EntryThatAppearsAgainIsNoNewPrimaryAnnouncement)
+{
+    View view;
+    view.setUpstream(makeUpstream("a", Role::Primary, 1));
+    view.setUpstream(makeUpstream("b", Role::Primary, 3));
+    view.removeUpstream("a");
+    view.setUpstream(makeUpstream("a", Role::Primary, 9));
+    view.setUpstream(makeUpstream("b", Role::Primary, 9));
+    EXPECT_EQ(view.primaryOf("ledger")->id, "b");
+    Upstream restarted = makeUpstream("a", Role::Primary, 10);
+    restarted.startedAt = 77;
+    view.setUpstream(restarted);
+    EXPECT_EQ(view.primaryOf("ledger")->id, "a");
+}
+
 // Guards against new work for upstreams that are draining or whose zone was taken out of service.
 TEST(View, DrainingUpstreamsAndZonesOutAcceptNoWork)
 {
