Register again if a restored store has another row of the host

A host that registered in the seconds that the store lost has no row afterwards, or that of its previous process: new hosts do not learn of it, and when it leaves, it cannot delete the row, because the row's version is not the one that it wrote. A host compares its row in each complete list: it adopts the row's present version if the row is its own, and writes it again otherwise.

--- a/src/libs/logging/eventid.cpp
+++ b/src/libs/logging/eventid.cpp
@@ -67,7 +67,7 @@
         { HostRowDropped, "host_row_dropped", Severity::Info,
             "the store row of a host without recent reports is being deleted" },
         { HostRowLost, "host_row_lost", Severity::Warning,
-            "another host deleted this host's row in the store; it is written again" },
+            "this host's row in the store was deleted or lost; it is written again" },
         { SlotTaken, "slot_taken", Severity::Info, "the host became the holder of quota slots" },
         { SlotLost, "slot_lost", Severity::Warning,
             "the lease lapsed, so the quota slots are acquired again" },
--- a/src/libs/proxyhost/proxyhost.cpp
+++ b/src/libs/proxyhost/proxyhost.cpp
@@ -138,8 +138,7 @@
         adopt(std::exchange(m_firstConfiguration, nullptr));
     if (m_guard)
         m_guard->setHosts(m_fleet.hostNames(), now);
-    bool isOwnRowDeleted
-        = isComplete && std::ranges::find(rows, m_settings.host, &StoreRow::key) == rows.end();
+    const bool isOwnRowLost = isComplete ? !adoptOwnRow(rows) : isOwnRowDeleted(rows);
     std::vector<Directory::HostEntry> entries;
     for (const StoreRow& row : rows) {
         if (row.isDeleted)
@@ -148,18 +147,36 @@
             entries.push_back({ row.key, row.version });
         else
             m_staleHostRows.setRow(row.key, row.version, now);
-        if (row.key == m_settings.host && row.isDeleted)
-            isOwnRowDeleted = row.version > m_ownRowVersion;
     }
     if (isComplete)
         m_staleHostRows.setAll(entries, now);
-    // Another host presumed this one dead. Without its row, new hosts would not learn of this host.
-    if (isOwnRowDeleted && m_ownRowVersion != 0 && !m_shutdownAt) {
+    // Another host presumed this one dead, or the store was restored from a copy of before its registration.
+    // Without its row, new hosts would not learn of this host.
+    if (isOwnRowLost && m_ownRowVersion != 0 && !m_shutdownAt) {
         Logging::write(Logging::EventId::HostRowLost);
         registerHost();
     }
 }
 
+/// Whether all rows of the hosts table include the one that this process has written. Its version changes if
+/// the store is restored from an older copy.
+bool ProxyHost::adoptOwnRow(const std::vector<StoreRow>& allRows)
+{
+    const auto own = std::ranges::find(allRows, m_settings.host, &StoreRow::key);
+    if (own == allRows.end() || parseHostRow(own->value).nonce != m_ownRow.nonce)
+        return false;
+    if (m_ownRowVersion != 0)
+        m_ownRowVersion = own->version;
+    return true;
+}
+
+bool ProxyHost::isOwnRowDeleted(const std::vector<StoreRow>& changes) const
+{
+    return std::ranges::any_of(changes, [this](const StoreRow& row) {
+        return row.key == m_settings.host && row.isDeleted && row.version > m_ownRowVersion;
+    });
+}
+
 void ProxyHost::deleteStaleHostRow(Model::Time now)
 {
     const auto entry = m_staleHostRows.takeNext(now);
--- a/src/libs/proxyhost/proxyhost.h
+++ b/src/libs/proxyhost/proxyhost.h
@@ -63,6 +63,8 @@
     Failovers::Hooks failoverHooks();
     void registerHost();
     void setHosts(const std::vector<StoreRow>& rows, bool isComplete);
+    bool adoptOwnRow(const std::vector<StoreRow>& allRows);
+    bool isOwnRowDeleted(const std::vector<StoreRow>& changes) const;
     void deleteStaleHostRow(Model::Time now);
 
     EventLoop::Loop& m_loop;
--- a/tests/auto/sessionproxy/tst_sessionproxy.cpp
+++ b/tests/auto/sessionproxy/tst_sessionproxy.cpp
@@ -215,6 +215,30 @@
         EXPECT_TRUE(waitUntil([&] { return errorCode(client->query("WRITE a 1")) == "NOAUTH"; }, 5s));
 }
 
+// Guards against a row of a host that has left: the host could not delete it, because the store was restored
+// from a copy in which it was that of an earlier process.
+TEST(SessionProxy, RegistersAgainAfterStoreWasRestored)
+{
+    TestCluster cluster(2);
+    cluster.store().saveCopy();
+    cluster.host(0).signal(SIGKILL);
+    cluster.host(0).waitForExit(4s);
+    cluster.startHost(0);
+    ASSERT_TRUE(waitUntil([&] { return cluster.isReady(0); }, 5s));
+    cluster.store().setUnavailable(true);
+    cluster.store().restore();
+    cluster.store().setUnavailable(false);
+    const auto hasWrittenRow
+        = [&] { return cluster.host(0).output().find("\"host_row_lost\"") != std::string::npos; };
+    EXPECT_TRUE(waitUntil(hasWrittenRow, 5s));
+    cluster.host(0).signal(SIGTERM);
+    const auto isRowDeleted = [&] {
+        const auto hosts = cluster.store().keys("hosts");
+        return std::ranges::find(hosts, "host-0") == hosts.end();
+    };
+    EXPECT_TRUE(waitUntil(isRowDeleted, 5s));
+}
+
 // Guards against a customer that gets its full rate at each host, instead of once across all hosts.
 TEST(SessionProxy, LimitsCustomerRateAcrossHosts)
 {
