Order allowed primaries by their lease and write lost ones again

Where the promoter checks no fencing tokens, the row of a promotion lease names the only upstream that may be the primary, and hosts took the row with the highest version for the newest. The order is now that of the lease (its token, and whether a primary is allowed yet), which a restoration does not change. Hosts that know a newer state than the store write it again, if the row has not changed since; they read the store as soon as they notice the restoration.

Hosts of the previous release report the row's version in place of the lease's revision. While a fleet is updated on such a platform, its hosts learn of promotions from the store alone.

--- a/src/libs/core/failover/primaryfences.cpp
+++ b/src/libs/core/failover/primaryfences.cpp
@@ -38,7 +38,7 @@
 bool PrimaryFences::apply(const AllowedPrimary& primary, Model::Time now)
 {
     Known& known = m_services[primary.service];
-    if (primary.version <= known.primary.version)
+    if (primary.revision <= known.primary.revision)
         return false;
     known.primary = primary;
     known.since = now;
@@ -62,10 +62,20 @@
     return result;
 }
 
-void PrimaryFences::acknowledged(const std::string& host, const std::string& service, std::uint64_t version)
+std::vector<AllowedPrimary> PrimaryFences::known() const
+{
+    std::vector<AllowedPrimary> result;
+    for (const auto& [service, known] : m_services) {
+        if (known.primary.revision != 0)
+            result.push_back(known.primary);
+    }
+    return result;
+}
+
+void PrimaryFences::acknowledged(const std::string& host, const std::string& service, std::uint64_t revision)
 {
     std::uint64_t& known = m_services[service].acknowledged[host];
-    known = std::max(known, version);
+    known = std::max(known, revision);
 }
 
 bool PrimaryFences::isEffective(const std::string& service, const AwaitedHosts& awaited, Model::Time now)
@@ -74,7 +84,7 @@
     std::vector<RegisteredHost> missing;
     for (const RegisteredHost& host : awaited.hosts) {
         const auto entry = known.acknowledged.find(host.name);
-        if (entry == known.acknowledged.end() || entry->second < known.primary.version)
+        if (entry == known.acknowledged.end() || entry->second < known.primary.revision)
             missing.push_back(host);
     }
     if (!known.fencedSince)
--- a/src/libs/core/failover/primaryfences.h
+++ b/src/libs/core/failover/primaryfences.h
@@ -15,8 +15,8 @@
 /// Which upstream of a service may be used as the primary, as it stands in the row of its promotion lease.
 struct AllowedPrimary {
     std::string service;
-    /// Version of the row.
-    std::uint64_t version = 0;
+    /// Revision of the lease (`leaseRevision`).
+    std::uint64_t revision = 0;
     /// Empty while none may be used, which is the fence of a promotion; `nullopt` while any may.
     std::optional<std::string> upstream;
 
@@ -53,8 +53,10 @@
     /// The changes that this host reports to the others: those that a host may not have read from the store
     /// yet.
     std::vector<AllowedPrimary> reported(Model::Time now) const;
-    /// Another host has applied the service's change of this version.
-    void acknowledged(const std::string& host, const std::string& service, std::uint64_t version);
+    /// The newest changes that this host knows, one for each service.
+    std::vector<AllowedPrimary> known() const;
+    /// Another host has applied the service's change of this revision.
+    void acknowledged(const std::string& host, const std::string& service, std::uint64_t revision);
 
     /// Whether no host uses a primary of the service any more since the newest change, a fence: each has
     /// acknowledged it, or a majority has and the permission of the others has ended, or every permission
@@ -68,7 +70,7 @@
         Model::Time since;
         /// When this host learned that no primary may be used; unset while one may.
         std::optional<Model::Time> fencedSince;
-        /// Version that each host has acknowledged.
+        /// Revision that each host has acknowledged.
         std::map<std::string, std::uint64_t> acknowledged;
         /// When the acknowledgements of a majority were complete.
         std::optional<Model::Time> majoritySince;
--- a/src/libs/core/failover/promotionlease.cpp
+++ b/src/libs/core/failover/promotionlease.cpp
@@ -11,6 +11,17 @@
 
 }
 
+std::uint64_t leaseRevision(const PromotionLease& lease)
+{
+    const bool isFence = lease.primary && lease.primary->empty();
+    return lease.token * 2 + (isFence ? 0 : 1);
+}
+
+PromotionLease leaseOfRevision(std::uint64_t revision, const std::optional<std::string>& primary)
+{
+    return { revision / 2, {}, {}, primary };
+}
+
 std::optional<PromotionLease> acquireLease(
     const PromotionLease& current, std::uint64_t storeVersion, const std::string& host, StoreTime now)
 {
--- a/src/libs/core/failover/promotionlease.h
+++ b/src/libs/core/failover/promotionlease.h
@@ -25,6 +25,13 @@
     std::optional<std::string> primary;
 };
 
+/// Orders the states of a service's lease: higher with each acquisition, and once more when its holder allows
+/// a primary. Unlike the version of the lease's row, it does not rise if the store is restored from an older
+/// copy, so that a state that was replaced before does not count as the newest again.
+std::uint64_t leaseRevision(const PromotionLease& lease);
+/// A lease that nobody holds, whose revision and primary are these.
+PromotionLease leaseOfRevision(std::uint64_t revision, const std::optional<std::string>& primary);
+
 /// Returns the lease after its acquisition by `host`, or `nullopt` while another host holds it. A holder can
 /// acquire its own lease again. `storeVersion` is that of the store, which increases with every change of any
 /// row. The primary is that of `current`.
--- a/src/libs/logging/eventid.cpp
+++ b/src/libs/logging/eventid.cpp
@@ -9,7 +9,7 @@
 
     using enum EventId;
 
-    constexpr std::array<EventInfo, 52> table { {
+    constexpr std::array<EventInfo, 54> table { {
         { ProcessStarted, "process_started", Severity::Info, "the process listens on all its addresses" },
         { ProcessStopped, "process_stopped", Severity::Info, "the process ended after its last request" },
         { DrainStarted, "drain_started", Severity::Info, "SIGTERM received; no new requests are accepted" },
@@ -45,6 +45,8 @@
             "the host uses no primaries, because it would not learn of a promotion in time" },
         { PrimaryAllowed, "primary_allowed", Severity::Info,
             "only one upstream of a service may be used as its primary, the one that is being promoted" },
+        { PrimaryRestored, "primary_restored", Severity::Warning,
+            "the store has lost which upstream may be used as the primary; it is written again" },
         { UpstreamSilent, "upstream_silent", Severity::Warning,
             "a connection did not respond and was closed" },
         { ConnectionFailed, "connection_failed", Severity::Warning,
@@ -68,6 +70,8 @@
             "the store row of a host without recent reports is being deleted" },
         { HostRowLost, "host_row_lost", Severity::Warning,
             "this host's row in the store was deleted or lost; it is written again" },
+        { StoreRestored, "store_restored", Severity::Warning,
+            "the platform's store was restored from an older copy; a table is read again as a whole" },
         { SlotTaken, "slot_taken", Severity::Info, "the host became the holder of quota slots" },
         { SlotLost, "slot_lost", Severity::Warning,
             "the lease lapsed, so the quota slots are acquired again" },
--- a/src/libs/proxyhost/fleet.cpp
+++ b/src/libs/proxyhost/fleet.cpp
@@ -72,7 +72,7 @@
         for (const Failover::AllowedPrimary& primary : fences.primaries) {
             Wire::AllowedPrimary& entry = *report.add_allowed_primaries();
             entry.set_service(primary.service);
-            entry.set_version(primary.version);
+            entry.set_version(primary.revision);
             entry.set_upstream(primary.upstream.value_or(std::string()));
         }
     }
--- a/src/libs/proxyhost/platformworker.cpp
+++ b/src/libs/proxyhost/platformworker.cpp
@@ -145,6 +145,12 @@
     });
 }
 
+void PlatformWorker::restoreLease(
+    const std::string& service, const Failover::PromotionLease& lease, std::uint64_t rowVersion)
+{
+    enqueue([this, service, lease, rowVersion] { writeLease(service, lease, rowVersion); });
+}
+
 void PlatformWorker::readFences(std::function<void(const std::optional<FenceState>&)> done)
 {
     enqueue([this, done = std::move(done)] {
@@ -162,8 +168,10 @@
         return std::nullopt;
     }
     FenceState state { {}, hosts.rows };
-    for (const StoreRow& row : leases.rows)
-        state.primaries.push_back({ row.key, row.version, parsePromotionLeaseRow(row.value).lease.primary });
+    for (const StoreRow& row : leases.rows) {
+        const Failover::PromotionLease lease = parsePromotionLeaseRow(row.value).lease;
+        state.primaries.push_back({ { row.key, leaseRevision(lease), lease.primary }, row.version });
+    }
     return state;
 }
 
--- a/src/libs/proxyhost/platformworker.h
+++ b/src/libs/proxyhost/platformworker.h
@@ -37,9 +37,16 @@
     Failover::StoreTime acquiredAt {};
 };
 
+/// The allowed primary of a service as it stands in the store.
+struct StoredPrimary {
+    Failover::AllowedPrimary primary;
+    /// Version of the lease's row.
+    std::uint64_t rowVersion = 0;
+};
+
 /// The allowed primaries of all services and the rows of all hosts, each as of a time after the call.
 struct FenceState {
-    std::vector<Failover::AllowedPrimary> primaries;
+    std::vector<StoredPrimary> primaries;
     std::vector<StoreRow> hosts;
 };
 
@@ -60,6 +67,9 @@
     /// Changes the allowed primary in the row of a lease that this host holds. `done` gets the lease with the
     /// new version, or `nullopt` if the row has changed or the store gave no definite answer.
     void allowPrimary(const AcquiredLease& lease, const std::string& upstream, LeaseHook done);
+    /// Writes a lease that the store has lost, unless its row has changed since it had this version.
+    void restoreLease(
+        const std::string& service, const Failover::PromotionLease& lease, std::uint64_t rowVersion);
     /// Reads the allowed primaries of all services and the registered hosts. `done` gets `nullopt` if the
     /// store gave no answer.
     void readFences(std::function<void(const std::optional<FenceState>&)> done);
--- a/src/libs/proxyhost/primaryguard.cpp
+++ b/src/libs/proxyhost/primaryguard.cpp
@@ -61,7 +61,7 @@
     bool isAnyNew = false;
     for (const Failover::AllowedPrimary& primary : report.primaries) {
         isAnyNew |= apply(primary, now);
-        m_fences.acknowledged(host, primary.service, primary.version);
+        m_fences.acknowledged(host, primary.service, primary.revision);
     }
     if (report.sentAt) {
         if (const auto notBefore = m_sendTimes.notSentBefore(host, incarnation, *report.sentAt))
@@ -80,7 +80,7 @@
         return false;
     Logging::write(primary.isFence() ? Logging::EventId::PrimaryFenced : Logging::EventId::PrimaryAllowed,
         { { "service", primary.service }, { "upstream", *primary.upstream },
-            { "version", std::to_string(primary.version) } });
+            { "version", std::to_string(primary.revision) } });
     return true;
 }
 
@@ -94,7 +94,7 @@
             awaited.hosts.push_back(host);
     }
     m_awaitedHosts[lease.service] = std::move(awaited);
-    if (!apply({ lease.service, lease.version, lease.lease.primary }, now))
+    if (!apply({ lease.service, leaseRevision(lease.lease), lease.lease.primary }, now))
         return;
     m_hooks.endUses();
     m_hooks.publish();
@@ -105,6 +105,12 @@
     return m_fences.isEffective(service, m_awaitedHosts[service], now);
 }
 
+void PrimaryGuard::storeRestored(Model::Time now)
+{
+    if (m_incarnation != 0 && !m_isReadingStore)
+        readStore(now);
+}
+
 void PrimaryGuard::update(Model::Time now)
 {
     const bool hasPermission = m_permission.isValid(now);
@@ -131,11 +137,32 @@
     });
 }
 
+/// Writes the newest allowed primaries to the store again that the store has lost. Otherwise a host that
+/// starts would use previous primaries.
+void PrimaryGuard::restoreLost(const FenceState& state)
+{
+    for (const Failover::AllowedPrimary& known : m_fences.known()) {
+        StoredPrimary stored;
+        for (const StoredPrimary& candidate : state.primaries) {
+            if (candidate.primary.service == known.service)
+                stored = candidate;
+        }
+        if (stored.primary.revision >= known.revision)
+            continue;
+        Logging::write(Logging::EventId::PrimaryRestored,
+            { { "service", known.service }, { "upstream", known.upstream.value_or(std::string()) },
+                { "version", std::to_string(known.revision) } });
+        m_worker.restoreLease(
+            known.service, Failover::leaseOfRevision(known.revision, known.upstream), stored.rowVersion);
+    }
+}
+
 void PrimaryGuard::storeRead(const FenceState& state, Model::Time startedAt, Model::Time now)
 {
     bool isAnyNew = false;
-    for (const Failover::AllowedPrimary& primary : state.primaries)
-        isAnyNew |= apply(primary, now);
+    for (const StoredPrimary& stored : state.primaries)
+        isAnyNew |= apply(stored.primary, now);
+    restoreLost(state);
     std::vector<std::string> hosts;
     for (const StoreRow& row : state.hosts)
         hosts.push_back(row.key);
--- a/src/libs/proxyhost/primaryguard.h
+++ b/src/libs/proxyhost/primaryguard.h
@@ -59,6 +59,8 @@
     void leaseWritten(const AcquiredLease& lease, Model::Time now);
     /// Whether no host uses a primary any more of a service whose lease this host has acquired with a fence.
     bool isFenceEffective(const std::string& service, Model::Time now);
+    /// The store was restored from an older copy, so that it may have lost allowed primaries.
+    void storeRestored(Model::Time now);
     /// Reads the store if the permission requires it, and acts on the end of the permission. Has to be called
     /// several times a second.
     void update(Model::Time now);
@@ -66,6 +68,7 @@
 private:
     bool apply(const Failover::AllowedPrimary& primary, Model::Time now);
     void readStore(Model::Time now);
+    void restoreLost(const FenceState& state);
     void storeRead(const FenceState& state, Model::Time startedAt, Model::Time now);
 
     std::string m_self;
--- a/src/libs/proxyhost/proxyhost.cpp
+++ b/src/libs/proxyhost/proxyhost.cpp
@@ -308,6 +308,14 @@
     events.hosts = [this](const std::vector<StoreRow>& rows, bool isComplete) { setHosts(rows, isComplete); };
     events.changeRead
         = [this](StoreTable table, std::uint64_t version) { m_missedChanges[table].read(version); };
+    events.restored = [this](const StoreRestoration& restoration) {
+        Logging::write(Logging::EventId::StoreRestored,
+            { { "table", restoration.table }, { "epoch", std::to_string(restoration.epoch) },
+                { "read", std::to_string(restoration.versionBefore) },
+                { "now", std::to_string(restoration.versionNow) } });
+        if (m_guard)
+            m_guard->storeRestored(EventLoop::now());
+    };
     events.tableAvailable = [this](const std::string& table) {
         Logging::write(Logging::EventId::StoreRecovered, { { "table", table } });
         m_unavailableTables.erase(table);
--- a/src/libs/proxyhost/storeevents.h
+++ b/src/libs/proxyhost/storeevents.h
@@ -4,6 +4,7 @@
 #include "core/directory/upstream.h"
 #include "proxyhost/store.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -11,6 +12,17 @@
 
 namespace ProxyHost {
 
+/// A restoration of the store from an older copy, as noticed while a table was watched.
+struct StoreRestoration {
+    std::string table;
+    /// Rises with each restoration.
+    std::uint64_t epoch = 0;
+    /// Version up to which this host had read the table before, and that of the store now, by the store's own
+    /// count.
+    std::uint64_t versionBefore = 0;
+    std::uint64_t versionNow = 0;
+};
+
 /// Callbacks for changes and outages of the platform's store. All are called on the loop's thread.
 struct StoreEvents {
     std::function<void(std::shared_ptr<const Directory::Configuration>)> configuration;
@@ -26,6 +38,9 @@
     std::function<void(const std::vector<StoreRow>&, bool isComplete)> hosts;
     /// Changes of a table were read; `version` is that of the newest.
     std::function<void(StoreTable, std::uint64_t version)> changeRead;
+    /// The store was restored from an older copy; a table is read again as a whole. The versions are those
+    /// that the store counts itself.
+    std::function<void(const StoreRestoration&)> restored;
     /// The table can be watched: for the first time, or again after an outage.
     std::function<void(const std::string& table)> tableAvailable;
     std::function<void(const std::string& table, const std::string& error)> tableUnavailable;
--- a/tests/auto/core/failover/tst_primaryfences.cpp
+++ b/tests/auto/core/failover/tst_primaryfences.cpp
@@ -134,7 +134,7 @@
     EXPECT_FALSE(m_fences.apply({ "ledger", 8, "q" }, Time { 20ms }));
     EXPECT_FALSE(m_view.isPrimaryAllowed("ledger", "q"));
     ASSERT_EQ(m_fences.reported(Time { 30ms }).size(), 1U);
-    EXPECT_EQ(m_fences.reported(Time { 30ms }).front().version, 10U);
+    EXPECT_EQ(m_fences.reported(Time { 30ms }).front().revision, 10U);
 }
 
 // Guards against a promotion that takes a change other than its fence for effective.
--- a/tests/auto/core/failover/tst_primaryfencing.cpp
+++ b/tests/auto/core/failover/tst_primaryfencing.cpp
@@ -236,7 +236,7 @@
             }
             for (const AllowedPrimary& primary : message.primaries) {
                 host.fences.apply(primary, local);
-                host.fences.acknowledged(message.sender, primary.service, primary.version);
+                host.fences.acknowledged(message.sender, primary.service, primary.revision);
             }
             if (!message.sentAt)
                 continue;
@@ -254,7 +254,7 @@
         Host& host = *m_hosts[m_promoter];
         if (m_isPromoted || !host.isRunning(now))
             return;
-        if (m_storePrimary.version == 0) {
+        if (m_storePrimary.revision == 0) {
             if (!reachesStore(m_promoter, now))
                 return;
             m_storePrimary = { "ledger", ++m_storeVersion, std::string() };
--- a/tests/auto/core/failover/tst_promotionlease.cpp
+++ b/tests/auto/core/failover/tst_promotionlease.cpp
@@ -45,3 +45,22 @@
     ASSERT_TRUE(taken);
     EXPECT_EQ(taken->token, 1001U);
 }
+
+// Guards against a previous state of a lease that counts as the newest because the store was restored from an
+// older copy and has given its row a new version.
+TEST(PromotionLease, RevisionRisesWithEachState)
+{
+    PromotionLease lease = *acquireLease({}, 0, "a", 100ms);
+    lease.primary = "";
+    const std::uint64_t fenced = leaseRevision(lease);
+    lease.primary = "q";
+    const std::uint64_t allowed = leaseRevision(lease);
+    EXPECT_GT(allowed, fenced);
+    PromotionLease next = *acquireLease(lease, 0, "a", 200ms);
+    EXPECT_GT(leaseRevision(next), allowed);
+    next.primary = "";
+    EXPECT_GT(leaseRevision(next), allowed);
+    const PromotionLease restored = leaseOfRevision(allowed, "q");
+    EXPECT_EQ(leaseRevision(restored), allowed);
+    EXPECT_TRUE(restored.holder.empty());
+}
--- a/tests/auto/sessionproxy/tst_sessionproxy.cpp
+++ b/tests/auto/sessionproxy/tst_sessionproxy.cpp
@@ -226,6 +226,7 @@
     cluster.startHost(0);
     ASSERT_TRUE(waitUntil([&] { return cluster.isReady(0); }, 5s));
     cluster.store().setUnavailable(true);
+    std::this_thread::sleep_for(500ms);
     cluster.store().restore();
     cluster.store().setUnavailable(false);
     const auto hasWrittenRow
