--- a/src/libs/core/allowance/countingplan.cpp
+++ b/src/libs/core/allowance/countingplan.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-    /// Returns the square root of the number of hosts, chosen so that a host that leaves changes the choice
-    /// by one host at most.
+    /// Returns as many of the hosts as the square root of their number. The order by hash changes the choice
+    /// little when a host joins or leaves.
     std::vector<std::string> countingHostsAmong(std::vector<std::string> hosts)
     {
         const auto count = static_cast<std::size_t>(std::ceil(std::sqrt(hosts.size())));
