--- a/tests/auto/core/allowance/fleetsimulation.cpp
+++ b/tests/auto/core/allowance/fleetsimulation.cpp
@@ -15,14 +15,22 @@
 
 }
 
+std::vector<std::string> hostNames(int count)
+{
+    std::vector<std::string> names;
+    names.reserve(static_cast<std::size_t>(count));
+    for (int i = 0; i < count; ++i)
+        names.push_back("host-" + std::to_string(i));
+    return names;
+}
+
 FleetSimulation::FleetSimulation(int hosts, Directory::Customer customer)
     : m_customer(std::move(customer))
+    , m_names(hostNames(hosts))
     , m_isPartitioned(static_cast<std::size_t>(hosts), false)
     , m_incarnations(static_cast<std::size_t>(hosts), 1)
 {
     m_reportPlan.setHostCount(hosts);
-    for (int i = 0; i < hosts; ++i)
-        m_names.push_back("host-" + std::to_string(i));
     for (std::size_t i = 0; i < m_names.size(); ++i) {
         m_hosts.push_back(newHost(i));
         m_countingPlans.emplace_back(m_names[i]);
--- a/tests/auto/core/allowance/fleetsimulation.h
+++ b/tests/auto/core/allowance/fleetsimulation.h
@@ -10,6 +10,9 @@
 #include <string>
 #include <vector>
 
+/// The names of the hosts of a simulated fleet: host-0, host-1 and so on.
+std::vector<std::string> hostNames(int count);
+
 /// Simulates hosts that report to one another the use of one customer's limit, and that send counts between
 /// the reports if the fleet is large. Each host does so at a moment of its own within the period. Hosts can
 /// be partitioned from all others and restarted.
--- a/tests/auto/core/allowance/tst_countingplan.cpp
+++ b/tests/auto/core/allowance/tst_countingplan.cpp
@@ -1,3 +1,5 @@
+#include "fleetsimulation.h"
+
 #include "core/allowance/countingplan.h"
 #include "core/allowance/fleetallowance.h"
 
@@ -46,9 +48,7 @@
 {
     constexpr int hosts = 100;
     constexpr int customers = 200;
-    std::vector<std::string> all;
-    for (int i = 0; i < hosts; ++i)
-        all.push_back("host-" + std::to_string(i));
+    const std::vector<std::string> all = hostNames(hosts);
     for (const std::string& leaving : all) {
         std::vector<std::string> rest = all;
         std::erase(rest, leaving);
--- a/tests/auto/core/allowance/tst_fleetallowance.cpp
+++ b/tests/auto/core/allowance/tst_fleetallowance.cpp
@@ -127,9 +127,7 @@
 TEST(FleetAllowance, HostsThatDoNotKnowTheOthersGetNoBurst)
 {
     constexpr int count = 195;
-    std::vector<std::string> names;
-    for (int i = 0; i < count; ++i)
-        names.push_back("host-" + std::to_string(i));
+    const std::vector<std::string> names = hostNames(count);
     Directory::Configuration configuration;
     configuration.customers.emplace(customer.name, customer);
     int admitted = 0;
--- a/tests/auto/core/allowance/tst_largefleet.cpp
+++ b/tests/auto/core/allowance/tst_largefleet.cpp
@@ -25,20 +25,11 @@
 double usualRate(const Directory::Customer& customer) { return customer.rate * usualFraction; }
 double busyRate(const Directory::Customer& customer) { return usualRate(customer) * busyFactor; }
 
-/// The names of all hosts of a simulated fleet.
-std::vector<std::string> hostNames()
-{
-    std::vector<std::string> names;
-    for (int i = 0; i < hosts; ++i)
-        names.push_back("host-" + std::to_string(i));
-    return names;
-}
-
 /// The indices of the hosts that count the customer's operations.
 std::vector<int> countingHosts(const Directory::Customer& customer)
 {
     CountingPlan plan("host-0");
-    plan.setHosts(hostNames());
+    plan.setHosts(hostNames(hosts));
     std::vector<int> result;
     for (int i = 0; i < hosts; ++i) {
         if (plan.isCountingHost("host-" + std::to_string(i), customer.name))
