Delete the row of a host that registers again while it shuts down

It now deletes what it has written after the shutdown began. The test also waits until the restarted host has registered before it restores the store.

--- a/src/libs/proxyhost/proxyhost.cpp
+++ b/src/libs/proxyhost/proxyhost.cpp
@@ -120,6 +120,9 @@
 {
     m_worker.registerHost(m_ownRow, [this](std::uint64_t version) {
         m_ownRowVersion = version;
+        // Written while the host was already shutting down.
+        if (m_shutdownAt)
+            m_worker.deleteHostRow(m_settings.host, version);
         // Other hosts identify this process by its first incarnation, which a rewritten row does not change.
         if (m_fleet.incarnation() != 0)
             return;
--- a/tests/auto/sessionproxy/tst_sessionproxy.cpp
+++ b/tests/auto/sessionproxy/tst_sessionproxy.cpp
@@ -220,11 +220,14 @@
 TEST(SessionProxy, RegistersAgainAfterStoreWasRestored)
 {
     TestCluster cluster(2);
+    const auto ownRow = [&] { return cluster.store().value("hosts", "host-0"); };
+    ASSERT_TRUE(waitUntil([&] { return !ownRow().empty(); }, 5s));
     cluster.store().saveCopy();
+    const std::string previousRow = ownRow();
     cluster.host(0).signal(SIGKILL);
     cluster.host(0).waitForExit(4s);
     cluster.startHost(0);
-    ASSERT_TRUE(waitUntil([&] { return cluster.isReady(0); }, 5s));
+    ASSERT_TRUE(waitUntil([&] { return cluster.isReady(0) && ownRow() != previousRow; }, 5s));
     cluster.store().setUnavailable(true);
     std::this_thread::sleep_for(500ms);
     cluster.store().restore();
--- a/tests/standins/sessionplatform/rowstore.cpp
+++ b/tests/standins/sessionplatform/rowstore.cpp
@@ -54,6 +54,13 @@
     m_changed.notify_all();
 }
 
+std::string RowStore::value(const std::string& table, const std::string& key) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto row = m_rows.find({ table, key });
+    return row == m_rows.end() ? std::string() : row->second.value;
+}
+
 std::vector<std::string> RowStore::keys(const std::string& table) const
 {
     const std::lock_guard lock(m_mutex);
--- a/tests/standins/sessionplatform/rowstore.h
+++ b/tests/standins/sessionplatform/rowstore.h
@@ -25,6 +25,8 @@
     /// IP:PORT
     std::string address() const;
     void set(const std::string& table, const std::string& key, const std::string& value);
+    /// The value of a row; empty if there is none.
+    std::string value(const std::string& table, const std::string& key) const;
     /// Keys of the rows of a table that are not deleted.
     std::vector<std::string> keys(const std::string& table) const;
     void remove(const std::string& table, const std::string& key);
