--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,5 +1,5 @@
-#include "client.h"
-#include "deployment.h"
+#include "../harness/client.h"
+#include "../harness/deployment.h"
 
 #include <algorithm>
 #include <iostream>
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,5 +1,5 @@
-#include "client.h"
-#include "deployment.h"
+#include "../harness/client.h"
+#include "../harness/deployment.h"
 
 #include <algorithm>
 #include <set>
@@ -10,16 +10,19 @@
 
 namespace {
 
+/// Number of statements sent so far, for their ids.
+int s_attempts = 0;
+
 /// Writes `data` until an attempt is acknowledged; every attempt uses a new id. Returns whether one was.
 bool write(Deployment& deployment, Record& record, const std::string& item, const std::string& data)
 {
-    static int s_attempts = 0;
     for (int i = 0; i < 20; ++i) {
         Client client(deployment.front(i % 3));
         if (client.open(Deployment::primaryRoute, Deployment::key)) {
             const std::string id = "w" + std::to_string(++s_attempts);
-            const Answer answer = client.query(id, "WRITE " + item + " " + data);
-            record.write("write " + id + " of " + item + " = " + data + ": " + printable(answer.result));
+            const Answer answer
+                = client.query(id, std::string("WRITE ").append(item).append(" ").append(data));
+            record.write({ "write ", id, " of ", item, " = ", data, ": ", printable(answer.result) });
             if (answer.isSuccess())
                 return true;
         }
@@ -76,7 +79,7 @@
     }
     const std::string primary = databases.primary();
     record.write("the primary is " + primary);
-    // One page-known reader, to show what consumers see.
+    // What consumers see.
     if (write(deployment, record, "after", "granted")) {
         Client client(deployment.front(0));
         if (client.open(Deployment::primaryRoute, Deployment::key)) {
@@ -90,7 +93,7 @@
     const auto log = databases.log(primary);
     for (const std::string& item : acknowledged) {
         if (!contains(log, item)) {
-            record.write("acknowledged, but not in the log of " + primary + ": " + item);
+            record.write({ "acknowledged, but not in the log of ", primary, ": ", item });
             isBroken = true;
         }
     }
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,5 +1,5 @@
-#include "client.h"
-#include "deployment.h"
+#include "../harness/client.h"
+#include "../harness/deployment.h"
 
 #include <algorithm>
 #include <atomic>
@@ -57,6 +57,7 @@
     std::vector<CutRequest> cut;
     std::atomic<bool> isStopping = false;
     std::vector<std::thread> threads;
+    threads.reserve(sessions);
     for (int session = 0; session < sessions; ++session) {
         threads.emplace_back([&, session] {
             if (const auto request = readInSeries(deployment, record, session, isStopping)) {
--- a/review/harness/client.cpp
+++ b/review/harness/client.cpp
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <unistd.h>
@@ -36,6 +37,8 @@
     inet_pton(AF_INET, address.substr(0, colon).c_str(), &target.sin_addr);
     const timeval limit { receiveTimeoutSeconds, 0 };
     setsockopt(m_socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    const int isOn = 1;
+    setsockopt(m_socket, IPPROTO_TCP, TCP_NODELAY, &isOn, sizeof isOn);
     if (receiveBuffer > 0)
         setsockopt(m_socket, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof receiveBuffer);
     if (::connect(m_socket, reinterpret_cast<sockaddr*>(&target), sizeof target) != 0) {
--- a/review/harness/databases.cpp
+++ b/review/harness/databases.cpp
@@ -5,6 +5,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <nlohmann/json.hpp>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -93,11 +94,12 @@
     const Member& found = member(id);
     if (!found.isUp)
         return {};
-    return nlohmann::json { { "service", m_settings.service },
-        { "address", "127.0.0.1:" + std::to_string(found.port) }, { "zone", found.zone }, { "version", "v1" },
-        { "slots", slots }, { "state", found.isDraining ? "draining" : "ready" }, { "coldLeftMs", 0 },
-        { "dbRole", m_primary == id ? "primary" : "replica" }, { "seq", 1 }, { "born", 1 } }
-        .dump();
+    return nlohmann::json {
+        { "service", m_settings.service }, { "address", "127.0.0.1:" + std::to_string(found.port) },
+        { "zone", found.zone }, { "version", "v1" }, { "slots", slots },
+        { "state", found.isDraining ? "draining" : "ready" }, { "coldLeftMs", 0 },
+        { "dbRole", m_primary == id ? "primary" : "replica" }, { "seq", 1 }, { "born", 1 }
+    }.dump();
 }
 
 std::string Databases::primary() const
@@ -214,6 +216,8 @@
             ::close(member.listener);
             return;
         }
+        const int isOn = 1;
+        ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &isOn, sizeof isOn);
         member.sockets.insert(socket);
         m_threads.emplace_back([this, &member, socket] { serve(member, socket); });
     }
@@ -277,8 +281,7 @@
         takeWord(rest);
         std::string position = takeWord(rest);
         const std::uint64_t term = std::strtoull(position.c_str(), nullptr, 10);
-        const std::uint64_t number
-            = std::strtoull(position.c_str() + position.find('.') + 1, nullptr, 10);
+        const std::uint64_t number = std::strtoull(position.c_str() + position.find('.') + 1, nullptr, 10);
         const std::lock_guard lock(m_mutex);
         if (std::pair(member.term, member.log.size()) < std::pair(term, number))
             return error("LAGGING") + ready(member, connection);
@@ -289,8 +292,8 @@
     }
     {
         const std::lock_guard lock(m_mutex);
-        m_arrived.push_back({ member.id, id, rest });
-        m_record.write(member.id + " receives " + id + " " + printable(rest));
+        if (m_settings.keepsStatements)
+            m_arrived.push_back({ member.id, id, rest });
     }
     if (m_settings.workTime)
         std::this_thread::sleep_for(m_settings.workTime(rest));
@@ -301,7 +304,7 @@
 
 std::string Databases::runOwnCommand(Member& member, Connection& connection, const std::string& text)
 {
-    const std::string done = "COMPLETE -\r\n";
+    std::string done = "COMPLETE -\r\n";
     std::string rest = text;
     const std::string verb = takeWord(rest);
     if (verb == "ROLLBACK") {
@@ -352,7 +355,7 @@
 {
     std::string rest = text;
     std::string verb = takeWord(rest);
-    const std::string receipt = "COMPLETE receipt-" + id + "\r\n";
+    std::string receipt = "COMPLETE receipt-" + id + "\r\n";
     std::vector<std::pair<std::string, std::string>> writes;
     std::uint64_t term = 0;
     {
@@ -367,7 +370,8 @@
         }
         const bool isPlain = connection.transaction == Transaction::Open;
         const bool hasLostLead = isPlain && (m_primary != member.id || connection.term != member.term);
-        const bool needsLead = verb == "WRITE" || (isPlain && (verb != "COMMIT" || !connection.writes.empty()));
+        const bool needsLead
+            = verb == "WRITE" || (isPlain && (verb != "COMMIT" || !connection.writes.empty()));
         if ((needsLead && m_primary != member.id) || (needsLead && hasLostLead)) {
             connection.transaction
                 = connection.transaction == Transaction::None ? Transaction::None : Transaction::Failed;
@@ -375,8 +379,10 @@
                 connection.transaction = Transaction::None;
             return error("READONLY");
         }
-        m_run.push_back({ member.id, id, text });
-        m_record.write(member.id + " runs " + id + " " + printable(text));
+        if (m_settings.keepsStatements) {
+            m_run.push_back({ member.id, id, text });
+            m_record.write(member.id + " runs " + id + " " + printable(text));
+        }
         if (verb == "READ") {
             const auto rows = m_rows.find(rest);
             if (rows == m_rows.end())
@@ -425,8 +431,8 @@
             return each->id != member.id && each->isUp && each->term == term && each->log.size() >= number;
         });
     };
-    m_replicated.wait(lock,
-        [&] { return m_isStopping || !member.isUp || m_primary != member.id || isReceived(); });
+    m_replicated.wait(
+        lock, [&] { return m_isStopping || !member.isUp || m_primary != member.id || isReceived(); });
     return isReceived() ? std::string() : error("FAILED");
 }
 
--- a/review/harness/databases.h
+++ b/review/harness/databases.h
@@ -41,6 +41,8 @@
         std::chrono::milliseconds promoteTime { 300 };
         /// How long a statement runs.
         std::function<std::chrono::milliseconds(const std::string& text)> workTime;
+        /// Whether each statement of a consumer is recorded and kept.
+        bool keepsStatements = true;
     };
     /// Called with the id of a database whose entry in the store has to change.
     using StatusHook = std::function<void(const std::string& id)>;
--- a/review/harness/deployment.cpp
+++ b/review/harness/deployment.cpp
@@ -13,8 +13,6 @@
 
 namespace {
 
-    constexpr const char* program = "target/src/tools/parsleytackd/parsleytackd";
-    constexpr const char* settingsVariable = "PARSLEYTACK_SETTINGS";
     constexpr const char* readinessPath = "/-/readiness";
     constexpr auto startLimit = std::chrono::seconds(15);
     constexpr int maxDescriptors = 4200;
@@ -114,19 +112,24 @@
         { "store", m_platform->address() }, { "promoter", m_platform->address() },
         { "promoterChecksFencing", true }, { "shutdownMs", settings.graceS * 1000 },
         { "maxDescriptors", maxDescriptors } };
-    const std::string file = m_folder + "/" + name + ".json";
-    std::ofstream(file) << content.dump();
-    setenv(settingsVariable, file.c_str(), 1);
-    host.process = std::make_unique<Integration::Process>(
-        program, std::vector<std::string> { "--session-proxy" }, m_folder + "/" + name + ".log");
+    host.settingsFile = m_folder + "/" + name + ".json";
+    host.logFile = m_folder + "/" + name + ".log";
+    std::ofstream(host.settingsFile) << content.dump();
+    host.process = std::make_unique<HostProcess>(host.settingsFile, host.logFile);
     m_record.write("started " + name);
 }
 
+void Deployment::restart(int host)
+{
+    Host& restarted = m_hosts.at(static_cast<std::size_t>(host));
+    restarted.process = std::make_unique<HostProcess>(restarted.settingsFile, restarted.logFile);
+}
+
 bool Deployment::isHostReady(int host) const
 {
     Client client(m_hosts.at(static_cast<std::size_t>(host)).ready->address());
-    client.send(std::string("GET ") + readinessPath
-        + " HTTP/1.1\r\nHost: 127.0.0.1\r\nConnection: close\r\n\r\n");
+    client.send(
+        std::string("GET ") + readinessPath + " HTTP/1.1\r\nHost: 127.0.0.1\r\nConnection: close\r\n\r\n");
     return client.line().value_or("").starts_with("HTTP/1.1 200");
 }
 
--- a/review/harness/deployment.h
+++ b/review/harness/deployment.h
@@ -1,8 +1,9 @@
 #pragma once
 
+#include "../../tests/auto/integration/process.h"
 #include "databases.h"
+#include "hostprocess.h"
 #include "platformstandin.h"
-#include "process.h"
 #include "record.h"
 
 #include <memory>
@@ -33,8 +34,10 @@
     bool isReady() const { return m_isReady; }
     /// Address for consumers, of the form IP:PORT.
     std::string front(int host) const { return m_hosts.at(static_cast<std::size_t>(host)).front->address(); }
-    Integration::Process& process(int host) { return *m_hosts.at(static_cast<std::size_t>(host)).process; }
+    HostProcess& process(int host) { return *m_hosts.at(static_cast<std::size_t>(host)).process; }
     Databases& databases() { return *m_databases; }
+    /// Starts a host again that has ended.
+    void restart(int host);
     PlatformStandin& platform() { return *m_platform; }
     /// Removes the entry of a database that says nothing any more, as the platform does after some silence.
     void removeEntry(const std::string& id) { m_platform->remove("servers", id); }
@@ -50,7 +53,9 @@
         std::unique_ptr<Integration::ReservedPort> front;
         std::unique_ptr<Integration::ReservedPort> ready;
         std::unique_ptr<Integration::ReservedPort> peers;
-        std::unique_ptr<Integration::Process> process;
+        std::unique_ptr<HostProcess> process;
+        std::string settingsFile;
+        std::string logFile;
     };
 
     void publish(const Settings& settings);
--- a/review/harness/platformstandin.cpp
+++ b/review/harness/platformstandin.cpp
@@ -181,8 +181,7 @@
         const auto row = m_rows.find(key);
         const bool exists = row != m_rows.end() && !row->second.isDeleted;
         if (exists)
-            current.push_back(
-                rowJson(key.first, key.second, row->second.value, row->second.version, false));
+            current.push_back(rowJson(key.first, key.second, row->second.value, row->second.version, false));
         isRefused |= (exists ? row->second.version : 0) != entry.at("rowVersion").get<std::uint64_t>();
     }
     if (isRefused)
--- a/review/harness/record.cpp
+++ b/review/harness/record.cpp
@@ -28,6 +28,14 @@
     m_file << text << std::endl;
 }
 
+void Record::write(std::initializer_list<std::string> parts)
+{
+    std::string line;
+    for (const std::string& part : parts)
+        line += part;
+    write(line);
+}
+
 std::string printable(const std::string& text)
 {
     std::string result;
--- a/review/harness/record.h
+++ b/review/harness/record.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <fstream>
+#include <initializer_list>
 #include <mutex>
 #include <string>
 
@@ -13,6 +14,8 @@
     explicit Record(const std::string& file);
 
     void write(const std::string& line);
+    /// Writes a line that consists of these parts.
+    void write(std::initializer_list<std::string> parts);
     /// Time since the start of the record.
     std::chrono::milliseconds elapsed() const;
 
