--- a/review/harness/deployment.h
+++ b/review/harness/deployment.h
@@ -32,6 +32,8 @@
     Deployment& operator=(const Deployment&) = delete;
 
     bool isReady() const { return m_isReady; }
+    /// Whether the host answers its readiness probe with 200.
+    bool isHostReady(int host) const;
     /// Address for consumers, of the form IP:PORT.
     std::string front(int host) const { return m_hosts.at(static_cast<std::size_t>(host)).front->address(); }
     HostProcess& process(int host) { return *m_hosts.at(static_cast<std::size_t>(host)).process; }
@@ -61,7 +63,6 @@
     void publish(const Settings& settings);
     void startHost(int index, const Settings& settings);
     void updateEntry(const std::string& id);
-    bool isHostReady(int host) const;
 
     Record& m_record;
     std::string m_folder;
--- a/review/harness/hostprocess.cpp
+++ b/review/harness/hostprocess.cpp
@@ -74,11 +74,11 @@
                                : "signal " + std::to_string(WTERMSIG(m_status));
 }
 
-long HostProcess::residentKb() const
+long HostProcess::statusField(const std::string& name) const
 {
     std::ifstream file("/proc/" + std::to_string(m_pid) + "/status");
     for (std::string line; m_isRunning && std::getline(file, line);) {
-        if (line.starts_with("VmRSS:"))
+        if (line.starts_with(name))
             return std::strtol(line.c_str() + line.find(':') + 1, nullptr, 10);
     }
     return 0;
