--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <atomic>
 #include <csignal>
+#include <mutex>
 #include <thread>
 
 using namespace Review;
@@ -11,82 +12,86 @@
 
 namespace {
 
-constexpr int hosts = 2;
-constexpr int sessionsPerHost = 4;
-/// Operations a second of one session; all sessions together stay below the tenant's rate.
-constexpr auto pause = 25ms;
-constexpr std::size_t shapeBytes = 70'000;
-/// `memoryMb` of the site's machines.
-constexpr long memoryLimitKb = 260L * 1024;
-constexpr auto duration = 105s;
-constexpr auto checkPeriod = 100ms;
-constexpr auto reportPeriod = 5s;
+constexpr int sessions = 24;
+constexpr auto warmUp = 2s;
+/// The site's lookups take 22 ms on average, and 170 ms at most.
+constexpr auto workTime = 150ms;
+/// After SIGTERM; requests sent later than this are excused by nothing.
+constexpr auto excusedUntil = 3s;
 
-/// Prepares a statement, runs it once and closes it, again and again. With trouble, each statement has
-/// another shape, as those of applications that build their statements; otherwise all have the same one.
-void runStatements(Deployment& deployment, int host, int session, const std::atomic<bool>& isStopping,
-    std::atomic<int>& runCount)
+/// A request whose connection ended before its answer was complete.
+struct CutRequest {
+    std::string id;
+    std::chrono::milliseconds sentAt {};
+    std::chrono::milliseconds cutAt {};
+};
+
+/// Reads one item after the other on one connection, each as soon as the previous one was answered, until the
+/// connection ends.
+std::optional<CutRequest> readInSeries(
+    Deployment& deployment, Record& record, int session, const std::atomic<bool>& isStopping)
 {
-    std::string shape(shapeBytes, 'x');
-    const std::string prefix = "h" + std::to_string(host) + "s" + std::to_string(session) + "-";
-    int count = 0;
-    while (!isStopping) {
-        Client client(deployment.front(host));
-        bool isOpen = client.open(Deployment::boundedRoute, Deployment::key);
-        while (isOpen && !isStopping) {
-            const std::string id = prefix + std::to_string(++count);
-            if (hasTrouble())
-                shape.replace(0, id.size(), id);
-            isOpen = client.query("p" + id, "PREPARE s1 READ " + shape).isSuccess()
-                && client.query("e" + id, "EXECUTE s1 paint").isWhole
-                && client.query("c" + id, "CLOSE s1").isSuccess();
-            ++runCount;
-            std::this_thread::sleep_for(pause);
+    Client client(deployment.front(0));
+    if (!client.open(Deployment::boundedRoute, Deployment::key))
+        return std::nullopt;
+    for (int i = 0; !isStopping; ++i) {
+        const std::string id = "s" + std::to_string(session) + "-" + std::to_string(i);
+        const auto sentAt = record.elapsed();
+        const Answer answer = client.query(id, "READ paint-" + std::to_string(i));
+        if (!answer.isWhole) {
+            return CutRequest { id, sentAt, record.elapsed() };
         }
-        std::this_thread::sleep_for(pause);
     }
+    return std::nullopt;
 }
 
 int run(Record& record)
 {
     Deployment::Settings settings;
-    settings.hosts = hosts;
-    settings.databases.keepsStatements = false;
+    settings.hosts = 2;
+    settings.databases.workTime = [](const std::string&) { return workTime; };
     Deployment deployment(settings, record);
     if (!deployment.isReady())
         return notRun;
+    std::mutex mutex;
+    std::vector<CutRequest> cut;
     std::atomic<bool> isStopping = false;
-    std::atomic<int> runCount = 0;
     std::vector<std::thread> threads;
-    threads.reserve(static_cast<std::size_t>(hosts) * sessionsPerHost);
-    for (int host = 0; host < hosts; ++host) {
-        for (int session = 0; session < sessionsPerHost; ++session)
-            threads.emplace_back(
-                [&, host, session] { runStatements(deployment, host, session, isStopping, runCount); });
+    threads.reserve(sessions);
+    for (int session = 0; session < sessions; ++session) {
+        threads.emplace_back([&, session] {
+            if (const auto request = readInSeries(deployment, record, session, isStopping)) {
+                const std::lock_guard lock(mutex);
+                cut.push_back(*request);
+            }
+        });
     }
-    std::vector<int> ends(hosts, 0);
-    const auto isFault
-        = [&] { return std::ranges::count_if(ends, [](int count) { return count >= 3; }) >= 2; };
-    while (record.elapsed() < duration && !isFault()) {
-        std::this_thread::sleep_for(checkPeriod);
-        for (int host = 0; host < hosts; ++host) {
-            const long resident = deployment.process(host).residentKb();
-            if (record.elapsed() % reportPeriod < checkPeriod)
-                record.write({ "front-", std::to_string(host), " has ", std::to_string(resident),
-                    " kB after ", std::to_string(runCount), " statements of all sessions" });
-            if (resident <= memoryLimitKb)
-                continue;
-            ++ends[static_cast<std::size_t>(host)];
-            record.write({ "front-", std::to_string(host), " has ", std::to_string(resident),
-                " kB, more than memoryMb: the platform kills it and starts it again" });
-            deployment.process(host).kill();
-            deployment.restart(host);
-        }
+    std::this_thread::sleep_for(warmUp);
+    const auto signalledAt = record.elapsed();
+    if (hasTrouble()) {
+        record.write("SIGTERM to front-0");
+        deployment.process(0).signal(SIGTERM);
+        deployment.process(0).waitForExit(std::chrono::seconds(settings.graceS));
+        record.write("front-0 has ended, or its grace is over");
+        deployment.process(0).kill();
+    } else {
+        std::this_thread::sleep_for(std::chrono::seconds(settings.graceS));
     }
     isStopping = true;
     for (std::thread& thread : threads)
         thread.join();
-    return isFault() ? ruleBroken : ruleHeld;
+    const auto statements = deployment.databases().arrivedStatements();
+    bool isBroken = false;
+    for (const CutRequest& request : cut) {
+        const auto statement = std::ranges::find(statements, request.id, &RunStatement::id);
+        const bool isPassedOn = statement != statements.end();
+        const auto sentAfter = request.sentAt - signalledAt;
+        record.write("cut: " + request.id + ", sent " + std::to_string(sentAfter.count())
+            + " ms after SIGTERM, cut " + std::to_string((request.cutAt - request.sentAt).count())
+            + " ms later, " + (isPassedOn ? "passed on to " + statement->database : "not passed on"));
+        isBroken |= isPassedOn && sentAfter > excusedUntil;
+    }
+    return isBroken ? ruleBroken : ruleHeld;
 }
 
 }
