--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <atomic>
-#include <mutex>
 #include <thread>
 
 using namespace Review;
@@ -12,114 +11,83 @@
 namespace {
 
 constexpr int hosts = 3;
-constexpr auto warmUp = 2s;
-/// How long the replica receives nothing, and when in that time the primary crashes.
-constexpr auto deafTime = 6s;
-constexpr auto crashAfter = 500ms;
-/// After the crash, the entry of the primary is removed: three ping intervals of 1.2 s after its last write,
-/// which was half an interval before the crash.
-constexpr auto entryLifetime = 3000ms;
-constexpr auto writePause = 100ms;
+constexpr int sessions = 6;
+constexpr auto duration = 6s;
+constexpr auto writePause = 20ms;
+/// Share of its requests that the database fails.
+constexpr double failingShare = 0.4;
+/// The session value that the first half of the consumers set, each to another text.
+constexpr const char* valueName = "role";
 
-/// Items whose writes were acknowledged.
-class AcknowledgedItems {
-public:
-    void add(const std::string& item)
-    {
-        const std::lock_guard lock(m_mutex);
-        m_items.push_back(item);
-    }
-    std::vector<std::string> all() const
-    {
-        const std::lock_guard lock(m_mutex);
-        return m_items;
-    }
-
-private:
-    mutable std::mutex m_mutex;
-    std::vector<std::string> m_items;
-};
+/// The value that the session sets; empty if it sets none.
+std::string valueOf(int session)
+{
+    return session < sessions / 2 ? "clerk-" + std::to_string(session) : std::string();
+}
 
-/// Writes one new item after the other through a host.
-void writeItems(Deployment& deployment, Record& record, int host, AcknowledgedItems& acknowledged,
-    const std::atomic<bool>& isStopping)
+/// Opens a session, sets its value if it has one, and writes one item after the other; opens another session
+/// after an answer that leaves the result open.
+void writeItems(Deployment& deployment, Record& record, int session, const std::atomic<bool>& isStopping)
 {
-    const std::string prefix = "h" + std::to_string(host) + "-";
+    const std::string prefix = std::to_string(session) + "-";
     int count = 0;
     while (!isStopping) {
-        Client client(deployment.front(host));
-        bool isOpen = client.open(Deployment::ownWritesRoute, Deployment::key);
+        std::this_thread::sleep_for(writePause);
+        Client client(deployment.front(session % hosts));
+        if (!client.open(Deployment::primaryRoute, Deployment::key))
+            continue;
+        const std::string value = valueOf(session);
+        const std::string setting = std::string("SET ").append(valueName).append(" ").append(value);
+        if (!value.empty() && !client.query("set" + prefix + std::to_string(++count), setting).isSuccess())
+            continue;
+        bool isOpen = true;
         while (isOpen && !isStopping) {
             const std::string item = prefix + std::to_string(++count);
-            const Answer answer = client.query("w" + item, "WRITE " + item + " submitted");
-            record.write({ "w", item, " got ", printable(answer.result) });
-            if (answer.isSuccess())
-                acknowledged.add(item);
-            isOpen = answer.isWhole;
+            const Answer answer = client.query(item, "WRITE item-" + item + " filed");
+            record.write({ "consumer ", std::to_string(session), ": write ", item, " got ",
+                printable(answer.result) });
+            isOpen = answer.isSuccess();
             std::this_thread::sleep_for(writePause);
         }
-        std::this_thread::sleep_for(writePause);
     }
 }
 
-bool contains(const std::vector<LogEntry>& log, const std::string& item)
-{
-    return std::ranges::any_of(log, [&](const LogEntry& entry) {
-        return std::ranges::any_of(entry.writes, [&](const auto& write) { return write.first == item; });
-    });
-}
-
-void makeTrouble(Deployment& deployment, Record& record)
-{
-    Databases& databases = deployment.databases();
-    record.write("db-2 receives nothing from now on");
-    databases.setDeaf("db-2", true);
-    std::this_thread::sleep_for(crashAfter);
-    record.write("db-0, the primary, crashes");
-    databases.crash("db-0");
-    std::this_thread::sleep_for(entryLifetime);
-    deployment.removeEntry("db-0");
-    std::this_thread::sleep_for(deafTime - crashAfter - entryLifetime);
-    record.write("db-2 receives again");
-    databases.setDeaf("db-2", false);
-}
-
 int run(Record& record)
 {
     Deployment::Settings settings;
     settings.hosts = hosts;
-    settings.databases.syncReplicas = 1;
     Deployment deployment(settings, record);
     if (!deployment.isReady())
         return notRun;
-    AcknowledgedItems acknowledged;
+    if (hasTrouble()) {
+        record.write("db-0 fails part of its requests");
+        deployment.databases().setFailing("db-0", failingShare);
+    }
     std::atomic<bool> isStopping = false;
     std::vector<std::thread> threads;
-    threads.reserve(hosts);
-    for (int host = 0; host < hosts; ++host)
-        threads.emplace_back([&, host] { writeItems(deployment, record, host, acknowledged, isStopping); });
-    std::this_thread::sleep_for(warmUp);
-    if (hasTrouble())
-        makeTrouble(deployment, record);
-    else
-        std::this_thread::sleep_for(deafTime);
-    std::this_thread::sleep_for(warmUp);
+    threads.reserve(sessions);
+    for (int session = 0; session < sessions; ++session)
+        threads.emplace_back([&, session] { writeItems(deployment, record, session, isStopping); });
+    std::this_thread::sleep_for(duration);
     isStopping = true;
     for (std::thread& thread : threads)
         thread.join();
-    const std::string primary = deployment.databases().primary();
-    const auto log = deployment.databases().log(primary);
-    const auto items = acknowledged.all();
-    record.write(
-        { "the primary is ", primary, ", ", std::to_string(items.size()), " writes were acknowledged" });
-    bool isBroken = false;
-    for (const std::string& item : items) {
-        if (contains(log, item))
+    int wrong = 0;
+    const auto statements = deployment.databases().runStatements();
+    for (const RunStatement& statement : statements) {
+        const std::string session = statement.id.substr(0, statement.id.find('-'));
+        const std::string expected = valueOf(std::atoi(session.c_str()));
+        const auto found = statement.values.find(valueName);
+        const std::string actual = found == statement.values.end() ? std::string() : found->second;
+        if (actual == expected)
             continue;
-        record.write({ "acknowledged, but not in the log of ", primary, ": ", item });
-        isBroken = true;
+        ++wrong;
+        record.write({ statement.database, " ran ", statement.id, " with role '", actual, "' instead of '",
+            expected, "'" });
     }
-    return isBroken ? ruleBroken : ruleHeld;
+    record.write({ std::to_string(wrong), " of ", std::to_string(statements.size()),
+        " writes ran with other session values than were acknowledged" });
+    return wrong > 0 ? ruleBroken : ruleHeld;
 }
 
 }
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -2,7 +2,8 @@
 #include "../harness/deployment.h"
 
 #include <algorithm>
-#include <set>
+#include <atomic>
+#include <mutex>
 #include <thread>
 
 using namespace Review;
@@ -10,25 +11,55 @@
 
 namespace {
 
-/// Number of statements sent so far, for their ids.
-int s_attempts = 0;
+constexpr int hosts = 3;
+constexpr auto warmUp = 2s;
+/// How long the replica receives nothing, and when in that time the primary crashes.
+constexpr auto deafTime = 6s;
+constexpr auto crashAfter = 500ms;
+/// After the crash, the entry of the primary is removed: three ping intervals of 1.2 s after its last write,
+/// which was half an interval before the crash.
+constexpr auto entryLifetime = 3000ms;
+constexpr auto writePause = 100ms;
 
-/// Writes `data` until an attempt is acknowledged; every attempt uses a new id. Returns whether one was.
-bool write(Deployment& deployment, Record& record, const std::string& item, const std::string& data)
+/// Items whose writes were acknowledged.
+class AcknowledgedItems {
+public:
+    void add(const std::string& item)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_items.push_back(item);
+    }
+    std::vector<std::string> all() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_items;
+    }
+
+private:
+    mutable std::mutex m_mutex;
+    std::vector<std::string> m_items;
+};
+
+/// Writes one new item after the other through a host.
+void writeItems(Deployment& deployment, Record& record, int host, AcknowledgedItems& acknowledged,
+    const std::atomic<bool>& isStopping)
 {
-    for (int i = 0; i < 20; ++i) {
-        Client client(deployment.front(i % 3));
-        if (client.open(Deployment::primaryRoute, Deployment::key)) {
-            const std::string id = "w" + std::to_string(++s_attempts);
-            const Answer answer
-                = client.query(id, std::string("WRITE ").append(item).append(" ").append(data));
-            record.write({ "write ", id, " of ", item, " = ", data, ": ", printable(answer.result) });
+    const std::string prefix = "h" + std::to_string(host) + "-";
+    int count = 0;
+    while (!isStopping) {
+        Client client(deployment.front(host));
+        bool isOpen = client.open(Deployment::ownWritesRoute, Deployment::key);
+        while (isOpen && !isStopping) {
+            const std::string item = prefix + std::to_string(++count);
+            const Answer answer = client.query("w" + item, "WRITE " + item + " submitted");
+            record.write({ "w", item, " got ", printable(answer.result) });
             if (answer.isSuccess())
-                return true;
+                acknowledged.add(item);
+            isOpen = answer.isWhole;
+            std::this_thread::sleep_for(writePause);
         }
-        std::this_thread::sleep_for(200ms);
+        std::this_thread::sleep_for(writePause);
     }
-    return false;
 }
 
 bool contains(const std::vector<LogEntry>& log, const std::string& item)
@@ -38,64 +69,55 @@
     });
 }
 
+void makeTrouble(Deployment& deployment, Record& record)
+{
+    Databases& databases = deployment.databases();
+    record.write("db-2 receives nothing from now on");
+    databases.setDeaf("db-2", true);
+    std::this_thread::sleep_for(crashAfter);
+    record.write("db-0, the primary, crashes");
+    databases.crash("db-0");
+    std::this_thread::sleep_for(entryLifetime);
+    deployment.removeEntry("db-0");
+    std::this_thread::sleep_for(deafTime - crashAfter - entryLifetime);
+    record.write("db-2 receives again");
+    databases.setDeaf("db-2", false);
+}
+
 int run(Record& record)
 {
     Deployment::Settings settings;
+    settings.hosts = hosts;
     settings.databases.syncReplicas = 1;
     Deployment deployment(settings, record);
     if (!deployment.isReady())
         return notRun;
-    Databases& databases = deployment.databases();
-    const std::string previous = databases.primary();
-    std::vector<std::string> acknowledged;
-    const auto writeItems = [&](const std::string& prefix) {
-        for (int i = 0; i < 5; ++i) {
-            const std::string item = prefix + std::to_string(i);
-            if (!write(deployment, record, item, "granted"))
-                return false;
-            acknowledged.push_back(item);
-        }
-        return true;
-    };
-    if (!writeItems("before-"))
-        return notRun;
-    if (hasTrouble()) {
-        record.write("db-1 is to be replaced: it is draining, and still receives and serves");
-        databases.drain("db-1");
-        std::this_thread::sleep_for(1s);
-        record.write("db-2 receives nothing");
-        databases.setDeaf("db-2", true);
-    }
-    if (!writeItems("during-"))
-        return notRun;
-    if (hasTrouble()) {
-        std::this_thread::sleep_for(500ms);
-        record.write("the primary crashes");
-        databases.crash(previous);
-        // Its entry is removed after three ping intervals of silence.
-        std::this_thread::sleep_for(3600ms);
-        deployment.removeEntry(previous);
-        Integration::waitUntil([&] { return databases.primary() != previous; }, 12s);
-    }
-    const std::string primary = databases.primary();
-    record.write("the primary is " + primary);
-    // What consumers see.
-    if (write(deployment, record, "after", "granted")) {
-        Client client(deployment.front(0));
-        if (client.open(Deployment::primaryRoute, Deployment::key)) {
-            const Answer answer = client.query("r1", "READ during-0");
-            record.write("a consumer reads during-0: "
-                + printable(answer.rows.empty() ? std::string("(no row)") : answer.rows.front()) + " / "
-                + printable(answer.result));
-        }
-    }
+    AcknowledgedItems acknowledged;
+    std::atomic<bool> isStopping = false;
+    std::vector<std::thread> threads;
+    threads.reserve(hosts);
+    for (int host = 0; host < hosts; ++host)
+        threads.emplace_back([&, host] { writeItems(deployment, record, host, acknowledged, isStopping); });
+    std::this_thread::sleep_for(warmUp);
+    if (hasTrouble())
+        makeTrouble(deployment, record);
+    else
+        std::this_thread::sleep_for(deafTime);
+    std::this_thread::sleep_for(warmUp);
+    isStopping = true;
+    for (std::thread& thread : threads)
+        thread.join();
+    const std::string primary = deployment.databases().primary();
+    const auto log = deployment.databases().log(primary);
+    const auto items = acknowledged.all();
+    record.write(
+        { "the primary is ", primary, ", ", std::to_string(items.size()), " writes were acknowledged" });
     bool isBroken = false;
-    const auto log = databases.log(primary);
-    for (const std::string& item : acknowledged) {
-        if (!contains(log, item)) {
-            record.write({ "acknowledged, but not in the log of ", primary, ": ", item });
-            isBroken = true;
-        }
+    for (const std::string& item : items) {
+        if (contains(log, item))
+            continue;
+        record.write({ "acknowledged, but not in the log of ", primary, ": ", item });
+        isBroken = true;
     }
     return isBroken ? ruleBroken : ruleHeld;
 }
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -2,9 +2,7 @@
 #include "../harness/deployment.h"
 
 #include <algorithm>
-#include <atomic>
-#include <csignal>
-#include <mutex>
+#include <set>
 #include <thread>
 
 using namespace Review;
@@ -12,84 +10,92 @@
 
 namespace {
 
-constexpr int sessions = 24;
-constexpr auto warmUp = 2s;
-/// The site's lookups take 22 ms on average, and 170 ms at most.
-constexpr auto workTime = 150ms;
-/// After SIGTERM; requests sent later than this are excused by nothing.
-constexpr auto excusedUntil = 3s;
+/// Number of statements sent so far, for their ids.
+int s_attempts = 0;
 
-/// A request whose connection ended before its answer was complete.
-struct CutRequest {
-    std::string id;
-    std::chrono::milliseconds sentAt {};
-    std::chrono::milliseconds cutAt {};
-};
-
-/// Reads one item after the other on one connection, each as soon as the previous one was answered, until the
-/// connection ends.
-std::optional<CutRequest> readInSeries(
-    Deployment& deployment, Record& record, int session, const std::atomic<bool>& isStopping)
+/// Writes `data` until an attempt is acknowledged; every attempt uses a new id. Returns whether one was.
+bool write(Deployment& deployment, Record& record, const std::string& item, const std::string& data)
 {
-    Client client(deployment.front(0));
-    if (!client.open(Deployment::boundedRoute, Deployment::key))
-        return std::nullopt;
-    for (int i = 0; !isStopping; ++i) {
-        const std::string id = "s" + std::to_string(session) + "-" + std::to_string(i);
-        const auto sentAt = record.elapsed();
-        const Answer answer = client.query(id, "READ paint-" + std::to_string(i));
-        if (!answer.isWhole) {
-            return CutRequest { id, sentAt, record.elapsed() };
+    for (int i = 0; i < 20; ++i) {
+        Client client(deployment.front(i % 3));
+        if (client.open(Deployment::primaryRoute, Deployment::key)) {
+            const std::string id = "w" + std::to_string(++s_attempts);
+            const Answer answer
+                = client.query(id, std::string("WRITE ").append(item).append(" ").append(data));
+            record.write({ "write ", id, " of ", item, " = ", data, ": ", printable(answer.result) });
+            if (answer.isSuccess())
+                return true;
         }
+        std::this_thread::sleep_for(200ms);
     }
-    return std::nullopt;
+    return false;
+}
+
+bool contains(const std::vector<LogEntry>& log, const std::string& item)
+{
+    return std::ranges::any_of(log, [&](const LogEntry& entry) {
+        return std::ranges::any_of(entry.writes, [&](const auto& write) { return write.first == item; });
+    });
 }
 
 int run(Record& record)
 {
     Deployment::Settings settings;
-    settings.hosts = 2;
-    settings.databases.workTime = [](const std::string&) { return workTime; };
+    settings.databases.syncReplicas = 1;
     Deployment deployment(settings, record);
     if (!deployment.isReady())
         return notRun;
-    std::mutex mutex;
-    std::vector<CutRequest> cut;
-    std::atomic<bool> isStopping = false;
-    std::vector<std::thread> threads;
-    threads.reserve(sessions);
-    for (int session = 0; session < sessions; ++session) {
-        threads.emplace_back([&, session] {
-            if (const auto request = readInSeries(deployment, record, session, isStopping)) {
-                const std::lock_guard lock(mutex);
-                cut.push_back(*request);
-            }
-        });
+    Databases& databases = deployment.databases();
+    const std::string previous = databases.primary();
+    std::vector<std::string> acknowledged;
+    const auto writeItems = [&](const std::string& prefix) {
+        for (int i = 0; i < 5; ++i) {
+            const std::string item = prefix + std::to_string(i);
+            if (!write(deployment, record, item, "granted"))
+                return false;
+            acknowledged.push_back(item);
+        }
+        return true;
+    };
+    if (!writeItems("before-"))
+        return notRun;
+    if (hasTrouble()) {
+        record.write("db-1 is to be replaced: it is draining, and still receives and serves");
+        databases.drain("db-1");
+        std::this_thread::sleep_for(1s);
+        record.write("db-2 receives nothing");
+        databases.setDeaf("db-2", true);
     }
-    std::this_thread::sleep_for(warmUp);
-    const auto signalledAt = record.elapsed();
+    if (!writeItems("during-"))
+        return notRun;
     if (hasTrouble()) {
-        record.write("SIGTERM to front-0");
-        deployment.process(0).signal(SIGTERM);
-        deployment.process(0).waitForExit(std::chrono::seconds(settings.graceS));
-        record.write("front-0 has ended, or its grace is over");
-        deployment.process(0).kill();
-    } else {
-        std::this_thread::sleep_for(std::chrono::seconds(settings.graceS));
+        std::this_thread::sleep_for(500ms);
+        record.write("the primary crashes");
+        databases.crash(previous);
+        // Its entry is removed after three ping intervals of silence.
+        std::this_thread::sleep_for(3600ms);
+        deployment.removeEntry(previous);
+        Integration::waitUntil([&] { return databases.primary() != previous; }, 12s);
+    }
+    const std::string primary = databases.primary();
+    record.write("the primary is " + primary);
+    // What consumers see.
+    if (write(deployment, record, "after", "granted")) {
+        Client client(deployment.front(0));
+        if (client.open(Deployment::primaryRoute, Deployment::key)) {
+            const Answer answer = client.query("r1", "READ during-0");
+            record.write("a consumer reads during-0: "
+                + printable(answer.rows.empty() ? std::string("(no row)") : answer.rows.front()) + " / "
+                + printable(answer.result));
+        }
     }
-    isStopping = true;
-    for (std::thread& thread : threads)
-        thread.join();
-    const auto statements = deployment.databases().arrivedStatements();
     bool isBroken = false;
-    for (const CutRequest& request : cut) {
-        const auto statement = std::ranges::find(statements, request.id, &RunStatement::id);
-        const bool isPassedOn = statement != statements.end();
-        const auto sentAfter = request.sentAt - signalledAt;
-        record.write("cut: " + request.id + ", sent " + std::to_string(sentAfter.count())
-            + " ms after SIGTERM, cut " + std::to_string((request.cutAt - request.sentAt).count())
-            + " ms later, " + (isPassedOn ? "passed on to " + statement->database : "not passed on"));
-        isBroken |= isPassedOn && sentAfter > excusedUntil;
+    const auto log = databases.log(primary);
+    for (const std::string& item : acknowledged) {
+        if (!contains(log, item)) {
+            record.write({ "acknowledged, but not in the log of ", primary, ": ", item });
+            isBroken = true;
+        }
     }
     return isBroken ? ruleBroken : ruleHeld;
 }
--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -2,7 +2,9 @@
 #include "../harness/deployment.h"
 
 #include <algorithm>
+#include <atomic>
 #include <csignal>
+#include <mutex>
 #include <thread>
 
 using namespace Review;
@@ -10,58 +12,86 @@
 
 namespace {
 
-constexpr int hosts = 2;
-constexpr int rounds = 3;
-constexpr std::size_t rowCount = 80;
-constexpr std::size_t longRowBytes = 1'000'000;
-constexpr std::size_t shortRowBytes = 1'000;
-/// `memoryMb` of the site's machines.
-constexpr long memoryLimitKb = 260L * 1024;
-constexpr auto readyLimit = 10s;
+constexpr int sessions = 24;
+constexpr auto warmUp = 2s;
+/// The site's lookups take 22 ms on average, and 170 ms at most.
+constexpr auto workTime = 150ms;
+/// After SIGTERM; requests sent later than this are excused by nothing.
+constexpr auto excusedUntil = 3s;
 
-/// Reads an item of many rows through one host. Returns whether the answer was complete.
-bool readExport(Deployment& deployment, Record& record, int host, const std::string& id)
+/// A request whose connection ended before its answer was complete.
+struct CutRequest {
+    std::string id;
+    std::chrono::milliseconds sentAt {};
+    std::chrono::milliseconds cutAt {};
+};
+
+/// Reads one item after the other on one connection, each as soon as the previous one was answered, until the
+/// connection ends.
+std::optional<CutRequest> readInSeries(
+    Deployment& deployment, Record& record, int session, const std::atomic<bool>& isStopping)
 {
-    Client client(deployment.front(host));
+    Client client(deployment.front(0));
     if (!client.open(Deployment::boundedRoute, Deployment::key))
-        return false;
-    record.write({ "consumer sends ", id, " READ export to front-", std::to_string(host) });
-    const Answer answer = client.query(id, "READ export");
-    record.write({ "consumer got ", std::to_string(client.receivedBytes()), " bytes, ",
-        answer.isWhole ? printable(answer.result) : "then the connection ended" });
-    return answer.isWhole;
+        return std::nullopt;
+    for (int i = 0; !isStopping; ++i) {
+        const std::string id = "s" + std::to_string(session) + "-" + std::to_string(i);
+        const auto sentAt = record.elapsed();
+        const Answer answer = client.query(id, "READ paint-" + std::to_string(i));
+        if (!answer.isWhole) {
+            return CutRequest { id, sentAt, record.elapsed() };
+        }
+    }
+    return std::nullopt;
 }
 
 int run(Record& record)
 {
     Deployment::Settings settings;
-    settings.hosts = hosts;
-    settings.statementTimeoutMs = 4000;
+    settings.hosts = 2;
+    settings.databases.workTime = [](const std::string&) { return workTime; };
     Deployment deployment(settings, record);
     if (!deployment.isReady())
         return notRun;
-    const std::size_t rowBytes = hasTrouble() ? longRowBytes : shortRowBytes;
-    deployment.databases().setRows("export", std::vector<std::string>(rowCount, std::string(rowBytes, 'x')));
-    std::vector<int> ends(hosts, 0);
-    for (int round = 0; round < rounds; ++round) {
-        for (int host = 0; host < hosts; ++host) {
-            const std::string id = "r" + std::to_string(round) + "h" + std::to_string(host);
-            readExport(deployment, record, host, id);
-            const long peak = deployment.process(host).peakResidentKb();
-            record.write(
-                { "front-", std::to_string(host), " had ", std::to_string(peak), " kB at its peak" });
-            if (peak <= memoryLimitKb)
-                continue;
-            ++ends[static_cast<std::size_t>(host)];
-            record.write("more than memoryMb: the platform kills it and starts it again");
-            deployment.process(host).kill();
-            deployment.restart(host);
-            if (!Integration::waitUntil([&] { return deployment.isHostReady(host); }, readyLimit))
-                return notRun;
-        }
+    std::mutex mutex;
+    std::vector<CutRequest> cut;
+    std::atomic<bool> isStopping = false;
+    std::vector<std::thread> threads;
+    threads.reserve(sessions);
+    for (int session = 0; session < sessions; ++session) {
+        threads.emplace_back([&, session] {
+            if (const auto request = readInSeries(deployment, record, session, isStopping)) {
+                const std::lock_guard lock(mutex);
+                cut.push_back(*request);
+            }
+        });
+    }
+    std::this_thread::sleep_for(warmUp);
+    const auto signalledAt = record.elapsed();
+    if (hasTrouble()) {
+        record.write("SIGTERM to front-0");
+        deployment.process(0).signal(SIGTERM);
+        deployment.process(0).waitForExit(std::chrono::seconds(settings.graceS));
+        record.write("front-0 has ended, or its grace is over");
+        deployment.process(0).kill();
+    } else {
+        std::this_thread::sleep_for(std::chrono::seconds(settings.graceS));
+    }
+    isStopping = true;
+    for (std::thread& thread : threads)
+        thread.join();
+    const auto statements = deployment.databases().arrivedStatements();
+    bool isBroken = false;
+    for (const CutRequest& request : cut) {
+        const auto statement = std::ranges::find(statements, request.id, &RunStatement::id);
+        const bool isPassedOn = statement != statements.end();
+        const auto sentAfter = request.sentAt - signalledAt;
+        record.write("cut: " + request.id + ", sent " + std::to_string(sentAfter.count())
+            + " ms after SIGTERM, cut " + std::to_string((request.cutAt - request.sentAt).count())
+            + " ms later, " + (isPassedOn ? "passed on to " + statement->database : "not passed on"));
+        isBroken |= isPassedOn && sentAfter > excusedUntil;
     }
-    const auto hostsLost = std::ranges::count_if(ends, [](int count) { return count >= rounds; });
-    return hostsLost >= 2 ? ruleBroken : ruleHeld;
+    return isBroken ? ruleBroken : ruleHeld;
 }
 
 }
--- a/review/harness/databases.cpp
+++ b/review/harness/databases.cpp
@@ -143,6 +143,12 @@
     replicate();
 }
 
+void Databases::setFailing(const std::string& id, double share)
+{
+    const std::lock_guard lock(m_mutex);
+    member(id).failingShare = share;
+}
+
 /// Copies the primary's log to all replicas that receive.
 void Databases::replicate()
 {
@@ -286,6 +292,15 @@
         if (std::pair(member.term, member.log.size()) < std::pair(term, number))
             return error("LAGGING") + ready(member, connection);
     }
+    {
+        const std::lock_guard lock(m_mutex);
+        if (std::uniform_real_distribution<double>()(m_generator) < member.failingShare) {
+            m_record.write(member.id + " fails " + id + " " + printable(rest));
+            if (connection.transaction != Transaction::None)
+                connection.transaction = rest == "ROLLBACK" ? Transaction::None : Transaction::Failed;
+            return error("FAILED") + ready(member, connection);
+        }
+    }
     if (id == "-") {
         const std::lock_guard lock(m_mutex);
         return runOwnCommand(member, connection, rest) + ready(member, connection);
@@ -293,7 +308,7 @@
     {
         const std::lock_guard lock(m_mutex);
         if (m_settings.keepsStatements)
-            m_arrived.push_back({ member.id, id, rest });
+            m_arrived.push_back({ member.id, id, rest, connection.values });
     }
     if (m_settings.workTime)
         std::this_thread::sleep_for(m_settings.workTime(rest));
@@ -326,10 +341,16 @@
         connection.prepared[name] = takeWord(rest);
         return done;
     }
-    if (verb == "RESET")
+    if (verb == "RESET") {
         connection.prepared.clear();
-    if (verb == "RESET" || verb == "SET")
+        connection.values.clear();
+        return done;
+    }
+    if (verb == "SET") {
+        const std::string name = takeWord(rest);
+        connection.values[name] = rest;
         return done;
+    }
     if (verb == "STATUS") {
         return "DATAROW " + std::string(m_primary == member.id ? "primary " : "replica ")
             + std::to_string(member.term) + " " + std::to_string(member.term) + "."
@@ -380,7 +401,7 @@
             return error("READONLY");
         }
         if (m_settings.keepsStatements) {
-            m_run.push_back({ member.id, id, text });
+            m_run.push_back({ member.id, id, text, connection.values });
             m_record.write(member.id + " runs " + id + " " + printable(text));
         }
         if (verb == "READ") {
--- a/review/harness/databases.h
+++ b/review/harness/databases.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <random>
 #include <set>
 #include <string>
 #include <thread>
@@ -21,6 +22,8 @@
     std::string database;
     std::string id;
     std::string text;
+    /// The session values of the connection at that time.
+    std::map<std::string, std::string> values;
 };
 
 /// One commit in a database's log, acknowledged or not.
@@ -65,6 +68,8 @@
     void drain(const std::string& id);
     /// While a replica is deaf, it receives nothing from the primary.
     void setDeaf(const std::string& id, bool isDeaf);
+    /// From now on, the database fails this share of its requests, whatever they are.
+    void setFailing(const std::string& id, double share);
     /// Starts to make the database the primary. Returns false if it does not run.
     bool promote(const std::string& id);
 
@@ -83,6 +88,7 @@
         bool isUp = true;
         bool isDraining = false;
         bool isDeaf = false;
+        double failingShare = 0;
         std::uint64_t term = 1;
         std::vector<LogEntry> log;
         std::set<int> sockets;
@@ -97,6 +103,7 @@
         std::uint64_t term = 0;
         std::vector<std::pair<std::string, std::string>> writes;
         std::map<std::string, std::string> prepared;
+        std::map<std::string, std::string> values;
     };
 
     Member& member(const std::string& id) const;
@@ -124,6 +131,7 @@
     std::string m_primary;
     std::uint64_t m_term = 1;
     std::map<std::string, std::vector<std::string>> m_rows;
+    std::minstd_rand m_generator { 1 };
     std::vector<RunStatement> m_run;
     std::vector<RunStatement> m_arrived;
     bool m_isStopping = false;
