--- a/review/harness/client.cpp
+++ b/review/harness/client.cpp
@@ -1,5 +1,6 @@
 #include "client.h"
 
+#include <array>
 #include <cstdlib>
 
 #include <arpa/inet.h>
@@ -27,7 +28,7 @@
     return rest.substr(0, rest.find(' '));
 }
 
-Client::Client(const std::string& address, int receiveBuffer)
+Client::Client(const std::string& address)
     : m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
 {
     const std::size_t colon = address.rfind(':');
@@ -39,8 +40,6 @@
     setsockopt(m_socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
     const int isOn = 1;
     setsockopt(m_socket, IPPROTO_TCP, TCP_NODELAY, &isOn, sizeof isOn);
-    if (receiveBuffer > 0)
-        setsockopt(m_socket, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof receiveBuffer);
     if (::connect(m_socket, reinterpret_cast<sockaddr*>(&target), sizeof target) != 0) {
         ::close(m_socket);
         m_socket = -1;
@@ -65,17 +64,15 @@
     return m_socket >= 0;
 }
 
-long Client::receive(std::size_t size)
+/// Returns false at the end of the connection, or if nothing arrives in time.
+bool Client::receive()
 {
-    if (m_socket < 0)
-        return -1;
-    const std::size_t before = m_buffer.size();
-    m_buffer.resize(before + size);
-    const ssize_t received = ::recv(m_socket, m_buffer.data() + before, size, 0);
-    const std::size_t added = received > 0 ? static_cast<std::size_t>(received) : 0;
-    m_buffer.resize(before + added);
-    m_received += added;
-    return received;
+    std::array<char, readSize> data {};
+    const ssize_t size = m_socket < 0 ? -1 : ::recv(m_socket, data.data(), data.size(), 0);
+    if (size <= 0)
+        return false;
+    m_buffer.append(data.data(), static_cast<std::size_t>(size));
+    return true;
 }
 
 std::optional<std::string> Client::line()
@@ -89,7 +86,7 @@
             return result;
         }
         searchedUntil = m_buffer.empty() ? 0 : m_buffer.size() - 1;
-        if (receive(readSize) <= 0)
+        if (!receive())
             return std::nullopt;
     }
 }
--- a/review/harness/client.h
+++ b/review/harness/client.h
@@ -24,8 +24,8 @@
 /// A consumer's connection to a host. Not thread-safe.
 class Client {
 public:
-    /// `address` has the form IP:PORT. A `receiveBuffer` other than 0 limits the socket's receive buffer.
-    explicit Client(const std::string& address, int receiveBuffer = 0);
+    /// `address` has the form IP:PORT.
+    explicit Client(const std::string& address);
     ~Client();
     Client(const Client&) = delete;
     Client& operator=(const Client&) = delete;
@@ -38,18 +38,12 @@
     Answer receiveAnswer();
     /// The next line; `nullopt` if the connection has ended or nothing arrives in time.
     std::optional<std::string> line();
-    /// Reads at most `size` bytes into the buffer of `line`. Returns the number of bytes; 0 or less at the
-    /// end.
-    long receive(std::size_t size);
-    /// Number of bytes received so far.
-    std::size_t receivedBytes() const { return m_received; }
-    /// Received data that `line` has not returned yet.
-    const std::string& pending() const { return m_buffer; }
 
 private:
+    bool receive();
+
     int m_socket = -1;
     std::string m_buffer;
-    std::size_t m_received = 0;
 };
 
 }
--- a/review/harness/databases.cpp
+++ b/review/harness/databases.cpp
@@ -108,12 +108,6 @@
     return m_primary;
 }
 
-void Databases::setRows(const std::string& item, std::vector<std::string> rows)
-{
-    const std::lock_guard lock(m_mutex);
-    m_rows[item] = std::move(rows);
-}
-
 void Databases::crash(const std::string& id)
 {
     const std::lock_guard lock(m_mutex);
@@ -307,8 +301,7 @@
     }
     {
         const std::lock_guard lock(m_mutex);
-        if (m_settings.keepsStatements)
-            m_arrived.push_back({ member.id, id, rest, connection.values });
+        m_arrived.push_back({ member.id, id, rest, connection.values });
     }
     if (m_settings.workTime)
         std::this_thread::sleep_for(m_settings.workTime(rest));
@@ -400,19 +393,10 @@
                 connection.transaction = Transaction::None;
             return error("READONLY");
         }
-        if (m_settings.keepsStatements) {
-            m_run.push_back({ member.id, id, text, connection.values });
-            m_record.write(member.id + " runs " + id + " " + printable(text));
-        }
-        if (verb == "READ") {
-            const auto rows = m_rows.find(rest);
-            if (rows == m_rows.end())
-                return "DATAROW " + latest(member, rest) + "\r\n" + receipt;
-            std::string result;
-            for (const std::string& row : rows->second)
-                result += "DATAROW " + row + "\r\n";
-            return result + receipt;
-        }
+        m_run.push_back({ member.id, id, text, connection.values });
+        m_record.write(member.id + " runs " + id + " " + printable(text));
+        if (verb == "READ")
+            return "DATAROW " + latest(member, rest) + "\r\n" + receipt;
         if (verb == "WRITE") {
             const std::string item = takeWord(rest);
             if (connection.transaction != Transaction::None) {
--- a/review/harness/databases.h
+++ b/review/harness/databases.h
@@ -44,8 +44,6 @@
         std::chrono::milliseconds promoteTime { 300 };
         /// How long a statement runs.
         std::function<std::chrono::milliseconds(const std::string& text)> workTime;
-        /// Whether each statement of a consumer is recorded and kept.
-        bool keepsStatements = true;
     };
     /// Called with the id of a database whose entry in the store has to change.
     using StatusHook = std::function<void(const std::string& id)>;
@@ -59,8 +57,6 @@
     /// Content of the database's entry in the store; empty if it does not run.
     std::string entry(const std::string& id) const;
     std::string primary() const;
-    /// Sets rows that READ returns for an item instead of the data in the log.
-    void setRows(const std::string& item, std::vector<std::string> rows);
 
     /// Kills the database: its connections break, and it accepts no new ones.
     void crash(const std::string& id);
@@ -130,7 +126,6 @@
     std::vector<std::thread> m_threads;
     std::string m_primary;
     std::uint64_t m_term = 1;
-    std::map<std::string, std::vector<std::string>> m_rows;
     std::minstd_rand m_generator { 1 };
     std::vector<RunStatement> m_run;
     std::vector<RunStatement> m_arrived;
--- a/review/harness/deployment.cpp
+++ b/review/harness/deployment.cpp
@@ -112,19 +112,12 @@
         { "store", m_platform->address() }, { "promoter", m_platform->address() },
         { "promoterChecksFencing", true }, { "shutdownMs", settings.graceS * 1000 },
         { "maxDescriptors", maxDescriptors } };
-    host.settingsFile = m_folder + "/" + name + ".json";
-    host.logFile = m_folder + "/" + name + ".log";
-    std::ofstream(host.settingsFile) << content.dump();
-    host.process = std::make_unique<HostProcess>(host.settingsFile, host.logFile);
+    const std::string settingsFile = m_folder + "/" + name + ".json";
+    std::ofstream(settingsFile) << content.dump();
+    host.process = std::make_unique<HostProcess>(settingsFile, m_folder + "/" + name + ".log");
     m_record.write("started " + name);
 }
 
-void Deployment::restart(int host)
-{
-    Host& restarted = m_hosts.at(static_cast<std::size_t>(host));
-    restarted.process = std::make_unique<HostProcess>(restarted.settingsFile, restarted.logFile);
-}
-
 bool Deployment::isHostReady(int host) const
 {
     Client client(m_hosts.at(static_cast<std::size_t>(host)).ready->address());
--- a/review/harness/deployment.h
+++ b/review/harness/deployment.h
@@ -38,8 +38,6 @@
     std::string front(int host) const { return m_hosts.at(static_cast<std::size_t>(host)).front->address(); }
     HostProcess& process(int host) { return *m_hosts.at(static_cast<std::size_t>(host)).process; }
     Databases& databases() { return *m_databases; }
-    /// Starts a host again that has ended.
-    void restart(int host);
     PlatformStandin& platform() { return *m_platform; }
     /// Removes the entry of a database that says nothing any more, as the platform does after some silence.
     void removeEntry(const std::string& id) { m_platform->remove("servers", id); }
@@ -56,8 +54,6 @@
         std::unique_ptr<Integration::ReservedPort> ready;
         std::unique_ptr<Integration::ReservedPort> peers;
         std::unique_ptr<HostProcess> process;
-        std::string settingsFile;
-        std::string logFile;
     };
 
     void publish(const Settings& settings);
--- a/review/harness/hostprocess.cpp
+++ b/review/harness/hostprocess.cpp
@@ -4,7 +4,6 @@
 
 #include <csignal>
 #include <cstdlib>
-#include <fstream>
 
 #include <fcntl.h>
 #include <sys/prctl.h>
@@ -66,22 +65,4 @@
     return !m_isRunning;
 }
 
-std::string HostProcess::ending() const
-{
-    if (m_isRunning)
-        return "running";
-    return WIFEXITED(m_status) ? "exit " + std::to_string(WEXITSTATUS(m_status))
-                               : "signal " + std::to_string(WTERMSIG(m_status));
-}
-
-long HostProcess::statusField(const std::string& name) const
-{
-    std::ifstream file("/proc/" + std::to_string(m_pid) + "/status");
-    for (std::string line; m_isRunning && std::getline(file, line);) {
-        if (line.starts_with(name))
-            return std::strtol(line.c_str() + line.find(':') + 1, nullptr, 10);
-    }
-    return 0;
-}
-
 }
--- a/review/harness/hostprocess.h
+++ b/review/harness/hostprocess.h
@@ -22,16 +22,8 @@
     void kill();
     /// Returns whether the process has ended within the limit.
     bool waitForExit(std::chrono::milliseconds limit);
-    /// How the process ended: "exit CODE" or "signal NUMBER"; "running" before.
-    std::string ending() const;
-    /// Resident memory in kB; 0 if the process does not run.
-    long residentKb() const { return statusField("VmRSS:"); }
-    /// Highest resident memory so far, in kB; 0 if the process does not run.
-    long peakResidentKb() const { return statusField("VmHWM:"); }
 
 private:
-    long statusField(const std::string& name) const;
-
     pid_t m_pid = -1;
     int m_status = 0;
     bool m_isRunning = false;
