--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,5 +1,5 @@
-#include "../harness/client.h"
-#include "../harness/deployment.h"
+#include "../client.h"
+#include "../deployment.h"
 
 #include <algorithm>
 #include <set>
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,5 +3,5 @@
 # file, which builds the program under review.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-cmake -S review/harness -B build-review >/dev/null
+cmake -S review -B build-review >/dev/null
 cmake --build build-review --parallel 4
--- a/review/harness/deployment.h
+++ b/review/deployment.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "../../tests/auto/integration/process.h"
+#include "../tests/auto/integration/process.h"
 #include "databases.h"
 #include "hostprocess.h"
 #include "platformstandin.h"
--- a/review/harness/hostprocess.cpp
+++ b/review/hostprocess.cpp
@@ -1,6 +1,6 @@
 #include "hostprocess.h"
 
-#include "../../tests/auto/integration/process.h"
+#include "../tests/auto/integration/process.h"
 
 #include <csignal>
 #include <cstdlib>
--- a/review/harness/platformstandin.h
+++ b/review/platformstandin.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "../../tests/standins/common/httpserver.h"
+#include "../tests/standins/common/httpserver.h"
 #include "record.h"
 
 #include <condition_variable>
