End lines at CR LF only, so that data with a line feed is no second statement

A row with a line feed could forge an answer in the other direction.

Cause: LineSplitter ended a line at every LF, while the protocol and the codec end it at CR LF. One message was read as two, and each was written with an end of its own. Ruled out: the codec changes the text (one message would have arrived), and the database splits it (the stand-in splits at CR LF only and got two lines).

Fix: a line ends at CR LF only, also if they arrive in two reads; the same rule on both sides of the proxy leaves nothing to reinterpret. Rows from databases go through the same class.

--- a/src/libs/sessionserver/linesplitter.cpp
+++ b/src/libs/sessionserver/linesplitter.cpp
@@ -4,10 +4,7 @@
 
 namespace {
 
-    std::string_view withoutCarriageReturn(std::string_view line)
-    {
-        return line.ends_with('\r') ? line.substr(0, line.size() - 1) : line;
-    }
+    constexpr std::string_view lineEnd = "\r\n";
 
 }
 
@@ -16,30 +13,42 @@
 {
 }
 
+/// Returns how many bytes of `data` belong to the current line, including its line end; `npos` if the line
+/// end has not arrived.
+std::size_t LineSplitter::findEnd(std::string_view data) const
+{
+    if (m_partial.ends_with('\r') && data.starts_with('\n'))
+        return 1;
+    const std::size_t end = data.find(lineEnd);
+    return end == std::string_view::npos ? end : end + lineEnd.size();
+}
+
 bool LineSplitter::feed(std::string_view data, const std::function<bool(std::string_view)>& handle)
 {
     while (!data.empty()) {
-        const std::size_t end = data.find('\n');
+        const std::size_t end = findEnd(data);
         if (end == std::string_view::npos) {
-            if (m_partial.size() + data.size() > m_maxLine)
+            const std::size_t lineEndBegun = data.ends_with('\r') ? 1 : 0;
+            if (m_partial.size() + data.size() > m_maxLine + lineEndBegun)
                 return false;
             m_partial.append(data);
             return true;
         }
-        if (m_partial.size() + end > m_maxLine)
+        const std::size_t length = m_partial.size() + end - lineEnd.size();
+        if (length > m_maxLine)
             return false;
         bool shouldContinue = false;
         if (m_partial.empty()) {
-            shouldContinue = handle(withoutCarriageReturn(data.substr(0, end)));
+            shouldContinue = handle(data.substr(0, length));
         } else {
             std::string line = std::move(m_partial);
             m_partial.clear();
             line.append(data.substr(0, end));
-            shouldContinue = handle(withoutCarriageReturn(line));
+            shouldContinue = handle(std::string_view(line).substr(0, length));
         }
         if (!shouldContinue)
             return true;
-        data.remove_prefix(end + 1);
+        data.remove_prefix(end);
     }
     return true;
 }
--- a/src/libs/sessionserver/linesplitter.h
+++ b/src/libs/sessionserver/linesplitter.h
@@ -7,10 +7,10 @@
 
 namespace SessionServer {
 
-/// Splits a stream of bytes into lines that end with CR LF or LF.
+/// Splits a stream of bytes into lines that end with CR LF. A CR or LF alone is part of its line.
 class LineSplitter {
 public:
-    /// `maxLine` is the longest accepted line in bytes, without the line feed.
+    /// `maxLine` is the longest accepted line in bytes, without its line end.
     explicit LineSplitter(std::size_t maxLine);
 
     /// Calls `handle` for each complete line, without its line end; stops when `handle` returns false and
@@ -18,6 +18,8 @@
     bool feed(std::string_view data, const std::function<bool(std::string_view)>& handle);
 
 private:
+    std::size_t findEnd(std::string_view data) const;
+
     std::size_t m_maxLine;
     std::string m_partial;
 };
