Send statements only after session values and prepared statements are set

Cause: RESET, SET and PREPARE were sent together with the statement. When one of them failed, the connection was closed, but the database had already run the statement behind it. Ruled out: two sessions on one connection, and a wrong record of the connection's values (the stand-in's record shows the failed SET and the statement in the same instant on the same connection).

Fix: the statement follows once the upstream has completed what prepares the connection, as it did after BEGIN before. If that fails, the statement certainly has not run and is tried again, or its transaction is ABORTED. The same cause on related paths: a failed ROLLBACK or BEGIN no longer leaves a transaction open on a connection that counts as free.

Tests: five new ones in EngineFailures failed before.

--- a/src/libs/core/proxy/engine.cpp
+++ b/src/libs/core/proxy/engine.cpp
@@ -167,7 +167,7 @@
         if (!isUseAllowed(*connection, now))
             return endUse(connection->id, now);
         enterHop(*session.request, HopKind::Upstream, now);
-        sendStatement(session, *connection, commandsToMatch(*connection, session.context, shape), now);
+        startStatement(session, *connection, commandsToMatch(*connection, session.context, shape), now);
         return;
     }
     enterHop(*session.request, HopKind::Queue, now);
@@ -251,29 +251,40 @@
     const PreparedShape* shape = nullptr;
     if (request.statement.kind == StatementKind::Execute)
         shape = &session.context.prepared.at(request.statement.name);
-    std::vector<Command> commands = commandsToMatch(connection, session.context, shape);
+    startStatement(session, connection, commandsToMatch(connection, session.context, shape), now);
+}
+
+/// Sends the statement of a request, after `preparation` and, if only the primary may run it, a BEGIN. The
+/// statement follows once the upstream has completed them: it must run neither with other session values nor
+/// outside its transaction.
+void Engine::startStatement(
+    Session& session, Connection& connection, std::vector<Command> preparation, Model::Time now)
+{
+    Request& request = *session.request;
     std::optional<Model::LogPosition> after;
     if (request.target == Target::Fresh)
         after = m_router.requiredPosition(session, now);
-    connection.reliesOnPrimary = !after;
-    const bool isTransaction = session.state == TransactionState::Open;
-    if (isTransaction || (!request.isWrite && !after)) {
+    if (request.target != Target::Transaction) {
+        connection.reliesOnPrimary = !after;
+        const bool isTransaction = session.state == TransactionState::Open;
         // Only the primary begins a transaction for writing, so a read inside one cannot run on a previous
-        // primary. The statement must not be sent before the upstream has begun the transaction.
-        const bool isReadOnly = isTransaction && after;
-        commands.push_back({ isReadOnly ? CommandKind::BeginReadOnly : CommandKind::Begin, {}, after });
-        request.phase = RequestPhase::Preparing;
-        send(connection, commands, now);
-        return;
+        // primary.
+        if (isTransaction || (!request.isWrite && !after)) {
+            const bool isReadOnly = isTransaction && after;
+            preparation.push_back(
+                { isReadOnly ? CommandKind::BeginReadOnly : CommandKind::Begin, {}, after });
+        }
     }
-    sendStatement(session, connection, std::move(commands), now);
+    if (preparation.empty())
+        return sendStatement(session, connection, now);
+    request.phase = RequestPhase::Preparing;
+    send(connection, preparation, now);
 }
 
-void Engine::sendStatement(
-    Session& session, Connection& connection, std::vector<Command> commands, Model::Time now)
+void Engine::sendStatement(Session& session, Connection& connection, Model::Time now)
 {
     Request& request = *session.request;
-    commands.push_back(statementCommand(session, connection));
+    std::vector<Command> commands { statementCommand(session, connection) };
     if (request.target == Target::Fresh && session.state == TransactionState::None
         && !connection.isInTransaction)
         commands.back().after = m_router.requiredPosition(session, now);
--- a/src/libs/core/proxy/engine.h
+++ b/src/libs/core/proxy/engine.h
@@ -118,11 +118,13 @@
     bool tryAssign(Session& session, Model::Time now);
     ConnectionId openFor(const Session& session, const Directory::Upstream& upstream, Model::Time now);
     void assign(Session& session, Connection& connection, Model::Time now);
-    void sendStatement(
-        Session& session, Connection& connection, std::vector<Command> commands, Model::Time now);
+    void startStatement(
+        Session& session, Connection& connection, std::vector<Command> preparation, Model::Time now);
+    void sendStatement(Session& session, Connection& connection, Model::Time now);
     void send(Connection& connection, const std::vector<Command>& commands, Model::Time now);
     Command statementCommand(const Session& session, const Connection& connection) const;
 
+    void preparationAnswered(Connection& connection, const Reply& reply, Model::Time now);
     void beginAnswered(
         Connection& connection, CommandKind kind, const Reply& reply, Model::Time sentAt, Model::Time now);
     void statementAnswered(Connection& connection, const Reply& reply, Model::Time sentAt, Model::Time now);
@@ -141,6 +143,8 @@
     void detach(Session& session, Model::Time now);
     void closeConnection(ConnectionId id);
     void failCommands(Connection& connection);
+    void decidedOnConnection(DecisionKind kind, const Connection& connection, ResultCode code,
+        std::string_view reason, Model::Time now) const;
     bool isUseAllowed(const Connection& connection, Model::Time now) const;
     void endUse(ConnectionId id, Model::Time now);
     void checkRequest(Session& session, Model::Time now);
--- a/src/libs/core/proxy/engineconnections.cpp
+++ b/src/libs/core/proxy/engineconnections.cpp
@@ -79,14 +79,8 @@
     Connection* connection = m_pool.find(id);
     if (!connection)
         return;
-    Decision decision;
-    decision.kind = DecisionKind::ConnectionRefused;
-    decision.customer = connection->customer;
-    decision.upstream = connection->upstream;
-    decision.code = code;
-    decision.reason = "connection refused by the upstream";
-    decision.age = now - connection->changedAt;
-    m_hooks.decided(decision);
+    decidedOnConnection(
+        DecisionKind::ConnectionRefused, *connection, code, "connection refused by the upstream", now);
     m_reachability.responseReceived(connection->upstream, now);
     if (code == ResultCode::ConnectionLimit)
         m_pool.refused(connection->upstream, now);
@@ -123,16 +117,13 @@
         statementAnswered(*connection, reply, pending.sentAt, now);
         break;
     case CommandKind::Rollback:
-        connection->isInTransaction = false;
+        // A rollback that failed may have left the transaction open.
+        connection->isInTransaction = reply.state != TransactionState::None;
         break;
     case CommandKind::Reset:
     case CommandKind::Set:
     case CommandKind::Prepare:
-        // The connection no longer matches its record.
-        if (reply.code != ResultCode::Complete) {
-            m_hooks.disconnect(id);
-            return connectionLost(id, now);
-        }
+        preparationAnswered(*connection, reply, now);
         break;
     case CommandKind::Status:
     case CommandKind::StepDown:
@@ -147,6 +138,20 @@
         release(*connection, now);
 }
 
+/// Handles the answer to a command that has to succeed before the session's statement may be sent.
+void Engine::preparationAnswered(Connection& connection, const Reply& reply, Model::Time now)
+{
+    if (reply.code != ResultCode::Complete) {
+        // The connection no longer matches its record.
+        decidedOnConnection(DecisionKind::ConnectionLost, connection, reply.code,
+            "session values or a prepared statement were not set", now);
+        return endUse(connection.id, now);
+    }
+    Session* session = findSession(connection.session);
+    if (session && connection.pending.empty())
+        startStatement(*session, connection, {}, now);
+}
+
 void Engine::beginAnswered(
     Connection& connection, CommandKind kind, const Reply& reply, Model::Time sentAt, Model::Time now)
 {
@@ -155,9 +160,10 @@
         if (kind == CommandKind::Begin)
             m_router.observePrimaryRole(connection.service, connection.upstream, reply.position, sentAt);
         if (Session* session = findSession(connection.session))
-            sendStatement(*session, connection, {}, now);
+            sendStatement(*session, connection, now);
         return;
     }
+    connection.isInTransaction = reply.state != TransactionState::None;
     if (reply.code == ResultCode::ReadOnly)
         m_router.observeNotPrimary(connection.upstream, now);
     if (reply.code == ResultCode::Lagging)
@@ -274,17 +280,10 @@
     if (!connection)
         return;
     Connection lost = m_pool.take(id);
-    if (lost.state != ConnectionState::Idle)
-        m_reachability.failed(lost.upstream, now);
     if (lost.state != ConnectionState::Idle) {
-        Decision decision;
-        decision.kind = DecisionKind::ConnectionLost;
-        decision.customer = lost.customer;
-        decision.upstream = lost.upstream;
-        decision.code = ResultCode::Failed;
-        decision.reason = "broken or unresponsive";
-        decision.age = now - lost.changedAt;
-        m_hooks.decided(decision);
+        m_reachability.failed(lost.upstream, now);
+        decidedOnConnection(
+            DecisionKind::ConnectionLost, lost, ResultCode::Failed, "broken or unresponsive", now);
         m_router.observeFailure(lost.upstream, now);
     }
     failCommands(lost);
@@ -297,14 +296,26 @@
     dispatch(now);
 }
 
+void Engine::decidedOnConnection(DecisionKind kind, const Connection& connection, ResultCode code,
+    std::string_view reason, Model::Time now) const
+{
+    Decision decision;
+    decision.kind = kind;
+    decision.customer = connection.customer;
+    decision.upstream = connection.upstream;
+    decision.code = code;
+    decision.reason = reason;
+    decision.age = now - connection.changedAt;
+    m_hooks.decided(decision);
+}
+
 bool Engine::isUseAllowed(const Connection& connection, Model::Time now) const
 {
     return connection.session == 0 || !connection.reliesOnPrimary
         || m_router.isPrimaryAllowed(connection.service, connection.upstream, now);
 }
 
-/// Closes a connection to an upstream that must not be used as a primary. Says nothing about its
-/// reachability.
+/// Closes a connection that must not be used any more. Says nothing about the upstream's reachability.
 void Engine::endUse(ConnectionId id, Model::Time now)
 {
     m_hooks.disconnect(id);
@@ -343,7 +354,9 @@
     const bool isStarted = request.target == Target::Transaction || session.hasWritten;
     const bool isTransaction = session.state == TransactionState::Open;
     if (request.phase != RequestPhase::Running && !isStarted) {
-        request.excluded.push_back(upstream);
+        // No other upstream than the primary could run a request for it.
+        if (request.target == Target::Fresh)
+            request.excluded.push_back(upstream);
         return retry(session, "connection lost before the statement was sent", now);
     }
     if (isTransaction) {
--- a/src/libs/core/proxy/enginetime.cpp
+++ b/src/libs/core/proxy/enginetime.cpp
@@ -63,7 +63,7 @@
         && request.target == Target::Transaction) {
         request.retryAt.reset();
         if (Connection* connection = m_pool.find(session.connection))
-            sendStatement(session, *connection, {}, now);
+            sendStatement(session, *connection, now);
         return;
     }
     const ConnectionId id = session.connection;
--- a/tests/auto/core/proxy/tst_enginefailures.cpp
+++ b/tests/auto/core/proxy/tst_enginefailures.cpp
@@ -7,6 +7,14 @@
 
 class EngineFailures : public EngineFixture {
 protected:
+    static std::vector<CommandKind> kinds(const std::vector<Command>& commands)
+    {
+        std::vector<CommandKind> result;
+        for (const Command& command : commands)
+            result.push_back(command.kind);
+        return result;
+    }
+
     /// Sends a statement of the session and lets it reach the primary. Returns the connection that runs it.
     ConnectionId run(SessionId session, StatementKind kind)
     {
@@ -112,6 +120,95 @@
     EXPECT_EQ(lastReply(session).state, TransactionState::None);
 }
 
+// Guards against a write that runs without the session values that were acknowledged to its caller, because
+// the upstream failed the SET or RESET that was sent before it.
+TEST_F(EngineFailures, SendsNoStatementBeforeSessionValuesAreSet)
+{
+    const SessionId other = open("strict");
+    send(other, named(StatementKind::Set, "role", "other"));
+    ConnectionId link = run(other, StatementKind::Write);
+    answer(link);
+    answer(link, ResultCode::Complete, TransactionState::None, 1);
+    take(link);
+    const SessionId session = open("strict");
+    send(session, named(StatementKind::Set, "user", "clerk"));
+    send(session, statement(StatementKind::Write, "a 1"));
+    EXPECT_EQ(kinds(take(link)), (std::vector { CommandKind::Reset, CommandKind::Set }));
+    answer(link, ResultCode::Failed);
+    EXPECT_TRUE(take(link).empty());
+    EXPECT_TRUE(m_links.at(link).isClosed);
+    acceptConnections();
+    link = linkTo("p");
+    EXPECT_EQ(kinds(take(link)), std::vector { CommandKind::Set });
+    answer(link, ResultCode::Failed);
+    EXPECT_TRUE(take(link).empty());
+    acceptConnections();
+    link = linkTo("p");
+    take(link);
+    answer(link);
+    EXPECT_EQ(kinds(take(link)), std::vector { CommandKind::Statement });
+    answer(link, ResultCode::Complete, TransactionState::None, 2);
+    EXPECT_EQ(lastReply(session).code, ResultCode::Complete);
+}
+
+// Guards against a statement of a transaction that runs after a failed SET between two of its statements.
+TEST_F(EngineFailures, AbortsTransactionIfSessionValueIsNotSet)
+{
+    const SessionId session = open("strict");
+    send(session, statement(StatementKind::Begin));
+    const ConnectionId link = run(session, StatementKind::Write);
+    answer(link, ResultCode::Complete, TransactionState::Open);
+    answer(link, ResultCode::Complete, TransactionState::Open);
+    take(link);
+    send(session, named(StatementKind::Set, "role", "clerk"));
+    send(session, statement(StatementKind::Write, "b 2"));
+    EXPECT_EQ(kinds(take(link)), std::vector { CommandKind::Set });
+    answer(link, ResultCode::Failed, TransactionState::Failed);
+    EXPECT_TRUE(take(link).empty());
+    EXPECT_TRUE(m_links.at(link).isClosed);
+    EXPECT_EQ(lastReply(session).code, ResultCode::Aborted);
+}
+
+// Guards against a read on a replica that requires no position any more, because the last known one became
+// too old while the replica set the session values.
+TEST_F(EngineFailures, ReadsOnPrimaryIfPositionExpiresWhileValuesAreSet)
+{
+    observePrimary(42);
+    const SessionId session = open("bounded", "key-bolt");
+    send(session, named(StatementKind::Set, "role", "clerk"));
+    send(session, statement(StatementKind::Read, "item"));
+    acceptConnections();
+    const ConnectionId link = linkTo("q") != 0 ? linkTo("q") : linkTo("r");
+    EXPECT_EQ(kinds(take(link)), std::vector { CommandKind::Set });
+    m_now += 5s;
+    answer(link);
+    EXPECT_EQ(kinds(take(link)), std::vector { CommandKind::Begin });
+}
+
+// Guards against a statement that runs inside the transaction of another session, because the upstream failed
+// the ROLLBACK that should have ended it.
+TEST_F(EngineFailures, DoesNotReuseConnectionWithFailedRollback)
+{
+    const ConnectionId link = run(open("strict"), StatementKind::Read);
+    answer(link, ResultCode::Complete, TransactionState::Open);
+    EXPECT_EQ(kinds(take(link)), (std::vector { CommandKind::Statement, CommandKind::Rollback }));
+    answer(link, ResultCode::Complete, TransactionState::Open, 1);
+    answer(link, ResultCode::Failed, TransactionState::Failed);
+    EXPECT_EQ(kinds(take(link)), std::vector { CommandKind::Rollback });
+    send(open("strict"), statement(StatementKind::Write, "a 1"));
+    EXPECT_TRUE(take(link).empty());
+    answer(link);
+    EXPECT_EQ(kinds(take(link)), std::vector { CommandKind::Statement });
+}
+
+// Guards against the reuse of a connection on which a BEGIN failed, but began the transaction.
+TEST_F(EngineFailures, RollsBackTransactionOfFailedBegin)
+{
+    const ConnectionId link = run(open("strict"), StatementKind::Read);
+    answer(link, ResultCode::Failed, TransactionState::Open);
+    EXPECT_EQ(kinds(take(link)), std::vector { CommandKind::Rollback });
+}
+
 // Guards against a caller that waits forever for an upstream that does not respond.
 TEST_F(EngineFailures, EndsWriteOnUnresponsiveUpstreamAtTimeLimit)
 {
