Ask a primary for its status before it counts as unreachable

Cause: a host took half a second without an answer to its own requests for silence, though all of them may be writes that have to wait, and nothing asked the primary itself. The promotion then took the longest log among those that had answered, whatever the service had acknowledged. Ruled out: broken connections to the primary (none in the record; with reads beside the writes the rule held).

Fix: after 200 ms without an answer the primary is asked for its status; any answer shows that it is alive. Connections that are closed because an answer is overdue no longer count as failures. Where commits wait for replicas, a promotion needs answers from so many of them that one must have each acknowledged commit, and leaves out replicas that have received nothing of the previous primary's term. Event 312 shows each survey.

--- a/src/libs/core/directory/configuration.h
+++ b/src/libs/core/directory/configuration.h
@@ -42,6 +42,8 @@
     std::string name;
     /// Connections that one upstream accepts from all hosts together.
     int maxConnections = 0;
+    /// How many replicas have to receive a commit before the primary acknowledges it; 0 if it does not wait.
+    int synchronousReplicas = 0;
     /// Requests per second that an upstream may receive while it is cold after its start; 0 for no limit.
     double coldRequestsPerSecond = 0;
 };
--- a/src/libs/core/failover/promotion.cpp
+++ b/src/libs/core/failover/promotion.cpp
@@ -150,9 +150,11 @@
 
 void Promotion::continueSurvey(Model::Time now)
 {
+    // An upstream that is no longer registered has left or is gone with its log.
+    std::erase_if(m_statuses, [&](const auto& entry) { return !m_view.findUpstream(entry.first); });
     const bool isComplete = std::ranges::all_of(
         m_statuses, [&](const auto& entry) { return entry.second || !m_hooks.isReachable(entry.first); });
-    if (isComplete || now - m_phaseAt > surveyTimeout)
+    if ((isComplete && isSurveySufficient()) || now - m_phaseAt > surveyTimeout)
         return finishSurvey(now);
     if (now - m_statusRequestedAt < statusRetryPeriod)
         return;
@@ -163,8 +165,25 @@
     }
 }
 
+int Promotion::synchronousReplicas() const
+{
+    const auto& configuration = m_view.configuration();
+    const Directory::Service* settings = configuration ? configuration->findService(m_service) : nullptr;
+    return settings ? settings->synchronousReplicas : 0;
+}
+
+/// Whether every acknowledged commit must be in the log of a replica that has responded.
+bool Promotion::isSurveySufficient() const
+{
+    const auto silent = std::ranges::count_if(
+        m_statuses, [&](const auto& entry) { return !entry.second && entry.first != m_previousPrimary; });
+    return synchronousReplicas() == 0 || silent < synchronousReplicas();
+}
+
 void Promotion::finishSurvey(Model::Time now)
 {
+    if (!isSurveySufficient())
+        return promoteNone(now);
     const auto previous = m_statuses.find(m_previousPrimary);
     if (m_reason != PromotionReason::Leaving || previous == m_statuses.end())
         return promoteBestReplica(now);
@@ -196,8 +215,16 @@
         m_hooks.stepDown(m_previousPrimary, nextTerm());
 }
 
+/// Whether the replica has received from the previous primary. If it has not, it may lack commits that only
+/// the previous primary had received as a replica, before it became the primary.
+bool Promotion::hasLogOfPreviousTerm(const UpstreamStatus& status) const
+{
+    return status.received.term >= m_hooks.knownPosition(m_previousPrimary).term;
+}
+
 std::string Promotion::bestReplica() const
 {
+    const bool isSynchronous = synchronousReplicas() > 0;
     std::string best;
     std::optional<Model::LogPosition> bestPosition;
     for (const Directory::Upstream* upstream : m_view.upstreamsOf(m_service)) {
@@ -205,6 +232,8 @@
             continue;
         const auto status = m_statuses.find(upstream->id);
         const bool isKnown = status != m_statuses.end() && status->second;
+        if (isSynchronous && (!isKnown || !hasLogOfPreviousTerm(*status->second)))
+            continue;
         const Model::LogPosition position
             = isKnown ? status->second->received : m_hooks.knownPosition(upstream->id);
         if (!bestPosition || position > *bestPosition) {
@@ -219,7 +248,8 @@
 {
     m_candidate = bestReplica();
     if (m_candidate.empty())
-        return enter(PromotionPhase::Failed, now);
+        return promoteNone(now);
+    m_hooks.surveyed(m_statuses, m_candidate);
     if (m_hooks.allowPrimary) {
         enter(PromotionPhase::Allowing, now);
         m_hooks.allowPrimary(m_service, m_candidate);
@@ -229,6 +259,12 @@
     requestPromotion(now);
 }
 
+void Promotion::promoteNone(Model::Time now)
+{
+    m_hooks.surveyed(m_statuses, {});
+    enter(PromotionPhase::Failed, now);
+}
+
 void Promotion::primaryAllowed(bool isAllowed, Model::Time now)
 {
     if (m_phase != PromotionPhase::Allowing)
--- a/src/libs/core/failover/promotion.h
+++ b/src/libs/core/failover/promotion.h
@@ -50,6 +50,9 @@
 /// Whether the acquisition of a lease also ends the use of any primary of the service.
 enum class Fence : std::uint8_t { None, Set };
 
+/// Last status of each upstream by its id; `nullopt` if it has not responded.
+using UpstreamStatuses = std::map<std::string, std::optional<UpstreamStatus>>;
+
 /// Callbacks that a promotion needs. Answers are delivered by calls of `Promotion`.
 struct PromotionHooks {
     /// Acquires the lease, and with a fence ends the use of any primary of the service.
@@ -67,10 +70,16 @@
     std::function<bool(const std::string& upstream)> isReachable;
     /// The last log position that the upstream reported in a response of any kind.
     std::function<Model::LogPosition(const std::string& upstream)> knownPosition;
+    /// Called with the statuses on which the choice of the new primary is based, for logs; `candidate` is
+    /// empty if none can be promoted.
+    std::function<void(const UpstreamStatuses& statuses, const std::string& candidate)> surveyed;
 };
 
 /// One replacement of a service's primary by the replica that has received the longest log. Used on one
 /// thread.
+///
+/// Where commits wait for synchronous replicas, an acknowledged one is in the log of at least as many
+/// replicas. No upstream is promoted before so many replicas have responded that one of them must have it.
 class Promotion {
 public:
     /// `previousPrimary` is the last known primary of the service, also if it is no longer registered; empty
@@ -117,8 +126,12 @@
     void survey(Model::Time now);
     void requestStatus(const std::string& upstream);
     void continueSurvey(Model::Time now);
+    bool isSurveySufficient() const;
     void finishSurvey(Model::Time now);
     void promoteBestReplica(Model::Time now);
+    void promoteNone(Model::Time now);
+    int synchronousReplicas() const;
+    bool hasLogOfPreviousTerm(const UpstreamStatus& status) const;
     std::string bestReplica() const;
     bool hasNewPrimary() const;
 
@@ -136,7 +149,7 @@
     Fence m_fence = Fence::None;
     std::optional<Model::Time> m_acceptedAt;
     /// The upstreams whose status is requested, with their last response.
-    std::map<std::string, std::optional<UpstreamStatus>> m_statuses;
+    UpstreamStatuses m_statuses;
     /// The upstreams with a status request that neither was answered nor has failed.
     std::set<std::string> m_outstanding;
     /// Id of the primary that is replaced; empty if there was none.
--- a/src/libs/core/failover/reachability.cpp
+++ b/src/libs/core/failover/reachability.cpp
@@ -4,8 +4,12 @@
 
 namespace {
 
-    /// Statements take a few ms, rare ones some hundred ms. Any response on any connection ends the wait.
+    /// Statements take a few ms, rare ones some hundred ms. Any response on any connection ends the wait,
+    /// also that to a probe.
     constexpr Model::Duration responseTimeout = std::chrono::milliseconds(450);
+    /// Leaves the upstream time to answer the probe within the response timeout, also if the caller checks
+    /// for due probes only every 100 ms.
+    constexpr Model::Duration probeDelay = std::chrono::milliseconds(200);
     /// A single failure may concern only one connection.
     constexpr int failureLimit = 2;
     /// Evidence has to expire: an upstream that seems unreachable gets no requests and cannot disprove it by
@@ -20,8 +24,10 @@
     Record& record = m_records[upstream];
     // If the last request is older than the evidence lifetime, the unanswered requests say nothing about the
     // current state.
-    if (!record.unansweredSince || now - *record.lastRequestAt > evidenceLifetime)
+    if (!record.unansweredSince || now - *record.lastRequestAt > evidenceLifetime) {
         record.unansweredSince = now;
+        record.isProbed = false;
+    }
     record.lastRequestAt = now;
 }
 
@@ -42,11 +48,24 @@
     ++record.failures;
 }
 
+bool Reachability::takeProbe(const std::string& upstream, Model::Time now)
+{
+    const auto found = m_records.find(upstream);
+    if (found == m_records.end())
+        return false;
+    Record& record = found->second;
+    if (!record.unansweredSince || record.isProbed || now - *record.unansweredSince < probeDelay)
+        return false;
+    record.isProbed = true;
+    return true;
+}
+
 void Reachability::processPaused(Model::Time now)
 {
     for (auto& [upstream, record] : m_records) {
         if (record.unansweredSince)
             record.unansweredSince = record.lastRequestAt = now;
+        record.isProbed = false;
         record.failures = 0;
     }
 }
--- a/src/libs/core/failover/reachability.h
+++ b/src/libs/core/failover/reachability.h
@@ -25,6 +25,10 @@
     void responseReceived(const std::string& upstream, Model::Time now);
     /// A connection was refused or lost.
     void failed(const std::string& upstream, Model::Time now);
+    /// Whether the upstream has left requests unanswered for so long that it should be asked for its status,
+    /// which it answers even if it lets the requests wait, for example writes for a replica. Returns true
+    /// once until the upstream responds again.
+    bool takeProbe(const std::string& upstream, Model::Time now);
     /// This process was paused, so that responses may not have been read yet.
     void processPaused(Model::Time now);
     /// Discards the evidence about the upstream because its role changed.
@@ -39,6 +43,8 @@
         /// longer than the evidence lifetime.
         std::optional<Model::Time> unansweredSince;
         std::optional<Model::Time> lastRequestAt;
+        /// The status was requested since `unansweredSince`.
+        bool isProbed = false;
         std::optional<Model::Time> failedAt;
         int failures = 0;
     };
--- a/src/libs/core/proxy/engine.h
+++ b/src/libs/core/proxy/engine.h
@@ -66,6 +66,9 @@
     /// Sends a message of the proxy itself to an upstream. `answered` is called with the reply, or with
     /// `nullopt` if the upstream is unknown or the connection fails before a reply arrives.
     void command(const std::string& upstream, const Command& command, AnswerHook answered, Model::Time now);
+    /// Requests the status of the upstream if it has left requests unanswered for a while. Has to be called
+    /// every 100 ms for upstreams whose reachability decides on their replacement.
+    void probeIfUnresponsive(const std::string& upstream, Model::Time now);
     /// Sets when a new primary of the service is expected; `nullopt` if none is. Requests whose deadline is
     /// later stay queued until their time limit instead of being refused early.
     void setPrimaryExpected(const std::string& service, std::optional<Model::Time> at);
@@ -143,6 +146,8 @@
     void detach(Session& session, Model::Time now);
     void closeConnection(ConnectionId id);
     void failCommands(Connection& connection);
+    void abandonConnection(ConnectionId id, Model::Time now);
+    void removeLost(ConnectionId id, Model::Time now);
     void decidedOnConnection(DecisionKind kind, const Connection& connection, ResultCode code,
         std::string_view reason, Model::Time now) const;
     bool isUseAllowed(const Connection& connection, Model::Time now) const;
--- a/src/libs/core/proxy/engineconnections.cpp
+++ b/src/libs/core/proxy/engineconnections.cpp
@@ -63,6 +63,13 @@
     m_hooks.connect(opened.id, *target, {});
 }
 
+void Engine::probeIfUnresponsive(const std::string& upstream, Model::Time now)
+{
+    if (m_reachability.takeProbe(upstream, now))
+        command(
+            upstream, { CommandKind::Status }, [](const std::optional<Reply>&) {}, now);
+}
+
 /// Calls the reply callbacks of a lost connection with `nullopt`.
 void Engine::failCommands(Connection& connection)
 {
@@ -276,12 +283,26 @@
 
 void Engine::connectionLost(ConnectionId id, Model::Time now)
 {
-    Connection* connection = m_pool.find(id);
-    if (!connection)
+    const Connection* connection = m_pool.find(id);
+    if (connection && connection->state != ConnectionState::Idle)
+        m_reachability.failed(connection->upstream, now);
+    removeLost(id, now);
+}
+
+/// Closes a connection whose answer is overdue. That is no sign of a failed upstream: it may answer others,
+/// or let a write wait for a replica.
+void Engine::abandonConnection(ConnectionId id, Model::Time now)
+{
+    m_hooks.disconnect(id);
+    removeLost(id, now);
+}
+
+void Engine::removeLost(ConnectionId id, Model::Time now)
+{
+    if (!m_pool.find(id))
         return;
     Connection lost = m_pool.take(id);
     if (lost.state != ConnectionState::Idle) {
-        m_reachability.failed(lost.upstream, now);
         decidedOnConnection(
             DecisionKind::ConnectionLost, lost, ResultCode::Failed, "broken or unresponsive", now);
         m_router.observeFailure(lost.upstream, now);
@@ -439,17 +460,21 @@
     };
     for (const ConnectionId id : m_pool.surplus(shareOf, now))
         closeConnection(id);
+    std::vector<ConnectionId> notOpened;
     std::vector<ConnectionId> overdue;
     for (const auto& [id, connection] : m_pool.connections()) {
         const Model::Duration age = now - connection.changedAt;
-        if ((connection.state == ConnectionState::Opening && age > openTimeout)
-            || (connection.state == ConnectionState::AwaitingReplies && age > outstandingReplyTimeout))
+        if (connection.state == ConnectionState::Opening && age > openTimeout)
+            notOpened.push_back(id);
+        if (connection.state == ConnectionState::AwaitingReplies && age > outstandingReplyTimeout)
             overdue.push_back(id);
     }
-    for (const ConnectionId id : overdue) {
+    for (const ConnectionId id : notOpened) {
         m_hooks.disconnect(id);
         connectionLost(id, now);
     }
+    for (const ConnectionId id : overdue)
+        abandonConnection(id, now);
 }
 
 }
--- a/src/libs/core/proxy/enginetime.cpp
+++ b/src/libs/core/proxy/enginetime.cpp
@@ -67,15 +67,12 @@
         return;
     }
     const ConnectionId id = session.connection;
-    if (mayAbandon(session) && isAnswerOverdue(session, now)) {
-        m_hooks.disconnect(id);
-        return connectionLost(id, now);
-    }
+    if (mayAbandon(session) && isAnswerOverdue(session, now))
+        return abandonConnection(id, now);
     if (now < request.deadline + replySlack)
         return;
-    m_hooks.disconnect(id);
     request.attempts = maxAttempts;
-    connectionLost(id, now);
+    abandonConnection(id, now);
 }
 
 /// Returns whether the running statement certainly has no lasting effect if its connection is closed now.
--- a/src/libs/logging/eventid.cpp
+++ b/src/libs/logging/eventid.cpp
@@ -9,7 +9,7 @@
 
     using enum EventId;
 
-    constexpr std::array<EventInfo, 54> table { {
+    constexpr std::array<EventInfo, 55> table { {
         { ProcessStarted, "process_started", Severity::Info, "the process listens on all its addresses" },
         { ProcessStopped, "process_stopped", Severity::Info, "the process ended after its last request" },
         { DrainStarted, "drain_started", Severity::Info, "SIGTERM received; no new requests are accepted" },
@@ -51,6 +51,8 @@
             "a connection did not respond and was closed" },
         { ConnectionFailed, "connection_failed", Severity::Warning,
             "a connection to an upstream cannot be opened" },
+        { PromotionSurveyed, "promotion_surveyed", Severity::Info,
+            "a promotion has chosen the new primary, or found that none can be promoted" },
         { UpstreamChanged, "upstream_changed", Severity::Info,
             "an upstream was registered, or its entry changed" },
         { UpstreamGone, "upstream_gone", Severity::Info, "an upstream is no longer registered" },
--- a/src/libs/logging/eventid.h
+++ b/src/libs/logging/eventid.h
@@ -36,6 +36,7 @@
     PrimaryRestored = 309,
     UpstreamSilent = 310,
     ConnectionFailed = 311,
+    PromotionSurveyed = 312,
     UpstreamChanged = 320,
     UpstreamGone = 321,
     ZoneChanged = 322,
--- a/src/libs/proxyhost/failovers.cpp
+++ b/src/libs/proxyhost/failovers.cpp
@@ -22,6 +22,23 @@
     /// The directory shows the result of a promotion with a delay; until then, no other one is started.
     constexpr Model::Duration pauseAfterEnd = std::chrono::milliseconds(400);
 
+    /// One entry for each upstream, as in `db-1=replica@3.1209`; `?` if it has not responded.
+    std::string describe(const Failover::UpstreamStatuses& statuses)
+    {
+        std::string text;
+        for (const auto& [upstream, status] : statuses) {
+            text += (text.empty() ? "" : " ") + upstream + "=";
+            if (!status) {
+                text += "?";
+                continue;
+            }
+            text += status->role == Directory::Role::Primary ? "primary" : "replica";
+            text += "@" + std::to_string(status->received.term) + "."
+                + std::to_string(status->received.position);
+        }
+        return text;
+    }
+
 }
 
 Failovers::Failovers(EventLoop::Loop& loop, const Directory::View& view, SessionServer::Server& server,
@@ -76,8 +93,8 @@
         m_timer.start(stepPeriod);
 }
 
-/// Resets the reachability of an upstream that has become the primary: its earlier records say nothing about
-/// it in this role.
+/// Resets the reachability of an upstream that has become the primary, since its earlier records say nothing
+/// about it in this role, and checks whether the primary responds at all if it leaves requests unanswered.
 void Failovers::noticePrimary(const std::string& service)
 {
     const Directory::Upstream* primary = m_view.primaryOf(service);
@@ -87,6 +104,7 @@
     if (known.since != primary->primarySince)
         m_server.engine().resetReachability(primary->id);
     known = { primary->id, primary->primarySince };
+    m_server.probeIfUnresponsive(primary->id);
 }
 
 /// Returns when the service is expected to have its new primary; `nullopt` if no host is replacing the
@@ -139,6 +157,10 @@
     };
     hooks.knownPosition
         = [this](const std::string& upstream) { return m_server.engine().router().position(upstream); };
+    hooks.surveyed = [service](const Failover::UpstreamStatuses& statuses, const std::string& candidate) {
+        Logging::write(Logging::EventId::PromotionSurveyed,
+            { { "service", service }, { "candidate", candidate }, { "statuses", describe(statuses) } });
+    };
     m_promotions.emplace(service,
         std::make_unique<Failover::Promotion>(
             m_view, service, reason, m_knownPrimaries[service].upstream, std::move(hooks), EventLoop::now()));
--- a/src/libs/sessionserver/server.cpp
+++ b/src/libs/sessionserver/server.cpp
@@ -255,6 +255,11 @@
     scheduleTick();
 }
 
+void Server::probeIfUnresponsive(const std::string& upstream)
+{
+    m_engine.probeIfUnresponsive(upstream, EventLoop::now());
+}
+
 void Server::closeIdleSessions() { m_engine.closeIdleSessions(); }
 
 void Server::endIdleTransactions() { m_engine.endIdleTransactions(EventLoop::now()); }
--- a/src/libs/sessionserver/server.h
+++ b/src/libs/sessionserver/server.h
@@ -67,6 +67,8 @@
     /// if it is an error or malformed.
     void sendCommand(const std::string& upstream, const Proxy::Command& command,
         std::function<void(const std::optional<Failover::UpstreamStatus>&)> answered);
+    /// Requests the status of the upstream if it has left requests unanswered for a while.
+    void probeIfUnresponsive(const std::string& upstream);
     Proxy::Engine& engine() { return m_engine; }
     const Proxy::Engine& engine() const { return m_engine; }
 
--- a/tests/auto/core/failover/tst_promotion.cpp
+++ b/tests/auto/core/failover/tst_promotion.cpp
@@ -30,6 +30,18 @@
         m_view.setUpstream(upstream);
     }
 
+    /// From now on, commits of the service wait for one replica.
+    void makeSynchronous()
+    {
+        auto configuration = std::make_shared<Directory::Configuration>();
+        configuration->version = 1;
+        Directory::Service service;
+        service.name = "ledger";
+        service.synchronousReplicas = 1;
+        configuration->services.emplace(service.name, service);
+        m_view.adopt(configuration);
+    }
+
     Promotion promotion(PromotionReason reason)
     {
         PromotionHooks hooks;
@@ -47,7 +59,8 @@
             m_token = token;
         };
         hooks.isReachable = [this](const std::string& upstream) { return !m_unreachable.contains(upstream); };
-        hooks.knownPosition = [](const std::string&) { return Model::LogPosition {}; };
+        hooks.knownPosition = [this](const std::string& upstream) { return m_knownPositions[upstream]; };
+        hooks.surveyed = [](const UpstreamStatuses&, const std::string&) {};
         if (m_needsFence) {
             hooks.isFenceEffective = [this](const std::string&, Time) { return m_isFenceEffective; };
             hooks.allowPrimary
@@ -74,6 +87,7 @@
     std::vector<std::string> m_promotionRequests;
     FencingToken m_token = 0;
     std::set<std::string> m_unreachable;
+    std::map<std::string, Model::LogPosition> m_knownPositions;
 };
 
 }
@@ -247,3 +261,45 @@
     EXPECT_TRUE(m_promotionRequests.empty());
     EXPECT_EQ(run.phase(), PromotionPhase::Failed);
 }
+
+// Guards against the loss of commits that only one replica has acknowledged: while it does not respond,
+// another one must not be promoted.
+TEST_F(PromotionTest, PromotesNoneWhileSynchronousReplicaIsSilent)
+{
+    makeSynchronous();
+    m_unreachable.insert("r");
+    Promotion run = promotion(PromotionReason::Unreachable);
+    run.leaseAcquired(1, Time { 10ms });
+    run.statusArrived("q", status(40), Time { 20ms });
+    EXPECT_TRUE(m_promotionRequests.empty());
+    run.update(Time { 1500ms });
+    EXPECT_TRUE(m_promotionRequests.empty());
+    EXPECT_EQ(run.phase(), PromotionPhase::Failed);
+}
+
+// Guards against a service without a primary because of a replica that left.
+TEST_F(PromotionTest, DoesNotWaitForSynchronousReplicaThatIsGone)
+{
+    makeSynchronous();
+    m_unreachable.insert("r");
+    Promotion run = promotion(PromotionReason::Unreachable);
+    run.leaseAcquired(1, Time { 10ms });
+    run.statusArrived("q", status(40), Time { 20ms });
+    m_view.removeUpstream("r");
+    run.update(Time { 100ms });
+    EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "q" });
+}
+
+// Guards against the loss of commits of an earlier term after two changes of the primary: the only replica
+// has received nothing since before the first one.
+TEST_F(PromotionTest, PromotesNoSynchronousReplicaOfEarlierTerm)
+{
+    makeSynchronous();
+    m_knownPositions["p"] = { 4, 50 };
+    Promotion run = promotion(PromotionReason::Unreachable);
+    run.leaseAcquired(1, Time { 10ms });
+    run.statusArrived("q", status(40), Time { 20ms });
+    run.statusArrived("r", status(45), Time { 20ms });
+    EXPECT_TRUE(m_promotionRequests.empty());
+    EXPECT_EQ(run.phase(), PromotionPhase::Failed);
+}
--- a/tests/auto/core/failover/tst_reachability.cpp
+++ b/tests/auto/core/failover/tst_reachability.cpp
@@ -68,3 +68,21 @@
     reachability.failed("db", Time { 5s + 100ms });
     EXPECT_EQ(reachability.state("db", Time { 5s + 200ms }), ReachabilityState::Unknown);
 }
+
+// Guards against replacing a primary that only lets writes wait, for example for a replica, and answers
+// everything else: it is asked for its status before it counts as unreachable.
+TEST(Reachability, ProbesUpstreamBeforeItCountsAsUnreachable)
+{
+    Reachability reachability;
+    EXPECT_FALSE(reachability.takeProbe("db", Time { 0ms }));
+    reachability.requestSent("db", Time { 0ms });
+    EXPECT_FALSE(reachability.takeProbe("db", Time { 100ms }));
+    EXPECT_TRUE(reachability.takeProbe("db", Time { 300ms }));
+    EXPECT_FALSE(reachability.takeProbe("db", Time { 400ms }));
+    reachability.requestSent("db", Time { 400ms });
+    reachability.responseReceived("db", Time { 410ms });
+    EXPECT_EQ(reachability.state("db", Time { 460ms }), ReachabilityState::Reachable);
+    reachability.requestSent("db", Time { 500ms });
+    EXPECT_TRUE(reachability.takeProbe("db", Time { 800ms }));
+    EXPECT_EQ(reachability.state("db", Time { 960ms }), ReachabilityState::Unreachable);
+}
--- a/tests/auto/core/proxy/tst_enginefailures.cpp
+++ b/tests/auto/core/proxy/tst_enginefailures.cpp
@@ -220,6 +220,22 @@
     EXPECT_EQ(lastReply(session).code, ResultCode::InDoubt);
 }
 
+// Guards against replacing a primary whose writes wait for a replica until their time limit.
+TEST_F(EngineFailures, UpstreamWithWaitingWritesStaysReachable)
+{
+    run(open("strict"), StatementKind::Write);
+    run(open("strict"), StatementKind::Write);
+    for (int i = 0; i < 10; ++i) {
+        advance(100ms);
+        m_engine->probeIfUnresponsive("p", m_now);
+        acceptConnections();
+        const ConnectionId link = linkTo("p");
+        if (link != 0 && kinds(take(link)) == std::vector { CommandKind::Status })
+            answer(link);
+        EXPECT_NE(m_engine->reachability().state("p", m_now), Failover::ReachabilityState::Unreachable);
+    }
+}
+
 // Guards against a read that waits until its time limit after its reply was lost (incident inc-3845).
 TEST_F(EngineFailures, AbandonsReadWhenLaterStatementsAreAnswered)
 {
--- a/tests/auto/platform/tst_desiredstate.cpp
+++ b/tests/auto/platform/tst_desiredstate.cpp
@@ -12,7 +12,7 @@
   "routes":[{"name":"r-1","host":"xapu","routeKind":"bounded","timeoutMs":1500,"targetLatencyMs":400,
              "priority":2,"service":"huvo","maxStalenessMs":1500,"allowAnonymous":false,"new":1},
             {"name":"r-2","host":"lepu","service":"huvo"}],
-  "services":[{"name":"huvo","maxConns":16,"coldStartS":0.0,"coldPerS":9.0}],
+  "services":[{"name":"huvo","maxConns":16,"syncReplicas":1,"coldStartS":0.0,"coldPerS":9.0}],
   "limits":{"txIdleMs":2000},
   "tenants":[{"name":"nypu","apiKeys":["k1","k2"],"ratePerS":129,"burst":130}]})";
 
@@ -40,6 +40,7 @@
     EXPECT_EQ(route->maxStaleness, 1500ms);
     EXPECT_EQ(configuration.findRoute("lepu")->kind, Directory::RouteKind::Primary);
     EXPECT_EQ(configuration.findService("huvo")->maxConnections, 16);
+    EXPECT_EQ(configuration.findService("huvo")->synchronousReplicas, 1);
     EXPECT_EQ(configuration.findService("huvo")->coldRequestsPerSecond, 0);
     EXPECT_EQ(configuration.findCustomerOfKey("k2")->rate, 129);
     EXPECT_EQ(configuration.limits.idleTransaction, 2s);
--- a/tests/auto/sessionproxy/testcluster.cpp
+++ b/tests/auto/sessionproxy/testcluster.cpp
@@ -162,10 +162,10 @@
 
 void TestCluster::publish(const std::vector<std::string>& keys, double rate)
 {
-    const auto route = [](const std::string& database, const std::string& kind) {
+    const auto route = [this](const std::string& database, const std::string& kind) {
         return nlohmann::json { { "name", database }, { "host", database }, { "routeKind", kind },
-            { "timeoutMs", 800 }, { "targetLatencyMs", 200 }, { "priority", 1 }, { "service", "ledger" },
-            { "maxStalenessMs", 1500 }, { "allowAnonymous", false } };
+            { "timeoutMs", m_statementTimeout.count() }, { "targetLatencyMs", 200 }, { "priority", 1 },
+            { "service", "ledger" }, { "maxStalenessMs", 1500 }, { "allowAnonymous", false } };
     };
     const nlohmann::json state { { "version", ++m_version },
         { "routes", { route("strict", "primary"), route("bounded", "bounded"), route("own", "own_writes") } },
--- a/tests/auto/sessionproxy/testcluster.h
+++ b/tests/auto/sessionproxy/testcluster.h
@@ -5,6 +5,7 @@
 #include "sessionplatform/databases.h"
 #include "sessionplatform/rowstore.h"
 
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
@@ -67,6 +68,8 @@
     /// of traced statements, from 0 to 1.
     void setForgetHostsAfter(int seconds) { m_forgetHostsAfterS = seconds; }
     void setTraceSampleRate(double rate) { m_traceSampleRate = rate; }
+    /// Applies to configurations that are published later.
+    void setStatementTimeout(std::chrono::milliseconds timeout) { m_statementTimeout = timeout; }
     void startHost(int host);
     Integration::Process& host(int host) { return *m_hosts.at(static_cast<std::size_t>(host)).process; }
     /// Address for callers, of the form IP:PORT.
@@ -113,4 +116,5 @@
     int m_version = 0;
     int m_forgetHostsAfterS = 600;
     double m_traceSampleRate = 0;
+    std::chrono::milliseconds m_statementTimeout { 800 };
 };
--- a/tests/auto/sessionproxy/tst_sessionproxy.cpp
+++ b/tests/auto/sessionproxy/tst_sessionproxy.cpp
@@ -115,6 +115,33 @@
     EXPECT_TRUE(cluster.databases().protocolViolations().empty());
 }
 
+// Guards against replacing a primary that lets writes wait for a replica and answers everything else.
+TEST(SessionProxy, KeepsPrimaryWhoseWritesWait)
+{
+    TestCluster cluster(3);
+    cluster.setStatementTimeout(2s);
+    cluster.publish({ "key-1", "key-2" });
+    ASSERT_TRUE(writeUntilComplete(cluster, 0, "before"));
+    const std::string primary = cluster.databases().primary();
+    cluster.databases().setWritesWaiting(true);
+    std::vector<std::thread> callers;
+    for (int host = 0; host < 3; ++host) {
+        callers.emplace_back([&cluster, host] {
+            const auto end = std::chrono::steady_clock::now() + 4s;
+            while (std::chrono::steady_clock::now() < end) {
+                Client client(cluster.callers(host));
+                const bool isOpen = client.open("own", "key-1").starts_with("READY");
+                EXPECT_FALSE(isOpen && isComplete(client.query("WRITE a waiting")));
+            }
+        });
+    }
+    for (std::thread& caller : callers)
+        caller.join();
+    EXPECT_EQ(cluster.databases().primary(), primary);
+    cluster.databases().setWritesWaiting(false);
+    EXPECT_TRUE(writeUntilComplete(cluster, 0, "after"));
+}
+
 // Guards against hosts that never get the permission to use a primary, or a promotion that never takes place,
 // where the promoter does not take the role from the previous primary; and against a promotion without a
 // fence there.
--- a/tests/standins/sessionplatform/databases.cpp
+++ b/tests/standins/sessionplatform/databases.cpp
@@ -116,6 +116,20 @@
         for (const int socket : member->sockets)
             ::shutdown(socket, SHUT_RDWR);
     }
+    m_writesReleased.notify_all();
+}
+
+void Databases::setWritesWaiting(bool areWaiting)
+{
+    const std::lock_guard lock(m_mutex);
+    m_areWritesWaiting = areWaiting;
+    m_writesReleased.notify_all();
+}
+
+void Databases::waitWithWrite(const Member& member)
+{
+    std::unique_lock lock(m_mutex);
+    m_writesReleased.wait(lock, [&] { return !m_areWritesWaiting || !member.isUp; });
 }
 
 void Databases::restart(const std::string& id)
@@ -194,7 +208,10 @@
         input.append(buffer, static_cast<std::size_t>(size));
         std::string output;
         for (std::size_t end = 0; (end = input.find("\r\n")) != std::string::npos;) {
-            output += processLine(member, connection, input.substr(0, end));
+            const std::string line = input.substr(0, end);
+            if (line.find(" WRITE ") != std::string::npos)
+                waitWithWrite(member);
+            output += processLine(member, connection, line);
             input.erase(0, end + 2);
         }
         if (::send(socket, output.data(), output.size(), MSG_NOSIGNAL) < 0)
--- a/tests/standins/sessionplatform/databases.h
+++ b/tests/standins/sessionplatform/databases.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <condition_variable>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -38,6 +39,9 @@
     /// does not run.
     bool promote(const std::string& id);
 
+    /// While set, single writes get no answer, as if they waited for a replica; all else is answered.
+    void setWritesWaiting(bool areWaiting);
+
     /// Number of commits of this data.
     int commits(const std::string& data) const;
     /// Names of the customers for which connections were opened.
@@ -67,6 +71,7 @@
     };
 
     static void listenAt(Member& member);
+    void waitWithWrite(const Member& member);
     void accept(Member& member);
     void serve(Member& member, int socket);
     std::string processLine(Member& member, Connection& connection, const std::string& line);
@@ -87,6 +92,8 @@
     std::map<std::string, int> m_commits;
     std::set<std::string> m_customers;
     std::vector<std::string> m_protocolViolations;
+    bool m_areWritesWaiting = false;
+    std::condition_variable m_writesReleased;
     std::atomic<bool> m_isStopping = false;
 };
 
