Let the longest log decide a promotion where commits wait for replicas

Cause: databases that get no new work, draining or in an evacuated availability zone, were no candidates, so that their logs did not count either. Ruled out: the survey did not ask the database or did not wait for it (it asks all registered ones and waits for the reachable ones).

Fix: at a service with synchronous replicas, the longest log among those that have answered decides, and only between equal ones a database that accepts work goes first. A leaving primary steps down only if a replica that accepts work has the longest log, and gets its role back if none catches up. Hosts check that in turn.

Tests: four new tests of PromotionTest failed before; PrefersReplicaThatAcceptsWorkAmongEqualLogs passed before and guards the choice between equal logs; DoesNotStepDownPrimaryThatKeepsItsRole guards the new path.

--- a/src/libs/core/failover/promotion.cpp
+++ b/src/libs/core/failover/promotion.cpp
@@ -183,14 +183,20 @@
 void Promotion::finishSurvey(Model::Time now)
 {
     if (!isSurveySufficient())
-        return promoteNone(now);
+        return promote({}, now);
     const auto previous = m_statuses.find(m_previousPrimary);
     if (m_reason != PromotionReason::Leaving || previous == m_statuses.end())
-        return promoteBestReplica(now);
+        return promote(bestReplica(), now);
     if (!previous->second)
         return stepDownFailed(now);
+    const bool isSynchronous = synchronousReplicas() > 0;
+    // Nobody leads if the promotion after an earlier step-down did not take place.
     if (previous->second->role != Directory::Role::Primary)
-        return promoteBestReplica(now);
+        return promote(isSynchronous ? longestLog(PreviousPrimary::Included) : bestReplica(), now);
+    // The primary keeps its role until a replica that accepts work has what the others have acknowledged.
+    const Directory::Upstream* next = m_view.findUpstream(bestReplica());
+    if (isSynchronous && (!next || !m_view.acceptsWork(*next)))
+        return promote({}, now);
     enter(PromotionPhase::SteppingDown, now);
     m_outstanding.clear();
     m_hooks.stepDown(m_previousPrimary, nextTerm());
@@ -211,7 +217,8 @@
 /// to step down or reaches the new primary.
 void Promotion::stepDownPreviousPrimary()
 {
-    if (m_hooks.isFenceEffective && m_view.findUpstream(m_previousPrimary))
+    const bool isReplaced = m_candidate != m_previousPrimary && m_view.findUpstream(m_previousPrimary);
+    if (m_hooks.isFenceEffective && isReplaced)
         m_hooks.stepDown(m_previousPrimary, nextTerm());
 }
 
@@ -222,9 +229,30 @@
     return status.received.term >= m_hooks.knownPosition(m_previousPrimary).term;
 }
 
+/// The upstream with the longest log among those that have responded; of equal ones, one that accepts work.
+/// An upstream that is draining may alone hold an acknowledged commit. As the primary, it passes it on.
+std::string Promotion::longestLog(PreviousPrimary previousPrimary) const
+{
+    std::string longest;
+    std::pair<Model::LogPosition, bool> longestRank;
+    for (const auto& [id, status] : m_statuses) {
+        const Directory::Upstream* upstream = m_view.findUpstream(id);
+        const bool isExcluded = id == m_previousPrimary && previousPrimary == PreviousPrimary::Excluded;
+        if (isExcluded || !upstream || !status || !hasLogOfPreviousTerm(*status))
+            continue;
+        const std::pair rank(status->received, m_view.acceptsWork(*upstream));
+        if (longest.empty() || rank > longestRank) {
+            longest = id;
+            longestRank = rank;
+        }
+    }
+    return longest;
+}
+
 std::string Promotion::bestReplica() const
 {
-    const bool isSynchronous = synchronousReplicas() > 0;
+    if (synchronousReplicas() > 0)
+        return longestLog(PreviousPrimary::Excluded);
     std::string best;
     std::optional<Model::LogPosition> bestPosition;
     for (const Directory::Upstream* upstream : m_view.upstreamsOf(m_service)) {
@@ -232,8 +260,6 @@
             continue;
         const auto status = m_statuses.find(upstream->id);
         const bool isKnown = status != m_statuses.end() && status->second;
-        if (isSynchronous && (!isKnown || !hasLogOfPreviousTerm(*status->second)))
-            continue;
         const Model::LogPosition position
             = isKnown ? status->second->received : m_hooks.knownPosition(upstream->id);
         if (!bestPosition || position > *bestPosition) {
@@ -244,12 +270,12 @@
     return best;
 }
 
-void Promotion::promoteBestReplica(Model::Time now)
+void Promotion::promote(const std::string& candidate, Model::Time now)
 {
-    m_candidate = bestReplica();
-    if (m_candidate.empty())
-        return promoteNone(now);
+    m_candidate = candidate;
     m_hooks.surveyed(m_statuses, m_candidate);
+    if (m_candidate.empty())
+        return enter(PromotionPhase::Failed, now);
     if (m_hooks.allowPrimary) {
         enter(PromotionPhase::Allowing, now);
         m_hooks.allowPrimary(m_service, m_candidate);
@@ -259,12 +285,6 @@
     requestPromotion(now);
 }
 
-void Promotion::promoteNone(Model::Time now)
-{
-    m_hooks.surveyed(m_statuses, {});
-    enter(PromotionPhase::Failed, now);
-}
-
 void Promotion::primaryAllowed(bool isAllowed, Model::Time now)
 {
     if (m_phase != PromotionPhase::Allowing)
@@ -314,7 +334,7 @@
 void Promotion::stepDownFailed(Model::Time now)
 {
     if (!m_hooks.isFenceEffective)
-        return promoteBestReplica(now);
+        return promote(bestReplica(), now);
     m_reason = PromotionReason::Unreachable;
     acquireLease(Fence::Set, now);
 }
@@ -345,8 +365,12 @@
         const auto status = m_statuses.find(best);
         const bool hasAll
             = status != m_statuses.end() && status->second && status->second->received >= m_target;
-        if (hasAll || best.empty() || elapsed > catchUpTimeout)
-            return promoteBestReplica(now);
+        const bool isGivenUp = best.empty() || elapsed > catchUpTimeout;
+        // The previous primary has all commits.
+        if (!hasAll && isGivenUp && synchronousReplicas() > 0)
+            return promote(m_previousPrimary, now);
+        if (hasAll || isGivenUp)
+            return promote(best, now);
         if (now - m_statusRequestedAt >= catchUpPollPeriod) {
             m_statusRequestedAt = now;
             requestStatus(best);
--- a/src/libs/core/failover/promotion.h
+++ b/src/libs/core/failover/promotion.h
@@ -79,7 +79,8 @@
 /// thread.
 ///
 /// Where commits wait for synchronous replicas, an acknowledged one is in the log of at least as many
-/// replicas. No upstream is promoted before so many replicas have responded that one of them must have it.
+/// replicas. No upstream is promoted before so many replicas have responded that one of them must have it,
+/// and the longest log decides, also if its upstream is about to leave.
 class Promotion {
 public:
     /// `previousPrimary` is the last known primary of the service, also if it is no longer registered; empty
@@ -128,11 +129,13 @@
     void continueSurvey(Model::Time now);
     bool isSurveySufficient() const;
     void finishSurvey(Model::Time now);
-    void promoteBestReplica(Model::Time now);
-    void promoteNone(Model::Time now);
+    /// Requests the promotion of the candidate, or fails if it is empty.
+    void promote(const std::string& candidate, Model::Time now);
     int synchronousReplicas() const;
     bool hasLogOfPreviousTerm(const UpstreamStatus& status) const;
     std::string bestReplica() const;
+    enum class PreviousPrimary : std::uint8_t { Excluded, Included };
+    std::string longestLog(PreviousPrimary previousPrimary) const;
     bool hasNewPrimary() const;
 
     const Directory::View& m_view;
--- a/src/libs/proxyhost/failovers.cpp
+++ b/src/libs/proxyhost/failovers.cpp
@@ -22,6 +22,9 @@
     /// The directory shows the result of a promotion with a delay; until then, no other one is started.
     constexpr Model::Duration pauseAfterEnd = std::chrono::milliseconds(400);
 
+    /// Time between two checks whether a replica has received enough to take over from a leaving primary.
+    constexpr Model::Duration replicaCheckPeriod = std::chrono::seconds(2);
+
     /// One entry for each upstream, as in `db-1=replica@3.1209`; `?` if it has not responded.
     std::string describe(const Failover::UpstreamStatuses& statuses)
     {
@@ -81,10 +84,13 @@
     const Model::Time now = EventLoop::now();
     for (const auto& [service, settings] : m_view.configuration()->services) {
         noticePrimary(service);
+        if (m_promotions.contains(service) || m_watch.otherHostPromotingSince(service, now))
+            m_lastAttempts[service] = now;
         if (m_promotions.contains(service)) {
             advance(service);
         } else if (canPromote(now) && !isPausing(service, now)) {
-            if (const auto reason = m_watch.due(service, now))
+            const auto reason = m_watch.due(service, now);
+            if (reason && !isWaitingForReplicas(service, *reason, now))
                 start(service, *reason);
         }
         m_server.engine().setPrimaryExpected(service, primaryExpected(service, now));
@@ -130,6 +136,17 @@
     return ended != m_lastEnded.end() && now - ended->second < pauseAfterEnd;
 }
 
+/// A leaving primary of a service with synchronous replicas keeps its role until one of them has received
+/// enough. The hosts check in turn whether one has, not all of them at once.
+bool Failovers::isWaitingForReplicas(
+    const std::string& service, Failover::PromotionReason reason, Model::Time now) const
+{
+    const Directory::Service* settings = m_view.configuration()->findService(service);
+    const auto attempt = m_lastAttempts.find(service);
+    return reason == Failover::PromotionReason::Leaving && settings && settings->synchronousReplicas > 0
+        && attempt != m_lastAttempts.end() && now - attempt->second < replicaCheckPeriod;
+}
+
 void Failovers::start(const std::string& service, Failover::PromotionReason reason)
 {
     const Directory::Upstream* primary = m_view.primaryOf(service);
--- a/src/libs/proxyhost/failovers.h
+++ b/src/libs/proxyhost/failovers.h
@@ -69,6 +69,8 @@
     void noticePrimary(const std::string& service);
     std::optional<Model::Time> primaryExpected(const std::string& service, Model::Time now) const;
     bool isPausing(const std::string& service, Model::Time now) const;
+    bool isWaitingForReplicas(
+        const std::string& service, Failover::PromotionReason reason, Model::Time now) const;
 
     EventLoop::Loop& m_loop;
     const Directory::View& m_view;
@@ -84,6 +86,8 @@
     /// The lease of each running promotion that has acquired it.
     std::map<std::string, AcquiredLease> m_leases;
     std::map<std::string, Model::Time> m_lastEnded;
+    /// When this or another host was last seen to replace the primary.
+    std::map<std::string, Model::Time> m_lastAttempts;
     struct KnownPrimary {
         std::string upstream;
         /// The revision in which it became the primary.
--- a/tests/auto/core/failover/tst_promotion.cpp
+++ b/tests/auto/core/failover/tst_promotion.cpp
@@ -6,6 +6,7 @@
 
 using namespace Failover;
 using namespace std::chrono_literals;
+using Directory::Availability;
 using Directory::Role;
 using Model::Time;
 
@@ -20,12 +21,13 @@
         setUpstream("r", Role::Replica);
     }
 
-    void setUpstream(const std::string& id, Role role)
+    void setUpstream(const std::string& id, Role role, Availability availability = Availability::Ready)
     {
         Directory::Upstream upstream;
         upstream.id = id;
         upstream.service = "ledger";
         upstream.role = role;
+        upstream.availability = availability;
         upstream.revision = ++m_revision;
         m_view.setUpstream(upstream);
     }
@@ -303,3 +305,94 @@
     EXPECT_TRUE(m_promotionRequests.empty());
     EXPECT_EQ(run.phase(), PromotionPhase::Failed);
 }
+
+// Guards against the loss of commits that only a draining replica has acknowledged.
+TEST_F(PromotionTest, PromotesDrainingReplicaThatAloneHasAcknowledgedCommits)
+{
+    makeSynchronous();
+    setUpstream("q", Role::Replica, Availability::Draining);
+    Promotion run = promotion(PromotionReason::Unreachable);
+    run.leaseAcquired(1, Time { 10ms });
+    run.statusArrived("q", status(100), Time { 20ms });
+    run.statusArrived("r", status(95), Time { 20ms });
+    EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "q" });
+}
+
+// Guards against the promotion of an upstream that is about to leave although another one has the same log.
+TEST_F(PromotionTest, PrefersReplicaThatAcceptsWorkAmongEqualLogs)
+{
+    makeSynchronous();
+    setUpstream("q", Role::Replica, Availability::Draining);
+    Promotion run = promotion(PromotionReason::Missing);
+    run.leaseAcquired(1, Time { 10ms });
+    run.statusArrived("q", status(100), Time { 20ms });
+    run.statusArrived("r", status(100), Time { 20ms });
+    EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "r" });
+}
+
+// Guards against a planned change that loses commits which only another leaving upstream has acknowledged.
+TEST_F(PromotionTest, KeepsLeavingPrimaryUntilReplicaHasAcknowledgedCommits)
+{
+    makeSynchronous();
+    setUpstream("q", Role::Replica, Availability::Draining);
+    Promotion run = promotion(PromotionReason::Leaving);
+    run.leaseAcquired(1, Time { 10ms });
+    run.statusArrived("p", status(100, Role::Primary), Time { 20ms });
+    run.statusArrived("q", status(100), Time { 20ms });
+    run.statusArrived("r", status(90), Time { 20ms });
+    EXPECT_TRUE(m_steppedDown.empty());
+    EXPECT_TRUE(m_promotionRequests.empty());
+    EXPECT_EQ(run.phase(), PromotionPhase::Failed);
+}
+
+// Guards against the loss of the last commits in a planned change during which the replicas receive nothing.
+TEST_F(PromotionTest, ReturnsRoleToLeavingPrimaryIfNoReplicaCatchesUp)
+{
+    makeSynchronous();
+    Promotion run = promotion(PromotionReason::Leaving);
+    run.leaseAcquired(1, Time { 10ms });
+    run.statusArrived("p", status(100, Role::Primary), Time { 20ms });
+    run.statusArrived("q", status(100), Time { 20ms });
+    run.statusArrived("r", status(90), Time { 20ms });
+    EXPECT_EQ(m_steppedDown, "p");
+    run.statusArrived("p", status(102), Time { 30ms });
+    run.update(Time { 300ms });
+    EXPECT_TRUE(m_promotionRequests.empty());
+    run.update(Time { 500ms });
+    EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "p" });
+}
+
+// Guards against a primary that is asked to step down right after it got its role back, where the hosts use
+// the role as they have agreed.
+TEST_F(PromotionTest, DoesNotStepDownPrimaryThatKeepsItsRole)
+{
+    makeSynchronous();
+    m_needsFence = true;
+    m_isFenceEffective = true;
+    Promotion run = promotion(PromotionReason::Leaving);
+    run.leaseAcquired(1, Time { 10ms });
+    run.statusArrived("p", status(100, Role::Primary), Time { 20ms });
+    run.statusArrived("q", status(100), Time { 20ms });
+    run.statusArrived("r", status(90), Time { 20ms });
+    run.statusArrived("p", status(102), Time { 30ms });
+    run.update(Time { 500ms });
+    EXPECT_EQ(m_allowed, "p");
+    run.primaryAllowed(true, Time { 510ms });
+    m_steppedDown.clear();
+    run.promotionAnswered(PromotionRequestResult::Accepted, Time { 520ms });
+    EXPECT_EQ(run.phase(), PromotionPhase::Finished);
+    EXPECT_TRUE(m_steppedDown.empty());
+}
+
+// Guards against a service without a primary, and against the loss of commits, after a planned change that
+// ended between the step-down of the primary and the promotion.
+TEST_F(PromotionTest, ChoosesLongestLogIfLeavingPrimaryHasSteppedDownBefore)
+{
+    makeSynchronous();
+    Promotion run = promotion(PromotionReason::Leaving);
+    run.leaseAcquired(1, Time { 10ms });
+    run.statusArrived("p", status(102), Time { 20ms });
+    run.statusArrived("q", status(100), Time { 20ms });
+    run.statusArrived("r", status(101), Time { 20ms });
+    EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "p" });
+}
