Take no database from an entry with a number or port out of range

Shown by a test, not yet seen by callers: an odd entry of another writer among those of the databases that claims to be the primary was believed. Requests went to another port than it names, and the primary was replaced.

Cause: fields were checked for their types only. A port was used modulo 65536, and a number outside the range of its variable became another one (undefined for large fractions). Ruled out: deep nesting, which the parser handles, and 1e400, which it rejects.

A connection to an address with an invalid port fails instead of going elsewhere.

Tests: DesiredState.RejectsOddUpstreamRows and SessionProxy.IgnoresOddEntriesOfDatabases, which writes each odd entry while hosts follow the list and starts hosts with the entries there, failed before.

--- a/src/libs/eventloop/tcpstream.cpp
+++ b/src/libs/eventloop/tcpstream.cpp
@@ -4,6 +4,7 @@
 #include "eventloop/tcpstreamprivate.h"
 
 #include <array>
+#include <charconv>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -38,8 +39,12 @@
         const std::size_t colon = address.rfind(':');
         if (colon == std::string::npos)
             return false;
-        const int port = std::atoi(address.c_str() + colon + 1);
-        return uv_ip4_addr(address.substr(0, colon).c_str(), port, &result) == 0;
+        // libuv would use the port modulo 65536.
+        std::uint16_t port = 0;
+        const char* const end = address.data() + address.size();
+        const auto [last, error] = std::from_chars(address.data() + colon + 1, end, port);
+        return error == std::errc() && last == end && port != 0
+            && uv_ip4_addr(address.substr(0, colon).c_str(), port, &result) == 0;
     }
 
 }
--- a/tests/auto/platform/tst_desiredstate.cpp
+++ b/tests/auto/platform/tst_desiredstate.cpp
@@ -72,3 +72,34 @@
              replaced(upstreamRow, "\"zone\":\"north\",", ""), replaced(upstreamRow, "10.0.0.9:8080", "") })
         EXPECT_FALSE(Adapter::parseUpstream("i-1", text)) << text;
 }
+
+// Guards against a process that ends, or that uses another address than the row names, because of a row of
+// another writer: very deeply nested, with a number out of range, or with characters that end a line.
+TEST(DesiredState, RejectsOddUpstreamRows)
+{
+    const std::string open(30000, '[');
+    const std::string closed = open + std::string(30000, ']');
+    std::vector<std::string> texts { open, closed, replaced(upstreamRow, "\"seq\":4", "\"seq\":" + open),
+        replaced(upstreamRow, "\"v1\"", "1e400"), replaced(upstreamRow, "\"ready\"", closed) };
+    for (const std::string number : { "1e400", "1e300", "-1e300", "9999999999", "18446744073709551615",
+             "4294967297", "-1", "1e-5", "null", "[2]" })
+        texts.push_back(replaced(upstreamRow, "\"slots\":2", "\"slots\":" + number));
+    for (const std::string number : { "1e300", "-5", "123456789012345678901234567890", "\"7\"" })
+        texts.push_back(replaced(upstreamRow, "1790687213005", number));
+    texts.push_back(replaced(upstreamRow, "\"coldLeftMs\":0", "\"coldLeftMs\":\"7\""));
+    for (const std::string address : { "10.0.0.9:70000", "10.0.0.9:0", "10.0.0.9:-1", "10.0.0.9:99999999999",
+             "10.0.0.9:80x", "10.0.0.9:", "10.0.0.9", "[::1]:80", "host:80" })
+        texts.push_back(replaced(upstreamRow, "10.0.0.9:8080", address));
+    for (const std::string& text : texts)
+        EXPECT_FALSE(Adapter::parseUpstream("i-1", text)) << text.substr(0, 300);
+    EXPECT_FALSE(Adapter::parseUpstream("i-1\r\nQUERY 1 WRITE a b", upstreamRow));
+    for (const std::string number : { "1e300", "-5", "123456789012345678901234567890" }) {
+        const auto upstream = Adapter::parseUpstream(
+            "i-1", replaced(upstreamRow, "\"coldLeftMs\":0", "\"coldLeftMs\":" + number));
+        ASSERT_TRUE(upstream);
+        EXPECT_TRUE(upstream->coldFor >= 0ms && upstream->coldFor <= 24h);
+    }
+    // A deeply nested value in a field that is not read leaves the row valid.
+    EXPECT_TRUE(Adapter::parseUpstream("i-1", replaced(upstreamRow, "\"v1\"", closed)));
+    EXPECT_TRUE(Adapter::parseUpstream("i-1", upstreamRow));
+}
--- a/tests/auto/sessionproxy/tst_sessionproxy.cpp
+++ b/tests/auto/sessionproxy/tst_sessionproxy.cpp
@@ -28,6 +28,67 @@
         10s);
 }
 
+/// Writes odd entries among those of the databases: very deeply nested, with numbers that are too large, and
+/// with ports out of range. They claim to be the primary, so that a host that believes one uses it.
+void writeOddEntries(TestCluster& cluster)
+{
+    const std::string nested = std::string(20000, '[') + std::string(20000, ']');
+    const auto entry = [](const std::string& address, const std::string& slots, const std::string& born) {
+        return R"({"service":"ledger","address":")" + address + R"(","zone":"north","version":"v1","slots":)"
+            + slots + R"(,"state":"ready","coldLeftMs":0,"dbRole":"primary","seq":1,"born":)" + born + "}";
+    };
+    const std::string address = "127.0.0.1:9";
+    int count = 0;
+    for (const std::string& value :
+        std::vector<std::string> { nested, std::string(40000, '['), entry(address, nested, "1"),
+            entry(address, "1e400", "1"), entry(address, "1e300", "1"), entry(address, "99999999999", "1"),
+            entry(address, "2", "1e300"), entry(address, "2", "123456789012345678901234567890"),
+            entry("127.0.0.1:70000", "2", "1"), entry("127.0.0.1:-1", "2", "1"),
+            entry("127.0.0.1:99999999999999999999", "2", "1"), entry("127.0.0.1:0", "2", "1") })
+        cluster.store().set("servers", "odd-" + std::to_string(++count), value);
+}
+
+/// Whether the host has read that the database is the primary.
+bool followsPrimary(TestCluster& cluster, int host, const std::string& database)
+{
+    const std::string entry
+        = R"("upstream":")" + database + R"(","service":"ledger","zone":"north","role":"primary")";
+    return waitUntil([&] { return cluster.host(host).output().find(entry) != std::string::npos; }, 5s);
+}
+
+}
+
+// Guards against hosts that end, stop following the list of databases, or use no database any more because of
+// an odd entry of another writer, while they run and when they start.
+TEST(SessionProxy, IgnoresOddEntriesOfDatabases)
+{
+    TestCluster cluster(2);
+    ASSERT_TRUE(writeUntilComplete(cluster, 0, "before"));
+    writeOddEntries(cluster);
+    // No host may find a primary by chance: each write has to succeed at once.
+    for (int i = 0; i < 10; ++i) {
+        for (int host = 0; host < 2; ++host) {
+            Client client(cluster.callers(host));
+            ASSERT_EQ(client.open("strict", "key-1"), "READY I -");
+            EXPECT_TRUE(isComplete(client.query("WRITE a running" + std::to_string(i))));
+        }
+        std::this_thread::sleep_for(100ms);
+    }
+    cluster.databases().promote("db-1");
+    for (int host = 0; host < 2; ++host)
+        EXPECT_TRUE(followsPrimary(cluster, host, "db-1"));
+    for (int host = 0; host < 2; ++host) {
+        cluster.host(host).kill();
+        cluster.startHost(host);
+        EXPECT_TRUE(waitUntil([&] { return cluster.isReady(host); }, 10s));
+        EXPECT_TRUE(writeUntilComplete(cluster, host, "restarted"));
+    }
+    cluster.databases().promote("db-2");
+    for (int host = 0; host < 2; ++host)
+        EXPECT_TRUE(followsPrimary(cluster, host, "db-2"));
+    EXPECT_EQ(cluster.store().promotions(), 0);
+    EXPECT_EQ(cluster.host(0).output().find("odd-"), std::string::npos);
+    EXPECT_TRUE(cluster.databases().protocolViolations().empty());
 }
 
 // Guards against a session that does not read its own writes, loses rows of a response, or confuses prepared
