Skip rows of hosts whose address cannot be connected to

Shown by a test: a row among those of the hosts with a port out of range or without one ended the process, and again after each restart, since ZeroMQ throws for such an address and nothing caught it.

Cause: the address of a row was passed on as it is. Fix: a row without an IPv4 address and a port from 1 to 65535 names no host.

Test: SessionProxy.IgnoresOddEntriesOfHosts failed before (the log had 'terminate called').

--- a/src/libs/proxyhost/rows.cpp
+++ b/src/libs/proxyhost/rows.cpp
@@ -1,5 +1,7 @@
 #include "proxyhost/rows.h"
 
+#include "settings/hostsettings.h"
+
 #include <nlohmann/json.hpp>
 
 namespace ProxyHost {
@@ -41,7 +43,11 @@
 {
     try {
         const auto json = nlohmann::json::parse(value);
-        return { json.at("address").get<std::string>(), json.at("nonce").get<std::uint32_t>(),
+        auto address = json.at("address").get<std::string>();
+        // An address that cannot be connected to would end the process.
+        if (!Settings::parseAddress(address))
+            return {};
+        return { std::move(address), json.at("nonce").get<std::uint32_t>(),
             Failover::StoreTime(json.value("registeredAtMs", std::int64_t {})) };
     } catch (const nlohmann::json::exception&) {
         return {};
--- a/tests/auto/sessionproxy/tst_sessionproxy.cpp
+++ b/tests/auto/sessionproxy/tst_sessionproxy.cpp
@@ -91,6 +91,24 @@
     EXPECT_TRUE(cluster.databases().protocolViolations().empty());
 }
 
+// Guards against a host that ends because of an odd entry among those of the hosts.
+TEST(SessionProxy, IgnoresOddEntriesOfHosts)
+{
+    TestCluster cluster(1);
+    int count = 0;
+    for (const std::string address : { "127.0.0.1:70000", "127.0.0.1:0", "nowhere", "127.0.0.1:-1", "" }) {
+        const nlohmann::json entry { { "address", address }, { "nonce", 1 } };
+        cluster.store().set("hosts", "odd-" + std::to_string(++count), entry.dump());
+    }
+    std::this_thread::sleep_for(500ms);
+    EXPECT_TRUE(writeUntilComplete(cluster, 0, "running"));
+    cluster.host(0).kill();
+    cluster.startHost(0);
+    EXPECT_TRUE(waitUntil([&] { return cluster.isReady(0); }, 10s));
+    EXPECT_TRUE(writeUntilComplete(cluster, 0, "restarted"));
+    EXPECT_EQ(cluster.host(0).output().find("terminate called"), std::string::npos);
+}
+
 // Guards against a session that does not read its own writes, loses rows of a response, or confuses prepared
 // statements.
 TEST(SessionProxy, ServesStatementsAndTransactions)
