Read all pages of a table, also behind large rows

Shown by a test: a few large odd entries among those of the databases fill a page of the table, and a host that starts then misses all databases whose ids come later.

Cause: a page of fewer than 400 rows was taken for the last one, while the store also ends a page at 1 MB. The first row of a further page was dropped even if it was not the last one of the page before, and keys were put into the query as they are.

Test: StoreClient.ReadsAllPagesOfTable failed before; the stand-in's store now limits its pages as the platform's.

--- a/src/libs/http/connection.cpp
+++ b/src/libs/http/connection.cpp
@@ -131,6 +131,14 @@
     }
 };
 
+std::string escaped(const std::string& text)
+{
+    char* const encoded = curl_easy_escape(nullptr, text.data(), static_cast<int>(text.size()));
+    std::string result = encoded ? encoded : "";
+    curl_free(encoded);
+    return result;
+}
+
 Connection::Connection(const std::string& address)
     : m_d(std::make_unique<Private>())
 {
--- a/src/libs/http/connection.h
+++ b/src/libs/http/connection.h
@@ -58,6 +58,9 @@
     bool isAnswered() const { return status == Status::Answered; }
 };
 
+/// Returns the text for use as a value in a query string.
+std::string escaped(const std::string& text);
+
 /// One persistent TCP connection to an HTTP server. It never sends a request twice, since a repeated
 /// statement could run twice. Used by one thread at a time, except for `abort`.
 class Connection {
--- a/src/libs/proxyhost/store.h
+++ b/src/libs/proxyhost/store.h
@@ -42,6 +42,8 @@
 struct StoreAnswer {
     StoreStatus status = StoreStatus::Unavailable;
     std::vector<StoreRow> rows;
+    /// The store has further rows, which this answer had no room for.
+    bool hasMore = false;
     /// For reads, the newest version in the store; for writes, the version of the transaction.
     std::uint64_t version = 0;
     /// Rises each time that the store is restored from an older copy.
--- a/tests/auto/platform/tst_storeclient.cpp
+++ b/tests/auto/platform/tst_storeclient.cpp
@@ -1,6 +1,8 @@
 #include "platform/storeclient.h"
 #include "sessionplatform/rowstore.h"
 
+#include <algorithm>
+
 #include <gtest/gtest.h>
 
 using namespace Adapter;
@@ -86,3 +88,23 @@
     fixture.store.set("table", "key", "again");
     EXPECT_EQ(fixture.client.commit({ write("key", version) }).status, StoreStatus::Unknown);
 }
+
+// Guards against hosts that miss the rows behind a page which a few large rows of another writer have filled,
+// or behind a key that cannot stand in a query as it is.
+TEST(StoreClient, ReadsAllPagesOfTable)
+{
+    Fixture fixture;
+    const int large = 40;
+    for (int i = 0; i < large; ++i)
+        fixture.store.set("table", "odd & large #" + std::to_string(i), std::string(60000, 'x'));
+    const int small = 1100;
+    for (int i = 0; i < small; ++i)
+        fixture.store.set("table", "row-" + std::to_string(i), "value");
+    const StoreAnswer all = fixture.client.rows("table");
+    EXPECT_EQ(all.status, StoreStatus::Done);
+    EXPECT_FALSE(all.hasMore);
+    ASSERT_EQ(all.rows.size(), static_cast<std::size_t>(large + small));
+    const auto isKeyLess = [](const StoreRow& a, const StoreRow& b) { return a.key < b.key; };
+    EXPECT_TRUE(std::ranges::is_sorted(all.rows, isKeyLess));
+    EXPECT_EQ(fixture.client.row("table", "odd & large #7").rows.size(), 1U);
+}
--- a/tests/standins/sessionplatform/rowstore.cpp
+++ b/tests/standins/sessionplatform/rowstore.cpp
@@ -1,5 +1,6 @@
 #include "sessionplatform/rowstore.h"
 
+#include <algorithm>
 #include <chrono>
 
 #include <gnutls/gnutls.h>
@@ -8,6 +9,9 @@
 
 namespace {
 
+    constexpr std::size_t maxPageRows = 500;
+    constexpr std::size_t maxPageBytes = 1000UL * 1000;
+
     std::string base64(const std::string& text, bool isEncoding)
     {
         const gnutls_datum_t input { reinterpret_cast<unsigned char*>(const_cast<char*>(text.data())),
@@ -118,11 +122,11 @@
     return json;
 }
 
-HttpResponse RowStore::answer(int status, Json rows) const
+HttpResponse RowStore::answer(int status, Json rows, HasMore hasMore) const
 {
     const auto now = std::chrono::steady_clock::now().time_since_epoch();
     return jsonResponse(status,
-        { { "rows", std::move(rows) }, { "hasMore", false }, { "rowVersion", m_version },
+        { { "rows", std::move(rows) }, { "hasMore", hasMore == HasMore::Yes }, { "rowVersion", m_version },
             { "nowMs", std::chrono::duration_cast<std::chrono::milliseconds>(now).count() } });
 }
 
@@ -155,11 +159,17 @@
 HttpResponse RowStore::rows(const HttpRequest& request)
 {
     const std::lock_guard lock(m_mutex);
+    const std::size_t limit = std::clamp<std::size_t>(request.number("limit"), 1, maxPageRows);
     Json found = Json::array();
+    std::size_t bytes = 0;
     for (const auto& [key, row] : m_rows) {
-        if (key.first == parameter(request, "table") && key.second >= parameter(request, "from")
-            && !row.isDeleted)
-            found.push_back(rowJson(key, row));
+        if (key.first != parameter(request, "table") || key.second < parameter(request, "from")
+            || row.isDeleted)
+            continue;
+        bytes += row.value.size();
+        if (found.size() == limit || (bytes > maxPageBytes && !found.empty()))
+            return answer(200, std::move(found), HasMore::Yes);
+        found.push_back(rowJson(key, row));
     }
     return answer(200, std::move(found));
 }
--- a/tests/standins/sessionplatform/rowstore.h
+++ b/tests/standins/sessionplatform/rowstore.h
@@ -56,7 +56,8 @@
     HttpResponse transaction(const Json& body);
     HttpResponse promote(const HttpRequest& request);
     Json rowJson(const Key& key, const Row& row) const;
-    HttpResponse answer(int status, Json rows) const;
+    enum class HasMore : std::uint8_t { No, Yes };
+    HttpResponse answer(int status, Json rows, HasMore hasMore = HasMore::No) const;
     void put(const Key& key, std::string value, bool isDeleted);
 
     std::function<bool(const std::string&, const std::string&)> m_promote;
