End busy sessions after an answer during a shutdown

Cause: sessions were closed if they were idle when a timer looked, every 100 ms; a busy one seldom is. Ruled out: the process does not wait for running statements (it waits up to 85 % of its time).

Fix: once the shutdown closes idle sessions, each other one ends right after the answer that makes it idle. A connection is closed when the caller has been sent all of its answers, no longer at once.

Tests: EngineFailures.ClosesBusySessionAfterAnswerOnShutdown and SessionProxy.DeliversWholeAnswersOnShutdown failed without the change (the latter 2 of 2 times).

--- a/src/libs/core/proxy/engine.cpp
+++ b/src/libs/core/proxy/engine.cpp
@@ -353,6 +353,9 @@
         current->pipelined.pop_front();
         handle(id, std::move(next), now);
     }
+    // Otherwise a caller that sends one statement after the other would be cut at the end of the shutdown.
+    if (m_closesIdleSessions && isIdle(id) && m_sessions.erase(id) != 0)
+        m_hooks.closeSession(id);
 }
 
 /// Ends a request that is certain not to have run.
--- a/src/libs/core/proxy/engine.h
+++ b/src/libs/core/proxy/engine.h
@@ -84,7 +84,8 @@
     /// Returns the latest time at which `tick` has to be called next.
     Model::Time nextTick(Model::Time now) const;
 
-    /// Closes the sessions that have neither a transaction nor an unanswered statement.
+    /// Closes the sessions that have neither a transaction nor an unanswered statement, and from now on each
+    /// other one as soon as that is true of it.
     void closeIdleSessions();
     /// Rolls back the transactions that wait for their caller's next statement, and closes their sessions.
     void endIdleTransactions(Model::Time now);
@@ -140,6 +141,7 @@
     void retry(Session& session, std::string_view reason, Model::Time now);
     static void enterHop(Request& request, HopKind kind, Model::Time now);
     void finish(Session& session, const Reply& reply, Model::Time now);
+    bool isIdle(SessionId id) const { return !m_active.contains(id); }
     void refuse(Session& session, ResultCode code, std::string_view reason, Model::Time now);
     void sessionConnectionLost(Session& session, const std::string& upstream, Model::Time now);
     void release(Connection& connection, Model::Time now);
@@ -178,6 +180,7 @@
     std::vector<SessionId> m_waiting;
     ConnectionLedger m_ledger;
     Model::Time m_nextSurplusCheck;
+    bool m_closesIdleSessions = false;
 };
 
 }
--- a/src/libs/core/proxy/enginetime.cpp
+++ b/src/libs/core/proxy/enginetime.cpp
@@ -128,9 +128,10 @@
 
 void Engine::closeIdleSessions()
 {
+    m_closesIdleSessions = true;
     std::vector<SessionId> idle;
     for (const auto& [id, session] : m_sessions) {
-        if (!m_active.contains(id))
+        if (isIdle(id))
             idle.push_back(id);
     }
     for (const SessionId id : idle) {
--- a/src/libs/proxyhost/proxyhost.cpp
+++ b/src/libs/proxyhost/proxyhost.cpp
@@ -427,7 +427,8 @@
         m_server.endIdleTransactions();
     m_server.closeIdleSessions();
     const bool isOver = elapsed >= std::chrono::duration_cast<Model::Duration>(limit * exitFraction);
-    if (m_server.engine().sessionCount() == 0 || isOver) {
+    const bool isDone = m_server.engine().sessionCount() == 0 && m_server.isEveryAnswerSent();
+    if (isDone || isOver) {
         m_loop.stop();
         return;
     }
--- a/src/libs/sessionserver/server.cpp
+++ b/src/libs/sessionserver/server.cpp
@@ -52,7 +52,7 @@
     result.rejectSession = [this](Proxy::SessionId id, Proxy::ResultCode code, std::string_view text) {
         reject(id, code, text);
     };
-    result.closeSession = [this](Proxy::SessionId id) { m_callers.erase(id); };
+    result.closeSession = [this](Proxy::SessionId id) { closeCaller(id); };
     result.connect = [this](Proxy::ConnectionId id, const Directory::Upstream& upstream,
                          const std::string& customer) { connect(id, upstream, customer); };
     result.send
@@ -119,6 +119,17 @@
     m_engine.sessionClosed(id, EventLoop::now());
 }
 
+void Server::closeCaller(Proxy::SessionId id)
+{
+    const auto caller = m_callers.find(id);
+    if (caller == m_callers.end())
+        return;
+    if (m_isShuttingDown && caller->second.stream->unsentBytes() > 0)
+        m_closing.insert(id);
+    else
+        m_callers.erase(caller);
+}
+
 void Server::reply(Proxy::SessionId id, const Proxy::Reply& answer)
 {
     const auto caller = m_callers.find(id);
@@ -260,7 +271,13 @@
     m_engine.probeIfUnresponsive(upstream, EventLoop::now());
 }
 
-void Server::closeIdleSessions() { m_engine.closeIdleSessions(); }
+void Server::closeIdleSessions()
+{
+    m_isShuttingDown = true;
+    m_engine.closeIdleSessions();
+    for (const Proxy::SessionId id : std::exchange(m_closing, {}))
+        closeCaller(id);
+}
 
 void Server::endIdleTransactions() { m_engine.endIdleTransactions(EventLoop::now()); }
 
--- a/src/libs/sessionserver/server.h
+++ b/src/libs/sessionserver/server.h
@@ -11,6 +11,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -59,8 +60,11 @@
     void directoryChanged();
     /// Ends the use of upstreams that this host may no longer use as primaries.
     void endDisallowedUses();
-    /// Closes the sessions that have neither an open transaction nor a pending request.
+    /// Closes the sessions that have neither an open transaction nor a pending request, and from now on each
+    /// other one as soon as that is true of it. A connection is closed once the caller has taken all answers,
+    /// which is checked only here: has to be called again until `isEveryAnswerSent`.
     void closeIdleSessions();
+    bool isEveryAnswerSent() const { return m_closing.empty(); }
     /// Rolls back the transactions that wait for their caller, and closes their sessions.
     void endIdleTransactions();
     /// Sends a command of the proxy itself to an upstream. `answered` gets `nullopt` if no answer arrives, or
@@ -96,6 +100,7 @@
     void accept(std::unique_ptr<EventLoop::TcpStream> stream);
     bool receive(Proxy::SessionId id, std::string_view line);
     void callerClosed(Proxy::SessionId id);
+    void closeCaller(Proxy::SessionId id);
     void reply(Proxy::SessionId id, const Proxy::Reply& reply);
     void reject(Proxy::SessionId id, Proxy::ResultCode code, std::string_view text);
 
@@ -116,6 +121,9 @@
     EventLoop::Timer m_timer;
     std::unordered_map<Proxy::SessionId, Caller> m_callers;
     std::unordered_map<Proxy::ConnectionId, UpstreamConnection> m_upstreams;
+    /// Callers whose sessions have ended with a part of their answers still to be sent.
+    std::set<Proxy::SessionId> m_closing;
+    bool m_isShuttingDown = false;
     Proxy::SessionId m_lastSession = 0;
     /// When the timer is due; empty if it is not running.
     std::optional<Model::Time> m_tickAt;
--- a/tests/auto/core/proxy/tst_enginefailures.cpp
+++ b/tests/auto/core/proxy/tst_enginefailures.cpp
@@ -332,6 +332,32 @@
     EXPECT_EQ(lastReply(session).code, ResultCode::Aborted);
 }
 
+// Guards against a shutdown that cuts the statements of a caller that is seldom idle: its session has to end
+// after one of its answers.
+TEST_F(EngineFailures, ClosesBusySessionAfterAnswerOnShutdown)
+{
+    const SessionId session = open("strict");
+    const SessionId inTransaction = open("strict", "key-bolt");
+    send(inTransaction, statement(StatementKind::Begin));
+    const ConnectionId other = run(inTransaction, StatementKind::Write);
+    const ConnectionId link = run(session, StatementKind::Write);
+    send(session, statement(StatementKind::Write, "b 2"));
+    m_engine->closeIdleSessions();
+    answer(link, ResultCode::Complete, TransactionState::None, 1);
+    EXPECT_EQ(replyCount(session), 2U);
+    // The pipelined statement was accepted before, so it is answered too.
+    EXPECT_FALSE(m_closedSessions.contains(session));
+    answer(link, ResultCode::Complete, TransactionState::None, 2);
+    EXPECT_EQ(replyCount(session), 3U);
+    EXPECT_TRUE(m_closedSessions.contains(session));
+    answer(other, ResultCode::Complete, TransactionState::Open);
+    answer(other, ResultCode::Complete, TransactionState::Open);
+    EXPECT_FALSE(m_closedSessions.contains(inTransaction));
+    send(inTransaction, statement(StatementKind::Commit));
+    answer(other, ResultCode::Complete, TransactionState::None, 3);
+    EXPECT_TRUE(m_closedSessions.contains(inTransaction));
+}
+
 // Guards against a shutdown that waits for callers that are idle, also within transactions.
 TEST_F(EngineFailures, ClosesIdleSessionsAndTransactionsOnShutdown)
 {
--- a/tests/auto/sessionproxy/testcluster.cpp
+++ b/tests/auto/sessionproxy/testcluster.cpp
@@ -16,7 +16,7 @@
 
 constexpr int receiveTimeoutSeconds = 5;
 
-int connectTo(const std::string& address)
+int connectTo(const std::string& address, int receiveBuffer)
 {
     const std::size_t colon = address.rfind(':');
     sockaddr_in target {};
@@ -26,6 +26,8 @@
     const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const timeval limit { receiveTimeoutSeconds, 0 };
     setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    if (receiveBuffer > 0)
+        setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof receiveBuffer);
     if (::connect(socket, reinterpret_cast<sockaddr*>(&target), sizeof target) == 0)
         return socket;
     ::close(socket);
@@ -41,8 +43,8 @@
 
 }
 
-Client::Client(const std::string& address)
-    : m_socket(connectTo(address))
+Client::Client(const std::string& address, int receiveBuffer)
+    : m_socket(connectTo(address, receiveBuffer))
 {
 }
 
--- a/tests/auto/sessionproxy/testcluster.h
+++ b/tests/auto/sessionproxy/testcluster.h
@@ -14,8 +14,9 @@
 /// Connection of a caller to a host. Speaks the line protocol; not thread-safe.
 class Client {
 public:
-    /// `address` has the form IP:PORT.
-    explicit Client(const std::string& address);
+    /// `address` has the form IP:PORT. `receiveBuffer` limits the bytes that the system receives for the
+    /// client before it reads them; 0 for the system's default.
+    explicit Client(const std::string& address, int receiveBuffer = 0);
     ~Client();
     Client(const Client&) = delete;
     Client& operator=(const Client&) = delete;
--- a/tests/auto/sessionproxy/tst_sessionproxy.cpp
+++ b/tests/auto/sessionproxy/tst_sessionproxy.cpp
@@ -407,6 +407,31 @@
         EXPECT_NE(log.find(event), std::string::npos) << event;
 }
 
+// Guards against a shutdown that cuts an answer whose caller reads it slowly.
+TEST(SessionProxy, DeliversWholeAnswersOnShutdown)
+{
+    TestCluster cluster(1);
+    Client writer(cluster.callers(0));
+    ASSERT_EQ(writer.open("own", "key-1"), "READY I -");
+    const std::string data(1000000, 'x');
+    ASSERT_TRUE(isComplete(writer.query("WRITE a " + data)));
+    Client reader(cluster.callers(0), 4096);
+    ASSERT_EQ(reader.open("own", "key-1"), "READY I -");
+    // More than the system buffers, but less than what makes the host disconnect a caller.
+    const int answers = 5;
+    for (int i = 0; i < answers; ++i)
+        reader.sendRaw("QUERY read" + std::to_string(i) + " READ a\r\n");
+    std::this_thread::sleep_for(500ms);
+    cluster.host(0).signal(SIGTERM);
+    std::this_thread::sleep_for(2600ms);
+    for (int i = 0; i < answers; ++i) {
+        EXPECT_EQ(reader.line(), "DATAROW " + data);
+        EXPECT_TRUE(reader.line().value_or("").starts_with("COMPLETE"));
+        EXPECT_TRUE(reader.line().value_or("").starts_with("READY"));
+    }
+    EXPECT_EQ(cluster.host(0).waitForExit(4s), 0);
+}
+
 // Guards against logs and metrics that do not show why a request was refused: the log line of the refusal
 // must contain the request id, the reason and the version of the configuration.
 TEST(SessionProxy, LogsReasonOfRefusedRequest)
