--- a/src/libs/core/failover/promotion.cpp
+++ b/src/libs/core/failover/promotion.cpp
@@ -270,6 +270,7 @@
     return best;
 }
 
+/// Requests the promotion of the candidate, or fails if there is none.
 void Promotion::promote(const std::string& candidate, Model::Time now)
 {
     m_candidate = candidate;
@@ -333,9 +334,13 @@
 /// The previous primary may still run requests. Where a promotion does not prevent that, it is fenced first.
 void Promotion::stepDownFailed(Model::Time now)
 {
-    if (!m_hooks.isFenceEffective)
+    const bool isStepDownUnanswered = m_phase == PromotionPhase::SteppingDown;
+    if (!m_hooks.isFenceEffective && !(isStepDownUnanswered && synchronousReplicas() > 0))
         return promote(bestReplica(), now);
     m_reason = PromotionReason::Unreachable;
+    // The replicas may have acknowledged commits since they reported their logs.
+    if (!m_hooks.isFenceEffective)
+        return survey(now);
     acquireLease(Fence::Set, now);
 }
 
--- a/src/libs/core/failover/promotion.h
+++ b/src/libs/core/failover/promotion.h
@@ -129,7 +129,6 @@
     void continueSurvey(Model::Time now);
     bool isSurveySufficient() const;
     void finishSurvey(Model::Time now);
-    /// Requests the promotion of the candidate, or fails if it is empty.
     void promote(const std::string& candidate, Model::Time now);
     int synchronousReplicas() const;
     bool hasLogOfPreviousTerm(const UpstreamStatus& status) const;
--- a/src/libs/proxyhost/failovers.cpp
+++ b/src/libs/proxyhost/failovers.cpp
@@ -83,7 +83,7 @@
         return;
     const Model::Time now = EventLoop::now();
     for (const auto& [service, settings] : m_view.configuration()->services) {
-        noticePrimary(service);
+        checkPrimary(service);
         if (m_promotions.contains(service) || m_watch.otherHostPromotingSince(service, now))
             m_lastAttempts[service] = now;
         if (m_promotions.contains(service)) {
@@ -101,7 +101,7 @@
 
 /// Resets the reachability of an upstream that has become the primary, since its earlier records say nothing
 /// about it in this role, and checks whether the primary responds at all if it leaves requests unanswered.
-void Failovers::noticePrimary(const std::string& service)
+void Failovers::checkPrimary(const std::string& service)
 {
     const Directory::Upstream* primary = m_view.primaryOf(service);
     if (!primary)
--- a/src/libs/proxyhost/failovers.h
+++ b/src/libs/proxyhost/failovers.h
@@ -66,7 +66,7 @@
     void leaseAcquired(const std::string& service, const std::optional<AcquiredLease>& lease);
     void requestPromotion(
         const std::string& service, const std::string& upstream, Failover::FencingToken token);
-    void noticePrimary(const std::string& service);
+    void checkPrimary(const std::string& service);
     std::optional<Model::Time> primaryExpected(const std::string& service, Model::Time now) const;
     bool isPausing(const std::string& service, Model::Time now) const;
     bool isWaitingForReplicas(
--- a/tests/auto/core/failover/tst_promotion.cpp
+++ b/tests/auto/core/failover/tst_promotion.cpp
@@ -362,6 +362,24 @@
     EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "p" });
 }
 
+// Guards against the loss of commits that a leaving primary has acknowledged while the answer to its
+// step-down was awaited: another replica may have received them than the one with the longest log before.
+TEST_F(PromotionTest, SurveysAgainIfStepDownIsNotAnswered)
+{
+    makeSynchronous();
+    Promotion run = promotion(PromotionReason::Leaving);
+    run.leaseAcquired(1, Time { 10ms });
+    run.statusArrived("p", status(100, Role::Primary), Time { 20ms });
+    run.statusArrived("q", status(100), Time { 20ms });
+    run.statusArrived("r", status(99), Time { 20ms });
+    EXPECT_EQ(m_steppedDown, "p");
+    run.update(Time { 500ms });
+    EXPECT_TRUE(m_promotionRequests.empty());
+    run.statusArrived("q", status(100), Time { 510ms });
+    run.statusArrived("r", status(105), Time { 510ms });
+    EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "r" });
+}
+
 // Guards against a primary that is asked to step down right after it got its role back, where the hosts use
 // the role as they have agreed.
 TEST_F(PromotionTest, DoesNotStepDownPrimaryThatKeepsItsRole)
