Log what a host does when it has missed a change of the store

Events 412 (step, time, bytes received, failures, version reported by others), 411 (failures) and 504 (configuration in force, hosts that report an older one) say more; event 416 tells how each failed call of a watch ended; /metrics has the version in force and the failed reads of each table. No decision changes.

--- a/src/libs/core/directory/missedchanges.h
+++ b/src/libs/core/directory/missedchanges.h
@@ -20,6 +20,8 @@
     bool takeMissed(Model::Time now);
     /// Version of the newest change that this host has read; 0 if it has read none.
     std::uint64_t version() const { return m_read; }
+    /// Version of the newest change that another host has reported; 0 if there is none.
+    std::uint64_t reportedVersion() const { return m_reported; }
 
 private:
     std::uint64_t m_read = 0;
--- /dev/null
+++ b/src/libs/core/directory/tablewatch.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "core/model/time.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace Directory {
+
+/// What a host does at present to follow a table of the store.
+enum class WatchStep : std::uint8_t {
+    /// Pauses between two calls; none is in progress.
+    Pause,
+    /// A call waits until the table changes.
+    WaitForChange,
+    /// A call reads the whole table or, without waiting, the changes that the host has missed.
+    Read,
+};
+
+std::string_view watchStepName(WatchStep step);
+
+/// State of the watch of one table.
+struct TableWatch {
+    WatchStep step = WatchStep::Pause;
+    Model::Time stepStartedAt;
+    /// Bytes of the response to the call in progress that have arrived.
+    std::uint64_t receivedBytes = 0;
+    /// Calls that have failed since the last successful one.
+    int failures = 0;
+};
+
+/// A call of a watch that has failed.
+struct FailedRead {
+    std::string table;
+    std::string error;
+    TableWatch watch;
+    /// How long the call took.
+    Model::Duration duration {};
+};
+
+}
--- a/src/libs/http/connection.cpp
+++ b/src/libs/http/connection.cpp
@@ -1,5 +1,6 @@
 #include "http/connection.h"
 
+#include <atomic>
 #include <mutex>
 
 #include <curl/curl.h>
@@ -14,16 +15,6 @@
 
     constexpr std::size_t maxBodyBytes = 16UL * 1024 * 1024;
 
-    /// Write callback of libcurl. A return value other than the size received makes libcurl fail the request.
-    std::size_t appendBody(char* data, std::size_t size, std::size_t count, void* target)
-    {
-        auto& body = *static_cast<std::string*>(target);
-        if (body.size() + size * count > maxBodyBytes)
-            return 0;
-        body.append(data, size * count);
-        return size * count;
-    }
-
     /// Detects an unresponsive connection within about 4 s, also if the time-out of the request is much
     /// longer.
     void enableKeepAlive(int socket)
@@ -58,6 +49,27 @@
     /// was closed and reused in the meantime.
     int socket = -1;
     curl_slist* headers = nullptr;
+    /// Body of the response to the current request.
+    std::string body;
+    std::atomic<std::uint64_t> receivedBytes = 0;
+
+    /// Write callback of libcurl. A return value other than the size received makes libcurl fail the request.
+    static std::size_t appendBody(char* data, std::size_t size, std::size_t count, void* self)
+    {
+        auto* d = static_cast<Private*>(self);
+        const std::size_t bytes = size * count;
+        if (d->body.size() + bytes > maxBodyBytes)
+            return 0;
+        d->body.append(data, bytes);
+        d->receivedBytes += bytes;
+        return bytes;
+    }
+
+    static std::size_t countHeader(char*, std::size_t size, std::size_t count, void* self)
+    {
+        static_cast<Private*>(self)->receivedBytes += size * count;
+        return size * count;
+    }
 
     // libcurl sends a request again on a new connection if the server has closed the reused one, even a POST
     // whose body was sent already. Refusing the second socket prevents that a statement runs twice.
@@ -96,7 +108,10 @@
         curl_easy_setopt(handle, CURLOPT_OPENSOCKETDATA, this);
         curl_easy_setopt(handle, CURLOPT_CLOSESOCKETFUNCTION, &Private::closeSocket);
         curl_easy_setopt(handle, CURLOPT_CLOSESOCKETDATA, this);
-        curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &appendBody);
+        curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &Private::appendBody);
+        curl_easy_setopt(handle, CURLOPT_WRITEDATA, this);
+        curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &Private::countHeader);
+        curl_easy_setopt(handle, CURLOPT_HEADERDATA, this);
     }
 
     void setRequest(const Request& request)
@@ -158,13 +173,15 @@
     Response response;
     m_d->setRequest(request);
     m_d->socketsAllowed = request.use == ConnectionUse::OpenIfNeeded ? 1 : 0;
-    curl_easy_setopt(m_d->handle, CURLOPT_WRITEDATA, &response.body);
+    m_d->body.clear();
+    m_d->receivedBytes = 0;
     const CURLcode result = curl_easy_perform(m_d->handle);
     if (result == CURLE_OK) {
         long code = 0;
         curl_easy_getinfo(m_d->handle, CURLINFO_RESPONSE_CODE, &code);
         response.status = Status::Answered;
         response.code = static_cast<int>(code);
+        response.body = std::move(m_d->body);
         if (!request.responseHeader.empty())
             response.header = m_d->responseHeader(request.responseHeader);
         return response;
@@ -173,12 +190,13 @@
     curl_easy_getinfo(m_d->handle, CURLINFO_REQUEST_SIZE, &requestSize);
     response.status = requestSize == 0 ? Status::NotSent : Status::NoAnswer;
     response.error = curl_easy_strerror(result);
-    response.body.clear();
     // Otherwise a late response on this connection could be taken for the response to the next request.
     close();
     return response;
 }
 
+std::uint64_t Connection::receivedBytes() const { return m_d->receivedBytes; }
+
 void Connection::abort()
 {
     const std::lock_guard lock(m_d->socketMutex);
--- a/src/libs/http/connection.h
+++ b/src/libs/http/connection.h
@@ -76,6 +76,9 @@
     Response send(const Request& request);
     /// Closes the TCP connection; the next request with `OpenIfNeeded` opens a new one.
     void close();
+    /// Bytes of the response to the present or last request that have arrived, headers included. Any thread
+    /// may call it.
+    std::uint64_t receivedBytes() const;
     /// Shuts down the open socket, so that a request that runs on another thread fails at once; it returns
     /// `NoAnswer` if part of it was sent. Any thread may call it.
     void abort();
--- a/src/libs/logging/eventid.cpp
+++ b/src/libs/logging/eventid.cpp
@@ -9,7 +9,7 @@
 
     using enum EventId;
 
-    constexpr std::array<EventInfo, 55> table { {
+    constexpr std::array<EventInfo, 56> table { {
         { ProcessStarted, "process_started", Severity::Info, "the process listens on all its addresses" },
         { ProcessStopped, "process_stopped", Severity::Info, "the process ended after its last request" },
         { DrainStarted, "drain_started", Severity::Info, "SIGTERM received; no new requests are accepted" },
@@ -74,6 +74,8 @@
             "this host's row in the store was deleted or lost; it is written again" },
         { StoreRestored, "store_restored", Severity::Warning,
             "the platform's store was restored from an older copy; a table is read again as a whole" },
+        { StoreReadFailed, "store_read_failed", Severity::Info,
+            "a call that follows a table of the store failed and is repeated" },
         { SlotTaken, "slot_taken", Severity::Info, "the host became the holder of quota slots" },
         { SlotLost, "slot_lost", Severity::Warning,
             "the lease lapsed, so the quota slots are acquired again" },
--- a/src/libs/logging/eventid.h
+++ b/src/libs/logging/eventid.h
@@ -51,6 +51,7 @@
     HostRowDropped = 413,
     HostRowLost = 414,
     StoreRestored = 415,
+    StoreReadFailed = 416,
     SlotTaken = 500,
     SlotLost = 501,
     SlotReleased = 502,
--- a/src/libs/proxyhost/fleet.cpp
+++ b/src/libs/proxyhost/fleet.cpp
@@ -5,6 +5,7 @@
 #include "proxyhost/rows.h"
 #include "wire/hostreport.pb.h"
 
+#include <algorithm>
 #include <cmath>
 #include <set>
 
@@ -128,6 +129,7 @@
         else if (row.key != m_self)
             m_hosts[row.key] = address;
     }
+    std::erase_if(m_configurations, [this](const auto& entry) { return !m_hosts.contains(entry.first); });
     std::set<std::string> addresses;
     for (const auto& [name, address] : m_hosts)
         addresses.insert(address);
@@ -143,6 +145,12 @@
     return names;
 }
 
+int Fleet::hostsWithOlderConfiguration(std::uint64_t version) const
+{
+    return static_cast<int>(std::ranges::count_if(m_configurations,
+        [&](const auto& entry) { return m_hosts.contains(entry.first) && entry.second < version; }));
+}
+
 void Fleet::setHostCount(int count)
 {
     m_plan.setHostCount(count);
@@ -288,6 +296,7 @@
     for (const Wire::ConnectionUse& entry : report.connections())
         open.emplace(entry.upstream(), static_cast<int>(entry.open()));
     m_ledger.setOpen(report.host(), std::move(open), now);
+    m_configurations[report.host()] = report.configuration();
     m_hooks.hostReported(report.host(), report.reaches_store());
     m_hooks.changeReported(StoreTable::Operators, report.operators_version());
     m_hooks.changeReported(StoreTable::Upstreams, report.upstreams_version());
--- a/src/libs/proxyhost/fleet.h
+++ b/src/libs/proxyhost/fleet.h
@@ -83,6 +83,8 @@
     void hostsChanged(const std::vector<StoreRow>& rows, bool isComplete, Model::Time now);
     /// The other registered hosts.
     std::vector<std::string> hostNames() const;
+    /// The number of other registered hosts whose last report had an older configuration than `version`.
+    int hostsWithOlderConfiguration(std::uint64_t version) const;
     /// Sets the number of live hosts, this one included.
     void setHostCount(int count);
     /// The schedule of this host's reports.
@@ -119,6 +121,8 @@
     std::optional<Model::Time> m_lastReportAt;
     /// IP:PORT of the other hosts by host name.
     std::map<std::string, std::string> m_hosts;
+    /// Version of the configuration by host, as last reported.
+    std::map<std::string, std::uint64_t> m_configurations;
 };
 
 }
--- a/src/libs/proxyhost/proxyhost.cpp
+++ b/src/libs/proxyhost/proxyhost.cpp
@@ -28,6 +28,11 @@
     constexpr double rollbackFraction = 0.5;
     constexpr double exitFraction = 0.85;
 
+    std::string milliseconds(Model::Duration duration)
+    {
+        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+    }
+
 }
 
 ProxyHost::ProxyHost(EventLoop::Loop& loop, const Settings::ProxySettings& settings,
@@ -217,13 +222,17 @@
 
 void ProxyHost::logOverruns(Model::Time now)
 {
+    const auto& configuration = m_view.configuration();
+    const std::uint64_t version = configuration ? configuration->version : 0;
     for (const Allowance::Overrun& overrun : m_allowance.takeOverruns(now)) {
         Logging::write(Logging::EventId::CustomerLimitExceeded,
             { { "customer", overrun.customer }, { "rate", std::to_string(overrun.rate) },
                 { "burst", std::to_string(overrun.burst) }, { "excess", std::to_string(overrun.excess) },
                 { "hosts", std::to_string(overrun.liveHosts) },
                 { "admitting", std::to_string(overrun.admittingHosts) },
-                { "started", std::to_string(overrun.startedHosts) } });
+                { "started", std::to_string(overrun.startedHosts) },
+                { "configuration", std::to_string(version) },
+                { "hostsWithOlder", std::to_string(m_fleet.hostsWithOlderConfiguration(version)) } });
     }
 }
 
@@ -231,10 +240,15 @@
 {
     if (!m_missedChanges[table].takeMissed(now))
         return;
+    const Directory::TableWatch watch = m_storeControl.reread(table);
     Logging::write(Logging::EventId::StoreChangeMissed,
         { { "table", table == StoreTable::Operators ? "operators" : "upstreams" },
-            { "version", std::to_string(m_missedChanges[table].version()) } });
-    m_storeControl.reread(table);
+            { "version", std::to_string(m_missedChanges[table].version()) },
+            { "reported", std::to_string(m_missedChanges[table].reportedVersion()) },
+            { "step", std::string(Directory::watchStepName(watch.step)) },
+            { "stepMs", milliseconds(now - watch.stepStartedAt) },
+            { "receivedBytes", std::to_string(watch.receivedBytes) },
+            { "failures", std::to_string(watch.failures) } });
 }
 
 /// Without reports from other hosts, this host does not learn of changes that it has missed.
@@ -319,20 +333,33 @@
         if (m_guard)
             m_guard->storeRestored(EventLoop::now());
     };
-    events.tableAvailable = [this](const std::string& table) {
-        Logging::write(Logging::EventId::StoreRecovered, { { "table", table } });
+    events.tableAvailable = [this](const std::string& table, int failures) {
+        Logging::write(Logging::EventId::StoreRecovered,
+            { { "table", table }, { "failures", std::to_string(failures) } });
         m_unavailableTables.erase(table);
         m_storeAvailableSince = EventLoop::now();
         m_failovers.setStoreReachable(m_unavailableTables.empty());
     };
-    events.tableUnavailable = [this](const std::string& table, const std::string& error) {
-        Logging::write(Logging::EventId::StoreUnavailable, { { "table", table }, { "reason", error } });
-        m_unavailableTables.insert(table);
-        m_failovers.setStoreReachable(false);
-    };
+    events.readFailed = [this](const Directory::FailedRead& failure) { readFailed(failure); };
     return events;
 }
 
+void ProxyHost::readFailed(const Directory::FailedRead& failure)
+{
+    m_metrics.counter("parsleytack_store_read_failures_total", "table=\"" + failure.table + "\"").add();
+    Logging::write(Logging::EventId::StoreReadFailed,
+        { { "table", failure.table }, { "reason", failure.error },
+            { "step", std::string(Directory::watchStepName(failure.watch.step)) },
+            { "stepMs", milliseconds(failure.duration) },
+            { "receivedBytes", std::to_string(failure.watch.receivedBytes) },
+            { "failures", std::to_string(failure.watch.failures) } });
+    if (!m_unavailableTables.insert(failure.table).second)
+        return;
+    Logging::write(
+        Logging::EventId::StoreUnavailable, { { "table", failure.table }, { "reason", failure.error } });
+    m_failovers.setStoreReachable(false);
+}
+
 void ProxyHost::setUpstream(const Directory::Upstream& upstream)
 {
     Logging::write(Logging::EventId::UpstreamChanged,
@@ -378,6 +405,8 @@
     if (!m_view.adopt(std::move(configuration)))
         return;
     Logging::write(Logging::EventId::CatalogAdopted, { { "version", version } });
+    m_metrics.gauge("parsleytack_configuration_version")
+        .set(static_cast<std::int64_t>(m_view.configuration()->version));
     m_allowance.setCustomers(*m_view.configuration(), EventLoop::now());
     updateReadiness();
     m_server.directoryChanged();
--- a/src/libs/proxyhost/proxyhost.h
+++ b/src/libs/proxyhost/proxyhost.h
@@ -54,6 +54,7 @@
     void updateReadiness();
     void continueShutdown();
     void runPeriodicChecks();
+    void readFailed(const Directory::FailedRead& failure);
     void checkMissedChanges(StoreTable table, Model::Time now);
     void checkPeerNotifications(Model::Time now);
     void logOverruns(Model::Time now);
--- a/src/libs/proxyhost/store.h
+++ b/src/libs/proxyhost/store.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/directory/tablewatch.h"
 #include "core/failover/promotion.h"
 
 #include <cstdint>
@@ -73,8 +74,8 @@
 
 /// Callbacks through which the host controls the watching of the store.
 struct StoreControl {
-    /// Reads a table on a new connection.
-    std::function<void(StoreTable)> reread;
+    /// Reads a table on a new connection. Returns the state of its watch before that.
+    std::function<Directory::TableWatch(StoreTable)> reread;
     /// Sets whether other hosts notify this one of changes that it has missed. If not, a call that waits for
     /// changes needs a shorter time-out.
     std::function<void(bool)> setPeerNotifications;
--- a/src/libs/proxyhost/storeevents.h
+++ b/src/libs/proxyhost/storeevents.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/directory/configuration.h"
+#include "core/directory/tablewatch.h"
 #include "core/directory/upstream.h"
 #include "proxyhost/store.h"
 
@@ -41,9 +42,10 @@
     /// The store was restored from an older copy; a table is read again as a whole. The versions are those
     /// that the store counts itself.
     std::function<void(const StoreRestoration&)> restored;
-    /// The table can be watched: for the first time, or again after an outage.
-    std::function<void(const std::string& table)> tableAvailable;
-    std::function<void(const std::string& table, const std::string& error)> tableUnavailable;
+    /// The table can be watched: for the first time, or again after so many failed calls.
+    std::function<void(const std::string& table, int failures)> tableAvailable;
+    /// A call that watches a table has failed.
+    std::function<void(const Directory::FailedRead&)> readFailed;
 };
 
 }
