Tests that fail: a host does not catch up with the store's changes

Callers are refused, or served, as an older configuration says, because a host that has missed changes does not get to read them.

--- a/tests/auto/sessionproxy/testcluster.cpp
+++ b/tests/auto/sessionproxy/testcluster.cpp
@@ -169,8 +169,11 @@
             { "timeoutMs", m_statementTimeout.count() }, { "targetLatencyMs", 200 }, { "priority", 1 },
             { "service", "ledger" }, { "maxStalenessMs", 1500 }, { "allowAnonymous", false } };
     };
-    const nlohmann::json state { { "version", ++m_version },
-        { "routes", { route("strict", "primary"), route("bounded", "bounded"), route("own", "own_writes") } },
+    nlohmann::json routes { route("strict", "primary"), route("bounded", "bounded"),
+        route("own", "own_writes") };
+    for (int i = 0; i < m_furtherRoutes; ++i)
+        routes.push_back(route("further-" + std::to_string(i), "bounded"));
+    const nlohmann::json state { { "version", ++m_version }, { "routes", routes },
         { "services", { { { "name", "ledger" }, { "maxConns", 40 } } } },
         { "limits", { { "txIdleMs", 3000 } } },
         { "tenants",
--- a/tests/auto/sessionproxy/testcluster.h
+++ b/tests/auto/sessionproxy/testcluster.h
@@ -82,6 +82,8 @@
     /// Returns the whole HTTP response; empty if there is none.
     std::string get(int host, const std::string& path) const;
     bool isReady(int host) const { return get(host, "/ready").starts_with("HTTP/1.1 200"); }
+    /// Applies to configurations that are published later: routes besides the three that the tests use.
+    void setFurtherRoutes(int count) { m_furtherRoutes = count; }
     /// Publishes a configuration with these keys of the customer `acme`. `rate` is its rate in operations per
     /// second, and also its burst.
     void publish(const std::vector<std::string>& keys, double rate = 1000);
@@ -115,6 +117,7 @@
     std::vector<Host> m_hosts;
     Fencing m_fencing;
     int m_version = 0;
+    int m_furtherRoutes = 0;
     int m_forgetHostsAfterS = 600;
     double m_traceSampleRate = 0;
     std::chrono::milliseconds m_statementTimeout { 800 };
--- a/tests/auto/sessionproxy/tst_sessionproxy.cpp
+++ b/tests/auto/sessionproxy/tst_sessionproxy.cpp
@@ -335,6 +335,21 @@
         EXPECT_TRUE(waitUntil([&] { return errorCode(client->query("WRITE a 1")) == "NOAUTH"; }, 5s));
 }
 
+// Guards against a host that stays at an old configuration because reading a large one takes longer than its
+// recovery allows: the call ends at its time limit, or is interrupted since other hosts report the change.
+TEST(SessionProxy, AdoptsLargeConfigurationOverSlowLinkToStore)
+{
+    TestCluster cluster(2, TestCluster::Path::Links);
+    cluster.storeLink(0).configure({ { "delayMs", 200 } });
+    cluster.setFurtherRoutes(6000);
+    cluster.publish({ "key-1", "key-2", "key-3" });
+    for (int host = 0; host < 2; ++host) {
+        EXPECT_TRUE(
+            waitUntil([&] { return Client(cluster.callers(host)).open("own", "key-3") == "READY I -"; }, 30s))
+            << host;
+    }
+}
+
 // Guards against a row of a host that has left: the host could not delete it, because the store was restored
 // from a copy in which it was that of an earlier process.
 TEST(SessionProxy, RegistersAgainAfterStoreWasRestored)
