Limit the silence of the store's responses instead of their whole time

A read of a table had 1.5 s for the whole exchange, whatever its size: a larger table, a slower link or a loaded host end each attempt at the same limit, and the next one begins with the first byte again.

The request runs on libcurl's multi interface, since the easy one checks progress once a second only. Ruled out: a longer limit, which moves the fault to a larger table.

Connection.CompletesLongResponseThatKeepsArriving fails with a limit for the whole exchange, Connection.GivesUpResponseThatStalls holds the limits that remain. SessionProxy.AdoptsLargeConfigurationOverSlowLinkToStore still fails.

--- a/src/libs/http/connection.cpp
+++ b/src/libs/http/connection.cpp
@@ -1,5 +1,6 @@
 #include "http/connection.h"
 
+#include <algorithm>
 #include <atomic>
 #include <mutex>
 
@@ -31,6 +32,40 @@
         setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeoutMs, sizeof userTimeoutMs);
     }
 
+    using Clock = std::chrono::steady_clock;
+    using std::chrono::milliseconds;
+
+    /// Limits the time until a response begins and the time between its parts.
+    class StallTimer {
+    public:
+        StallTimer(const Request& request, Clock::time_point now)
+            : m_startTimeout(request.timeout)
+            , m_stallTimeout(request.stallTimeout)
+            , m_progressAt(now)
+        {
+        }
+
+        /// Returns how long to wait for more, after `received` bytes have arrived; 0 if the time is over.
+        milliseconds remaining(std::uint64_t received, Clock::time_point now)
+        {
+            constexpr milliseconds maxWait { 1000 };
+            if (!m_stallTimeout)
+                return maxWait;
+            if (received != m_received)
+                m_progressAt = now;
+            m_received = received;
+            const milliseconds limit = received == 0 ? m_startTimeout : *m_stallTimeout;
+            const auto left = std::chrono::ceil<milliseconds>(m_progressAt + limit - now);
+            return std::clamp(left, milliseconds::zero(), maxWait);
+        }
+
+    private:
+        milliseconds m_startTimeout;
+        std::optional<milliseconds> m_stallTimeout;
+        Clock::time_point m_progressAt;
+        std::uint64_t m_received = 0;
+    };
+
     void initializeCurlOnce()
     {
         static std::once_flag flag;
@@ -42,6 +77,8 @@
 struct Connection::Private {
     std::string baseUrl;
     CURL* handle = nullptr;
+    /// Owns the TCP connection that `handle` uses.
+    CURLM* multi = nullptr;
     /// Number of sockets that the current request may still open.
     int socketsAllowed = 0;
     std::mutex socketMutex;
@@ -97,10 +134,11 @@
 
     void createHandle()
     {
+        multi = curl_multi_init();
+        curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, 1L);
         handle = curl_easy_init();
         curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
         curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
-        curl_easy_setopt(handle, CURLOPT_MAXCONNECTS, 1L);
         curl_easy_setopt(handle, CURLOPT_PROXY, "");
         curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http");
         curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
@@ -114,10 +152,46 @@
         curl_easy_setopt(handle, CURLOPT_HEADERDATA, this);
     }
 
+    void deleteHandle()
+    {
+        curl_easy_cleanup(handle);
+        curl_multi_cleanup(multi);
+    }
+
+    /// Runs the request until it ends or its response stalls.
+    CURLcode perform(const Request& request)
+    {
+        curl_multi_add_handle(multi, handle);
+        StallTimer timer(request, Clock::now());
+        std::optional<CURLcode> result;
+        while (!result) {
+            int running = 0;
+            curl_multi_perform(multi, &running);
+            const milliseconds remaining = timer.remaining(receivedBytes, Clock::now());
+            if (running == 0)
+                result = finishedResult();
+            else if (remaining == milliseconds::zero())
+                result = CURLE_OPERATION_TIMEDOUT;
+            else
+                curl_multi_poll(multi, nullptr, 0, static_cast<int>(remaining.count()), nullptr);
+        }
+        curl_multi_remove_handle(multi, handle);
+        return *result;
+    }
+
+    CURLcode finishedResult()
+    {
+        int remaining = 0;
+        const CURLMsg* message = curl_multi_info_read(multi, &remaining);
+        return message ? message->data.result : CURLE_FAILED_INIT;
+    }
+
     void setRequest(const Request& request)
     {
         curl_easy_setopt(handle, CURLOPT_URL, (baseUrl + request.path).c_str());
-        curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(request.timeout.count()));
+        constexpr long noLimit = 0;
+        curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
+            request.stallTimeout ? noLimit : static_cast<long>(request.timeout.count()));
         curl_slist_free_all(headers);
         // Suppresses "Expect: 100-continue", which costs a round trip for large bodies.
         headers = curl_slist_append(nullptr, "Expect:");
@@ -164,7 +238,7 @@
 
 Connection::~Connection()
 {
-    curl_easy_cleanup(m_d->handle);
+    m_d->deleteHandle();
     curl_slist_free_all(m_d->headers);
 }
 
@@ -175,7 +249,7 @@
     m_d->socketsAllowed = request.use == ConnectionUse::OpenIfNeeded ? 1 : 0;
     m_d->body.clear();
     m_d->receivedBytes = 0;
-    const CURLcode result = curl_easy_perform(m_d->handle);
+    const CURLcode result = m_d->perform(request);
     if (result == CURLE_OK) {
         long code = 0;
         curl_easy_getinfo(m_d->handle, CURLINFO_RESPONSE_CODE, &code);
@@ -206,7 +280,7 @@
 
 void Connection::close()
 {
-    curl_easy_cleanup(m_d->handle);
+    m_d->deleteHandle();
     m_d->createHandle();
 }
 
--- a/src/libs/http/connection.h
+++ b/src/libs/http/connection.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -40,8 +41,12 @@
     std::vector<std::string> headers;
     /// Name of the response header whose value is returned; none if it is empty.
     std::string responseHeader;
-    /// Limit for the whole exchange, including the connection set-up.
+    /// Limit for the whole exchange, including the connection set-up. With `stallTimeout`, only for the time
+    /// until the response begins.
     std::chrono::milliseconds timeout { 5000 };
+    /// Limit for the time between two parts of the response. With it, a long response may take as long as its
+    /// length requires.
+    std::optional<std::chrono::milliseconds> stallTimeout;
     ConnectionUse use = ConnectionUse::OpenIfNeeded;
 };
 
--- a/tests/auto/http/tst_connection.cpp
+++ b/tests/auto/http/tst_connection.cpp
@@ -130,6 +130,52 @@
     server.join();
 }
 
+// Guards against a response that never arrives as a whole because it is longer than the time limit allows:
+// each repetition of the request ends at the same limit.
+TEST(Connection, CompletesLongResponseThatKeepsArriving)
+{
+    const Listener listener;
+    const std::string body(20, 'x');
+    std::thread server([&] {
+        const int fd = listener.accept();
+        readRequest(fd);
+        const std::string head
+            = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+        EXPECT_EQ(::write(fd, head.data(), head.size()), static_cast<ssize_t>(head.size()));
+        for (const char c : body) {
+            std::this_thread::sleep_for(100ms);
+            EXPECT_EQ(::send(fd, &c, 1, MSG_NOSIGNAL), 1);
+        }
+        ::close(fd);
+    });
+    Connection connection(listener.address());
+    const Response response = connection.send({ .path = "/", .timeout = 1s, .stallTimeout = 1s });
+    EXPECT_EQ(response.status, Status::Answered);
+    EXPECT_EQ(response.body, body);
+    server.join();
+}
+
+// Guards against a request that waits for ever on a connection that falls silent in the middle of a response,
+// or before it.
+TEST(Connection, GivesUpResponseThatStalls)
+{
+    for (const std::string head : { "", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab" }) {
+        const Listener listener;
+        std::thread server([&] {
+            const int fd = listener.accept();
+            readRequest(fd);
+            EXPECT_EQ(::write(fd, head.data(), head.size()), static_cast<ssize_t>(head.size()));
+            char c = 0;
+            EXPECT_EQ(::read(fd, &c, 1), 0);
+            ::close(fd);
+        });
+        Connection connection(listener.address());
+        EXPECT_EQ(connection.send({ .path = "/", .timeout = 100ms, .stallTimeout = 100ms }).status,
+            Status::NoAnswer);
+        server.join();
+    }
+}
+
 // Guards against an unknown outcome of a request whose connection could not be opened.
 TEST(Connection, ReportsNotSentIfConnectionIsRefused)
 {
