Do not interrupt the read of changes that were missed

Cause: other hosts report newer changes than this host has read. After 1.2 s, and every 1.2 s from then on, it aborts the call in progress, also the one that reads these changes. After the failure the watcher pauses for up to 0.9 s, so that about 0.5 s are left for the next read. A configuration of 1,400 routes (more than 0.7 MB) takes longer on a small host; the host stays at its version until the others see no newer one for a while. The class: a recovery step that undoes the progress of the one before, begun again at a fixed period.

Ruled out: an unresponsive connection (the response was arriving), a change that is read and not adopted (no such event). Ruled out as change: a longer period, which moves the fault to a larger configuration or a slower store.

Change: only a call that waits for changes, for at least 1.2 s and without a byte of a response, counts as unresponsive and is aborted. A read of what was missed ends by its own limits on silence. The same holds when reports of other hosts stop arriving.

StoreWatcher.LeavesUnresponsiveConnectionOnReportOfOtherHosts holds what the abort is for.

--- a/src/libs/proxyhost/proxyhost.cpp
+++ b/src/libs/proxyhost/proxyhost.cpp
@@ -240,7 +240,7 @@
 {
     if (!m_missedChanges[table].takeMissed(now))
         return;
-    const Directory::TableWatch watch = m_storeControl.reread(table);
+    const Directory::TableWatch watch = m_storeControl.reread(table, now);
     Logging::write(Logging::EventId::StoreChangeMissed,
         { { "table", table == StoreTable::Operators ? "operators" : "upstreams" },
             { "version", std::to_string(m_missedChanges[table].version()) },
--- a/src/libs/proxyhost/store.h
+++ b/src/libs/proxyhost/store.h
@@ -74,8 +74,9 @@
 
 /// Callbacks through which the host controls the watching of the store.
 struct StoreControl {
-    /// Reads a table on a new connection. Returns the state of its watch before that.
-    std::function<Directory::TableWatch(StoreTable)> reread;
+    /// Reads a table that has changed long before `now` on a new connection, if the present one is
+    /// unresponsive. Returns the state of the table's watch before that.
+    std::function<Directory::TableWatch(StoreTable, Model::Time now)> reread;
     /// Sets whether other hosts notify this one of changes that it has missed. If not, a call that waits for
     /// changes needs a shorter time-out.
     std::function<void(bool)> setPeerNotifications;
--- a/src/tools/parsleytackd/sessionproxy.cpp
+++ b/src/tools/parsleytackd/sessionproxy.cpp
@@ -46,8 +46,9 @@
     Logging::write(Logging::EventId::ProcessStarted, { { "callers", settings.callers.text() } });
     Adapter::StoreWatcher watcher(settings.store.text(), storeEpoch, host.storeEvents(),
         [&loop](std::function<void()> task) { loop.post(std::move(task)); });
-    host.setStoreControl({ [&watcher](ProxyHost::StoreTable table) { return watcher.reread(table); },
-        [&watcher](bool hasPeerNotifications) { watcher.setPeerNotifications(hasPeerNotifications); } });
+    host.setStoreControl(
+        { [&watcher](ProxyHost::StoreTable table, Model::Time now) { return watcher.reread(table, now); },
+            [&watcher](bool hasPeerNotifications) { watcher.setPeerNotifications(hasPeerNotifications); } });
     loop.run();
     Logging::write(Logging::EventId::ProcessStopped);
     std::cout.flush();
--- a/tests/auto/platform/tst_storewatcher.cpp
+++ b/tests/auto/platform/tst_storewatcher.cpp
@@ -1,5 +1,6 @@
 #include "platform/storewatcher.h"
 
+#include "eventloop/loop.h"
 #include "faultproxy/link.h"
 #include "sessionplatform/rowstore.h"
 
@@ -94,7 +95,27 @@
     fixture.store().setUnavailable(false);
     EXPECT_TRUE(waitUntil(
         [&] {
-            fixture.watcher().reread(ProxyHost::StoreTable::Operators);
+            fixture.watcher().reread(ProxyHost::StoreTable::Operators, EventLoop::now());
+            std::this_thread::sleep_for(100ms);
+            return fixture.version() == 2;
+        },
+        20s));
+}
+
+// Guards against a host that misses changes for as long as it waits on a connection that has fallen silent,
+// such as 30 s.
+TEST(StoreWatcher, LeavesUnresponsiveConnectionOnReportOfOtherHosts)
+{
+    Fixture fixture;
+    fixture.watcher().setPeerNotifications(true);
+    ASSERT_TRUE(waitUntil([&] { return fixture.version() == 1; }, 20s));
+    // The first call waits for a shorter time.
+    std::this_thread::sleep_for(2s);
+    fixture.link().configure({ { "freezeExisting", true } });
+    fixture.store().set("op", "config", configurationText(2));
+    EXPECT_TRUE(waitUntil(
+        [&] {
+            fixture.watcher().reread(ProxyHost::StoreTable::Operators, EventLoop::now());
             std::this_thread::sleep_for(100ms);
             return fixture.version() == 2;
         },
