Take no host for late that follows the changes

A host that has read version n while others report n + 1 counts as late from the first such moment on, however many versions it reads meanwhile: with changes closer together than reports, its call was aborted every 1.2 s. And a host that reads the whole table after its newest change has deleted a row (a database that left, a zone back in service) knows only lower versions than the others report, and gave up its connection every 1.2 s until the next change.

Change: the position up to which a table was read counts, not the version of the newest row that was found there; a read that gets further begins the wait anew. What is reported to other hosts stays the newest change, so that they do not take the writes of other tables for changes.

--- a/src/libs/core/directory/missedchanges.cpp
+++ b/src/libs/core/directory/missedchanges.cpp
@@ -12,17 +12,22 @@
 
 }
 
-void MissedChanges::read(std::uint64_t version)
+void MissedChanges::read(std::uint64_t newest, std::uint64_t position, Model::Time now)
 {
-    m_read = std::max(m_read, version);
-    if (m_read >= m_reported)
+    m_newest = std::max(m_newest, newest);
+    if (position <= m_position)
+        return;
+    m_position = position;
+    if (m_position >= m_reported)
         m_missedSince.reset();
+    else
+        m_missedSince = now;
 }
 
 void MissedChanges::reportedByPeer(std::uint64_t version, Model::Time now)
 {
     m_reported = std::max(m_reported, version);
-    if (m_read < m_reported && !m_missedSince)
+    if (m_position < m_reported && !m_missedSince)
         m_missedSince = now;
 }
 
--- a/src/libs/proxyhost/proxyhost.cpp
+++ b/src/libs/proxyhost/proxyhost.cpp
@@ -323,8 +323,9 @@
             removeUpstream(id);
     };
     events.hosts = [this](const std::vector<StoreRow>& rows, bool isComplete) { setHosts(rows, isComplete); };
-    events.changeRead
-        = [this](StoreTable table, std::uint64_t version) { m_missedChanges[table].read(version); };
+    events.changesRead = [this](StoreTable table, std::uint64_t newest, std::uint64_t position) {
+        m_missedChanges[table].read(newest, position, EventLoop::now());
+    };
     events.restored = [this](const StoreRestoration& restoration) {
         Logging::write(Logging::EventId::StoreRestored,
             { { "table", restoration.table }, { "epoch", std::to_string(restoration.epoch) },
--- a/src/libs/proxyhost/storeevents.h
+++ b/src/libs/proxyhost/storeevents.h
@@ -37,8 +37,9 @@
     std::function<void(const std::string& id)> upstreamRemoved;
     /// Rows of the hosts table; `isComplete` is set if these are all rows of the table.
     std::function<void(const std::vector<StoreRow>&, bool isComplete)> hosts;
-    /// Changes of a table were read; `version` is that of the newest.
-    std::function<void(StoreTable, std::uint64_t version)> changeRead;
+    /// A table was read: all changes up to the version `position`. `newest` is the version of the newest
+    /// change among those read now; 0 if there is none.
+    std::function<void(StoreTable, std::uint64_t newest, std::uint64_t position)> changesRead;
     /// The store was restored from an older copy; a table is read again as a whole. The versions are those
     /// that the store counts itself.
     std::function<void(const StoreRestoration&)> restored;
