Continue a table with the page that failed

A host that starts, or has lost the store's history, reads each table page by page and began again with the first page whenever one failed. While 35 % of the store's responses are lost, a table of five pages is read as a whole in one of nine attempts; the hosts' rows at the design size have two pages, the databases' three.

Change: the pages read so far are kept until the table is complete. Rows that change meanwhile are among the changes after the first page's version, as before; a restoration of the store between two pages begins the table again.

Tests: StoreClient.ContinuesTableWithPageThatFailed and BeginsTableAgainIfStoreWasRestoredBetweenPages fail if each call begins anew.

--- a/tests/auto/platform/tst_storeclient.cpp
+++ b/tests/auto/platform/tst_storeclient.cpp
@@ -25,6 +25,47 @@
 
 }
 
+// Guards against a host that never reads a table of several pages, since it begins again with the first one
+// each time that a later one fails.
+TEST(StoreClient, ContinuesTableWithPageThatFailed)
+{
+    Fixture fixture;
+    const int count = 1200;
+    for (int i = 0; i < count; ++i)
+        fixture.store.set("table", "row-" + std::to_string(1000000 + i), "first");
+    TableRead read;
+    read.answer = fixture.client.rows("table");
+    read.answer.rows.resize(500);
+    read.lastKey = read.answer.rows.back().key;
+    const std::uint64_t version = read.answer.version;
+    fixture.store.setUnavailable(true);
+    EXPECT_EQ(fixture.client.rows("table", read).status, StoreStatus::Unavailable);
+    EXPECT_EQ(read.answer.rows.size(), 500U);
+    fixture.store.setUnavailable(false);
+    fixture.store.set("table", "row-1000000", "changed meanwhile");
+    const StoreAnswer all = fixture.client.rows("table", read);
+    EXPECT_EQ(all.rows.size(), static_cast<std::size_t>(count));
+    // The first page was not read again: what has changed there is among the changes since its version.
+    EXPECT_EQ(all.version, version);
+    EXPECT_EQ(fixture.client.changes("table", all.version, 0ms).rows.at(0).value, "changed meanwhile");
+    EXPECT_TRUE(read.lastKey.empty());
+}
+
+// Guards against a table whose pages come from different copies of the store.
+TEST(StoreClient, BeginsTableAgainIfStoreWasRestoredBetweenPages)
+{
+    Fixture fixture;
+    fixture.store.set("table", "row", "first");
+    fixture.store.saveCopy();
+    TableRead read;
+    read.answer = fixture.client.rows("table");
+    read.lastKey = "row";
+    fixture.store.restore();
+    EXPECT_EQ(fixture.client.rows("table", read).status, StoreStatus::Refused);
+    EXPECT_TRUE(read.lastKey.empty());
+    EXPECT_EQ(fixture.client.rows("table", read).rows.size(), 1U);
+}
+
 // Guards against a row that looks older than the one that it replaces, since the store was restored from an
 // older copy in between and counts from there.
 TEST(StoreClient, VersionsRiseAfterStoreWasRestored)
