Register at a slow store

A registration had 1.5 s from before the read of the host's row to after its write, and began again otherwise: where each call takes more than 0.75 s, no host is ever registered, so that it sends no reports and counts as dead to the others.

Change: what counts is the time between read and write on the store's clock, which both answers tell. That is what the fences of primaries rely on.

Test: PlatformWorker.RegistersHostAtSlowStore fails before (20 s without a registration), passes in 1.6 s now.

--- a/src/libs/proxyhost/platformworker.cpp
+++ b/src/libs/proxyhost/platformworker.cpp
@@ -189,9 +189,7 @@
 void PlatformWorker::registerHost(const HostRow& host, std::function<void(std::uint64_t version)> done)
 {
     enqueue([this, host, done = std::move(done)] {
-        const Model::Time startedAt = EventLoop::now();
-        const auto version = registerNow(host);
-        if (version && EventLoop::now() - startedAt < Failover::maxRegistrationTime) {
+        if (const auto version = registerNow(host)) {
             m_loop.post([done, version] { done(*version); });
             return;
         }
@@ -212,10 +210,16 @@
     if (!current.rows.empty())
         row.version = current.rows.front().version;
     const StoreAnswer written = m_calls.commit({ { row, row.version } });
-    if (written.status == StoreStatus::Done)
-        return written.version;
-    logFailure("write the host's row", written);
-    return std::nullopt;
+    if (written.status != StoreStatus::Done) {
+        logFailure("write the host's row", written);
+        return std::nullopt;
+    }
+    // Only the time between the two calls counts, which the store's clock shows, not how long both take: at a
+    // slow store no registration would succeed.
+    const Failover::StoreTime elapsed = written.storeTime - current.storeTime;
+    if (elapsed < Failover::StoreTime::zero() || elapsed >= Failover::maxRegistrationTime)
+        return std::nullopt;
+    return written.version;
 }
 
 void PlatformWorker::deleteHostRow(const std::string& host, std::uint64_t version)
--- a/tests/auto/proxyhost/tst_platformworker.cpp
+++ b/tests/auto/proxyhost/tst_platformworker.cpp
@@ -1,9 +1,13 @@
 #include "proxyhost/platformworker.h"
 
 #include "eventloop/loop.h"
+#include "eventloop/timer.h"
+#include "faultproxy/link.h"
 #include "platform/platformcalls.h"
 #include "sessionplatform/rowstore.h"
 
+#include <thread>
+
 #include <gtest/gtest.h>
 
 using namespace ProxyHost;
@@ -50,3 +54,30 @@
     ASSERT_TRUE(next);
     EXPECT_GT(next->lease.token, lost->lease.token);
 }
+
+// Guards against a host that registers again and again at a slow store: reading and writing its row together
+// take longer than a registration may, although little time passes in the store between the two.
+TEST(PlatformWorker, RegistersHostAtSlowStore)
+{
+    Standins::RowStore store([](const std::string&, const std::string&) { return true; });
+    const std::string address = store.address();
+    const std::size_t colon = address.rfind(':');
+    const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)));
+    // Never destroyed, since its detached thread runs until the process ends.
+    auto* link = new Standins::Link("store", { "127.0.0.1", 0 }, { address.substr(0, colon), port });
+    std::thread([link] { link->run(); }).detach();
+    link->configure({ { "delayMs", 400 } });
+    const std::string slow = "127.0.0.1:" + std::to_string(link->port());
+    EventLoop::Loop loop;
+    PlatformWorker worker(
+        loop, Adapter::platformCalls(slow, slow, std::make_shared<Adapter::StoreEpoch>()), "host");
+    std::uint64_t version = 0;
+    worker.registerHost({ "127.0.0.1:1", 1, {} }, [&](std::uint64_t written) {
+        version = written;
+        loop.stop();
+    });
+    EventLoop::Timer limit(loop, [&loop] { loop.stop(); });
+    limit.start(std::chrono::seconds(20));
+    loop.run();
+    EXPECT_NE(version, 0U);
+}
