Count customers' operations on hosts with the present limits only

Cause: in a large fleet a customer's limit is held by two counting hosts, whose balances restrain the others, also those at an older configuration. While the hosts that stay at the previous version include the counting hosts, nobody restrains the others of them: they admit by the previous limit.

Change: hosts that have been at a replaced version for 3 s and a report period count no operations; the versions are in the reports already.

--- a/src/libs/proxyhost/fleet.cpp
+++ b/src/libs/proxyhost/fleet.cpp
@@ -5,7 +5,6 @@
 #include "proxyhost/rows.h"
 #include "wire/hostreport.pb.h"
 
-#include <algorithm>
 #include <cmath>
 #include <set>
 
@@ -129,11 +128,12 @@
         else if (row.key != m_self)
             m_hosts[row.key] = address;
     }
-    std::erase_if(m_configurations, [this](const auto& entry) { return !m_hosts.contains(entry.first); });
     std::set<std::string> addresses;
     for (const auto& [name, address] : m_hosts)
         addresses.insert(address);
-    m_allowance.setPeers(hostNames(), now);
+    const std::vector<std::string> others = hostNames();
+    m_allowance.setPeers(others, now);
+    m_versions.retainHosts(others);
     m_bus.setPeers(addresses);
 }
 
@@ -145,11 +145,7 @@
     return names;
 }
 
-int Fleet::hostsWithOlderConfiguration(std::uint64_t version) const
-{
-    return static_cast<int>(std::ranges::count_if(m_configurations,
-        [&](const auto& entry) { return m_hosts.contains(entry.first) && entry.second < version; }));
-}
+int Fleet::hostsWithOlderConfiguration(std::uint64_t version) const { return m_versions.olderThan(version); }
 
 void Fleet::setHostCount(int count)
 {
@@ -171,6 +167,7 @@
 {
     if (m_incarnation == 0)
         return;
+    m_versions.reported(m_self, own.configuration, now);
     Wire::HostReport report;
     report.set_host(m_self);
     report.set_incarnation(m_incarnation);
@@ -231,7 +228,7 @@
     if (m_countingHostsUpdatedAt && now - *m_countingHostsUpdatedAt < countingHostsPeriod)
         return;
     m_countingHostsUpdatedAt = now;
-    m_countingPlan.setHosts(m_allowance.reportingHosts(now));
+    m_countingPlan.setHosts(m_versions.upToDate(m_allowance.reportingHosts(now), m_plan.period(), now));
 }
 
 void Fleet::sendBalances(Model::Time now)
@@ -296,7 +293,8 @@
     for (const Wire::ConnectionUse& entry : report.connections())
         open.emplace(entry.upstream(), static_cast<int>(entry.open()));
     m_ledger.setOpen(report.host(), std::move(open), now);
-    m_configurations[report.host()] = report.configuration();
+    if (report.host() != m_self)
+        m_versions.reported(report.host(), report.configuration(), now);
     m_hooks.hostReported(report.host(), report.reaches_store());
     m_hooks.changeReported(StoreTable::Operators, report.operators_version());
     m_hooks.changeReported(StoreTable::Upstreams, report.upstreams_version());
--- a/src/libs/proxyhost/fleet.h
+++ b/src/libs/proxyhost/fleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/allowance/countingplan.h"
+#include "core/allowance/reportedversions.h"
 #include "core/allowance/reportplan.h"
 #include "core/failover/primarywatch.h"
 #include "core/proxy/connectionledger.h"
@@ -121,8 +122,7 @@
     std::optional<Model::Time> m_lastReportAt;
     /// IP:PORT of the other hosts by host name.
     std::map<std::string, std::string> m_hosts;
-    /// Version of the configuration by host, as last reported.
-    std::map<std::string, std::uint64_t> m_configurations;
+    Allowance::ReportedVersions m_versions;
 };
 
 }
--- a/tests/auto/core/allowance/fleetsimulation.cpp
+++ b/tests/auto/core/allowance/fleetsimulation.cpp
@@ -13,6 +13,13 @@
 constexpr Duration countingHostsPeriod = 1s;
 constexpr Duration window = 5s;
 
+Directory::Configuration configurationOf(const Directory::Customer& customer)
+{
+    Directory::Configuration configuration;
+    configuration.customers.emplace(customer.name, customer);
+    return configuration;
+}
+
 }
 
 std::vector<std::string> hostNames(int count)
@@ -25,10 +32,12 @@
 }
 
 FleetSimulation::FleetSimulation(int hosts, Directory::Customer customer)
-    : m_customer(std::move(customer))
+    : m_customers(static_cast<std::size_t>(hosts), customer)
     , m_names(hostNames(hosts))
     , m_isPartitioned(static_cast<std::size_t>(hosts), false)
     , m_incarnations(static_cast<std::size_t>(hosts), 1)
+    , m_configurations(static_cast<std::size_t>(hosts), 1)
+    , m_versions(static_cast<std::size_t>(hosts))
 {
     m_reportPlan.setHostCount(hosts);
     for (std::size_t i = 0; i < m_names.size(); ++i) {
@@ -42,12 +51,18 @@
     FleetAllowance host(m_names[index]);
     host.setReportPeriod(m_reportPlan.period());
     host.setPeers(m_names, m_now);
-    Directory::Configuration configuration;
-    configuration.customers.emplace(m_customer.name, m_customer);
-    host.setCustomers(configuration, m_now);
+    host.setCustomers(configurationOf(m_customers[index]), m_now);
     return host;
 }
 
+void FleetSimulation::setLimit(int host, const Directory::Customer& customer)
+{
+    const auto index = static_cast<std::size_t>(host);
+    m_customers.at(index) = customer;
+    ++m_configurations.at(index);
+    m_hosts.at(index).setCustomers(configurationOf(customer), m_now);
+}
+
 void FleetSimulation::restart(int host)
 {
     const auto index = static_cast<std::size_t>(host);
@@ -69,7 +84,8 @@
             if (!m_reportPlan.isRateReduced())
                 continue;
             if (isDue(i, countingHostsPeriod))
-                m_countingPlans[i].setHosts(m_hosts[i].reportingHosts(m_now));
+                m_countingPlans[i].setHosts(
+                    m_versions[i].upToDate(m_hosts[i].reportingHosts(m_now), m_reportPlan.period(), m_now));
             if (isDue(i, countPeriod))
                 sendCounts(i);
         }
@@ -98,9 +114,9 @@
     std::poisson_distribution<int> count(rate * std::chrono::duration<double>(step).count());
     for (int n = rate > 0 ? count(m_generator) : 0; n > 0; --n) {
         ++m_offered;
-        bool isAdmitted = m_hosts[host].admit(m_customer, m_now);
+        bool isAdmitted = m_hosts[host].admit(m_customers[host], m_now);
         for (int retry = 0; !isAdmitted && retry < m_retries; ++retry)
-            isAdmitted = m_hosts[m_generator() % m_hosts.size()].admit(m_customer, m_now);
+            isAdmitted = admitOnAnyHost();
         if (isAdmitted)
             admitted.push_back(m_now);
         else
@@ -108,10 +124,18 @@
     }
 }
 
+bool FleetSimulation::admitOnAnyHost()
+{
+    const std::size_t host = m_generator() % m_hosts.size();
+    return m_hosts[host].admit(m_customers[host], m_now);
+}
+
 void FleetSimulation::report(std::size_t from)
 {
     const UsageReport report { m_names[from], m_incarnations[from], m_hosts[from].usage(m_now) };
     for (std::size_t to = 0; to < m_hosts.size(); ++to) {
+        if (to == from || isConnected(from, to))
+            m_versions[to].reported(m_names[from], m_configurations[from], m_now);
         if (isConnected(from, to))
             m_hosts[to].receive(report, m_now);
     }
@@ -120,7 +144,7 @@
 void FleetSimulation::sendCounts(std::size_t from)
 {
     const std::vector<Count> counts = m_hosts[from].takeCounts();
-    const auto targets = m_countingPlans[from].otherCountingHosts(m_customer.name);
+    const auto targets = m_countingPlans[from].otherCountingHosts(m_customers[from].name);
     for (std::size_t to = 0; to < m_hosts.size() && !counts.empty(); ++to) {
         if (isConnected(from, to) && std::ranges::find(targets, m_names[to]) != targets.end())
             m_hosts[to].receiveCounts(m_names[from], m_incarnations[from], counts, m_now);
@@ -136,8 +160,8 @@
     const auto balances = m_hosts[from].takeBalances(isCounted, m_now);
     for (std::size_t to = 0; to < m_hosts.size() && !balances.empty(); ++to) {
         CountingPlan& plan = m_countingPlans[to];
-        if (isConnected(from, to) && !plan.isCountingHost(m_names[to], m_customer.name)
-            && plan.isCountingHost(m_names[from], m_customer.name))
+        if (isConnected(from, to) && !plan.isCountingHost(m_names[to], m_customers[from].name)
+            && plan.isCountingHost(m_names[from], m_customers[from].name))
             m_hosts[to].receiveBalances(m_names[from], balances, m_now);
     }
 }
--- a/tests/auto/core/allowance/fleetsimulation.h
+++ b/tests/auto/core/allowance/fleetsimulation.h
@@ -2,6 +2,7 @@
 
 #include "core/allowance/countingplan.h"
 #include "core/allowance/fleetallowance.h"
+#include "core/allowance/reportedversions.h"
 #include "core/allowance/reportplan.h"
 
 #include <cstddef>
@@ -27,6 +28,8 @@
     /// Sets how often a refused operation is retried at most, each time on a random host.
     void setRetries(int retries) { m_retries = retries; }
     void restart(int host);
+    /// Changes the customer's limit on one host, as a host does that adopts a configuration.
+    void setLimit(int host, const Directory::Customer& customer);
 
     /// Offers operations at `rates` (per second, one for each host) for `duration`. Returns the times of
     /// admission.
@@ -41,19 +44,24 @@
 private:
     Allowance::FleetAllowance newHost(std::size_t index) const;
     void offer(std::size_t host, double rate, std::vector<Model::Time>& admitted);
+    bool admitOnAnyHost();
     bool isDue(std::size_t host, Model::Duration period) const;
     bool isConnected(std::size_t from, std::size_t to) const;
     void report(std::size_t from);
     void sendCounts(std::size_t from);
     void sendBalances(std::size_t from);
 
-    Directory::Customer m_customer;
+    /// The customer with the limit that each host knows.
+    std::vector<Directory::Customer> m_customers;
     std::vector<std::string> m_names;
     std::vector<bool> m_isPartitioned;
     Allowance::ReportPlan m_reportPlan;
     std::vector<Allowance::FleetAllowance> m_hosts;
     std::vector<Allowance::CountingPlan> m_countingPlans;
     std::vector<std::uint64_t> m_incarnations;
+    /// By host: the version of its configuration, and what the hosts have reported to it.
+    std::vector<std::uint64_t> m_configurations;
+    std::vector<Allowance::ReportedVersions> m_versions;
     Model::Time m_now { std::chrono::seconds(1000) };
     std::mt19937 m_generator { 4711 };
     int m_retries = 0;
--- a/tests/auto/core/allowance/tst_largefleet.cpp
+++ b/tests/auto/core/allowance/tst_largefleet.cpp
@@ -2,6 +2,8 @@
 
 #include "core/allowance/countingplan.h"
 
+#include <algorithm>
+
 #include <gtest/gtest.h>
 
 using namespace Allowance;
@@ -16,6 +18,8 @@
 constexpr double usualFraction = 1 / 1.6;
 constexpr double busyFactor = 7.7;
 constexpr int retries = 2;
+/// How many times the rate and the burst were before a limit was lowered.
+constexpr double loweredFactor = 4;
 
 std::vector<Directory::Customer> customers()
 {
@@ -26,12 +30,12 @@
 double busyRate(const Directory::Customer& customer) { return usualRate(customer) * busyFactor; }
 
 /// The indices of the hosts that count the customer's operations.
-std::vector<int> countingHosts(const Directory::Customer& customer)
+std::vector<int> countingHosts(const Directory::Customer& customer, int fleetSize = hosts)
 {
     CountingPlan plan("host-0");
-    plan.setHosts(hostNames(hosts));
+    plan.setHosts(hostNames(fleetSize));
     std::vector<int> result;
-    for (int i = 0; i < hosts; ++i) {
+    for (int i = 0; i < fleetSize; ++i) {
         if (plan.isCountingHost("host-" + std::to_string(i), customer.name))
             result.push_back(i);
     }
@@ -98,6 +102,53 @@
     }
 }
 
+// Guards against a lowered limit that does not hold because some hosts still have the previous configuration,
+// among them those that count the customer's operations (CONFIG on deployment asahi-bindery-grown).
+TEST(LargeFleet, LoweredLimitHoldsAlthoughSomeHostsHaveThePreviousOne)
+{
+    constexpr int fleetSize = 73;
+    constexpr std::size_t outdatedHosts = 19;
+    for (const Directory::Customer& lowered : customers()) {
+        Directory::Customer previous = lowered;
+        previous.rate *= loweredFactor;
+        previous.burst *= loweredFactor;
+        FleetSimulation fleet(fleetSize, previous);
+        fleet.setRetries(retries);
+        fleet.runEvenly(previous.rate, 7s);
+        std::vector<int> outdated = countingHosts(lowered, fleetSize);
+        for (int host = 0; host < fleetSize; ++host) {
+            if (std::ranges::find(outdated, host) != outdated.end())
+                continue;
+            if (outdated.size() < outdatedHosts)
+                outdated.push_back(host);
+            else
+                fleet.setLimit(host, lowered);
+        }
+        fleet.runEvenly(previous.rate, 10s);
+        EXPECT_LE(maxAdmittedInWindow(fleet.runEvenly(previous.rate, 8s)), permittedInWindow(lowered))
+            << lowered.name;
+    }
+}
+
+// Guards against a lowered limit that does not hold although all hosts know it.
+TEST(LargeFleet, LoweredLimitHoldsOnceAllHostsHaveIt)
+{
+    constexpr int fleetSize = 73;
+    for (const Directory::Customer& lowered : customers()) {
+        Directory::Customer previous = lowered;
+        previous.rate *= loweredFactor;
+        previous.burst *= loweredFactor;
+        FleetSimulation fleet(fleetSize, previous);
+        fleet.setRetries(retries);
+        fleet.runEvenly(previous.rate, 7s);
+        for (int host = 0; host < fleetSize; ++host)
+            fleet.setLimit(host, lowered);
+        fleet.runEvenly(previous.rate, 5s);
+        EXPECT_LE(maxAdmittedInWindow(fleet.runEvenly(previous.rate, 8s)), permittedInWindow(lowered))
+            << lowered.name;
+    }
+}
+
 // Guards against limits that no longer hold at the design size.
 TEST(LargeFleet, LimitHoldsAtTheDesignSize)
 {
