--- a/src/libs/logging/eventid.cpp
+++ b/src/libs/logging/eventid.cpp
@@ -67,7 +67,7 @@
         { StoreUnavailable, "store_unavailable", Severity::Warning, "the platform's store does not respond" },
         { StoreRecovered, "store_recovered", Severity::Info, "the platform's store responds again" },
         { StoreChangeMissed, "store_change_missed", Severity::Warning,
-            "other hosts reported a store change that this host missed; it is read on a new connection" },
+            "other hosts reported a store change that this host has not read yet" },
         { HostRowDropped, "host_row_dropped", Severity::Info,
             "the store row of a host without recent reports is being deleted" },
         { HostRowLost, "host_row_lost", Severity::Warning,
