--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -56,10 +56,25 @@
     }
 }
 
-int runSoak(std::uint64_t seed, int hosts, int callers, std::chrono::seconds duration)
+struct Options {
+    std::uint64_t seed = 1;
+    int hosts = 0;
+    int callers = 0;
+    std::chrono::seconds duration {};
+    /// Routes of the configuration besides those that the callers use.
+    int furtherRoutes = 0;
+    /// Delay of each part of a message to and from the store.
+    std::chrono::milliseconds storeDelay {};
+};
+
+int runSoak(const Options& options)
 {
+    const auto [seed, hosts, callers, duration, furtherRoutes, storeDelay] = options;
     History history;
     TestCluster cluster(hosts, TestCluster::Path::Links);
+    for (int host = 0; host < hosts; ++host)
+        cluster.storeLink(host).configure({ { "delayMs", storeDelay.count() } });
+    cluster.setFurtherRoutes(furtherRoutes);
     cluster.publish({ "key-1", "key-2" }, customerRate);
     Faults faults(cluster, hosts, seed, history);
     std::atomic<bool> isStopping = false;
@@ -109,14 +124,23 @@
     TCLAP::ValueArg<int> callers("", "callers", "number of callers", false, 8, "N", command);
     TCLAP::ValueArg<int> seconds(
         "", "seconds", "time in which faults are injected, in seconds", false, 10, "N", command);
+    TCLAP::ValueArg<int> routes(
+        "", "routes", "routes of the configuration besides those that are used", false, 0, "N", command);
+    TCLAP::ValueArg<int> storeDelay(
+        "", "store-delay", "delay of the links to the store, in milliseconds", false, 0, "MS", command);
     command.parse(argc, argv);
     if (hosts.getValue() < 1 || callers.getValue() < 1 || seconds.getValue() < 1) {
         std::fprintf(stderr, "soak: --hosts, --callers and --seconds must be at least 1\n");
         return 2;
     }
+    if (routes.getValue() < 0 || storeDelay.getValue() < 0) {
+        std::fprintf(stderr, "soak: --routes and --store-delay must not be negative\n");
+        return 2;
+    }
     std::setvbuf(stdout, nullptr, _IOLBF, 0);
     const int result = runSoak(
-        seed.getValue(), hosts.getValue(), callers.getValue(), std::chrono::seconds(seconds.getValue()));
+        { seed.getValue(), hosts.getValue(), callers.getValue(), std::chrono::seconds(seconds.getValue()),
+            routes.getValue(), std::chrono::milliseconds(storeDelay.getValue()) });
     // The detached threads of the links still run: exit without destroying static objects.
     std::_Exit(result);
 }
