--- a/tests/auto/core/allowance/fleetsimulation.cpp
+++ b/tests/auto/core/allowance/fleetsimulation.cpp
@@ -31,7 +31,7 @@
     return names;
 }
 
-FleetSimulation::FleetSimulation(int hosts, Directory::Customer customer)
+FleetSimulation::FleetSimulation(int hosts, const Directory::Customer& customer)
     : m_customers(static_cast<std::size_t>(hosts), customer)
     , m_names(hostNames(hosts))
     , m_isPartitioned(static_cast<std::size_t>(hosts), false)
--- a/tests/auto/core/allowance/fleetsimulation.h
+++ b/tests/auto/core/allowance/fleetsimulation.h
@@ -19,7 +19,7 @@
 /// be partitioned from all others and restarted.
 class FleetSimulation {
 public:
-    FleetSimulation(int hosts, Directory::Customer customer);
+    FleetSimulation(int hosts, const Directory::Customer& customer);
 
     void setPartitioned(int host, bool isPartitioned)
     {
