--- a/src/libs/core/proxy/engine.cpp
+++ b/src/libs/core/proxy/engine.cpp
@@ -15,9 +15,10 @@
 
 }
 
-Engine::Engine(const Directory::View& view, std::string zone, EngineHooks hooks)
+Engine::Engine(const Directory::View& view, std::string zone, EngineHooks hooks, EngineSettings settings)
     : m_view(view)
     , m_hooks(std::move(hooks))
+    , m_settings(settings)
     , m_router(view, m_pool, m_reachability, std::move(zone), m_hooks.mayUsePrimaries)
 {
 }
--- a/src/libs/core/proxy/engine.h
+++ b/src/libs/core/proxy/engine.h
@@ -4,6 +4,7 @@
 #include "core/failover/reachability.h"
 #include "core/proxy/connectionledger.h"
 #include "core/proxy/decision.h"
+#include "core/proxy/enginesettings.h"
 #include "core/proxy/pool.h"
 #include "core/proxy/router.h"
 #include "core/proxy/session.h"
@@ -41,7 +42,7 @@
 /// reports events by calls, with the current time, and the engine acts through the hooks. Used on one thread.
 class Engine {
 public:
-    Engine(const Directory::View& view, std::string zone, EngineHooks hooks);
+    Engine(const Directory::View& view, std::string zone, EngineHooks hooks, EngineSettings settings = {});
 
     /// Opens a session that a caller requested. It is accepted or rejected through the hooks; before the
     /// first configuration it is queued for a limited time.
@@ -168,6 +169,7 @@
 
     const Directory::View& m_view;
     EngineHooks m_hooks;
+    EngineSettings m_settings;
     Pool m_pool;
     Failover::Reachability m_reachability;
     Router m_router;
--- /dev/null
+++ b/src/libs/core/proxy/enginesettings.h
@@ -0,0 +1,15 @@
+#pragma once
+
+namespace Proxy {
+
+/// Features of the engine that a host's settings switch on. docs/proxysettings.md describes them.
+struct EngineSettings {
+    /// Statements wait in one queue until their upstream has a free execution slot.
+    bool schedulesStatements = false;
+    /// Reads are divided between the upstreams by their load and failures.
+    bool balancesUpstreams = false;
+    /// Statements are executed by the pool host of their service.
+    bool forwardsStatements = false;
+};
+
+}
--- a/src/libs/proxyhost/proxyhost.cpp
+++ b/src/libs/proxyhost/proxyhost.cpp
@@ -42,7 +42,8 @@
     , m_allowance(settings.host)
     , m_server(loop, m_view, std::move(codec), m_metrics,
           { settings.zone, settings.callers.ip, settings.callers.port,
-              static_cast<std::size_t>(settings.maxDescriptors - reservedDescriptors) },
+              static_cast<std::size_t>(settings.maxDescriptors - reservedDescriptors),
+              { settings.scheduleStatements, settings.balanceUpstreams, settings.forwardStatements } },
           serverHooks())
     , m_fleet(loop, settings.host, m_allowance, m_server.engine().ledger(), fleetHooks())
     , m_worker(loop, calls(), settings.host)
--- a/src/libs/sessionserver/server.cpp
+++ b/src/libs/sessionserver/server.cpp
@@ -33,7 +33,7 @@
     , m_connectionsOpened(metrics.counter("parsleytack_upstream_connections_opened_total"))
     , m_sessions(metrics.gauge("parsleytack_sessions"))
     , m_latency(metrics.histogram("parsleytack_statement_microseconds"))
-    , m_engine(view, m_settings.zone, engineHooks(std::move(hooks)))
+    , m_engine(view, m_settings.zone, engineHooks(std::move(hooks)), m_settings.engine)
 {
 }
 
--- a/src/libs/sessionserver/server.h
+++ b/src/libs/sessionserver/server.h
@@ -30,6 +30,7 @@
     std::uint16_t port = 0;
     /// Connections of further callers are closed at once.
     std::size_t maxSessions = 3200;
+    Proxy::EngineSettings engine;
 };
 
 /// Callbacks that the owner of the server supplies.
--- a/src/libs/settings/proxysettings.cpp
+++ b/src/libs/settings/proxysettings.cpp
@@ -45,6 +45,9 @@
     reader.integer("maxDescriptors", settings.maxDescriptors, minDescriptors, maxDescriptors);
     reader.integer("forgetHostsAfterS", settings.forgetHostsAfterS, 1, maxForgetHostsAfterS);
     reader.fraction("traceSampleRate", settings.traceSampleRate);
+    reader.boolean("scheduleStatements", settings.scheduleStatements);
+    reader.boolean("balanceUpstreams", settings.balanceUpstreams);
+    reader.boolean("forwardStatements", settings.forwardStatements);
     if (!reader.error().empty())
         return makeError(ErrorCode::InvalidRequest, reader.error());
     return settings;
--- a/src/libs/settings/proxysettings.h
+++ b/src/libs/settings/proxysettings.h
@@ -39,6 +39,10 @@
     int forgetHostsAfterS = 600;
     /// Fraction of the statements whose hops are logged, from 0 to 1.
     double traceSampleRate = 0.001;
+    /// Features that are off unless the settings switch them on.
+    bool scheduleStatements = false;
+    bool balanceUpstreams = false;
+    bool forwardStatements = false;
 };
 
 /// Parses settings from JSON text. Unknown fields are ignored, since the platform adds fields of its own. The
