--- a/src/libs/core/proxy/connectionledger.cpp
+++ b/src/libs/core/proxy/connectionledger.cpp
@@ -34,10 +34,15 @@
 }
 
 ConnectionShare ConnectionLedger::share(const std::string& upstream, int limit) const
+{
+    return share(upstream, limit, m_hostCount);
+}
+
+ConnectionShare ConnectionLedger::share(const std::string& upstream, int limit, int hosts) const
 {
     // Rounds down to 0 if the hosts outnumber the connections to be divided.
-    const int base = static_cast<int>(limit * baseShare / m_hostCount);
-    int extra = limit - base * m_hostCount;
+    const int base = hosts == 0 ? 0 : static_cast<int>(limit * baseShare / hosts);
+    int extra = limit - base * hosts;
     const std::uint32_t hash = hashOf(upstream);
     for (const auto& [host, report] : m_reports) {
         const auto open = report.open.find(hash);
--- a/src/libs/core/proxy/connectionledger.h
+++ b/src/libs/core/proxy/connectionledger.h
@@ -39,6 +39,8 @@
     /// Returns this host's share. `limit` is the number of connections that the upstream accepts; 0 if it is
     /// unknown.
     ConnectionShare share(const std::string& upstream, int limit) const;
+    /// As above, if the connections are divided between `hosts` hosts only; 0 if this host is none of them.
+    ConnectionShare share(const std::string& upstream, int limit, int hosts) const;
 
 private:
     struct Report {
--- a/src/libs/core/proxy/engine.cpp
+++ b/src/libs/core/proxy/engine.cpp
@@ -152,15 +152,10 @@
     request.statement = std::move(statement);
     request.arrivedAt = now;
     request.deadline = now + session.route->statementTimeout;
-    const bool isFresh = session.route->kind != Directory::RouteKind::Primary
-        && (session.state == TransactionState::Open ? session.isReadOnlyTransaction : !request.isWrite);
-    if (session.connection != 0)
-        request.target = Target::Transaction;
-    else
-        request.target = isFresh ? Target::Fresh : Target::Primary;
-    if (m_hooks.isNextTraced())
+    if (session.isTraced || m_hooks.isNextTraced())
         request.trace.emplace();
     session.request = std::move(request);
+    session.request->target = ownTarget(session);
     m_active.insert(session.id);
     if (session.request->target == Target::Transaction) {
         Connection* connection = m_pool.find(session.connection);
@@ -171,11 +166,24 @@
         startStatement(session, *connection, commandsToMatch(*connection, session.context, shape), now);
         return;
     }
+    if (forwardRequest(session, now))
+        return;
     enterHop(*session.request, HopKind::Queue, now);
     m_waiting.push_back(session.id);
     dispatch(now);
 }
 
+/// Returns which upstreams may run the request if this host executes it.
+Target Engine::ownTarget(const Session& session)
+{
+    if (session.connection != 0)
+        return Target::Transaction;
+    const bool isReadOnly
+        = session.state == TransactionState::Open ? session.isReadOnlyTransaction : !session.request->isWrite;
+    const bool isFresh = session.route->kind != Directory::RouteKind::Primary && isReadOnly;
+    return isFresh ? Target::Fresh : Target::Primary;
+}
+
 /// Assigns connections to waiting requests, by the priority of their routes and then by age.
 void Engine::dispatch(Model::Time now)
 {
@@ -313,6 +321,11 @@
     decided(DecisionKind::RequestRetried, session, request.lastCode, reason, now);
     if (request.attempts >= maxAttempts)
         return refuse(session, ResultCode::Busy, "no upstream ran it", now);
+    if (request.target == Target::Forwarded) {
+        request.target = ownTarget(session);
+        if (forwardRequest(session, now))
+            return;
+    }
     if (request.lastCode == ResultCode::Busy)
         request.retryAt = now + busyPause;
     if (request.target == Target::Fresh && m_router.candidates(session, request, now).empty()) {
@@ -339,6 +352,8 @@
 void Engine::finish(Session& session, const Reply& reply, Model::Time now)
 {
     const SessionId id = session.id;
+    if (session.state != TransactionState::Open)
+        session.link = 0;
     if (session.request->trace)
         session.request->trace->end(reply.code, now);
     m_hooks.answered(session, reply.code, now - session.request->arrivedAt);
@@ -354,6 +369,7 @@
         current->pipelined.pop_front();
         handle(id, std::move(next), now);
     }
+    removeIfOver(id);
     // Otherwise a caller that sends one statement after the other would be cut at the end of the shutdown.
     if (m_closesIdleSessions && isIdle(id) && m_sessions.erase(id) != 0)
         m_hooks.closeSession(id);
@@ -398,7 +414,10 @@
 {
     const auto& configuration = m_view.configuration();
     const Directory::Service* settings = configuration ? configuration->findService(service) : nullptr;
-    return m_ledger.share(upstream, settings ? settings->maxConnections : 0);
+    const int limit = settings ? settings->maxConnections : 0;
+    if (m_hooks.poolHostCount)
+        return m_ledger.share(upstream, limit, m_hooks.poolHostCount(service));
+    return m_ledger.share(upstream, limit);
 }
 
 }
--- a/src/libs/core/proxy/engine.h
+++ b/src/libs/core/proxy/engine.h
@@ -5,6 +5,7 @@
 #include "core/proxy/connectionledger.h"
 #include "core/proxy/decision.h"
 #include "core/proxy/enginesettings.h"
+#include "core/proxy/forwardedstatement.h"
 #include "core/proxy/pool.h"
 #include "core/proxy/router.h"
 #include "core/proxy/session.h"
@@ -36,6 +37,16 @@
     std::function<bool()> isNextTraced;
     /// Called when a statement that needs an upstream has been answered, `elapsed` after its arrival.
     std::function<void(const Session&, ResultCode, Model::Duration elapsed)> answered;
+    /// Returns the link to the pool host of the service; 0 if this host is to execute its statements. Empty
+    /// if statements are not forwarded.
+    std::function<ForwardLinkId(const std::string& service, Model::Time)> chooseLink;
+    /// Sends a statement to a pool host. Returns false if it was certainly not sent.
+    std::function<bool(ForwardLinkId, const ForwardedStatement&)> forward;
+    /// The pool host has to roll back the session's transaction, if one is open there.
+    std::function<void(ForwardLinkId, SessionId)> endForwarded;
+    /// The number of hosts that share the connections of the service's upstreams; 0 if this host is none of
+    /// them. Empty if all hosts do.
+    std::function<int(const std::string& service)> poolHostCount;
 };
 
 /// Runs the statements of sessions on connections to upstreams. Performs no input or output: the owner
@@ -51,6 +62,18 @@
     /// The caller closed its connection.
     void sessionClosed(SessionId id, Model::Time now);
 
+    /// Executes a statement that another host has forwarded, for a session that exists only until the end of
+    /// the operation. `id` is a number that the owner has not used for another session, unless it is for the
+    /// next statement of the same transaction. The answer follows through the hooks.
+    void handleForwarded(SessionId id, ForwardedStatement forwarded, Model::Time now);
+    /// A pool host has answered the statement with this sequence number.
+    void forwardAnswered(SessionId id, std::uint64_t sequence, Reply reply, Model::Time now);
+    /// A pool host has not taken the statement, which certainly did not run.
+    void forwardDeclined(SessionId id, std::uint64_t sequence, Model::Time now);
+    /// The connection to a pool host was lost. Writes and commits that were sent on it are in doubt, open
+    /// transactions are rolled back, and reads are tried again.
+    void forwardLinkLost(ForwardLinkId link, Model::Time now);
+
     void connectionOpened(ConnectionId id, Model::LogPosition position, Model::Time now);
     void connectionRefused(ConnectionId id, ResultCode code, Model::Time now);
     void connectionReply(ConnectionId id, const Reply& reply, Model::Time now);
@@ -118,6 +141,13 @@
     void answer(Session& session, const Statement& statement, Model::Time now);
     void startRequest(Session& session, Statement statement, Model::Time now);
     void handleInFailedTransaction(Session& session, const Statement& statement, Model::Time now);
+    static Target ownTarget(const Session& session);
+    bool forwardRequest(Session& session, Model::Time now);
+    ForwardedStatement forwardedStatement(const Session& session, bool isContinued, Model::Time now) const;
+    Session* findForwarded(SessionId id, std::uint64_t sequence);
+    Session& forwardedSession(SessionId id, const ForwardedStatement& forwarded);
+    void removeIfOver(SessionId id);
+    void checkForwarded(Session& session, Model::Time now);
 
     void dispatch(Model::Time now);
     bool tryAssign(Session& session, Model::Time now);
@@ -181,6 +211,7 @@
     /// Sessions whose request has no connection yet, most urgent and oldest first.
     std::vector<SessionId> m_waiting;
     ConnectionLedger m_ledger;
+    std::uint64_t m_lastForwardSequence = 0;
     Model::Time m_nextSurplusCheck;
     bool m_closesIdleSessions = false;
 };
--- a/src/libs/core/proxy/engineconnections.cpp
+++ b/src/libs/core/proxy/engineconnections.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace Proxy {
 
@@ -421,6 +422,8 @@
 /// Separates the session from its connection, which returns to the pool once all its replies have arrived.
 void Engine::detach(Session& session, Model::Time now)
 {
+    if (const ForwardLinkId link = std::exchange(session.link, 0); link != 0)
+        m_hooks.endForwarded(link, session.id);
     Connection* connection = m_pool.find(session.connection);
     session.connection = 0;
     if (!connection)
--- a/src/libs/core/proxy/enginetime.cpp
+++ b/src/libs/core/proxy/enginetime.cpp
@@ -48,6 +48,8 @@
 void Engine::checkRequest(Session& session, Model::Time now)
 {
     Request& request = *session.request;
+    if (request.target == Target::Forwarded)
+        return checkForwarded(session, now);
     if (request.phase == RequestPhase::Waiting) {
         // Without a known primary, the other upstreams are only tried to find the new one.
         const bool hasCandidates = request.target == Target::Primary
@@ -95,7 +97,7 @@
 
 void Engine::checkTransaction(Session& session, Model::Time now)
 {
-    if (session.state != TransactionState::Open || session.connection == 0)
+    if (session.state != TransactionState::Open || (session.connection == 0 && session.link == 0))
         return;
     if (now - session.lastActivity < session.configuration->limits.idleTransaction)
         return;
@@ -110,7 +112,7 @@
     for (const SessionId id : m_active) {
         const Session& session = m_sessions.at(id);
         if (!session.request) {
-            if (session.connection != 0)
+            if (session.connection != 0 || session.link != 0)
                 next = std::min(next, session.lastActivity + session.configuration->limits.idleTransaction);
             continue;
         }
@@ -119,7 +121,7 @@
             next = std::min(next, std::max(*request.retryAt, now));
         if (request.phase == RequestPhase::Waiting && now - request.arrivedAt < maxQueueTime(session))
             next = std::min(next, request.arrivedAt + maxQueueTime(session));
-        if (request.phase == RequestPhase::Running)
+        if (request.phase == RequestPhase::Running && request.target != Target::Forwarded)
             next = std::min(next, std::max(now, request.sentAt) + overdueCheckPeriod);
         next = std::min(next, request.deadline + replySlack);
     }
--- a/src/libs/core/proxy/hoptrace.cpp
+++ b/src/libs/core/proxy/hoptrace.cpp
@@ -7,7 +7,7 @@
 namespace {
 
     /// In the order of the enumeration.
-    constexpr std::array<std::string_view, 2> names { "queue", "upstream" };
+    constexpr std::array<std::string_view, 3> names { "queue", "upstream", "poolhost" };
 
 }
 
--- a/src/libs/core/proxy/hoptrace.h
+++ b/src/libs/core/proxy/hoptrace.h
@@ -16,6 +16,8 @@
     Queue,
     /// An upstream runs the request; includes the preparation of the connection.
     Upstream,
+    /// Another host, the pool host of the service, executes the request.
+    PoolHost,
 };
 
 /// The name used in logs.
--- a/src/libs/core/proxy/session.h
+++ b/src/libs/core/proxy/session.h
@@ -3,6 +3,7 @@
 #include "core/directory/configuration.h"
 #include "core/model/logposition.h"
 #include "core/proxy/connection.h"
+#include "core/proxy/forwardedstatement.h"
 #include "core/proxy/hoptrace.h"
 
 #include <deque>
@@ -21,6 +22,8 @@
     Fresh,
     /// Only the upstream that runs the session's transaction.
     Transaction,
+    /// The pool host decides.
+    Forwarded,
 };
 
 enum class RequestPhase : std::uint8_t {
@@ -55,6 +58,10 @@
     std::vector<std::string> excluded;
     /// Result of the last attempt.
     ResultCode lastCode = ResultCode::Busy;
+    /// Sequence number under which the statement was forwarded last.
+    std::uint64_t forwardSequence = 0;
+    /// Earlier statements of the transaction were forwarded as well.
+    bool isContinued = false;
     /// Hops of the request, if it is traced.
     std::optional<HopTrace> trace;
 };
@@ -70,12 +77,18 @@
     /// its end.
     std::shared_ptr<const Directory::Configuration> configuration;
     const Directory::Route* route = nullptr;
+    /// The route of a session that another host has forwarded; null for sessions of this host's callers.
+    std::shared_ptr<Directory::Route> forwardedRoute;
+    /// The host that forwarded the session's statement records its hops.
+    bool isTraced = false;
     /// Empty for callers of open routes without a valid key.
     std::string customer;
     bool isReadOnlyTransaction = false;
     bool hasWritten = false;
     /// The connection of the open transaction, or of the running statement; 0 for none.
     ConnectionId connection = 0;
+    /// The link to the pool host that runs the open transaction or the statement; 0 for none.
+    ForwardLinkId link = 0;
     /// The proxy rolled the transaction back; the reply to the caller's next statement reports it.
     bool isAborted = false;
     std::optional<Request> request;
--- a/src/libs/proxyhost/proxyhost.cpp
+++ b/src/libs/proxyhost/proxyhost.cpp
@@ -45,6 +45,9 @@
               static_cast<std::size_t>(settings.maxDescriptors - reservedDescriptors),
               { settings.scheduleStatements, settings.balanceUpstreams, settings.forwardStatements } },
           serverHooks())
+    , m_forwarding(settings.forwardStatements ? std::make_unique<StatementForwarding>(loop, settings.host,
+                       settings.zone, m_server, [this] { return m_view.configuration() && m_hasUpstreams; })
+                                              : nullptr)
     , m_fleet(loop, settings.host, m_allowance, m_server.engine().ledger(), fleetHooks())
     , m_worker(loop, calls(), settings.host)
     , m_guard(settings.promoterChecksFencing
@@ -69,6 +72,8 @@
         = [this](const Directory::Customer& customer) { return m_allowance.describe(customer.name); };
     if (!m_settings.promoterChecksFencing)
         hooks.mayUsePrimaries = [this](Model::Time now) { return m_guard->mayUsePrimaries(now); };
+    if (m_settings.forwardStatements)
+        StatementForwarding::addHooks(hooks, [this]() -> StatementForwarding& { return *m_forwarding; });
     return hooks;
 }
 
@@ -117,6 +122,14 @@
     if (auto error = m_fleet.listen(m_settings.ip, m_settings.firstPeerPort, m_settings.lastPeerPort))
         return error;
     m_ownRow = { m_fleet.address(), std::random_device {}(), {} };
+    if (m_forwarding) {
+        if (auto error
+            = m_forwarding->listen(m_settings.ip, m_settings.firstPeerPort, m_settings.lastPeerPort))
+            return error;
+        m_ownRow.zone = m_settings.zone;
+        m_ownRow.processorShare = m_settings.processorShare;
+        m_ownRow.forwardAddress = m_forwarding->address();
+    }
     registerHost();
     m_checkTimer.start(checkPeriod);
     return m_probe.start();
@@ -142,6 +155,8 @@
 {
     const Model::Time now = EventLoop::now();
     m_fleet.hostsChanged(rows, isComplete, now);
+    if (m_forwarding)
+        m_forwarding->hostsChanged(rows, isComplete);
     m_areHostsKnown = true;
     if (m_firstConfiguration)
         adopt(std::exchange(m_firstConfiguration, nullptr));
@@ -217,6 +232,8 @@
     if (m_fleet.isReportDue(m_failovers.isAnyPrimarySuspected(now), now))
         publish();
     m_fleet.sendCounts(now);
+    if (m_forwarding)
+        m_forwarding->update(now);
     logOverruns(now);
     m_checkTimer.start(checkPeriod);
 }
@@ -443,6 +460,8 @@
     m_shutdownAt = EventLoop::now();
     if (m_guard)
         m_guard->shutDown();
+    if (m_forwarding)
+        m_forwarding->drain();
     if (m_ownRowVersion != 0)
         m_worker.deleteHostRow(m_settings.host, m_ownRowVersion);
     updateReadiness();
@@ -458,7 +477,9 @@
         m_server.endIdleTransactions();
     m_server.closeIdleSessions();
     const bool isOver = elapsed >= std::chrono::duration_cast<Model::Duration>(limit * exitFraction);
-    const bool isDone = m_server.engine().sessionCount() == 0 && m_server.isEveryAnswerSent();
+    const bool areAnswersSent
+        = m_server.isEveryAnswerSent() && (!m_forwarding || m_forwarding->isEveryReplySent());
+    const bool isDone = m_server.engine().sessionCount() == 0 && areAnswersSent;
     if (isDone || isOver) {
         m_loop.stop();
         return;
--- a/src/libs/proxyhost/proxyhost.h
+++ b/src/libs/proxyhost/proxyhost.h
@@ -13,6 +13,7 @@
 #include "proxyhost/fleet.h"
 #include "proxyhost/platformworker.h"
 #include "proxyhost/primaryguard.h"
+#include "proxyhost/statementforwarding.h"
 #include "proxyhost/storeevents.h"
 #include "sessionserver/server.h"
 #include "settings/proxysettings.h"
@@ -74,6 +75,8 @@
     Directory::View m_view;
     Allowance::FleetAllowance m_allowance;
     SessionServer::Server m_server;
+    /// Null if statements are not forwarded.
+    std::unique_ptr<StatementForwarding> m_forwarding;
     Fleet m_fleet;
     PlatformWorker m_worker;
     /// Null if the promoter takes the role from the previous primary.
--- a/src/libs/proxyhost/rows.cpp
+++ b/src/libs/proxyhost/rows.cpp
@@ -34,9 +34,14 @@
 
 std::string formatHostRow(const HostRow& row)
 {
-    return nlohmann::json {
-        { "address", row.address }, { "nonce", row.nonce }, { "registeredAtMs", row.registeredAt.count() }
-    }.dump();
+    nlohmann::json json { { "address", row.address }, { "nonce", row.nonce },
+        { "registeredAtMs", row.registeredAt.count() } };
+    if (!row.forwardAddress.empty()) {
+        json["zone"] = row.zone;
+        json["processorShare"] = row.processorShare;
+        json["forwardAddress"] = row.forwardAddress;
+    }
+    return json.dump();
 }
 
 HostRow parseHostRow(const std::string& value)
@@ -47,8 +52,14 @@
         // An address that cannot be connected to would end the process.
         if (!Settings::parseAddress(address))
             return {};
-        return { std::move(address), json.at("nonce").get<std::uint32_t>(),
+        HostRow row { std::move(address), json.at("nonce").get<std::uint32_t>(),
             Failover::StoreTime(json.value("registeredAtMs", std::int64_t {})) };
+        row.forwardAddress = json.value("forwardAddress", std::string());
+        if (!Settings::parseAddress(row.forwardAddress))
+            row.forwardAddress.clear();
+        row.zone = json.value("zone", std::string());
+        row.processorShare = json.value("processorShare", 0.0);
+        return row;
     } catch (const nlohmann::json::exception&) {
         return {};
     }
--- a/src/libs/proxyhost/rows.h
+++ b/src/libs/proxyhost/rows.h
@@ -26,6 +26,11 @@
     std::uint32_t nonce = 0;
     /// Time of the store just before the row was written; 0 if it is unknown.
     Failover::StoreTime registeredAt {};
+    std::string zone;
+    /// Share of a processor that the host has, from 0 to 1.
+    double processorShare = 0;
+    /// IP:PORT for forwarded statements; empty if the host executes none for others.
+    std::string forwardAddress;
 };
 
 std::string formatHostRow(const HostRow& row);
--- a/src/libs/sessionserver/server.cpp
+++ b/src/libs/sessionserver/server.cpp
@@ -26,14 +26,16 @@
     , m_codec(std::move(codec))
     , m_metrics(metrics)
     , m_settings(std::move(settings))
+    , m_hooks(std::move(hooks))
     , m_listener(std::make_unique<EventLoop::TcpListener>(
           loop, [this](std::unique_ptr<EventLoop::TcpStream> stream) { accept(std::move(stream)); }))
     , m_timer(loop, [this] { tick(); })
     , m_statements(metrics.counter("parsleytack_statements_received_total"))
+    , m_forwardedStatements(metrics.counter("parsleytack_statements_executed_for_others_total"))
     , m_connectionsOpened(metrics.counter("parsleytack_upstream_connections_opened_total"))
     , m_sessions(metrics.gauge("parsleytack_sessions"))
     , m_latency(metrics.histogram("parsleytack_statement_microseconds"))
-    , m_engine(view, m_settings.zone, engineHooks(std::move(hooks)), m_settings.engine)
+    , m_engine(view, m_settings.zone, engineHooks(), m_settings.engine)
 {
 }
 
@@ -45,7 +47,7 @@
     return m_listener->listen(m_settings.ip, m_settings.port);
 }
 
-Proxy::EngineHooks Server::engineHooks(ServerHooks hooks)
+Proxy::EngineHooks Server::engineHooks()
 {
     Proxy::EngineHooks result;
     result.reply = [this](Proxy::SessionId id, const Proxy::Reply& answer) { reply(id, answer); };
@@ -58,9 +60,13 @@
     result.send
         = [this](Proxy::ConnectionId id, std::span<const Proxy::Command> commands) { send(id, commands); };
     result.disconnect = [this](Proxy::ConnectionId id) { m_upstreams.erase(id); };
-    result.admit = std::move(hooks.admit);
-    result.explainLimit = std::move(hooks.explainLimit);
-    result.mayUsePrimaries = std::move(hooks.mayUsePrimaries);
+    result.admit = m_hooks.admit;
+    result.explainLimit = m_hooks.explainLimit;
+    result.mayUsePrimaries = m_hooks.mayUsePrimaries;
+    result.chooseLink = m_hooks.chooseLink;
+    result.forward = m_hooks.forward;
+    result.endForwarded = m_hooks.endForwarded;
+    result.poolHostCount = m_hooks.poolHostCount;
     result.decided
         = [this](const Proxy::Decision& decision) { m_decisionLog.write(decision, EventLoop::now()); };
     result.isNextTraced = [] { return Logging::isNextTraceSampled(); };
@@ -121,6 +127,8 @@
 
 void Server::closeCaller(Proxy::SessionId id)
 {
+    if (m_hooks.closeForwarded && m_hooks.closeForwarded(id))
+        return;
     const auto caller = m_callers.find(id);
     if (caller == m_callers.end())
         return;
@@ -132,6 +140,8 @@
 
 void Server::reply(Proxy::SessionId id, const Proxy::Reply& answer)
 {
+    if (m_hooks.replyForwarded && m_hooks.replyForwarded(id, answer))
+        return;
     const auto caller = m_callers.find(id);
     if (caller == m_callers.end())
         return;
@@ -271,6 +281,36 @@
     m_engine.probeIfUnresponsive(upstream, EventLoop::now());
 }
 
+void Server::handleForwarded(Proxy::SessionId id, Proxy::ForwardedStatement statement)
+{
+    m_engine.handleForwarded(id, std::move(statement), EventLoop::now());
+    scheduleTick();
+}
+
+void Server::endForwardedSession(Proxy::SessionId id)
+{
+    m_engine.sessionClosed(id, EventLoop::now());
+    scheduleTick();
+}
+
+void Server::forwardAnswered(Proxy::SessionId id, std::uint64_t sequence, Proxy::Reply reply)
+{
+    m_engine.forwardAnswered(id, sequence, std::move(reply), EventLoop::now());
+    scheduleTick();
+}
+
+void Server::forwardDeclined(Proxy::SessionId id, std::uint64_t sequence)
+{
+    m_engine.forwardDeclined(id, sequence, EventLoop::now());
+    scheduleTick();
+}
+
+void Server::forwardLinkLost(Proxy::ForwardLinkId link)
+{
+    m_engine.forwardLinkLost(link, EventLoop::now());
+    scheduleTick();
+}
+
 void Server::closeIdleSessions()
 {
     m_isShuttingDown = true;
@@ -290,6 +330,8 @@
                 std::to_string(
                     std::chrono::duration_cast<std::chrono::milliseconds>(now - *m_tickAt).count()) } });
         m_engine.processPaused(now);
+        if (m_hooks.processPaused)
+            m_hooks.processPaused(now);
     }
     m_tickAt.reset();
     m_sessions.set(static_cast<std::int64_t>(m_engine.sessionCount()));
@@ -309,6 +351,10 @@
 
 void Server::countAnswer(const Proxy::Session& session, Proxy::ResultCode code, Model::Duration elapsed)
 {
+    if (session.forwardedRoute) {
+        m_forwardedStatements.add();
+        return;
+    }
     m_latency.record(elapsed);
     Metrics::Counter*& counter = m_answers[{ session.database, code }];
     if (!counter) {
--- a/src/libs/sessionserver/server.h
+++ b/src/libs/sessionserver/server.h
@@ -41,6 +41,17 @@
     std::function<std::string(const Directory::Customer&)> explainLimit;
     /// Whether this host may use primaries now; empty if it always may.
     std::function<bool(Model::Time)> mayUsePrimaries;
+    /// The hooks of the engine for statements that other hosts execute; empty if none do.
+    std::function<Proxy::ForwardLinkId(const std::string& service, Model::Time)> chooseLink;
+    std::function<bool(Proxy::ForwardLinkId, const Proxy::ForwardedStatement&)> forward;
+    std::function<void(Proxy::ForwardLinkId, Proxy::SessionId)> endForwarded;
+    std::function<int(const std::string& service)> poolHostCount;
+    /// Takes the replies to sessions of other hosts' callers, and learns that the engine has closed one.
+    /// Returns false if the session is one of this host's callers.
+    std::function<bool(Proxy::SessionId, const Proxy::Reply&)> replyForwarded;
+    std::function<bool(Proxy::SessionId)> closeForwarded;
+    /// The process was paused; what has arrived meanwhile is not read yet.
+    std::function<void(Model::Time)> processPaused;
 };
 
 /// Serves callers: owns the sockets of callers and upstreams and connects them to the engine. Used on the
@@ -74,6 +85,14 @@
         std::function<void(const std::optional<Failover::UpstreamStatus>&)> answered);
     /// Requests the status of the upstream if it has left requests unanswered for a while.
     void probeIfUnresponsive(const std::string& upstream);
+    /// Executes a statement of another host's session; see `Proxy::Engine::handleForwarded`.
+    void handleForwarded(Proxy::SessionId id, Proxy::ForwardedStatement statement);
+    /// The other host has ended the session, or is gone.
+    void endForwardedSession(Proxy::SessionId id);
+    /// The answers of pool hosts; see the functions of `Proxy::Engine`.
+    void forwardAnswered(Proxy::SessionId id, std::uint64_t sequence, Proxy::Reply reply);
+    void forwardDeclined(Proxy::SessionId id, std::uint64_t sequence);
+    void forwardLinkLost(Proxy::ForwardLinkId link);
     Proxy::Engine& engine() { return m_engine; }
     const Proxy::Engine& engine() const { return m_engine; }
 
@@ -97,7 +116,7 @@
         std::string openMessage;
     };
 
-    Proxy::EngineHooks engineHooks(ServerHooks hooks);
+    Proxy::EngineHooks engineHooks();
     void accept(std::unique_ptr<EventLoop::TcpStream> stream);
     bool receive(Proxy::SessionId id, std::string_view line);
     void callerClosed(Proxy::SessionId id);
@@ -118,6 +137,7 @@
     Codec m_codec;
     Metrics::Registry& m_metrics;
     ServerSettings m_settings;
+    ServerHooks m_hooks;
     std::unique_ptr<EventLoop::TcpListener> m_listener;
     EventLoop::Timer m_timer;
     std::unordered_map<Proxy::SessionId, Caller> m_callers;
@@ -129,6 +149,8 @@
     /// When the timer is due; empty if it is not running.
     std::optional<Model::Time> m_tickAt;
     Metrics::Counter& m_statements;
+    /// Statements executed for other hosts.
+    Metrics::Counter& m_forwardedStatements;
     Metrics::Counter& m_connectionsOpened;
     Metrics::Counter& m_sessions;
     Metrics::Histogram& m_latency;
--- a/src/libs/settings/proxysettings.cpp
+++ b/src/libs/settings/proxysettings.cpp
@@ -18,6 +18,7 @@
     constexpr int maxShutdownMs = 600000;
     constexpr int maxForgetHostsAfterS = 86400;
     constexpr int maxDescriptors = 1000000;
+    constexpr int maxZones = 1000;
     /// Enough for the connections to the store, the probe, the other hosts and the upstreams, and for some
     /// callers.
     constexpr int minDescriptors = 700;
@@ -45,9 +46,16 @@
     reader.integer("maxDescriptors", settings.maxDescriptors, minDescriptors, maxDescriptors);
     reader.integer("forgetHostsAfterS", settings.forgetHostsAfterS, 1, maxForgetHostsAfterS);
     reader.fraction("traceSampleRate", settings.traceSampleRate);
+    reader.integer("toleratedZoneLosses", settings.toleratedZoneLosses, 0, maxZones);
+    // A fleet that has to bear the loss of a zone keeps the sessions of a host apart from all other hosts.
+    const bool sharesUpstreams = settings.toleratedZoneLosses == 0;
+    settings.scheduleStatements = sharesUpstreams;
+    settings.balanceUpstreams = sharesUpstreams;
+    settings.forwardStatements = sharesUpstreams;
     reader.boolean("scheduleStatements", settings.scheduleStatements);
     reader.boolean("balanceUpstreams", settings.balanceUpstreams);
     reader.boolean("forwardStatements", settings.forwardStatements);
+    reader.fraction("processorShare", settings.processorShare);
     if (!reader.error().empty())
         return makeError(ErrorCode::InvalidRequest, reader.error());
     return settings;
--- a/src/libs/settings/proxysettings.h
+++ b/src/libs/settings/proxysettings.h
@@ -39,10 +39,15 @@
     int forgetHostsAfterS = 600;
     /// Fraction of the statements whose hops are logged, from 0 to 1.
     double traceSampleRate = 0.001;
-    /// Features that are off unless the settings switch them on.
+    /// Number of availability zones that may fail at the same time while the fleet keeps all guarantees.
+    int toleratedZoneLosses = 1;
+    /// Features that are on by default only if `toleratedZoneLosses` is 0.
     bool scheduleStatements = false;
     bool balanceUpstreams = false;
     bool forwardStatements = false;
+    /// Share of a processor that the host has, from 0 to 1; hosts with more execute more statements of
+    /// others.
+    double processorShare = 1;
 };
 
 /// Parses settings from JSON text. Unknown fields are ignored, since the platform adds fields of its own. The
