--- a/src/libs/core/allowance/fleetallowance.cpp
+++ b/src/libs/core/allowance/fleetallowance.cpp
@@ -18,6 +18,8 @@
     /// The share of a host that does not report is reserved for longer: it may be partitioned from this one
     /// and still serve callers.
     constexpr Model::Duration shareReservedFor = std::chrono::seconds(40);
+    /// All live hosts have reported by this time after a start, if their reports arrive.
+    constexpr Model::Duration settlingTime = std::chrono::seconds(1);
     constexpr Model::Duration demandAveragingPeriod = std::chrono::milliseconds(250);
     /// Weight of the newest period in the moving averages of requested and admitted operations.
     constexpr double newestDemandWeight = 0.3;
@@ -75,6 +77,7 @@
     if (m_arePeersKnown)
         return;
     m_arePeersKnown = true;
+    m_peersKnownSince = now;
     for (auto& [customer, bucket] : m_buckets)
         fillInitially(bucket, now);
 }
@@ -137,6 +140,14 @@
     return true;
 }
 
+bool FleetAllowance::isSettling(Model::Time now) const
+{
+    if (!m_arePeersKnown)
+        return true;
+    return now - m_peersKnownSince < settlingTime
+        && std::ranges::any_of(m_peers, [](const auto& peer) { return !peer.second.lastReportAt; });
+}
+
 std::string FleetAllowance::describe(const std::string& customer) const
 {
     const auto found = m_buckets.find(customer);
--- a/src/libs/core/allowance/fleetallowance.h
+++ b/src/libs/core/allowance/fleetallowance.h
@@ -90,6 +90,9 @@
     void setCustomers(const Directory::Configuration& configuration, Model::Time now);
     /// Returns whether an operation may start now, and charges it if so.
     bool admit(const Directory::Customer& customer, Model::Time now);
+    /// Whether this host has started so recently that it lacks the reports of others. It admits little until
+    /// they arrive, usually within half a second.
+    bool isSettling(Model::Time now) const;
     /// The state of the customer's bucket as of its last update, which the last decision was based on, for
     /// logs. Empty for an unknown customer.
     std::string describe(const std::string& customer) const;
@@ -203,6 +206,7 @@
     std::string m_self;
     Model::Duration m_reportPeriod = std::chrono::milliseconds(200);
     bool m_arePeersKnown = false;
+    Model::Time m_peersKnownSince;
     std::map<std::string, Peer> m_peers;
     std::map<std::string, Bucket> m_buckets;
 };
--- a/src/libs/core/proxy/engine.cpp
+++ b/src/libs/core/proxy/engine.cpp
@@ -29,7 +29,7 @@
     if (!session)
         return handleBeforeOpen(id, std::move(statement), now);
     session->lastActivity = now;
-    if (session->request) {
+    if (session->request || m_awaitingAdmission.contains(id)) {
         if (session->pipelined.size() >= maxPipelinedStatements) {
             sessionClosed(id, now);
             m_hooks.closeSession(id);
@@ -75,7 +75,11 @@
     session.hasWritten = false;
     if (statement.kind == StatementKind::Commit)
         return refuseStart(ResultCode::Malformed, "no transaction is open");
-    if (customer && !m_hooks.admit(*customer, now))
+    const bool isAdmitted = !customer || m_hooks.admit(*customer, now);
+    if (!isAdmitted && awaitAdmission(session, *customer, statement, now))
+        return false;
+    session.admissionAwaitedSince.reset();
+    if (!isAdmitted)
         return refuseStart(ResultCode::Busy, "beyond the customer's rate", m_hooks.explainLimit(*customer));
     return true;
 }
@@ -362,19 +366,26 @@
     if (session.state == TransactionState::None)
         m_active.erase(id);
     m_hooks.reply(id, reply);
-    // A pipelined statement that needs no upstream is answered at once, so the next one can follow.
-    for (Session* current = findSession(id); current && !current->request && !current->pipelined.empty();
-         current = findSession(id)) {
-        Statement next = std::move(current->pipelined.front());
-        current->pipelined.pop_front();
-        handle(id, std::move(next), now);
-    }
+    handlePipelined(id, now);
     removeIfOver(id);
     // Otherwise a caller that sends one statement after the other would be cut at the end of the shutdown.
     if (m_closesIdleSessions && isIdle(id) && m_sessions.erase(id) != 0)
         m_hooks.closeSession(id);
 }
 
+/// Handles the statements that were received while another one was not answered yet.
+void Engine::handlePipelined(SessionId id, Model::Time now)
+{
+    // A pipelined statement that needs no upstream is answered at once, so the next one can follow.
+    for (Session* session = findSession(id);
+         session && !session->request && !m_awaitingAdmission.contains(id) && !session->pipelined.empty();
+         session = findSession(id)) {
+        Statement next = std::move(session->pipelined.front());
+        session->pipelined.pop_front();
+        handle(id, std::move(next), now);
+    }
+}
+
 /// Ends a request that is certain not to have run.
 void Engine::refuse(Session& session, ResultCode code, std::string_view reason, Model::Time now)
 {
--- a/src/libs/core/proxy/engine.h
+++ b/src/libs/core/proxy/engine.h
@@ -28,6 +28,9 @@
     std::function<void(ConnectionId)> disconnect;
     /// Whether the customer may start another operation now; if so, charges it.
     std::function<bool(const Directory::Customer&, Model::Time)> admit;
+    /// Whether `admit` may permit the operation soon, because this host does not know the others' use yet.
+    /// Empty if it never does.
+    std::function<bool(const Directory::Customer&, Model::Time)> mayAdmitSoon;
     /// Describes the state of the customer's limit that `admit` checked, for the log entry of a refusal.
     std::function<std::string(const Directory::Customer&)> explainLimit;
     /// Whether this host may use primaries now; empty if it always may.
@@ -138,6 +141,10 @@
     void handleBeforeOpen(SessionId id, Statement statement, Model::Time now);
     void checkPendingOpens(Model::Time now);
     bool beginOperation(Session& session, const Statement& statement, Model::Time now);
+    bool awaitAdmission(
+        Session& session, const Directory::Customer& customer, const Statement& statement, Model::Time now);
+    void retryAdmissions(Model::Time now);
+    void handlePipelined(SessionId id, Model::Time now);
     void answer(Session& session, const Statement& statement, Model::Time now);
     void startRequest(Session& session, Statement statement, Model::Time now);
     void handleInFailedTransaction(Session& session, const Statement& statement, Model::Time now);
@@ -208,6 +215,8 @@
     std::map<SessionId, PendingOpen> m_pendingOpens;
     /// Sessions that have an unanswered statement or are in a transaction.
     std::set<SessionId> m_active;
+    /// Sessions whose operation may be admitted soon.
+    std::set<SessionId> m_awaitingAdmission;
     /// Sessions whose request has no connection yet, most urgent and oldest first.
     std::vector<SessionId> m_waiting;
     ConnectionLedger m_ledger;
--- a/src/libs/core/proxy/enginesessions.cpp
+++ b/src/libs/core/proxy/enginesessions.cpp
@@ -10,6 +10,8 @@
 
     /// Callers time out two seconds after they have requested a session.
     constexpr Model::Duration maxOpenWait = std::chrono::milliseconds(1500);
+    /// Callers whose operation is refused after this time can still try it on another host.
+    constexpr Model::Duration maxAdmissionWait = std::chrono::milliseconds(500);
 
 }
 
@@ -85,6 +87,31 @@
     }
 }
 
+/// Lets an operation wait that this host cannot admit yet. Callers of a fleet that has just started would use
+/// up their retries within milliseconds. Returns false if the operation has to be refused.
+bool Engine::awaitAdmission(
+    Session& session, const Directory::Customer& customer, const Statement& statement, Model::Time now)
+{
+    if (!m_settings.schedulesStatements || !m_hooks.mayAdmitSoon || !m_hooks.mayAdmitSoon(customer, now))
+        return false;
+    if (!session.admissionAwaitedSince)
+        session.admissionAwaitedSince = now;
+    if (now - *session.admissionAwaitedSince >= maxAdmissionWait)
+        return false;
+    session.pipelined.push_front(statement);
+    m_awaitingAdmission.insert(session.id);
+    m_active.insert(session.id);
+    return true;
+}
+
+void Engine::retryAdmissions(Model::Time now)
+{
+    for (const SessionId id : std::exchange(m_awaitingAdmission, {})) {
+        m_active.erase(id);
+        handlePipelined(id, now);
+    }
+}
+
 void Engine::sessionClosed(SessionId id, Model::Time now)
 {
     m_pendingOpens.erase(id);
@@ -93,6 +120,7 @@
         return;
     detach(*session, now);
     m_active.erase(id);
+    m_awaitingAdmission.erase(id);
     std::erase(m_waiting, id);
     m_sessions.erase(id);
     dispatch(now);
--- a/src/libs/core/proxy/enginetime.cpp
+++ b/src/libs/core/proxy/enginetime.cpp
@@ -9,6 +9,7 @@
     constexpr Model::Duration surplusCheckPeriod = std::chrono::milliseconds(400);
     /// How often running statements are checked for overdue replies.
     constexpr Model::Duration overdueCheckPeriod = std::chrono::milliseconds(100);
+    constexpr Model::Duration admissionRetryPeriod = std::chrono::milliseconds(20);
     /// Network latency of a reply that the upstream sends just at the statement's time limit.
     constexpr Model::Duration replySlack = std::chrono::milliseconds(50);
     /// A request that no upstream can run is refused after 1 / queueTimeDivisor of its target latency. If it
@@ -28,6 +29,7 @@
 void Engine::tick(Model::Time now)
 {
     checkPendingOpens(now);
+    retryAdmissions(now);
     const std::vector<SessionId> active(m_active.begin(), m_active.end());
     for (const SessionId id : active) {
         Session* session = findSession(id);
@@ -109,6 +111,8 @@
 Model::Time Engine::nextTick(Model::Time now) const
 {
     Model::Time next = std::max(m_nextSurplusCheck, now);
+    if (!m_awaitingAdmission.empty())
+        next = std::min(next, now + admissionRetryPeriod);
     for (const SessionId id : m_active) {
         const Session& session = m_sessions.at(id);
         if (!session.request) {
--- a/src/libs/core/proxy/session.h
+++ b/src/libs/core/proxy/session.h
@@ -92,6 +92,8 @@
     /// The proxy rolled the transaction back; the reply to the caller's next statement reports it.
     bool isAborted = false;
     std::optional<Request> request;
+    /// When the operation arrived whose admission is awaited; its first statement is the first pipelined one.
+    std::optional<Model::Time> admissionAwaitedSince;
     /// Statements that were received before the previous one was answered.
     std::deque<Statement> pipelined;
     Model::LogPosition lastCommit;
--- a/src/libs/proxyhost/proxyhost.cpp
+++ b/src/libs/proxyhost/proxyhost.cpp
@@ -68,6 +68,9 @@
     hooks.admit = [this](const Directory::Customer& customer, Model::Time now) {
         return m_allowance.admit(customer, now);
     };
+    hooks.mayAdmitSoon = [this](const Directory::Customer& /*customer*/, Model::Time now) {
+        return m_allowance.isSettling(now);
+    };
     hooks.explainLimit
         = [this](const Directory::Customer& customer) { return m_allowance.describe(customer.name); };
     if (!m_settings.promoterChecksFencing)
--- a/tests/auto/core/proxy/enginefixture.cpp
+++ b/tests/auto/core/proxy/enginefixture.cpp
@@ -31,7 +31,7 @@
 
 }
 
-EngineFixture::EngineFixture()
+EngineFixture::EngineFixture(EngineSettings settings)
 {
     setUpstream("p", Directory::Role::Primary);
     setUpstream("q", Directory::Role::Replica);
@@ -52,6 +52,7 @@
     };
     hooks.disconnect = [this](ConnectionId id) { m_links.at(id).isClosed = true; };
     hooks.admit = [this](const Directory::Customer&, Model::Time) { return m_isAdmitted; };
+    hooks.mayAdmitSoon = [this](const Directory::Customer&, Model::Time) { return m_mayAdmitSoon; };
     hooks.explainLimit = [](const Directory::Customer&) { return std::string("rate=1"); };
     hooks.mayUsePrimaries = [this](Model::Time) { return m_mayUsePrimaries; };
     hooks.decided = [this](const Decision& decision) { m_decisions.push_back(decision); };
@@ -60,7 +61,7 @@
         if (session.request->trace)
             m_hops = session.request->trace->hops();
     };
-    m_engine = std::make_unique<Engine>(m_view, "north", std::move(hooks));
+    m_engine = std::make_unique<Engine>(m_view, "north", std::move(hooks), settings);
     configure();
 }
 
--- a/tests/auto/core/proxy/enginefixture.h
+++ b/tests/auto/core/proxy/enginefixture.h
@@ -21,7 +21,7 @@
         bool isClosed = false;
     };
 
-    EngineFixture();
+    explicit EngineFixture(Proxy::EngineSettings settings = {});
 
     void setUpstream(const std::string& id, Directory::Role role,
         Directory::Availability availability = Directory::Availability::Ready);
@@ -58,6 +58,7 @@
     Directory::View m_view;
     Model::Time m_now { std::chrono::seconds(100) };
     bool m_isAdmitted = true;
+    bool m_mayAdmitSoon = false;
     bool m_mayUsePrimaries = true;
     bool m_isTraced = false;
     /// Hops of the traced statement that was answered last.
