Let statements wait in one queue for the execution slots

Cause: a request is sent to an upstream whose slots are taken, which answers BUSY, and is ordered only among the few requests that wait for a connection.

Change: with schedulesStatements, SlotWindow limits what is in progress at an upstream, WaitQueue orders the waiting requests by class, customer and age, and WaitEstimate tells when a new one cannot be served in time. A statement of an open transaction waits for a slot on its connection, before the others. BUSY returns a request to its place without counting an attempt. Without the setting the engine takes the same paths as before.

--- a/src/libs/core/proxy/connection.h
+++ b/src/libs/core/proxy/connection.h
@@ -64,6 +64,8 @@
     /// The session that uses the connection, or 0.
     SessionId session = 0;
     bool isInTransaction = false;
+    /// Since when the connection occupies an execution slot of the upstream, if statements are scheduled.
+    std::optional<Model::Time> slotHeldSince;
     /// The session relies on the upstream being the primary, and not only on a position of its log.
     bool reliesOnPrimary = false;
     /// A message of the proxy itself that is sent once the connection is open.
--- a/src/libs/core/proxy/decision.h
+++ b/src/libs/core/proxy/decision.h
@@ -18,6 +18,8 @@
     SessionRejected,
     ConnectionRefused,
     ConnectionLost,
+    /// A request was refused because the estimated wait for an execution slot exceeds its time limit.
+    RequestRefusedByEstimate,
 };
 
 /// One logged decision and the reasons for it.
--- a/src/libs/core/proxy/engine.cpp
+++ b/src/libs/core/proxy/engine.cpp
@@ -7,14 +7,6 @@
 
 namespace Proxy {
 
-namespace {
-
-    /// Connections to one upstream that this host opens at the same time. Opening one occupies an execution
-    /// slot of the upstream.
-    constexpr int maxOpening = 2;
-
-}
-
 Engine::Engine(const Directory::View& view, std::string zone, EngineHooks hooks, EngineSettings settings)
     : m_view(view)
     , m_hooks(std::move(hooks))
@@ -172,6 +164,8 @@
         return;
     }
     enterHop(*session.request, HopKind::Queue, now);
+    if (m_settings.schedulesStatements)
+        return enqueue(session, now);
     m_waiting.push_back(session.id);
     dispatch(now);
 }
@@ -179,6 +173,8 @@
 /// Assigns connections to waiting requests, by the priority of their routes and then by age.
 void Engine::dispatch(Model::Time now)
 {
+    if (m_settings.schedulesStatements)
+        return dispatchScheduled(now);
     if (m_waiting.empty())
         return;
     std::ranges::stable_sort(
@@ -225,15 +221,19 @@
     if (!m_pool.mayOpen(upstream.id, limits.maximum + 1, now)
         || m_pool.countOpening(upstream.id) >= maxOpening)
         return 0;
-    if (m_pool.mustReserveSlots(upstream.id, session.customer, now))
+    const bool isScheduled = m_settings.schedulesStatements;
+    if (!isScheduled && m_pool.mustReserveSlots(upstream.id, session.customer, now))
         return 0;
-    if (m_pool.count(upstream.id) >= limits.guaranteed) {
+    // The requests of an idle connection's customer may be waiting for a slot, so it is closed only if that
+    // is necessary.
+    if (m_pool.count(upstream.id) >= (isScheduled ? limits.maximum : limits.guaranteed)) {
         if (const Connection* other = m_pool.findEvictable(upstream.id, session.customer))
             closeConnection(other->id);
     }
     if (m_pool.count(upstream.id) >= limits.maximum)
         return 0;
-    const Connection& connection = m_pool.add(upstream, session.customer, now);
+    Connection& connection = m_pool.add(upstream, session.customer, now);
+    holdSlot(connection, now);
     m_reachability.requestSent(upstream.id, now);
     m_hooks.connect(connection.id, upstream, session.customer);
     return connection.id;
@@ -246,6 +246,7 @@
     connection.session = session.id;
     connection.changedAt = now;
     session.connection = connection.id;
+    holdSlot(connection, now);
     ++request.attempts;
     request.upstream = connection.upstream;
     enterHop(request, HopKind::Upstream, now);
@@ -284,6 +285,8 @@
 
 void Engine::sendStatement(Session& session, Connection& connection, Model::Time now)
 {
+    if (!takeSlotInTransaction(session, connection, now))
+        return;
     Request& request = *session.request;
     std::vector<Command> commands { statementCommand(session, connection) };
     if (request.target == Target::Fresh && session.state == TransactionState::None
@@ -313,7 +316,7 @@
     decided(DecisionKind::RequestRetried, session, request.lastCode, reason, now);
     if (request.attempts >= maxAttempts)
         return refuse(session, ResultCode::Busy, "no upstream ran it", now);
-    if (request.lastCode == ResultCode::Busy)
+    if (request.lastCode == ResultCode::Busy && !m_settings.schedulesStatements)
         request.retryAt = now + busyPause;
     if (request.target == Target::Fresh && m_router.candidates(session, request, now).empty()) {
         request.target = Target::Primary;
@@ -322,6 +325,8 @@
             return primary && primary->id == id;
         });
     }
+    if (m_settings.schedulesStatements)
+        return enqueueAgain(session, now);
     m_waiting.push_back(session.id);
     dispatch(now);
 }
@@ -363,6 +368,7 @@
 void Engine::refuse(Session& session, ResultCode code, std::string_view reason, Model::Time now)
 {
     std::erase(m_waiting, session.id);
+    removeFromQueues(session);
     decided(DecisionKind::RequestRefused, session, code, reason, now);
     if (session.state == TransactionState::Open)
         session.state = TransactionState::Failed;
@@ -371,13 +377,19 @@
 
 void Engine::decided(DecisionKind kind, const Session& session, ResultCode code, std::string_view reason,
     Model::Time now) const
+{
+    Decision decision = decisionOf(kind, session, code, now);
+    decision.reason = reason;
+    m_hooks.decided(decision);
+}
+
+Decision Engine::decisionOf(DecisionKind kind, const Session& session, ResultCode code, Model::Time now)
 {
     Decision decision;
     decision.kind = kind;
     decision.database = session.database;
     decision.customer = session.customer;
     decision.code = code;
-    decision.reason = reason;
     decision.configuration = session.configuration ? session.configuration->version : 0;
     if (session.request) {
         decision.request = session.request->statement.id;
@@ -385,7 +397,7 @@
         decision.attempts = session.request->attempts;
         decision.upstream = session.request->upstream;
     }
-    m_hooks.decided(decision);
+    return decision;
 }
 
 Session* Engine::findSession(SessionId id)
--- a/src/libs/core/proxy/engine.h
+++ b/src/libs/core/proxy/engine.h
@@ -8,7 +8,11 @@
 #include "core/proxy/pool.h"
 #include "core/proxy/router.h"
 #include "core/proxy/session.h"
+#include "core/proxy/slotwindow.h"
+#include "core/proxy/waitestimate.h"
+#include "core/proxy/waitqueue.h"
 
+#include <deque>
 #include <functional>
 #include <set>
 #include <span>
@@ -38,6 +42,16 @@
     std::function<void(const Session&, ResultCode, Model::Duration elapsed)> answered;
 };
 
+/// What the scheduling of statements has decided since the start, and the requests that wait now.
+struct SchedulingStats {
+    std::uint64_t refusedByEstimate = 0;
+    /// Statements and openings that an upstream answered `Busy`.
+    std::uint64_t busyAnswers = 0;
+    std::uint64_t windowDecreases = 0;
+    std::uint64_t windowIncreases = 0;
+    std::uint64_t waiting = 0;
+};
+
 /// Runs the statements of sessions on connections to upstreams. Performs no input or output: the owner
 /// reports events by calls, with the current time, and the engine acts through the hooks. Used on one thread.
 class Engine {
@@ -93,12 +107,16 @@
     std::size_t sessionCount() const { return m_sessions.size(); }
     const Pool& pool() const { return m_pool; }
     const Router& router() const { return m_router; }
+    SchedulingStats schedulingStats() const;
 
 private:
     /// A session with more pipelined statements than this is closed: its caller violates the protocol.
     static constexpr std::size_t maxPipelinedStatements = 64;
     /// Between two attempts of a statement that a busy upstream did not run.
     static constexpr Model::Duration busyPause = std::chrono::milliseconds(15);
+    /// Connections to one upstream that this host opens at the same time. Opening one occupies an execution
+    /// slot of the upstream.
+    static constexpr int maxOpening = 2;
     /// A statement is tried on no more upstreams than a service usually has.
     static constexpr int maxAttempts = 4;
 
@@ -110,6 +128,21 @@
         std::vector<Statement> pipelined;
     };
 
+    /// The use of an upstream's execution slots.
+    struct UpstreamSlots {
+        SlotWindow window;
+        /// Sessions whose open transaction waits for a slot, oldest first.
+        std::deque<SessionId> transactions;
+    };
+    /// The requests that wait for the slots of a service.
+    struct ServiceQueue {
+        std::vector<std::string> upstreams;
+        WaitQueue waiting;
+        WaitEstimate estimate;
+    };
+    struct UsableUpstream;
+    struct NextStart;
+
     Session* findSession(SessionId id);
     void acceptSession(SessionId id, std::string database, std::string key, Model::Time now);
     void handleBeforeOpen(SessionId id, Statement statement, Model::Time now);
@@ -119,6 +152,34 @@
     void startRequest(Session& session, Statement statement, Model::Time now);
     void handleInFailedTransaction(Session& session, const Statement& statement, Model::Time now);
 
+    SlotWindow& slotWindow(const std::string& upstream);
+    void holdSlot(Connection& connection, Model::Time now);
+    void freeSlot(Connection& connection, SlotResult result, Model::Time now);
+    void loseSlot(Connection& connection, Model::Time now);
+    bool takeSlotInTransaction(Session& session, Connection& connection, Model::Time now);
+    void awaitSlotAgain(Session& session, const Connection& connection);
+    void removeFromQueues(const Session& session);
+    WaitLane waitLane(const Session& session, const ServiceQueue& service, Model::Time now) const;
+    ServiceQueue& serviceQueue(const std::string& name);
+    void enqueue(Session& session, Model::Time now);
+    void enqueueAgain(Session& session, Model::Time now);
+    Model::Duration expectedWait(
+        const Session& session, const ServiceQueue& service, const WaitingRequest& request, Model::Time now);
+    void refuseByEstimate(Session& session, Model::Duration wait, Model::Time now);
+    void dispatchScheduled(Model::Time now);
+    void dispatchService(ServiceQueue& service, Model::Time now);
+    bool isBacklogged(const ServiceQueue& service) const;
+    void sendInTransactions(const std::string& upstream, Model::Time now);
+    std::vector<UsableUpstream> usableUpstreams(const ServiceQueue& service, Model::Time now);
+    bool startNext(ServiceQueue& service, Model::Time now);
+    NextStart findNext(const ServiceQueue& service, WaitLane lane, const std::vector<UsableUpstream>& usable,
+        Model::Time now) const;
+    bool isOpeningFor(const Session& session) const;
+    void checkScheduled(Session& session, Model::Time now);
+    void abortWaiting(Session& session, Model::Time now);
+    bool hasCandidates(const Session& session, Model::Time now);
+    void updateSlots();
+
     void dispatch(Model::Time now);
     bool tryAssign(Session& session, Model::Time now);
     ConnectionId openFor(const Session& session, const Directory::Upstream& upstream, Model::Time now);
@@ -133,6 +194,8 @@
     void beginAnswered(
         Connection& connection, CommandKind kind, const Reply& reply, Model::Time sentAt, Model::Time now);
     void statementAnswered(Connection& connection, const Reply& reply, Model::Time sentAt, Model::Time now);
+    void releaseIfUnused(ConnectionId id, Model::Time now);
+    bool isAttemptFree(ResultCode code) const;
     void completed(
         Session& session, Connection& connection, Reply reply, Model::Time sentAt, Model::Time now);
     void failedOutsideTransaction(
@@ -163,6 +226,7 @@
     void rejectOpen(SessionId id, const std::string& database, ResultCode code, std::string_view reason);
     void decided(DecisionKind kind, const Session& session, ResultCode code, std::string_view reason,
         Model::Time now) const;
+    static Decision decisionOf(DecisionKind kind, const Session& session, ResultCode code, Model::Time now);
 
     ConnectionShare share(const std::string& service, const std::string& upstream) const;
     Model::Duration maxQueueTime(const Session& session) const;
@@ -180,6 +244,18 @@
     std::set<SessionId> m_active;
     /// Sessions whose request has no connection yet, most urgent and oldest first.
     std::vector<SessionId> m_waiting;
+    std::unordered_map<std::string, UpstreamSlots> m_slots;
+    /// By service.
+    std::map<std::string, ServiceQueue> m_queues;
+    /// Services whose queue or transactions may have waiting statements.
+    std::set<std::string> m_backlog;
+    bool m_isDispatching = false;
+    bool m_dispatchesAgain = false;
+    std::map<std::pair<const Directory::Route*, Target>, bool> m_hasCandidates;
+    /// Earliest end of the pauses of busy upstreams.
+    std::optional<Model::Time> m_pauseEnd;
+    Model::Time m_tickedAt;
+    SchedulingStats m_schedulingStats;
     ConnectionLedger m_ledger;
     Model::Time m_nextSurplusCheck;
     bool m_closesIdleSessions = false;
--- a/src/libs/core/proxy/engineconnections.cpp
+++ b/src/libs/core/proxy/engineconnections.cpp
@@ -7,15 +7,6 @@
 
 namespace Proxy {
 
-namespace {
-
-    /// If a connection is not open within this time, its upstream counts as unreachable.
-    constexpr Model::Duration openTimeout = std::chrono::milliseconds(700);
-    /// A connection that no session uses is closed if outstanding replies do not arrive within this time.
-    constexpr Model::Duration outstandingReplyTimeout = std::chrono::seconds(2);
-
-}
-
 void Engine::send(Connection& connection, const std::vector<Command>& commands, Model::Time now)
 {
     for (const Command& command : commands)
@@ -30,6 +21,7 @@
     Connection* connection = m_pool.find(id);
     if (!connection || connection->state != ConnectionState::Opening)
         return;
+    freeSlot(*connection, SlotResult::Answered, now);
     connection->state = ConnectionState::Idle;
     connection->changedAt = now;
     m_reachability.responseReceived(connection->upstream, now);
@@ -59,6 +51,7 @@
     Connection& opened = m_pool.add(*target, {}, now);
     opened.first = command;
     opened.firstAnswered = std::move(answered);
+    holdSlot(opened, now);
     m_reachability.requestSent(upstream, now);
     m_hooks.connect(opened.id, *target, {});
 }
@@ -91,8 +84,9 @@
     m_reachability.responseReceived(connection->upstream, now);
     if (code == ResultCode::ConnectionLimit)
         m_pool.refused(connection->upstream, now);
-    else
+    else if (code != ResultCode::Busy || !m_settings.schedulesStatements)
         m_pool.unreachable(connection->upstream, now);
+    freeSlot(*connection, code == ResultCode::Busy ? SlotResult::Busy : SlotResult::Unused, now);
     Connection refused = m_pool.take(id);
     failCommands(refused);
     dispatch(now);
@@ -115,6 +109,9 @@
         m_router.observePosition(connection->upstream, reply.position);
     if (reply.code == ResultCode::Busy)
         m_pool.busy(connection->upstream, now);
+    const bool freesSlot = pending.kind == CommandKind::Statement && connection->slotHeldSince;
+    if (freesSlot)
+        freeSlot(*connection, reply.code == ResultCode::Busy ? SlotResult::Busy : SlotResult::Answered, now);
     switch (pending.kind) {
     case CommandKind::Begin:
     case CommandKind::BeginReadOnly:
@@ -138,7 +135,14 @@
             pending.answered(reply);
         break;
     }
-    connection = m_pool.find(id);
+    releaseIfUnused(id, now);
+    if (freesSlot)
+        dispatch(now);
+}
+
+void Engine::releaseIfUnused(ConnectionId id, Model::Time now)
+{
+    Connection* connection = m_pool.find(id);
     if (!connection || connection->session != 0 || !connection->pending.empty())
         return;
     if (connection->state == ConnectionState::InUse || connection->state == ConnectionState::AwaitingReplies)
@@ -179,7 +183,8 @@
     if (!session)
         return;
     session->request->lastCode = reply.code;
-    if (reply.code == ResultCode::ReadOnly)
+    freeSlot(connection, reply.code == ResultCode::Busy ? SlotResult::Busy : SlotResult::Unused, now);
+    if (isAttemptFree(reply.code))
         --session->request->attempts;
     else if (reply.code != ResultCode::Busy)
         session->request->excluded.push_back(connection.upstream);
@@ -252,8 +257,7 @@
     }
     if (reply.code == ResultCode::UnknownStatement)
         closeConnection(connection.id);
-    // The router leaves an upstream that is not the primary out for a while; the attempt does not count.
-    if (reply.code == ResultCode::ReadOnly)
+    if (isAttemptFree(reply.code))
         --request.attempts;
     else if (reply.code != ResultCode::Busy && reply.code != ResultCode::UnknownStatement)
         request.excluded.push_back(upstream);
@@ -265,6 +269,9 @@
 {
     Request& request = *session.request;
     const bool isCommit = request.statement.kind == StatementKind::Commit;
+    if (m_settings.schedulesStatements && reply.code == ResultCode::Busy
+        && reply.state == TransactionState::Open)
+        return awaitSlotAgain(session, connection);
     if (reply.code == ResultCode::Busy && reply.state == TransactionState::Open
         && now + busyPause < request.deadline) {
         request.phase = RequestPhase::Preparing;
@@ -302,6 +309,7 @@
     if (!m_pool.find(id))
         return;
     Connection lost = m_pool.take(id);
+    loseSlot(lost, now);
     if (lost.state != ConnectionState::Idle) {
         decidedOnConnection(
             DecisionKind::ConnectionLost, lost, ResultCode::Failed, "broken or unresponsive", now);
@@ -341,6 +349,7 @@
 {
     m_hooks.disconnect(id);
     Connection ended = m_pool.take(id);
+    loseSlot(ended, now);
     failCommands(ended);
     if (Session* session = findSession(ended.session)) {
         session->connection = 0;
@@ -371,6 +380,8 @@
         return;
     }
     Request& request = *session.request;
+    removeFromQueues(session);
+    request.awaitsSlot = false;
     request.lastCode = ResultCode::Failed;
     const bool isStarted = request.target == Target::Transaction || session.hasWritten;
     const bool isTransaction = session.state == TransactionState::Open;
@@ -403,6 +414,7 @@
 /// Returns a connection that no session uses to the pool, after rolling back its transaction if there is one.
 void Engine::release(Connection& connection, Model::Time now)
 {
+    freeSlot(connection, SlotResult::Unused, now);
     if (connection.isInTransaction) {
         connection.state = ConnectionState::AwaitingReplies;
         const std::array commands { Command { CommandKind::Rollback } };
@@ -441,6 +453,7 @@
 
 void Engine::directoryChanged(Model::Time now)
 {
+    updateSlots();
     checkPendingOpens(now);
     std::vector<ConnectionId> closing;
     for (const auto& [id, connection] : m_pool.connections()) {
@@ -453,28 +466,4 @@
     dispatch(now);
 }
 
-void Engine::closeSurplus(Model::Time now)
-{
-    const auto shareOf = [this](const std::string& service, const std::string& upstream) {
-        return share(service, upstream);
-    };
-    for (const ConnectionId id : m_pool.surplus(shareOf, now))
-        closeConnection(id);
-    std::vector<ConnectionId> notOpened;
-    std::vector<ConnectionId> overdue;
-    for (const auto& [id, connection] : m_pool.connections()) {
-        const Model::Duration age = now - connection.changedAt;
-        if (connection.state == ConnectionState::Opening && age > openTimeout)
-            notOpened.push_back(id);
-        if (connection.state == ConnectionState::AwaitingReplies && age > outstandingReplyTimeout)
-            overdue.push_back(id);
-    }
-    for (const ConnectionId id : notOpened) {
-        m_hooks.disconnect(id);
-        connectionLost(id, now);
-    }
-    for (const ConnectionId id : overdue)
-        abandonConnection(id, now);
-}
-
 }
--- a/src/libs/core/proxy/enginesessions.cpp
+++ b/src/libs/core/proxy/enginesessions.cpp
@@ -94,6 +94,7 @@
     detach(*session, now);
     m_active.erase(id);
     std::erase(m_waiting, id);
+    removeFromQueues(*session);
     m_sessions.erase(id);
     dispatch(now);
 }
--- a/src/libs/core/proxy/enginetime.cpp
+++ b/src/libs/core/proxy/enginetime.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+    /// If a connection is not open within this time, its upstream counts as unreachable.
+    constexpr Model::Duration openTimeout = std::chrono::milliseconds(700);
+    /// A connection that no session uses is closed if outstanding replies do not arrive within this time.
+    constexpr Model::Duration outstandingReplyTimeout = std::chrono::seconds(2);
     constexpr Model::Duration surplusCheckPeriod = std::chrono::milliseconds(400);
     /// How often running statements are checked for overdue replies.
     constexpr Model::Duration overdueCheckPeriod = std::chrono::milliseconds(100);
@@ -14,6 +18,8 @@
     /// A request that no upstream can run is refused after 1 / queueTimeDivisor of its target latency. If it
     /// stayed queued for longer, the caller would lose time that it needs for its own retry.
     constexpr int queueTimeDivisor = 5;
+    /// How often the time limits of requests that wait for an execution slot are checked.
+    constexpr Model::Duration scheduledCheckPeriod = std::chrono::milliseconds(10);
 
 }
 
@@ -28,6 +34,10 @@
 void Engine::tick(Model::Time now)
 {
     checkPendingOpens(now);
+    m_tickedAt = now;
+    m_hasCandidates.clear();
+    if (m_pauseEnd && now >= *m_pauseEnd)
+        m_pauseEnd.reset();
     const std::vector<SessionId> active(m_active.begin(), m_active.end());
     for (const SessionId id : active) {
         Session* session = findSession(id);
@@ -48,6 +58,8 @@
 void Engine::checkRequest(Session& session, Model::Time now)
 {
     Request& request = *session.request;
+    if (m_settings.schedulesStatements && (request.phase == RequestPhase::Waiting || request.awaitsSlot))
+        return checkScheduled(session, now);
     if (request.phase == RequestPhase::Waiting) {
         // Without a known primary, the other upstreams are only tried to find the new one.
         const bool hasCandidates = request.target == Target::Primary
@@ -104,9 +116,38 @@
     detach(session, now);
 }
 
+void Engine::closeSurplus(Model::Time now)
+{
+    const auto shareOf = [this](const std::string& service, const std::string& upstream) {
+        return share(service, upstream);
+    };
+    for (const ConnectionId id : m_pool.surplus(shareOf, now))
+        closeConnection(id);
+    std::vector<ConnectionId> notOpened;
+    std::vector<ConnectionId> overdue;
+    for (const auto& [id, connection] : m_pool.connections()) {
+        const Model::Duration age = now - connection.changedAt;
+        if (connection.state == ConnectionState::Opening && age > openTimeout)
+            notOpened.push_back(id);
+        if (connection.state == ConnectionState::AwaitingReplies && age > outstandingReplyTimeout)
+            overdue.push_back(id);
+    }
+    for (const ConnectionId id : notOpened) {
+        m_hooks.disconnect(id);
+        connectionLost(id, now);
+    }
+    for (const ConnectionId id : overdue)
+        abandonConnection(id, now);
+}
+
 Model::Time Engine::nextTick(Model::Time now) const
 {
     Model::Time next = std::max(m_nextSurplusCheck, now);
+    if (!m_backlog.empty()) {
+        // All time limits are checked at each such tick; looking for the earliest one would cost more.
+        next = std::min(next, std::max(now, m_tickedAt + scheduledCheckPeriod));
+        return m_pauseEnd ? std::min(next, std::max(now, *m_pauseEnd)) : next;
+    }
     for (const SessionId id : m_active) {
         const Session& session = m_sessions.at(id);
         if (!session.request) {
--- a/src/libs/core/proxy/pool.cpp
+++ b/src/libs/core/proxy/pool.cpp
@@ -94,6 +94,28 @@
         [](const Connection& left, const Connection& right) { return left.changedAt < right.changedAt; });
 }
 
+std::vector<std::string_view> Pool::idleCustomers(const std::string& upstream) const
+{
+    std::vector<std::string_view> result;
+    const auto entry = m_upstreams.find(upstream);
+    if (entry == m_upstreams.end())
+        return result;
+    for (const ConnectionId id : entry->second.connections) {
+        const Connection& connection = m_connections.at(id);
+        if (connection.state == ConnectionState::Idle)
+            result.push_back(connection.customer);
+    }
+    return result;
+}
+
+bool Pool::isConnected(const std::string& upstream, const std::string& customer) const
+{
+    const auto entry = m_upstreams.find(upstream);
+    return entry != m_upstreams.end() && std::ranges::any_of(entry->second.connections, [&](ConnectionId id) {
+        return m_connections.at(id).customer == customer;
+    });
+}
+
 bool Pool::mayOpen(const std::string& upstream, int maximum, Model::Time now) const
 {
     const auto entry = m_upstreams.find(upstream);
--- a/src/libs/core/proxy/pool.h
+++ b/src/libs/core/proxy/pool.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -30,6 +31,10 @@
     Connection* findAnyIdle(const std::string& upstream);
     /// Returns the least recently used idle connection of another customer, or null.
     Connection* findEvictable(const std::string& upstream, const std::string& customer);
+    /// Returns the customers of the upstream's idle connections, valid until the next change.
+    std::vector<std::string_view> idleCustomers(const std::string& upstream) const;
+    /// Returns whether the customer has a connection to the upstream, in whatever state.
+    bool isConnected(const std::string& upstream, const std::string& customer) const;
     /// Returns whether another connection to the upstream may be opened now. `maximum` is the number of
     /// connections that this host may have to it.
     bool mayOpen(const std::string& upstream, int maximum, Model::Time now) const;
--- a/src/libs/core/proxy/session.h
+++ b/src/libs/core/proxy/session.h
@@ -46,6 +46,8 @@
     Model::Time sentAt;
     /// Time of the next attempt after an upstream was busy.
     std::optional<Model::Time> retryAt;
+    /// The request has a connection and waits for a slot of its upstream.
+    bool awaitsSlot = false;
     /// The connection that is being opened for the request; 0 for none.
     ConnectionId opening = 0;
     /// Upstream of the last attempt; empty before the first one.
