--- a/src/libs/core/proxy/engine.h
+++ b/src/libs/core/proxy/engine.h
@@ -162,6 +162,8 @@
     WaitLane waitLane(const Session& session, const ServiceQueue& service, Model::Time now) const;
     ServiceQueue& serviceQueue(const std::string& name);
     void enqueue(Session& session, Model::Time now);
+    static Model::Duration latestStart(const Session& session, const ServiceQueue& service);
+    static void pushWaiting(ServiceQueue& service, const WaitingRequest& request, Model::Time now);
     void enqueueAgain(Session& session, Model::Time now);
     Model::Duration expectedWait(
         const Session& session, const ServiceQueue& service, const WaitingRequest& request, Model::Time now);
--- a/src/libs/core/proxy/enginescheduling.cpp
+++ b/src/libs/core/proxy/enginescheduling.cpp
@@ -13,8 +13,10 @@
     /// Requests that are compared for one free slot. There may be hundreds of customers, and a request
     /// further back gains little by its idle connection.
     constexpr int maxVisited = 32;
-    /// Longest time for which a statement of a lost connection is assumed to occupy a slot.
-    constexpr Model::Duration maxLostStatement = std::chrono::milliseconds(100);
+    /// A request that starts after its target latency less 1 / startMarginDivisor of it may finish late.
+    constexpr int startMarginDivisor = 4;
+    /// How long a statement of a lost connection is assumed to occupy its slot.
+    constexpr Model::Duration lostStatementTime = std::chrono::milliseconds(20);
 
     std::int64_t milliseconds(Model::Duration duration)
     {
@@ -86,8 +88,11 @@
     }
     if (result != SlotResult::Answered)
         return;
-    const bool isOpening = connection.state == ConnectionState::Opening;
-    m_queues[connection.service].estimate.slotUsed(isOpening ? SlotUse::Opening : SlotUse::Statement, held);
+    WaitEstimate& estimate = m_queues[connection.service].estimate;
+    if (connection.state == ConnectionState::Opening)
+        estimate.openingEnded(held);
+    else if (const Session* session = findSession(connection.session))
+        estimate.statementEnded(session->route->priority, held);
 }
 
 /// Frees the slot of a connection that was removed. Its upstream may still run the statement.
@@ -101,8 +106,7 @@
     if (!isSent)
         return freeSlot(connection, SlotResult::Unused, now);
     connection.slotHeldSince.reset();
-    const Model::Duration mean = m_queues[connection.service].estimate.meanStatementTime();
-    slotWindow(connection.upstream).lost(now + std::min(mean, maxLostStatement));
+    slotWindow(connection.upstream).lost(now + lostStatementTime);
 }
 
 /// Returns whether an attempt with this result does not count. The router leaves an upstream that is not the
@@ -177,14 +181,31 @@
     const WaitingRequest request = waitingRequest(session, waitLane(session, service, now));
     if (!service.waiting.isEmpty(request.lane)) {
         const Model::Duration wait = expectedWait(session, service, request, now);
-        if (now + wait + service.estimate.meanStatementTime() > session.request->deadline)
+        if (now + wait + service.estimate.meanStatementTime(session.route->priority)
+            > session.request->deadline)
             return refuseByEstimate(session, wait, now);
     }
-    service.waiting.push(request);
+    pushWaiting(service, request, now);
     m_backlog.insert(session.route->service);
     dispatch(now);
 }
 
+/// Returns after which wait a request is not expected to meet its target latency.
+Model::Duration Engine::latestStart(const Session& session, const ServiceQueue& service)
+{
+    const Model::Duration target = session.route->targetLatency;
+    return target
+        - std::max(
+            target / startMarginDivisor, 2 * service.estimate.meanStatementTime(session.route->priority));
+}
+
+void Engine::pushWaiting(ServiceQueue& service, const WaitingRequest& request, Model::Time now)
+{
+    if (request.isLate && service.waiting.ahead(request).ofClass == 0)
+        service.estimate.firstLateQueued(request, now);
+    service.waiting.push(request);
+}
+
 /// Queues a request again after an attempt. One that a busy upstream did not run keeps its turn.
 void Engine::enqueueAgain(Session& session, Model::Time now)
 {
@@ -216,8 +237,8 @@
 {
     removeFromQueues(session);
     const ServiceQueue& service = m_queues.at(session.route->service);
-    const Model::Duration mean
-        = std::max(service.estimate.meanStatementTime(), Model::Duration(std::chrono::milliseconds(1)));
+    const Model::Duration mean = std::max(service.estimate.meanStatementTime(session.route->priority),
+        Model::Duration(std::chrono::milliseconds(1)));
     const Model::Duration retryAfter = std::max(mean, wait + mean - session.route->targetLatency);
     Decision decision = decisionOf(DecisionKind::RequestRefusedByEstimate, session, ResultCode::Busy, now);
     decision.reason = "no execution slot in time";
@@ -320,9 +341,8 @@
         session.request->opening = openFor(session, *next.upstream, now);
         return session.request->opening != 0;
     }
-    const WaitLane lane = service.waiting.laneOf(next.session);
-    const bool isBacklogged = service.waiting.take(next.session);
-    service.estimate.taken(lane, session.route->priority, isBacklogged, now);
+    const WaitingRequest request = service.waiting.at(next.session);
+    service.estimate.taken(request, service.waiting.take(next.session), now);
     assign(session, *m_pool.findIdle(next.upstream->id, session.customer), now);
     return true;
 }
@@ -388,10 +408,18 @@
         return refuse(session, ResultCode::Busy, "no connection in time", now);
     if (now - request.arrivedAt >= maxQueueTime(session) && !hasCandidates(session, now))
         return refuse(session, ResultCode::Busy, "no upstream can run it", now);
-    const ServiceQueue& service = m_queues.at(session.route->service);
-    const Model::Duration mean = service.estimate.meanStatementTime();
-    if (now + mean > request.deadline)
-        refuseByEstimate(session, mean, now);
+    ServiceQueue& service = m_queues.at(session.route->service);
+    WaitingRequest waiting = service.waiting.at(session.id);
+    if (!waiting.isLate && now - request.arrivedAt > latestStart(session, service)) {
+        waiting.isLate = true;
+        service.waiting.remove(session.id);
+        pushWaiting(service, waiting, now);
+    }
+    const Model::Duration mean = service.estimate.meanStatementTime(session.route->priority);
+    const Model::Duration wait
+        = waiting.isLate ? service.estimate.lateUnservedFor(waiting, now) : Model::Duration {};
+    if (now + wait + mean > request.deadline)
+        refuseByEstimate(session, wait + mean, now);
 }
 
 /// Rolls back a transaction whose statement got no slot in time.
--- a/src/libs/core/proxy/waitestimate.h
+++ b/src/libs/core/proxy/waitestimate.h
@@ -3,25 +3,30 @@
 #include "core/model/time.h"
 #include "core/proxy/waitqueue.h"
 
-#include <cstdint>
 #include <map>
 #include <utility>
 
 namespace Proxy {
 
-enum class SlotUse : std::uint8_t { Statement, Opening };
-
 /// Estimates how long a new request of a service waits for a slot, from the requests ahead of it, the time
 /// for which statements occupy slots, and the pace at which its class is served. Used on one thread.
 class WaitEstimate {
 public:
-    /// Records that a slot was occupied for `held`.
-    void slotUsed(SlotUse use, Model::Duration held);
-    /// Records that a request left the queue. `isBacklogged`: others of its class and lane still wait.
-    void taken(WaitLane lane, int priority, bool isBacklogged, Model::Time now);
-
-    /// Mean time for which a statement occupies a slot; 0 before the first statement.
-    Model::Duration meanStatementTime() const { return m_meanStatementTime; }
+    /// Records that a statement of a class occupied a slot for `held`.
+    void statementEnded(int priority, Model::Duration held);
+    /// Records that the opening of a connection occupied a slot for `held`.
+    void openingEnded(Model::Duration held) { m_openingTime += held; }
+    /// Records that a request left the queue to start. `isBacklogged`: others of its class and lane still
+    /// wait that are late if and only if it was.
+    void taken(const WaitingRequest& request, bool isBacklogged, Model::Time now);
+    /// Records that a late request is queued while no other one of its class and lane is.
+    void firstLateQueued(const WaitingRequest& request, Model::Time now);
+
+    /// Mean time for which a statement of the class occupies a slot; 0 before the first one.
+    Model::Duration meanStatementTime(int priority) const;
+    /// Returns how long no late request of this class and lane has been served, although one was waiting. One
+    /// that is queued now is assumed to wait at least as long.
+    Model::Duration lateUnservedFor(const WaitingRequest& request, Model::Time now) const;
     /// Returns the expected wait of a request behind `ahead` for one of `slots` slots.
     Model::Duration expectedWait(
         const WaitingRequest& request, const QueueAhead& ahead, int slots, Model::Time now) const;
@@ -35,12 +40,16 @@
         bool isBacklogged = false;
     };
 
-    Model::Duration m_meanStatementTime {};
-    /// Slot time per statement, with the openings of connections.
-    Model::Duration m_meanSlotTime {};
+    /// By priority.
+    std::map<int, Model::Duration> m_meanStatementTimes;
+    /// Mean slot time that openings add to a statement.
+    Model::Duration m_meanOpeningTime {};
     /// Slot time of openings since the last statement.
     Model::Duration m_openingTime {};
+    /// By lane and priority.
     std::map<std::pair<WaitLane, int>, Pace> m_paces;
+    /// When a late request was served last, or the first one was queued; by lane and priority.
+    std::map<std::pair<WaitLane, int>, Model::Time> m_lateServedAt;
 };
 
 }
--- a/src/libs/core/proxy/waitqueue.cpp
+++ b/src/libs/core/proxy/waitqueue.cpp
@@ -31,7 +31,7 @@
 {
     if (!m_requests.emplace(request.id, request).second)
         return;
-    Group& group = laneOf(request.lane).classes[request.priority];
+    Group& group = laneOf(request.lane).groups[{ request.priority, request.isLate }];
     Customer& customer = group.customers[request.customer];
     if (!customer.requests.empty())
         group.heads.erase(headOf(customer));
@@ -51,7 +51,7 @@
     Lane& lane = laneOf(request.lane);
     countTurn(lane, request.priority);
     erase(request, 1);
-    return lane.classes.contains(request.priority);
+    return lane.groups.contains({ request.priority, request.isLate });
 }
 
 void WaitQueue::remove(std::uint64_t id)
@@ -64,7 +64,7 @@
 void WaitQueue::erase(const WaitingRequest& request, Turn usedTurns)
 {
     Lane& lane = laneOf(request.lane);
-    const auto found = lane.classes.find(request.priority);
+    const auto found = lane.groups.find({ request.priority, request.isLate });
     Group& group = found->second;
     Customer& customer = group.customers.at(request.customer);
     group.heads.erase(headOf(customer));
@@ -80,18 +80,19 @@
     m_requests.erase(request.id);
     // Turns of the past do not count once nobody waits.
     if (--group.size == 0)
-        lane.classes.erase(found);
+        lane.groups.erase(found);
 }
 
-bool WaitQueue::isEmpty(WaitLane lane) const { return laneOf(lane).classes.empty(); }
+bool WaitQueue::isEmpty(WaitLane lane) const { return laneOf(lane).groups.empty(); }
 
 void WaitQueue::countTurn(Lane& lane, int priority)
 {
-    if (lane.classes.size() < 2) {
+    const int first = lane.groups.begin()->first.priority;
+    if (lane.groups.rbegin()->first.priority == first) {
         lane.urgentTurns = 0;
         return;
     }
-    if (priority == lane.classes.begin()->first) {
+    if (priority == first) {
         ++lane.urgentTurns;
         return;
     }
@@ -101,22 +102,25 @@
 
 const WaitQueue::Group* WaitQueue::shareTurn(const Lane& lane)
 {
-    if (lane.classes.size() < 2 || lane.urgentTurns < shareDivisor - 1)
+    const int first = lane.groups.begin()->first.priority;
+    if (lane.urgentTurns < shareDivisor - 1 || lane.groups.rbegin()->first.priority == first)
         return nullptr;
     // Less urgent classes take such turns one after the other.
-    auto next = lane.classes.upper_bound(std::max(lane.lastSharePriority, lane.classes.begin()->first));
-    if (next == lane.classes.end())
-        next = std::next(lane.classes.begin());
+    auto next = lane.groups.upper_bound({ std::max(lane.lastSharePriority, first), true });
+    if (next == lane.groups.end())
+        next = lane.groups.upper_bound({ first, true });
     return &next->second;
 }
 
 void WaitQueue::visit(WaitLane laneId, Model::Time now, const Visitor& visitor) const
 {
     const Lane& lane = laneOf(laneId);
+    if (lane.groups.empty())
+        return;
     const Group* share = shareTurn(lane);
     if (share && !visitGroup(*share, now, visitor))
         return;
-    for (const auto& [priority, group] : lane.classes) {
+    for (const auto& [key, group] : lane.groups) {
         if (&group != share && !visitGroup(group, now, visitor))
             return;
     }
@@ -146,22 +150,23 @@
 QueueAhead WaitQueue::ahead(const WaitingRequest& request) const
 {
     QueueAhead result;
-    for (const auto& [priority, group] : laneOf(request.lane).classes) {
-        if (priority > request.priority)
+    const GroupKey own { request.priority, request.isLate };
+    for (const auto& [key, group] : laneOf(request.lane).groups) {
+        if (key > own)
             break;
-        if (priority < request.priority) {
-            result.total += group.size;
+        if (key < own) {
+            result.classes.emplace_back(key.priority, group.size);
             continue;
         }
         // The other customers have about as many turns as this one before its new request is served.
         const auto customer = group.customers.find(request.customer);
-        const std::size_t own = customer == group.customers.end() ? 0 : customer->second.requests.size();
-        result.ofClass = std::min(group.size, own + (own + 1) * group.heads.size());
+        const std::size_t same = customer == group.customers.end() ? 0 : customer->second.requests.size();
+        result.ofClass = std::min(group.size, same + (same + 1) * group.heads.size());
+        result.classes.emplace_back(key.priority, result.ofClass);
     }
-    result.total += result.ofClass;
-    // Less urgent classes need not wait until all others have been served.
-    if (result.ofClass < result.total)
-        result.total = std::min(result.total, (result.ofClass + 1) * shareDivisor);
+    // Late requests have no share: those of their class that are not late may use it up.
+    if (!request.isLate)
+        result.maximum = (result.ofClass + 1) * shareDivisor;
     return result;
 }
 
--- a/src/libs/core/proxy/waitqueue.h
+++ b/src/libs/core/proxy/waitqueue.h
@@ -6,10 +6,13 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 namespace Proxy {
 
@@ -34,14 +37,18 @@
     std::string customer;
     Model::Time arrivedAt;
     Model::Duration targetLatency {};
+    /// The request is not expected to meet its target latency any more.
+    bool isLate = false;
 };
 
-/// Requests that are served before a new one.
+/// An estimate of the requests that are served before a new one.
 struct QueueAhead {
-    /// Of its own and of more urgent classes.
-    std::size_t total = 0;
-    /// Of its own class.
+    /// By class, of its own and of more urgent classes.
+    std::vector<std::pair<int, std::size_t>> classes;
+    /// Of its own class; for a late request, of the late ones of its class.
     std::size_t ofClass = 0;
+    /// No more requests than this are served before the new one, because less urgent classes have a share.
+    std::size_t maximum = std::numeric_limits<std::size_t>::max();
 };
 
 /// The order of the requests that wait for the slots of one service.
@@ -49,8 +56,9 @@
 /// More urgent classes go first, but one in some turns belongs to a less urgent class. Within a class the
 /// customers take turns; within a turn the oldest request is first. A request that has waited longer than
 /// half of its target latency is served up to one turn earlier; more would let a customer with many requests
-/// delay those of others. The cost of each operation grows with the logarithm of the number of requests.
-/// Used on one thread.
+/// delay those of others. Late requests of a class are served when no others of it can start: in an overload
+/// that lasts, oldest first alone would make all requests late. The cost of each operation grows with the
+/// logarithm of the number of requests. Used on one thread.
 class WaitQueue {
 public:
     /// Returns whether the next requests are to be visited.
@@ -61,7 +69,7 @@
     /// Returns a request that was taken but did not run to its previous place, and its turn to the customer.
     void putBack(const WaitingRequest& request);
     /// Removes a request that starts now, and counts its customer's turn. Returns whether requests of the
-    /// same class and lane are still waiting.
+    /// same class and lane are still waiting that are late if and only if it was.
     bool take(std::uint64_t id);
     /// Removes a request that will not run. Does nothing if it is not queued.
     void remove(std::uint64_t id);
@@ -72,8 +80,8 @@
 
     /// Returns an estimate of the requests that would be served before one that is pushed now.
     QueueAhead ahead(const WaitingRequest& request) const;
-    /// Returns the lane of a queued request.
-    WaitLane laneOf(std::uint64_t id) const { return m_requests.at(id).lane; }
+    /// Returns a queued request.
+    const WaitingRequest& at(std::uint64_t id) const { return m_requests.at(id); }
     bool contains(std::uint64_t id) const { return m_requests.contains(id); }
     bool isEmpty() const { return m_requests.empty(); }
     bool isEmpty(WaitLane lane) const;
@@ -97,7 +105,14 @@
 
         bool operator<(const Head& other) const;
     };
-    /// The requests of one class in one lane.
+    /// Order of the groups of a lane.
+    struct GroupKey {
+        int priority = 0;
+        bool isLate = false;
+
+        auto operator<=>(const GroupKey&) const = default; // NOLINT(modernize-use-nullptr)
+    };
+    /// The requests of one class in one lane that are late, or those that are not.
     struct Group {
         Turn currentTurn = 0;
         std::map<std::string, Customer> customers;
@@ -105,8 +120,8 @@
         std::size_t size = 0;
     };
     struct Lane {
-        /// By priority; only classes with waiting requests.
-        std::map<int, Group> classes;
+        /// Only groups with waiting requests.
+        std::map<GroupKey, Group> groups;
         /// Turns of the most urgent class since a less urgent one had its turn.
         int urgentTurns = 0;
         /// The less urgent class that had the last such turn.
