Estimate the wait of the most urgent class from the slots only

Cause: the pace of a class that is measured with short queues made the estimate refuse urgent requests that could be served in time.

Change: the pace counts only behind more urgent requests.

--- a/src/libs/core/proxy/waitestimate.cpp
+++ b/src/libs/core/proxy/waitestimate.cpp
@@ -73,10 +73,14 @@
         left -= counted;
     }
     const Model::Duration bySlots = work / std::max(1, slots);
+    if (ahead.classes.empty())
+        return {};
     if (request.isLate)
         return ahead.ofClass > 0 ? std::max(bySlots, lateUnservedFor(request, now)) : bySlots;
+    // The pace tells how much more urgent requests that arrive later will take. It was measured with shorter
+    // queues, so without such requests the slots tell more.
     const auto found = m_paces.find({ request.lane, request.priority });
-    if (found == m_paces.end())
+    if (found == m_paces.end() || ahead.classes.front().first == request.priority)
         return bySlots;
     const Pace& pace = found->second;
     if (pace.samples < paceSamples || now - pace.takenAt > paceLifetime)
