Count and log what the queue for slots decides

Change: event 630 names each refusal by estimate with the estimate, the length of the queue and the time waited; counters and a gauge tell the changes of the windows, BUSY answers and the waiting statements. Late requests are not refused for their wait while no upstream could run them.

--- a/src/libs/core/proxy/enginescheduling.cpp
+++ b/src/libs/core/proxy/enginescheduling.cpp
@@ -202,7 +202,7 @@
 void Engine::pushWaiting(ServiceQueue& service, const WaitingRequest& request, Model::Time now)
 {
     if (request.isLate && service.waiting.ahead(request).ofClass == 0)
-        service.estimate.firstLateQueued(request, now);
+        service.estimate.lateWaitsFrom(request, now);
     service.waiting.push(request);
 }
 
@@ -263,7 +263,7 @@
     m_isDispatching = true;
     while (std::exchange(m_dispatchesAgain, false)) {
         for (const std::string& name : m_backlog)
-            dispatchService(m_queues.at(name), now);
+            dispatchService(serviceQueue(name), now);
         std::erase_if(
             m_backlog, [this](const std::string& name) { return !isBacklogged(m_queues.at(name)); });
     }
@@ -416,6 +416,9 @@
         pushWaiting(service, waiting, now);
     }
     const Model::Duration mean = service.estimate.meanStatementTime(session.route->priority);
+    // While no upstream can run requests, the late ones are not behind others.
+    if (waiting.isLate && !hasCandidates(session, now))
+        service.estimate.lateWaitsFrom(waiting, now);
     const Model::Duration wait
         = waiting.isLate ? service.estimate.lateUnservedFor(waiting, now) : Model::Duration {};
     if (now + wait + mean > request.deadline)
@@ -453,15 +456,13 @@
     return m_hasCandidates[{ session.route, request.target }] = find();
 }
 
-/// Adopts changed upstreams and slots.
+/// Adopts changed upstreams and slots. The upstreams of a service are looked up when it is used next.
 void Engine::updateSlots()
 {
     if (!m_settings.schedulesStatements)
         return;
     for (auto& [name, service] : m_queues)
         service.upstreams.clear();
-    for (auto& [name, service] : m_queues)
-        serviceQueue(name);
     for (auto entry = m_slots.begin(); entry != m_slots.end();) {
         UpstreamSlots& slots = entry->second;
         const Directory::Upstream* upstream = m_view.findUpstream(entry->first);
--- a/src/libs/core/proxy/waitestimate.cpp
+++ b/src/libs/core/proxy/waitestimate.cpp
@@ -51,7 +51,7 @@
     pace.isBacklogged = isBacklogged;
 }
 
-void WaitEstimate::firstLateQueued(const WaitingRequest& request, Model::Time now)
+void WaitEstimate::lateWaitsFrom(const WaitingRequest& request, Model::Time now)
 {
     m_lateServedAt[{ request.lane, request.priority }] = now;
 }
--- a/src/libs/core/proxy/waitestimate.h
+++ b/src/libs/core/proxy/waitestimate.h
@@ -19,8 +19,9 @@
     /// Records that a request left the queue to start. `isBacklogged`: others of its class and lane still
     /// wait that are late if and only if it was.
     void taken(const WaitingRequest& request, bool isBacklogged, Model::Time now);
-    /// Records that a late request is queued while no other one of its class and lane is.
-    void firstLateQueued(const WaitingRequest& request, Model::Time now);
+    /// Records that late requests of a class and lane wait since `now`: the first one is queued, or no
+    /// upstream could run them until now.
+    void lateWaitsFrom(const WaitingRequest& request, Model::Time now);
 
     /// Mean time for which a statement of the class occupies a slot; 0 before the first one.
     Model::Duration meanStatementTime(int priority) const;
--- a/src/libs/logging/eventid.cpp
+++ b/src/libs/logging/eventid.cpp
@@ -9,7 +9,7 @@
 
     using enum EventId;
 
-    constexpr std::array<EventInfo, 56> table { {
+    constexpr std::array<EventInfo, 57> table { {
         { ProcessStarted, "process_started", Severity::Info, "the process listens on all its addresses" },
         { ProcessStopped, "process_stopped", Severity::Info, "the process ended after its last request" },
         { DrainStarted, "drain_started", Severity::Info, "SIGTERM received; no new requests are accepted" },
@@ -94,6 +94,8 @@
             "an upstream refused a further connection" },
         { UpstreamConnectionLost, "upstream_connection_lost", Severity::Warning,
             "a connection in use failed or did not respond in time" },
+        { RequestRefusedByEstimate, "request_refused_by_estimate", Severity::Info,
+            "a statement was refused and did not run, because it would not get an execution slot in time" },
     } };
 
 }
--- a/src/libs/logging/eventid.h
+++ b/src/libs/logging/eventid.h
@@ -64,6 +64,7 @@
     SessionRejected = 604,
     UpstreamConnectionRefused = 605,
     UpstreamConnectionLost = 606,
+    RequestRefusedByEstimate = 630,
 };
 
 enum class Severity : std::uint8_t {
--- a/src/libs/sessionserver/server.cpp
+++ b/src/libs/sessionserver/server.cpp
@@ -35,6 +35,8 @@
     , m_latency(metrics.histogram("parsleytack_statement_microseconds"))
     , m_engine(view, m_settings.zone, engineHooks(std::move(hooks)), m_settings.engine)
 {
+    if (m_settings.engine.schedulesStatements)
+        m_schedulingMetrics.emplace(metrics);
 }
 
 Server::~Server() = default;
@@ -294,6 +296,8 @@
     m_tickAt.reset();
     m_sessions.set(static_cast<std::int64_t>(m_engine.sessionCount()));
     m_engine.tick(now);
+    if (m_schedulingMetrics)
+        m_schedulingMetrics->update(m_engine.schedulingStats());
     scheduleTick();
 }
 
--- a/src/libs/sessionserver/server.h
+++ b/src/libs/sessionserver/server.h
@@ -8,6 +8,7 @@
 #include "sessionserver/codec.h"
 #include "sessionserver/decisionlog.h"
 #include "sessionserver/linesplitter.h"
+#include "sessionserver/schedulingmetrics.h"
 
 #include <memory>
 #include <optional>
@@ -136,6 +137,8 @@
     std::map<std::pair<std::string, Proxy::ResultCode>, Metrics::Counter*> m_answers;
     std::string m_buffer;
     DecisionLog m_decisionLog;
+    /// Empty if statements are not scheduled.
+    std::optional<SchedulingMetrics> m_schedulingMetrics;
     Proxy::Engine m_engine;
 };
 
--- a/tests/auto/core/proxy/enginefixture.cpp
+++ b/tests/auto/core/proxy/enginefixture.cpp
@@ -31,7 +31,7 @@
 
 }
 
-EngineFixture::EngineFixture()
+EngineFixture::EngineFixture(EngineSettings settings)
 {
     setUpstream("p", Directory::Role::Primary);
     setUpstream("q", Directory::Role::Replica);
@@ -60,7 +60,7 @@
         if (session.request->trace)
             m_hops = session.request->trace->hops();
     };
-    m_engine = std::make_unique<Engine>(m_view, "north", std::move(hooks));
+    m_engine = std::make_unique<Engine>(m_view, "north", std::move(hooks), settings);
     configure();
 }
 
--- a/tests/auto/core/proxy/enginefixture.h
+++ b/tests/auto/core/proxy/enginefixture.h
@@ -21,7 +21,7 @@
         bool isClosed = false;
     };
 
-    EngineFixture();
+    explicit EngineFixture(Proxy::EngineSettings settings = {});
 
     void setUpstream(const std::string& id, Directory::Role role,
         Directory::Availability availability = Directory::Availability::Ready);
--- a/tests/auto/core/proxy/tst_waitestimate.cpp
+++ b/tests/auto/core/proxy/tst_waitestimate.cpp
@@ -70,7 +70,7 @@
     WaitEstimate estimate;
     WaitingRequest late = request();
     late.isLate = true;
-    estimate.firstLateQueued(late, start);
+    estimate.lateWaitsFrom(late, start);
     EXPECT_EQ(estimate.expectedWait(late, ahead(5), 4, start + 300ms), 300ms);
     estimate.taken(late, true, start + 300ms);
     EXPECT_EQ(estimate.lateUnservedFor(late, start + 310ms), 10ms);
