--- a/src/libs/core/proxy/engine.h
+++ b/src/libs/core/proxy/engine.h
@@ -176,7 +176,7 @@
     bool startNext(ServiceQueue& service, Model::Time now);
     NextStart findNext(const ServiceQueue& service, WaitLane lane, const std::vector<UsableUpstream>& usable,
         Model::Time now) const;
-    bool isOpeningFor(const Session& session) const;
+    bool needsOpening(const Session& session, const ServiceQueue& service) const;
     void checkScheduled(Session& session, Model::Time now);
     void abortWaiting(Session& session, Model::Time now);
     bool hasCandidates(const Session& session, Model::Time now);
--- a/src/libs/core/proxy/enginescheduling.cpp
+++ b/src/libs/core/proxy/enginescheduling.cpp
@@ -310,7 +310,7 @@
         const Directory::Upstream* upstream = m_view.findUpstream(id);
         if (!upstream || !slotWindow(id).mayStart(now))
             continue;
-        UsableUpstream usable { upstream, m_pool.idleCustomers(id), false };
+        UsableUpstream usable { upstream, m_pool.customers(id, ConnectionState::Idle), false };
         const ConnectionShare limits = share(upstream->service, id);
         usable.mayOpen = m_pool.mayOpen(id, limits.maximum + 1, now) && m_pool.countOpening(id) < maxOpening
             && (m_pool.count(id) < limits.maximum || !usable.idleCustomers.empty());
@@ -363,8 +363,8 @@
             usable, [&](const UsableUpstream& upstream) { return upstream.isIdleFor(session.customer); });
         if (++visited > maxVisited)
             return false;
-        const bool needsOpening = opening.session == 0 && !isOpeningFor(session);
-        if (!mayBeIdle && !needsOpening)
+        const bool mayOpen = opening.session == 0 && needsOpening(session, service);
+        if (!mayBeIdle && !mayOpen)
             return true;
         const auto candidates = m_router.candidates(session, *session.request, now);
         const Directory::Upstream* openable = nullptr;
@@ -379,7 +379,7 @@
             if (!openable && found->mayOpen)
                 openable = candidate;
         }
-        if (!needsOpening || !openable)
+        if (!mayOpen || !openable)
             return true;
         opening = { id, openable, true };
         const bool hasConnection = std::ranges::any_of(candidates,
@@ -389,10 +389,15 @@
     return result.session != 0 ? result : opening;
 }
 
-bool Engine::isOpeningFor(const Session& session) const
+/// Returns whether the waiting requests of the session's customer outnumber the connections that are being
+/// opened for it.
+bool Engine::needsOpening(const Session& session, const ServiceQueue& service) const
 {
-    const auto opening = m_pool.connections().find(session.request->opening);
-    return opening != m_pool.connections().end() && opening->second.state == ConnectionState::Opening;
+    std::size_t opening = 0;
+    for (const std::string& upstream : service.upstreams)
+        opening += std::ranges::count(
+            m_pool.customers(upstream, ConnectionState::Opening), std::string_view(session.customer));
+    return opening < service.waiting.sizeOfCustomer(session.id);
 }
 
 /// Checks the time limits of a request that waits for a slot.
--- a/src/libs/core/proxy/pool.cpp
+++ b/src/libs/core/proxy/pool.cpp
@@ -94,7 +94,7 @@
         [](const Connection& left, const Connection& right) { return left.changedAt < right.changedAt; });
 }
 
-std::vector<std::string_view> Pool::idleCustomers(const std::string& upstream) const
+std::vector<std::string_view> Pool::customers(const std::string& upstream, ConnectionState state) const
 {
     std::vector<std::string_view> result;
     const auto entry = m_upstreams.find(upstream);
@@ -102,7 +102,7 @@
         return result;
     for (const ConnectionId id : entry->second.connections) {
         const Connection& connection = m_connections.at(id);
-        if (connection.state == ConnectionState::Idle)
+        if (connection.state == state)
             result.push_back(connection.customer);
     }
     return result;
--- a/src/libs/core/proxy/pool.h
+++ b/src/libs/core/proxy/pool.h
@@ -31,8 +31,8 @@
     Connection* findAnyIdle(const std::string& upstream);
     /// Returns the least recently used idle connection of another customer, or null.
     Connection* findEvictable(const std::string& upstream, const std::string& customer);
-    /// Returns the customers of the upstream's idle connections, valid until the next change.
-    std::vector<std::string_view> idleCustomers(const std::string& upstream) const;
+    /// Returns the customers of the upstream's connections in this state, valid until the next change.
+    std::vector<std::string_view> customers(const std::string& upstream, ConnectionState state) const;
     /// Returns whether the customer has a connection to the upstream, in whatever state.
     bool isConnected(const std::string& upstream, const std::string& customer) const;
     /// Returns whether another connection to the upstream may be opened now. `maximum` is the number of
--- a/src/libs/core/proxy/waitqueue.cpp
+++ b/src/libs/core/proxy/waitqueue.cpp
@@ -83,6 +83,13 @@
         lane.groups.erase(found);
 }
 
+std::size_t WaitQueue::sizeOfCustomer(std::uint64_t id) const
+{
+    const WaitingRequest& request = m_requests.at(id);
+    const Group& group = laneOf(request.lane).groups.at({ request.priority, request.isLate });
+    return group.customers.at(request.customer).requests.size();
+}
+
 bool WaitQueue::isEmpty(WaitLane lane) const { return laneOf(lane).groups.empty(); }
 
 void WaitQueue::countTurn(Lane& lane, int priority)
--- a/src/libs/core/proxy/waitqueue.h
+++ b/src/libs/core/proxy/waitqueue.h
@@ -82,6 +82,8 @@
     QueueAhead ahead(const WaitingRequest& request) const;
     /// Returns a queued request.
     const WaitingRequest& at(std::uint64_t id) const { return m_requests.at(id); }
+    /// Returns how many requests of the same customer, class and lane are queued, this one included.
+    std::size_t sizeOfCustomer(std::uint64_t id) const;
     bool contains(std::uint64_t id) const { return m_requests.contains(id); }
     bool isEmpty() const { return m_requests.empty(); }
     bool isEmpty(WaitLane lane) const;
