--- a/src/libs/core/proxy/enginesessions.cpp
+++ b/src/libs/core/proxy/enginesessions.cpp
@@ -122,6 +122,7 @@
     m_active.erase(id);
     m_awaitingAdmission.erase(id);
     std::erase(m_waiting, id);
+    removeFromQueues(*session);
     m_sessions.erase(id);
     dispatch(now);
 }
--- a/src/libs/logging/eventid.cpp
+++ b/src/libs/logging/eventid.cpp
@@ -9,7 +9,7 @@
 
     using enum EventId;
 
-    constexpr std::array<EventInfo, 57> table { {
+    constexpr std::array<EventInfo, 58> table { {
         { ProcessStarted, "process_started", Severity::Info, "the process listens on all its addresses" },
         { ProcessStopped, "process_stopped", Severity::Info, "the process ended after its last request" },
         { DrainStarted, "drain_started", Severity::Info, "SIGTERM received; no new requests are accepted" },
@@ -96,6 +96,8 @@
             "a connection in use failed or did not respond in time" },
         { PoolHostLost, "pool_host_lost", Severity::Warning,
             "the connection to a host that executes this host's statements was lost" },
+        { RequestRefusedByEstimate, "request_refused_by_estimate", Severity::Info,
+            "a statement was refused and did not run, because it would not get an execution slot in time" },
     } };
 
 }
--- a/src/libs/logging/eventid.h
+++ b/src/libs/logging/eventid.h
@@ -65,6 +65,7 @@
     UpstreamConnectionRefused = 605,
     UpstreamConnectionLost = 606,
     PoolHostLost = 620,
+    RequestRefusedByEstimate = 630,
 };
 
 enum class Severity : std::uint8_t {
