--- a/src/libs/core/proxy/engine.cpp
+++ b/src/libs/core/proxy/engine.cpp
@@ -248,6 +248,7 @@
     session.connection = connection.id;
     ++request.attempts;
     request.upstream = connection.upstream;
+    m_router.observeSent(connection.upstream, now);
     enterHop(request, HopKind::Upstream, now);
     const PreparedShape* shape = nullptr;
     if (request.statement.kind == StatementKind::Execute)
--- a/src/libs/core/proxy/engine.h
+++ b/src/libs/core/proxy/engine.h
@@ -80,6 +80,8 @@
 
     /// The shares of the upstreams' connections, and the other hosts' reports on which they are based.
     ConnectionLedger& ledger() { return m_ledger; }
+    /// Sets the number of live hosts, this one included.
+    void setHostCount(int count) { m_ledger.setHostCount(count), m_router.setHostCount(count); }
     /// Enforces time limits, retries requests and closes surplus connections.
     void tick(Model::Time now);
     /// Returns the latest time at which `tick` has to be called next.
@@ -155,6 +157,7 @@
         std::string_view reason, Model::Time now) const;
     bool isUseAllowed(const Connection& connection, Model::Time now) const;
     void endUse(ConnectionId id, Model::Time now);
+    void observePrimaries(Model::Time now);
     void checkRequest(Session& session, Model::Time now);
     static bool mayAbandon(const Session& session);
     bool isAnswerOverdue(const Session& session, Model::Time now) const;
--- a/src/libs/core/proxy/engineconnections.cpp
+++ b/src/libs/core/proxy/engineconnections.cpp
@@ -33,7 +33,7 @@
     connection->state = ConnectionState::Idle;
     connection->changedAt = now;
     m_reachability.responseReceived(connection->upstream, now);
-    m_router.observePosition(connection->upstream, position);
+    m_router.observePosition(connection->upstream, position, now);
     if (connection->first) {
         connection->state = ConnectionState::AwaitingReplies;
         send(*connection, { *connection->first }, now);
@@ -70,6 +70,16 @@
             upstream, { CommandKind::Status }, [](const std::optional<Reply>&) {}, now);
 }
 
+/// Begins and rolls back empty transactions on idle connections to primaries, which confirm their role and
+/// position, so that reads of services in use need not run on the primary.
+void Engine::observePrimaries(Model::Time now)
+{
+    for (const std::string& upstream : m_router.takeDueObservations(now)) {
+        if (m_pool.findAnyIdle(upstream))
+            command(upstream, { CommandKind::Begin }, {}, now);
+    }
+}
+
 /// Calls the reply callbacks of a lost connection with `nullopt`.
 void Engine::failCommands(Connection& connection)
 {
@@ -110,9 +120,10 @@
         return endUse(id, now);
     const PendingReply pending = std::move(connection->pending.front());
     connection->pending.pop_front();
+    m_router.observeRoundTrip(connection->upstream, now - pending.sentAt, now);
     m_reachability.responseReceived(connection->upstream, now);
     if (reply.position != Model::LogPosition {})
-        m_router.observePosition(connection->upstream, reply.position);
+        m_router.observePosition(connection->upstream, reply.position, now);
     if (reply.code == ResultCode::Busy)
         m_pool.busy(connection->upstream, now);
     switch (pending.kind) {
@@ -164,7 +175,9 @@
 {
     if (reply.code == ResultCode::Complete) {
         connection.isInTransaction = true;
-        if (kind == CommandKind::Begin)
+        // Without a session, the role may have ended since the message was sent.
+        if (kind == CommandKind::Begin
+            && m_router.isPrimaryAllowed(connection.service, connection.upstream, now))
             m_router.observePrimaryRole(connection.service, connection.upstream, reply.position, sentAt);
         if (Session* session = findSession(connection.session))
             sendStatement(*session, connection, now);
@@ -192,6 +205,7 @@
     Connection& connection, const Reply& reply, Model::Time sentAt, Model::Time now)
 {
     m_router.observeAnswer(connection.upstream, sentAt, now);
+    m_router.observeResult(connection.upstream, reply.code, sentAt, now);
     Session* session = findSession(connection.session);
     if (!session) {
         connection.isInTransaction = reply.state != TransactionState::None;
@@ -442,6 +456,7 @@
 void Engine::directoryChanged(Model::Time now)
 {
     checkPendingOpens(now);
+    m_router.directoryChanged(now);
     std::vector<ConnectionId> closing;
     for (const auto& [id, connection] : m_pool.connections()) {
         const Directory::Upstream* upstream = m_view.findUpstream(connection.upstream);
--- a/src/libs/core/proxy/enginetime.cpp
+++ b/src/libs/core/proxy/enginetime.cpp
@@ -42,6 +42,7 @@
         m_nextSurplusCheck = now + surplusCheckPeriod;
         closeSurplus(now);
     }
+    observePrimaries(now);
     dispatch(now);
 }
 
--- a/src/libs/core/proxy/freshness.cpp
+++ b/src/libs/core/proxy/freshness.cpp
@@ -42,6 +42,14 @@
     return found->position;
 }
 
+std::optional<Model::Time> Freshness::reachedAt(Model::LogPosition position) const
+{
+    const auto found = std::ranges::lower_bound(m_observations, position, {}, &Observation::position);
+    if (found == m_observations.end())
+        return std::nullopt;
+    return found->sentAt;
+}
+
 std::optional<Model::Time> Freshness::lastObserved() const
 {
     if (m_observations.empty())
--- a/src/libs/core/proxy/freshness.h
+++ b/src/libs/core/proxy/freshness.h
@@ -23,6 +23,10 @@
     /// before `now`, or `nullopt` if no observation is recent enough.
     std::optional<Model::LogPosition> required(Model::Time now, Model::Duration maxStaleness) const;
 
+    /// Returns when the primary had reached `position` at the latest: the send time of the first observation
+    /// that includes it, or `nullopt` if none does.
+    std::optional<Model::Time> reachedAt(Model::LogPosition position) const;
+
     /// Returns when the request of the newest observation was sent, or `nullopt` without an observation.
     std::optional<Model::Time> lastObserved() const;
 
--- a/src/libs/core/proxy/router.cpp
+++ b/src/libs/core/proxy/router.cpp
@@ -55,16 +55,23 @@
     };
     const std::optional<Model::LogPosition> required
         = request.target == Target::Fresh ? requiredPosition(session, now) : std::nullopt;
+    if (m_balancer && request.target == Target::Fresh) {
+        PositionUse& use = m_positionUses[service];
+        use.lastRead = now;
+        use.maxStaleness = session.route->maxStaleness;
+    }
     if (request.target == Target::Primary || !required) {
         for (const Directory::Upstream* upstream : possiblePrimaries(service, now)) {
-            if (!isExcluded(*upstream))
+            if (!isExcluded(*upstream) && mayRun(*upstream, now))
                 result.push_back(upstream);
         }
         return result;
     }
+    if (m_balancer)
+        return balanced(session, request, required, now);
     std::vector<std::pair<Model::Duration, const Directory::Upstream*>> ranked;
     for (const Directory::Upstream* upstream : m_view.upstreamsOf(service)) {
-        if (m_view.acceptsWork(*upstream) && !isExcluded(*upstream))
+        if (m_view.acceptsWork(*upstream) && !isExcluded(*upstream) && mayRun(*upstream, now))
             ranked.emplace_back(cost(*upstream, session, required, now), upstream);
     }
     std::ranges::sort(ranked, {}, &std::pair<Model::Duration, const Directory::Upstream*>::first);
@@ -160,9 +167,17 @@
     m_freshness[service].observe(position, sentAt);
 }
 
-void Router::observePosition(const std::string& upstream, Model::LogPosition position)
+void Router::observePosition(const std::string& upstream, Model::LogPosition position, Model::Time now)
 {
-    m_upstreamStats[upstream].position = position;
+    UpstreamStats& stats = m_upstreamStats[upstream];
+    stats.position = position;
+    const Directory::Upstream* entry = m_balancer ? m_view.findUpstream(upstream) : nullptr;
+    const Freshness* known = entry ? freshness(entry->service) : nullptr;
+    if (!known)
+        return;
+    // The primary had a later position at that time already.
+    const auto passedAt = known->reachedAt({ position.term, position.position + 1 });
+    stats.lag = std::max(passedAt ? now - *passedAt : Model::Duration {}, stats.lag * 7 / 8);
 }
 
 void Router::observeNotPrimary(const std::string& upstream, Model::Time now)
@@ -193,6 +208,9 @@
 void Router::observeFailure(const std::string& upstream, Model::Time now)
 {
     m_upstreamStats[upstream].failedAt = now;
+    const Directory::Upstream* entry = m_balancer ? m_view.findUpstream(upstream) : nullptr;
+    if (entry)
+        m_balancer->lost(*entry, now);
 }
 
 Model::LogPosition Router::position(const std::string& upstream) const
--- /dev/null
+++ b/src/libs/core/proxy/zonechoice.cpp
@@ -0,0 +1,55 @@
+#include "core/proxy/zonechoice.h"
+
+#include <algorithm>
+
+namespace Proxy {
+
+namespace {
+
+    /// A transaction consists of several statements, so a single one may take only a fraction of the target
+    /// latency.
+    constexpr double maxPartOfTarget = 0.2;
+    /// Reads that have left the zone return if they take less than this part there.
+    constexpr double returnPartOfTarget = 0.12;
+    /// At this ratio one read in 600 is refused after four attempts.
+    constexpr double maxBusyRatio = 0.2;
+    constexpr double returnBusyRatio = 0.1;
+    /// Reads leave the zone if that saves at least this time, and a quarter of the time there.
+    constexpr Model::Duration minMargin = std::chrono::milliseconds(3);
+    constexpr int marginDivisor = 4;
+    /// A step is smaller than the margin: it raises the time in the other zone by less than what leaving saves.
+    constexpr double step = 0.05;
+    /// Used where the own zone takes more than twice the time of the other one.
+    constexpr double largeStep = 0.1;
+    /// The rest shows when the upstreams of the own zone have recovered.
+    constexpr double maxShare = 0.95;
+
+    bool isGood(const ZoneTimes& times, double partOfTarget, double busyRatio)
+    {
+        return times.here <= times.target * partOfTarget && times.busyHere <= busyRatio;
+    }
+
+}
+
+ZoneChange ZoneChoice::update(const ZoneTimes& times, Model::Time now)
+{
+    if (!isDue(now))
+        return ZoneChange::None;
+    m_updatedAt = now;
+    const double previous = m_share;
+    const Model::Duration margin
+        = std::max({ minMargin, times.roundTrip, times.there / marginDivisor });
+    const bool isSlower = times.here > times.there + margin;
+    if (isSlower && !isGood(times, maxPartOfTarget, maxBusyRatio)) {
+        const bool isMuchSlower = times.here > 2 * times.there + margin;
+        m_share = std::min(maxShare, m_share + (isMuchSlower ? largeStep : step));
+    } else if (times.here < times.there + margin / 2
+        || isGood(times, returnPartOfTarget, returnBusyRatio)) {
+        m_share = m_share < step * 1.5 ? 0 : m_share - step;
+    }
+    if (previous == 0 && m_share > 0)
+        return ZoneChange::Left;
+    return previous > 0 && m_share == 0 ? ZoneChange::Returned : ZoneChange::None;
+}
+
+}
