--- a/src/libs/core/proxy/coldlimit.cpp
+++ b/src/libs/core/proxy/coldlimit.cpp
@@ -21,10 +21,25 @@
 
 }
 
+double ColdLimit::shareOf(double perSecond, int hosts, int rank, std::uint64_t salt)
+{
+    if (hosts < 1)
+        return 0;
+    const auto place = (static_cast<std::uint64_t>(rank) + salt) % static_cast<std::uint64_t>(hosts);
+    if (perSecond < 1)
+        return place == 0 ? perSecond : 0;
+    const auto total = static_cast<std::uint64_t>(perSecond);
+    const std::uint64_t base = total / static_cast<std::uint64_t>(hosts);
+    const bool hasOneMore = place < total % static_cast<std::uint64_t>(hosts);
+    return static_cast<double>(base + (hasOneMore ? 1 : 0));
+}
+
 bool ColdLimit::mayRun(double perSecond, Model::Time now) const { return nextAt(perSecond, now) <= now; }
 
 Model::Time ColdLimit::nextAt(double perSecond, Model::Time now) const
 {
+    if (perSecond <= 0)
+        return now + interval;
     const auto count = static_cast<std::size_t>(std::max(1.0, std::floor(perSecond)));
     if (m_sent.size() < count)
         return now;
--- a/src/libs/core/proxy/decision.h
+++ b/src/libs/core/proxy/decision.h
@@ -18,6 +18,14 @@
     SessionRejected,
     ConnectionRefused,
     ConnectionLost,
+    /// Reads of a service began to leave the zone.
+    ZoneLeft,
+    /// Reads of a service ceased to leave the zone.
+    ZoneReturned,
+    /// An upstream gets only probes because it fails part of its statements.
+    UpstreamSetAside,
+    /// An upstream that was set aside gets reads again.
+    UpstreamTakenBack,
 };
 
 /// One logged decision and the reasons for it.
--- a/src/libs/core/proxy/engine.cpp
+++ b/src/libs/core/proxy/engine.cpp
@@ -3,6 +3,7 @@
 #include "core/proxy/reply.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace Proxy {
@@ -21,6 +22,8 @@
     , m_settings(settings)
     , m_router(view, m_pool, m_reachability, std::move(zone), m_hooks.mayUsePrimaries)
 {
+    if (m_settings.balancesUpstreams)
+        m_router.balanceUpstreams(std::bind_front(&Engine::balanceChanged, this));
 }
 
 void Engine::handle(SessionId id, Statement statement, Model::Time now)
@@ -286,6 +289,8 @@
 void Engine::sendStatement(Session& session, Connection& connection, Model::Time now)
 {
     Request& request = *session.request;
+    if (mustWaitForColdUpstream(request, connection, now))
+        return;
     std::vector<Command> commands { statementCommand(session, connection) };
     if (request.target == Target::Fresh && session.state == TransactionState::None
         && !connection.isInTransaction)
--- a/src/libs/core/proxy/engine.h
+++ b/src/libs/core/proxy/engine.h
@@ -80,8 +80,9 @@
 
     /// The shares of the upstreams' connections, and the other hosts' reports on which they are based.
     ConnectionLedger& ledger() { return m_ledger; }
-    /// Sets the number of live hosts, this one included.
-    void setHostCount(int count) { m_ledger.setHostCount(count), m_router.setHostCount(count); }
+    /// Sets the number of registered hosts and this host's place among them, for the limits of cold
+    /// upstreams.
+    void setHosts(int count, int rank) { m_router.setHosts(count, rank); }
     /// Enforces time limits, retries requests and closes surplus connections.
     void tick(Model::Time now);
     /// Returns the latest time at which `tick` has to be called next.
@@ -157,6 +158,8 @@
         std::string_view reason, Model::Time now) const;
     bool isUseAllowed(const Connection& connection, Model::Time now) const;
     void endUse(ConnectionId id, Model::Time now);
+    bool mustWaitForColdUpstream(Request& request, const Connection& connection, Model::Time now);
+    void balanceChanged(BalanceChange change, const std::string& subject, const std::string& inputs) const;
     void observePrimaries(Model::Time now);
     void checkRequest(Session& session, Model::Time now);
     static bool mayAbandon(const Session& session);
--- a/src/libs/core/proxy/readbalancer.cpp
+++ b/src/libs/core/proxy/readbalancer.cpp
@@ -1,6 +1,7 @@
 #include "core/proxy/readbalancer.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace Proxy {
@@ -67,17 +68,16 @@
     }
     if (takeProbe(options, session, request, now))
         return;
-    const auto isUsable = [](const ReadOption& option) {
-        return !option.isUnreachable && !option.load->isSetAside();
-    };
+    const auto isUsable
+        = [](const ReadOption& option) { return !option.isUnreachable && !option.load->isSetAside(); };
     if (std::ranges::any_of(options, isUsable))
         std::erase_if(options, [&](const ReadOption& option) { return !isUsable(option); });
     if (options.empty())
         return;
     const Model::Duration age = now - request.arrivedAt;
     const bool isAway = leavesZone(options, session, request, now);
-    const bool mayMix = request.attempts > 1
-        || (age > target / waitDivisor && shareLeaving(session.route->service) > 0);
+    const bool mayMix
+        = request.attempts > 1 || (age > target / waitDivisor && shareLeaving(session.route->service) > 0);
     // The primary belongs to no zone here: its cost keeps it out unless the replicas are slow.
     const auto isLeftOut = [&](const ReadOption& option) {
         return !option.isPrimary && (option.upstream->zone != m_zone) != isAway;
@@ -113,8 +113,8 @@
 
 /// Returns whether the request is the probe of an upstream that would get few reads otherwise. Only that
 /// upstream is then left, until the probe has been sent or its time has passed.
-bool ReadBalancer::takeProbe(std::vector<ReadOption>& options, const Session& session,
-    const Request& request, Model::Time now)
+bool ReadBalancer::takeProbe(
+    std::vector<ReadOption>& options, const Session& session, const Request& request, Model::Time now)
 {
     // The failure of a statement would end a transaction.
     if (options.size() < 2 || request.attempts > 0 || session.state == TransactionState::Open)
@@ -143,25 +143,34 @@
 }
 
 /// Returns whether the request should use upstreams of other zones.
-bool ReadBalancer::leavesZone(const std::vector<ReadOption>& options, const Session& session,
-    const Request& request, Model::Time now)
+bool ReadBalancer::leavesZone(
+    const std::vector<ReadOption>& options, const Session& session, const Request& request, Model::Time now)
 {
     const ReadOption* here = nullptr;
     const ReadOption* there = nullptr;
+    // Both sides are compared by their mean: of several upstreams with equal load, the best one seems better
+    // than a single one.
+    std::array<Model::Duration, 2> sums {};
+    std::array<int, 2> counts {};
     for (const ReadOption& option : options) {
-        const ReadOption*& best = option.upstream->zone == m_zone ? here : there;
-        if (!option.isPrimary && (!best || option.expected < best->expected))
+        if (option.isPrimary)
+            continue;
+        const bool isHere = option.upstream->zone == m_zone;
+        const ReadOption*& best = isHere ? here : there;
+        if (!best || option.expected < best->expected)
             best = &option;
+        sums.at(isHere ? 0 : 1) += option.expected - option.delay;
+        ++counts.at(isHere ? 0 : 1);
     }
     if (!here || !there)
         return !here;
     ZoneEntry& zone = m_zones[session.route->service];
     zone.target = std::min(zone.target.value_or(session.route->targetLatency), session.route->targetLatency);
     if (zone.choice.isDue(now))
-        updateZone(session.route->service, zone, *here, *there, now);
+        updateZone(
+            session.route->service, zone, *here, *there, sums[0] / counts[0], sums[1] / counts[1], now);
     // An upstream that has just started gets its share although it is the only one of the zone.
-    const double share
-        = std::max(zone.choice.share(), 1 - here->load->share(now) / there->load->share(now));
+    const double share = std::max(zone.choice.share(), 1 - here->load->share(now) / there->load->share(now));
     const bool isLeaving = drawOf(session, request, 0) < share;
     Model::Duration& wait = isLeaving ? zone.waitThere : zone.waitHere;
     wait = std::max(wait, now - request.arrivedAt);
@@ -169,11 +178,10 @@
 }
 
 void ReadBalancer::updateZone(const std::string& service, ZoneEntry& zone, const ReadOption& here,
-    const ReadOption& there, Model::Time now) const
+    const ReadOption& there, Model::Duration timeHere, Model::Duration timeThere, Model::Time now) const
 {
     // The mean wait is about half of the longest one.
-    const ZoneTimes times { here.expected - here.delay + zone.waitHere / 2,
-        there.expected - there.delay + zone.waitThere / 2,
+    const ZoneTimes times { timeHere + zone.waitHere / 2, timeThere + zone.waitThere / 2,
         there.load->roundTrip() - here.load->roundTrip(), *zone.target, here.load->busyRatio(now) };
     zone.waitHere = {};
     zone.waitThere = {};
@@ -236,6 +244,11 @@
         upstream.id, "service=" + upstream.service + " failureRatio=" + std::to_string(load.failureRatio()));
 }
 
+void ReadBalancer::retain(const std::function<bool(const std::string& upstream)>& exists)
+{
+    std::erase_if(m_entries, [&](const auto& entry) { return !exists(entry.first); });
+}
+
 const UpstreamLoad* ReadBalancer::load(const std::string& upstream) const
 {
     const auto found = m_entries.find(upstream);
--- a/src/libs/core/proxy/readbalancer.h
+++ b/src/libs/core/proxy/readbalancer.h
@@ -45,8 +45,8 @@
     ReadBalancer(std::string zone, ChangeHook changed);
 
     /// Removes the options that the request should not use now, and orders the others, best first.
-    void rank(std::vector<ReadOption>& options, const Session& session, const Request& request,
-        Model::Time now);
+    void rank(
+        std::vector<ReadOption>& options, const Session& session, const Request& request, Model::Time now);
 
     /// Records that a statement was sent to the upstream.
     void sent(const std::string& upstream, Model::Time now);
@@ -57,6 +57,9 @@
     /// Records the time to the answer of any message.
     void observeRoundTrip(const std::string& upstream, Model::Duration time, Model::Time now);
 
+    /// Removes what was observed of upstreams that no longer exist.
+    void retain(const std::function<bool(const std::string& upstream)>& exists);
+
     const UpstreamLoad* load(const std::string& upstream) const;
     /// Share of the service's reads that leave the zone.
     double shareLeaving(const std::string& service) const;
@@ -83,12 +86,12 @@
 
     Entry& entryOf(const Directory::Upstream& upstream, Model::Time now);
     double otherFailureRatio(const Directory::Upstream& upstream) const;
-    bool takeProbe(std::vector<ReadOption>& options, const Session& session, const Request& request,
-        Model::Time now);
+    bool takeProbe(
+        std::vector<ReadOption>& options, const Session& session, const Request& request, Model::Time now);
     bool leavesZone(const std::vector<ReadOption>& options, const Session& session, const Request& request,
         Model::Time now);
     void updateZone(const std::string& service, ZoneEntry& zone, const ReadOption& here,
-        const ReadOption& there, Model::Time now) const;
+        const ReadOption& there, Model::Duration timeHere, Model::Duration timeThere, Model::Time now) const;
     void report(LoadChange change, const Directory::Upstream& upstream, const UpstreamLoad& load) const;
 
     std::string m_zone;
--- a/src/libs/core/proxy/router.h
+++ b/src/libs/core/proxy/router.h
@@ -8,12 +8,12 @@
 #include "core/proxy/readbalancer.h"
 #include "core/proxy/session.h"
 
-#include <algorithm>
 #include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace Proxy {
@@ -32,8 +32,9 @@
     /// that division.
     void balanceUpstreams(ReadBalancer::ChangeHook changed);
     bool isBalancing() const { return m_balancer.has_value(); }
-    /// Sets the number of live hosts, between which the limits of cold upstreams are divided.
-    void setHostCount(int count) { m_hostCount = std::max(1, count); }
+    /// Sets the number of hosts between which the limits of cold upstreams are divided, and this host's place
+    /// among them. Before the first call, none of the statements that such a limit counts may run.
+    void setHosts(int count, int rank);
     /// Reads from the directory which upstreams are cold. Has to be called after each of its changes.
     void directoryChanged(Model::Time now);
 
@@ -81,9 +82,12 @@
     /// Records the time from a message to its answer.
     void observeRoundTrip(const std::string& upstream, Model::Duration time, Model::Time now);
     /// Returns the primaries whose positions this host should observe soon, because reads of the last seconds
-    /// required a position of their service that is about to become too old. Each is returned once in a while.
+    /// required a position of their service that is about to become too old. Each is returned once in a
+    /// while.
     std::vector<std::string> takeDueObservations(Model::Time now);
 
+    /// Null unless the router balances.
+    const ReadBalancer* balancer() const { return m_balancer ? &*m_balancer : nullptr; }
     /// Returns the last recorded end of the upstream's log; 0.0 if it is unknown.
     Model::LogPosition position(const std::string& upstream) const;
     /// Returns the observed positions of the service's primary, or null before the first observation.
@@ -124,8 +128,9 @@
         const std::optional<Model::LogPosition>& required, Model::Time now) const;
     Model::Duration missingTime(
         const Directory::Upstream& upstream, Model::LogPosition required, Model::Time now) const;
-    double coldShare(const Directory::Upstream& upstream) const;
-    const ColdUpstream* findCold(const Directory::Upstream& upstream, Model::Time now) const;
+    /// Returns the limit of the upstream and this host's share of it, or null and 0 if it has none now.
+    std::pair<const ColdUpstream*, double> coldLimit(
+        const Directory::Upstream& upstream, Model::Time now) const;
     bool mayBePrimary(const Directory::Upstream& upstream, Model::Time now) const;
     std::vector<const Directory::Upstream*> possiblePrimaries(
         const std::string& service, Model::Time now) const;
@@ -143,7 +148,8 @@
     mutable std::optional<ReadBalancer> m_balancer;
     mutable std::unordered_map<std::string, PositionUse> m_positionUses;
     std::unordered_map<std::string, ColdUpstream> m_coldUpstreams;
-    int m_hostCount = 1;
+    int m_hostCount = 0;
+    int m_hostRank = 0;
 };
 
 }
--- a/src/libs/core/proxy/routerbalance.cpp
+++ b/src/libs/core/proxy/routerbalance.cpp
@@ -1,5 +1,8 @@
+#include "core/proxy/connectionledger.h"
 #include "core/proxy/router.h"
 
+#include <algorithm>
+
 namespace Proxy {
 
 namespace {
@@ -74,7 +77,11 @@
 
 void Router::directoryChanged(Model::Time now)
 {
-    std::erase_if(m_coldUpstreams, [&](const auto& entry) { return !m_view.findUpstream(entry.first); });
+    const auto exists
+        = [this](const std::string& upstream) { return m_view.findUpstream(upstream) != nullptr; };
+    std::erase_if(m_coldUpstreams, [&](const auto& entry) { return !exists(entry.first); });
+    if (m_balancer)
+        m_balancer->retain(exists);
     for (const auto& [id, upstream] : m_view.upstreams()) {
         const auto found = m_coldUpstreams.find(id);
         const bool isKnown = found != m_coldUpstreams.end() && found->second.startedAt == upstream.startedAt;
@@ -89,35 +96,42 @@
     }
 }
 
-const Router::ColdUpstream* Router::findCold(const Directory::Upstream& upstream, Model::Time now) const
+void Router::setHosts(int count, int rank)
 {
-    const auto found = m_coldUpstreams.find(upstream.id);
-    return found != m_coldUpstreams.end() && now < found->second.until ? &found->second : nullptr;
+    m_hostCount = count;
+    m_hostRank = rank;
 }
 
-/// Returns this host's share of the statements per second while the upstream is cold; 0 without a limit.
-double Router::coldShare(const Directory::Upstream& upstream) const
+std::pair<const Router::ColdUpstream*, double> Router::coldLimit(
+    const Directory::Upstream& upstream, Model::Time now) const
 {
+    const auto cold = m_coldUpstreams.find(upstream.id);
     const auto& configuration = m_view.configuration();
-    const Directory::Service* service = configuration ? configuration->findService(upstream.service) : nullptr;
-    return service ? service->coldRequestsPerSecond / m_hostCount : 0;
+    if (cold == m_coldUpstreams.end() || now >= cold->second.until || !configuration)
+        return {};
+    const Directory::Service* service = configuration->findService(upstream.service);
+    if (!service || service->coldRequestsPerSecond <= 0)
+        return {};
+    return { &cold->second,
+        ColdLimit::shareOf(
+            service->coldRequestsPerSecond, m_hostCount, m_hostRank, ConnectionLedger::hashOf(upstream.id)) };
 }
 
 bool Router::mayRun(const Directory::Upstream& upstream, Model::Time now) const
 {
     if (m_coldUpstreams.empty())
         return true;
-    const ColdUpstream* cold = findCold(upstream, now);
-    const double share = cold ? coldShare(upstream) : 0;
-    return share <= 0 || cold->limit.mayRun(share, now);
+    const auto [cold, share] = coldLimit(upstream, now);
+    return !cold || cold->limit.mayRun(share, now);
 }
 
 Model::Time Router::mayRunAt(const std::string& upstream, Model::Time now) const
 {
     const Directory::Upstream* entry = m_coldUpstreams.empty() ? nullptr : m_view.findUpstream(upstream);
-    const ColdUpstream* cold = entry ? findCold(*entry, now) : nullptr;
-    const double share = cold ? coldShare(*entry) : 0;
-    return share <= 0 ? now : std::min(cold->until, cold->limit.nextAt(share, now));
+    if (!entry)
+        return now;
+    const auto [cold, share] = coldLimit(*entry, now);
+    return cold ? std::min(cold->until, cold->limit.nextAt(share, now)) : now;
 }
 
 void Router::observeSent(const std::string& upstream, Model::Time now)
@@ -129,8 +143,7 @@
         found->second.limit.record(now);
 }
 
-void Router::observeResult(
-    const std::string& upstream, ResultCode code, Model::Time sentAt, Model::Time now)
+void Router::observeResult(const std::string& upstream, ResultCode code, Model::Time sentAt, Model::Time now)
 {
     const Directory::Upstream* entry = m_balancer ? m_view.findUpstream(upstream) : nullptr;
     if (entry)
@@ -153,7 +166,8 @@
         const auto observed = known ? known->lastObserved() : std::nullopt;
         if (observed && now - *observed < use.maxStaleness - observationLead)
             continue;
-        if (const Directory::Upstream* current = primary(service, now); current && mayRun(*current, now)) {
+        if (const Directory::Upstream* current = primary(service, now);
+            current && !coldLimit(*current, now).first) {
             use.requestedAt = now;
             result.push_back(current->id);
         }
--- a/src/libs/core/proxy/upstreamload.cpp
+++ b/src/libs/core/proxy/upstreamload.cpp
@@ -22,8 +22,8 @@
     constexpr Model::Duration slowProbePeriod = std::chrono::seconds(2);
     /// After a probe that succeeded, the next one follows sooner.
     constexpr Model::Duration nextProbePeriod = std::chrono::milliseconds(250);
-    /// Of an upstream that fails 40 % of its statements, 8 % of the sequences of 5 statements succeed, and 0.2 %
-    /// of those of 12.
+    /// Of an upstream that fails 40 % of its statements, 8 % of the sequences of 5 statements succeed, and
+    /// 0.2 % of those of 12.
     constexpr int minRequiredSuccesses = 5;
     constexpr int maxRequiredSuccesses = 12;
     constexpr int relapseSuccesses = 4;
@@ -89,9 +89,8 @@
         return LoadChange::None;
     m_isSetAside = true;
     m_setAsideAt = now;
-    m_requiredSuccesses = isRelapse
-        ? std::min(maxRequiredSuccesses, m_requiredSuccesses + relapseSuccesses)
-        : minRequiredSuccesses;
+    m_requiredSuccesses = isRelapse ? std::min(maxRequiredSuccesses, m_requiredSuccesses + relapseSuccesses)
+                                    : minRequiredSuccesses;
     return LoadChange::SetAside;
 }
 
--- a/src/libs/core/proxy/upstreamload.h
+++ b/src/libs/core/proxy/upstreamload.h
@@ -10,8 +10,8 @@
 enum class LoadChange { None, SetAside, TakenBack };
 
 /// What this host has observed of one incarnation of an upstream: moving averages of its response time and of
-/// the ratios of failed and busy statements, its round trip, and whether it is set aside because it fails part
-/// of its statements. Used on one thread.
+/// the ratios of failed and busy statements, its round trip, and whether it is set aside because it fails
+/// part of its statements. Used on one thread.
 class UpstreamLoad {
 public:
     /// A new upstream gets a share of the reads that grows from `now` on.
@@ -21,8 +21,7 @@
     void sent(Model::Time now) { m_triedAt = now; }
     /// Records the answer to a statement sent at `sentAt`. `otherFailureRatio` is the lowest failure ratio of
     /// the service's other upstreams: a statement that fails on each of them is no failure of this one.
-    LoadChange answered(
-        ResultCode code, double otherFailureRatio, Model::Time sentAt, Model::Time now);
+    LoadChange answered(ResultCode code, double otherFailureRatio, Model::Time sentAt, Model::Time now);
     /// Records that a connection broke or that a statement was not answered in time.
     LoadChange lost(double otherFailureRatio, Model::Time now);
     /// Records the time to the answer of any message.
--- a/src/libs/core/proxy/zonechoice.cpp
+++ b/src/libs/core/proxy/zonechoice.cpp
@@ -11,16 +11,19 @@
     constexpr double maxPartOfTarget = 0.2;
     /// Reads that have left the zone return if they take less than this part there.
     constexpr double returnPartOfTarget = 0.12;
-    /// At this ratio one read in 600 is refused after four attempts.
-    constexpr double maxBusyRatio = 0.2;
+    /// At this ratio one read in 256 is refused after four attempts.
+    constexpr double maxBusyRatio = 0.25;
     constexpr double returnBusyRatio = 0.1;
     /// Reads leave the zone if that saves at least this time, and a quarter of the time there.
     constexpr Model::Duration minMargin = std::chrono::milliseconds(3);
     constexpr int marginDivisor = 4;
-    /// A step is smaller than the margin: it raises the time in the other zone by less than what leaving saves.
+    /// A step is smaller than the margin: it raises the time in the other zone by less than what leaving
+    /// saves.
     constexpr double step = 0.05;
-    /// Used where the own zone takes more than twice the time of the other one.
+    /// Used where the own zone takes more than twice the time of the other one, and back if it serves well.
     constexpr double largeStep = 0.1;
+    /// A short burst is over before a share of the reads has left.
+    constexpr int minSlowPeriods = 3;
     /// The rest shows when the upstreams of the own zone have recovered.
     constexpr double maxShare = 0.95;
 
@@ -37,15 +40,19 @@
         return ZoneChange::None;
     m_updatedAt = now;
     const double previous = m_share;
-    const Model::Duration margin
-        = std::max({ minMargin, times.roundTrip, times.there / marginDivisor });
+    const Model::Duration margin = std::max({ minMargin, times.roundTrip, times.there / marginDivisor });
     const bool isSlower = times.here > times.there + margin;
-    if (isSlower && !isGood(times, maxPartOfTarget, maxBusyRatio)) {
+    const bool isWorthLeaving = isSlower && !isGood(times, maxPartOfTarget, maxBusyRatio);
+    m_slowPeriods = isWorthLeaving ? m_slowPeriods + 1 : 0;
+    if (isWorthLeaving) {
+        if (m_slowPeriods < minSlowPeriods)
+            return ZoneChange::None;
         const bool isMuchSlower = times.here > 2 * times.there + margin;
         m_share = std::min(maxShare, m_share + (isMuchSlower ? largeStep : step));
-    } else if (times.here < times.there + margin / 2
-        || isGood(times, returnPartOfTarget, returnBusyRatio)) {
-        m_share = m_share < step * 1.5 ? 0 : m_share - step;
+    } else {
+        const bool isServedWell = isGood(times, returnPartOfTarget, returnBusyRatio);
+        if (isServedWell || times.here < times.there + margin / 2)
+            m_share = std::max(0.0, m_share - (isServedWell ? largeStep : step));
     }
     if (previous == 0 && m_share > 0)
         return ZoneChange::Left;
--- a/src/libs/core/proxy/zonechoice.h
+++ b/src/libs/core/proxy/zonechoice.h
@@ -37,6 +37,8 @@
     static constexpr Model::Duration period = std::chrono::milliseconds(250);
 
     double m_share = 0;
+    /// Consecutive periods in which leaving would have paid.
+    int m_slowPeriods = 0;
     std::optional<Model::Time> m_updatedAt;
 };
 
--- a/src/libs/logging/eventid.cpp
+++ b/src/libs/logging/eventid.cpp
@@ -94,6 +94,13 @@
             "an upstream refused a further connection" },
         { UpstreamConnectionLost, "upstream_connection_lost", Severity::Warning,
             "a connection in use failed or did not respond in time" },
+        { ReadsLeftZone, "reads_left_zone", Severity::Info, "reads of a service began to leave the zone" },
+        { ReadsReturnedToZone, "reads_returned_to_zone", Severity::Info,
+            "reads of a service ceased to leave the zone" },
+        { UpstreamSetAside, "upstream_set_aside", Severity::Warning,
+            "an upstream gets only probes because it fails part of its statements" },
+        { UpstreamTakenBack, "upstream_taken_back", Severity::Info,
+            "an upstream that was set aside gets reads again" },
     } };
 
 }
--- a/src/libs/logging/eventid.h
+++ b/src/libs/logging/eventid.h
@@ -64,6 +64,10 @@
     SessionRejected = 604,
     UpstreamConnectionRefused = 605,
     UpstreamConnectionLost = 606,
+    ReadsLeftZone = 640,
+    ReadsReturnedToZone = 641,
+    UpstreamSetAside = 642,
+    UpstreamTakenBack = 643,
 };
 
 enum class Severity : std::uint8_t {
--- a/src/libs/proxyhost/proxyhost.cpp
+++ b/src/libs/proxyhost/proxyhost.cpp
@@ -1,5 +1,6 @@
 #include "proxyhost/proxyhost.h"
 
+#include "core/model/rendezvous.h"
 #include "logging/log.h"
 #include "proxyhost/rows.h"
 
@@ -143,6 +144,12 @@
     const Model::Time now = EventLoop::now();
     m_fleet.hostsChanged(rows, isComplete, now);
     m_areHostsKnown = true;
+    // The order of the hashes has no relation to the zones, unlike that of the names.
+    const auto placeOf = [](const std::string& name) { return std::pair(Model::stableHash(name), name); };
+    const std::vector<std::string> others = m_fleet.hostNames();
+    const auto rank = std::ranges::count_if(
+        others, [&](const auto& name) { return placeOf(name) < placeOf(m_settings.host); });
+    m_server.engine().setHosts(static_cast<int>(others.size()) + 1, static_cast<int>(rank));
     if (m_firstConfiguration)
         adopt(std::exchange(m_firstConfiguration, nullptr));
     if (m_guard)
--- a/src/libs/sessionserver/decisionlog.cpp
+++ b/src/libs/sessionserver/decisionlog.cpp
@@ -17,7 +17,9 @@
     constexpr std::array events { Logging::EventId::RequestRefused, Logging::EventId::RequestRetried,
         Logging::EventId::RequestInDoubt, Logging::EventId::TransactionAborted,
         Logging::EventId::SessionRejected, Logging::EventId::UpstreamConnectionRefused,
-        Logging::EventId::UpstreamConnectionLost };
+        Logging::EventId::UpstreamConnectionLost, Logging::EventId::ReadsLeftZone,
+        Logging::EventId::ReadsReturnedToZone, Logging::EventId::UpstreamSetAside,
+        Logging::EventId::UpstreamTakenBack };
 
     std::string milliseconds(Model::Duration duration)
     {
--- a/src/libs/sessionserver/decisionlog.h
+++ b/src/libs/sessionserver/decisionlog.h
@@ -21,7 +21,7 @@
         std::uint64_t omitted = 0;
     };
 
-    std::array<Budget, 7> m_budgets;
+    std::array<Budget, 11> m_budgets;
 };
 
 }
--- a/src/libs/sessionserver/server.cpp
+++ b/src/libs/sessionserver/server.cpp
@@ -61,8 +61,10 @@
     result.admit = std::move(hooks.admit);
     result.explainLimit = std::move(hooks.explainLimit);
     result.mayUsePrimaries = std::move(hooks.mayUsePrimaries);
-    result.decided
-        = [this](const Proxy::Decision& decision) { m_decisionLog.write(decision, EventLoop::now()); };
+    result.decided = [this](const Proxy::Decision& decision) {
+        countDecision(decision.kind);
+        m_decisionLog.write(decision, EventLoop::now());
+    };
     result.isNextTraced = [] { return Logging::isNextTraceSampled(); };
     result.answered = [this](const Proxy::Session& session, Proxy::ResultCode code, Model::Duration elapsed) {
         countAnswer(session, code, elapsed);
@@ -307,6 +309,27 @@
     m_timer.start(std::max(next - now, Model::Duration(tickSlack)));
 }
 
+/// Counts the changes of the division of reads between upstreams. The answers show the other decisions.
+void Server::countDecision(Proxy::DecisionKind kind)
+{
+    const auto count = [this](const char* change) {
+        m_metrics.counter("parsleytack_balance_changes_total", "change=\"" + std::string(change) + "\"")
+            .add();
+    };
+    switch (kind) {
+    case Proxy::DecisionKind::ZoneLeft:
+        return count("zone_left");
+    case Proxy::DecisionKind::ZoneReturned:
+        return count("zone_returned");
+    case Proxy::DecisionKind::UpstreamSetAside:
+        return count("set_aside");
+    case Proxy::DecisionKind::UpstreamTakenBack:
+        return count("taken_back");
+    default:
+        return;
+    }
+}
+
 void Server::countAnswer(const Proxy::Session& session, Proxy::ResultCode code, Model::Duration elapsed)
 {
     m_latency.record(elapsed);
--- a/src/libs/sessionserver/server.h
+++ b/src/libs/sessionserver/server.h
@@ -110,6 +110,7 @@
     void upstreamClosed(Proxy::ConnectionId id);
     void send(Proxy::ConnectionId id, std::span<const Proxy::Command> commands);
 
+    void countDecision(Proxy::DecisionKind kind);
     void countAnswer(const Proxy::Session& session, Proxy::ResultCode code, Model::Duration elapsed);
     void tick();
     void scheduleTick();
--- a/tests/auto/core/proxy/enginefixture.cpp
+++ b/tests/auto/core/proxy/enginefixture.cpp
@@ -36,6 +36,11 @@
     setUpstream("p", Directory::Role::Primary);
     setUpstream("q", Directory::Role::Replica);
     setUpstream("r", Directory::Role::Replica);
+    createEngine();
+}
+
+void EngineFixture::createEngine(EngineSettings settings)
+{
     EngineHooks hooks;
     hooks.reply = [this](SessionId id, const Reply& reply) { m_replies[id].push_back(reply); };
     hooks.rejectSession
@@ -60,7 +65,7 @@
         if (session.request->trace)
             m_hops = session.request->trace->hops();
     };
-    m_engine = std::make_unique<Engine>(m_view, "north", std::move(hooks));
+    m_engine = std::make_unique<Engine>(m_view, "north", std::move(hooks), settings);
     configure();
 }
 
--- a/tests/auto/core/proxy/enginefixture.h
+++ b/tests/auto/core/proxy/enginefixture.h
@@ -22,6 +22,8 @@
     };
 
     EngineFixture();
+    /// Replaces the engine by a new one with these settings.
+    void createEngine(Proxy::EngineSettings settings = {});
 
     void setUpstream(const std::string& id, Directory::Role role,
         Directory::Availability availability = Directory::Availability::Ready);
