--- a/src/libs/core/proxy/router.cpp
+++ b/src/libs/core/proxy/router.cpp
@@ -171,6 +171,7 @@
 {
     UpstreamStats& stats = m_upstreamStats[upstream];
     stats.position = position;
+    stats.positionAt = now;
     const Directory::Upstream* entry = m_balancer ? m_view.findUpstream(upstream) : nullptr;
     const Freshness* known = entry ? freshness(entry->service) : nullptr;
     if (!known)
--- a/src/libs/core/proxy/router.h
+++ b/src/libs/core/proxy/router.h
@@ -101,6 +101,8 @@
         std::optional<Model::Time> failedAt;
         /// How far the upstream's log is behind the primary's, at least.
         Model::Duration lag {};
+        /// When `position` was observed.
+        Model::Time positionAt;
         /// Moving average of the time from sending a statement to its reply.
         Model::Duration latency = std::chrono::milliseconds(10);
         /// Latest send time of the statements that have been answered.
--- a/src/libs/core/proxy/routerbalance.cpp
+++ b/src/libs/core/proxy/routerbalance.cpp
@@ -12,6 +12,8 @@
     constexpr Model::Duration lagCost = std::chrono::milliseconds(20);
     /// After a replica lacked a position, it is taken to be behind for this long, if nothing else is known.
     constexpr Model::Duration lagPause = std::chrono::milliseconds(250);
+    /// An observed lag counts in full for this long.
+    constexpr Model::Duration lagLifetime = std::chrono::seconds(1);
     /// Reads of a service within this time show that it is in use.
     constexpr Model::Duration usePeriod = std::chrono::seconds(1);
     /// A position is observed again when it is still valid for this time: enough for several round trips and
@@ -68,7 +70,10 @@
         return {};
     const Freshness* known = freshness(upstream.service);
     const auto reachedAt = known ? known->reachedAt(required) : std::nullopt;
-    const Model::Duration missing = reachedAt ? *reachedAt + stats.lag - now : stats.lag;
+    // Without answers the lag says less and less; reads show what it is now.
+    const Model::Duration silence = std::max(Model::Duration {}, now - stats.positionAt - lagLifetime);
+    const Model::Duration lag = stats.lag - silence;
+    const Model::Duration missing = reachedAt ? *reachedAt + lag - now : lag;
     const bool hasLagged = stats.laggedAt && now - *stats.laggedAt < lagPause;
     if (missing <= Model::Duration {} && !hasLagged)
         return {};
@@ -164,7 +169,8 @@
             continue;
         const Freshness* known = freshness(service);
         const auto observed = known ? known->lastObserved() : std::nullopt;
-        if (observed && now - *observed < use.maxStaleness - observationLead)
+        const Model::Duration lead = std::min(observationLead, use.maxStaleness / 2);
+        if (observed && now - *observed < use.maxStaleness - lead)
             continue;
         if (const Directory::Upstream* current = primary(service, now);
             current && !coldLimit(*current, now).first) {
--- a/tests/auto/core/proxy/tst_enginebalance.cpp
+++ b/tests/auto/core/proxy/tst_enginebalance.cpp
@@ -184,7 +184,7 @@
         EXPECT_EQ(lastReply(session).code, ResultCode::Complete);
     }
     EXPECT_EQ(onQ, 0);
-    // A replica that follows at once is used although the known position is older.
+    // A replica is tried again although nothing was heard from it.
     m_positions["q"] = 40;
     readFor(3s);
     EXPECT_GE(readFor(1s), 20);
