Leave failed writes out of the failure ratio of an upstream

Cause: a write may fail because of its data, and only the primary runs writes, so the primary would be set aside for reads. Change: the engine does not report FAILED answers of writes to the router.

--- a/src/libs/core/proxy/engineconnections.cpp
+++ b/src/libs/core/proxy/engineconnections.cpp
@@ -195,8 +195,10 @@
     Connection& connection, const Reply& reply, Model::Time sentAt, Model::Time now)
 {
     m_router.observeAnswer(connection.upstream, sentAt, now);
-    m_router.observeResult(connection.upstream, reply.code, sentAt, now);
     Session* session = findSession(connection.session);
+    // A write may fail because of its data, and only the primary runs writes.
+    if (reply.code != ResultCode::Failed || !session || !session->request->isWrite)
+        m_router.observeResult(connection.upstream, reply.code, sentAt, now);
     if (!session) {
         connection.isInTransaction = reply.state != TransactionState::None;
         return;
