Sort an upstream that did not run a request last by its key

Change: such an upstream gets an infinite key. The test's simulation has an accessor instead of a public member.

--- a/src/libs/core/proxy/readbalancer.cpp
+++ b/src/libs/core/proxy/readbalancer.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <limits>
 
 namespace Proxy {
 
@@ -93,12 +94,11 @@
         const double time = std::max(minSeconds, seconds(option.expected));
         const double draw = drawOf(session, request, std::hash<std::string> {}(option.upstream->id));
         option.key = -std::log(draw) * time * time / option.load->share(now);
+        // An upstream that did not run the request comes last.
+        if (request.attempts > 0 && option.upstream->id == request.upstream)
+            option.key = std::numeric_limits<double>::infinity();
     }
     std::ranges::sort(options, {}, &ReadOption::key);
-    // An upstream that did not run the request comes last.
-    if (request.attempts > 0)
-        std::ranges::stable_partition(
-            options, [&](const ReadOption& option) { return option.upstream->id != request.upstream; });
     // A request that has waited uses what it gets; the primary and slow upstreams serve as long as the best
     // one has no connection for it.
     const Model::Duration limit = best * maxRatio + age;
--- a/tests/auto/core/proxy/balancesimulation.h
+++ b/tests/auto/core/proxy/balancesimulation.h
@@ -46,7 +46,8 @@
     /// Mean share of the reads that leave the zone, over the zone's hosts.
     double shareLeaving(const std::string& zone) const;
 
-    std::vector<std::pair<Proxy::BalanceChange, std::string>> m_changes;
+    /// The changes that the hosts reported, and their subjects.
+    const std::vector<std::pair<Proxy::BalanceChange, std::string>>& changes() const { return m_changes; }
 
 private:
     struct Host {
@@ -75,6 +76,7 @@
         return std::uniform_real_distribution<>(0, 1)(m_random) < probability;
     }
 
+    std::vector<std::pair<Proxy::BalanceChange, std::string>> m_changes;
     std::mt19937_64 m_random;
     int m_slots;
     Model::Time m_now { std::chrono::seconds(100) };
--- a/tests/auto/core/proxy/tst_balance.cpp
+++ b/tests/auto/core/proxy/tst_balance.cpp
@@ -28,7 +28,7 @@
 
     int count(BalanceChange change, const std::string& subject) const
     {
-        return static_cast<int>(std::ranges::count(m_changes, std::pair(change, subject)));
+        return static_cast<int>(std::ranges::count(changes(), std::pair(change, subject)));
     }
 };
 
@@ -44,7 +44,7 @@
         for (const auto& [zone, count] : counts)
             EXPECT_LE(count.leftZone, count.finished / 50) << zone;
         EXPECT_LE(fleet.receivedRate("p", 10s), 2);
-        EXPECT_TRUE(fleet.m_changes.empty());
+        EXPECT_TRUE(fleet.changes().empty());
     });
 }
 
