--- a/tests/auto/core/proxy/tst_enginebalance.cpp
+++ b/tests/auto/core/proxy/tst_enginebalance.cpp
@@ -39,6 +39,7 @@
                 for (const Command& command : take(id)) {
                     const bool isOnQ = link.upstream == "q" && command.kind == CommandKind::Statement;
                     count += isOnQ ? 1 : 0;
+                    m_now += m_executionTimes[link.upstream];
                     answer(id, isOnQ ? code : ResultCode::Complete, TransactionState::None,
                         m_positions[link.upstream]);
                     isServed = true;
@@ -63,6 +64,7 @@
     }
 
     int m_reads = 0;
+    std::map<std::string, Model::Duration> m_executionTimes;
     /// Ends of the upstreams' logs.
     std::map<std::string, std::uint64_t> m_positions { { "p", 1 }, { "q", 1 }, { "r", 1 } };
 };
@@ -189,3 +191,24 @@
     readFor(3s);
     EXPECT_GE(readFor(1s), 20);
 }
+
+// Guards against reads that leave the zone, or return to it, without a trace in the log.
+TEST_F(EngineBalance, ReportsOnceWhenReadsLeaveZoneAndReturn)
+{
+    Directory::Upstream own = *m_view.findUpstream("q");
+    own.zone = "north";
+    m_view.setUpstream(own);
+    m_engine->directoryChanged(m_now);
+    m_executionTimes = { { "q", 5ms }, { "r", 5ms } };
+    readFor(4s);
+    EXPECT_EQ(decisions(DecisionKind::ZoneLeft), 0);
+    m_executionTimes["q"] = 100ms;
+    readFor(8s);
+    EXPECT_EQ(decisions(DecisionKind::ZoneLeft), 1);
+    const auto left = std::ranges::find(m_decisions, DecisionKind::ZoneLeft, &Decision::kind);
+    EXPECT_TRUE(left->inputs.starts_with("service=ledger hereMs=")) << left->inputs;
+    m_executionTimes["q"] = 5ms;
+    readFor(15s);
+    EXPECT_EQ(decisions(DecisionKind::ZoneLeft), 1);
+    EXPECT_EQ(decisions(DecisionKind::ZoneReturned), 1);
+}
