--- a/src/libs/core/proxy/decision.h
+++ b/src/libs/core/proxy/decision.h
@@ -20,6 +20,14 @@
     ConnectionLost,
     /// A request was refused because the estimated wait for an execution slot exceeds its time limit.
     RequestRefusedByEstimate,
+    /// Reads of a service began to leave the zone.
+    ZoneLeft,
+    /// Reads of a service ceased to leave the zone.
+    ZoneReturned,
+    /// An upstream gets only probes because it fails part of its statements.
+    UpstreamSetAside,
+    /// An upstream that was set aside gets reads again.
+    UpstreamTakenBack,
 };
 
 /// One logged decision and the reasons for it.
--- a/src/libs/core/proxy/engine.cpp
+++ b/src/libs/core/proxy/engine.cpp
@@ -3,6 +3,7 @@
 #include "core/proxy/reply.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace Proxy {
@@ -13,6 +14,8 @@
     , m_settings(settings)
     , m_router(view, m_pool, m_reachability, std::move(zone), m_hooks.mayUsePrimaries)
 {
+    if (m_settings.balancesUpstreams)
+        m_router.balanceUpstreams(std::bind_front(&Engine::balanceChanged, this));
 }
 
 void Engine::handle(SessionId id, Statement statement, Model::Time now)
@@ -261,6 +264,7 @@
     holdSlot(connection, now);
     ++request.attempts;
     request.upstream = connection.upstream;
+    m_router.observeSent(connection.upstream, now);
     enterHop(request, HopKind::Upstream, now);
     const PreparedShape* shape = nullptr;
     if (request.statement.kind == StatementKind::Execute)
@@ -300,6 +304,8 @@
     if (!takeSlotInTransaction(session, connection, now))
         return;
     Request& request = *session.request;
+    if (mustWaitForColdUpstream(request, connection, now))
+        return;
     std::vector<Command> commands { statementCommand(session, connection) };
     if (request.target == Target::Fresh && session.state == TransactionState::None
         && !connection.isInTransaction)
--- a/src/libs/core/proxy/engineconnections.cpp
+++ b/src/libs/core/proxy/engineconnections.cpp
@@ -26,7 +26,7 @@
     connection->state = ConnectionState::Idle;
     connection->changedAt = now;
     m_reachability.responseReceived(connection->upstream, now);
-    m_router.observePosition(connection->upstream, position);
+    m_router.observePosition(connection->upstream, position, now);
     if (connection->first) {
         connection->state = ConnectionState::AwaitingReplies;
         send(*connection, { *connection->first }, now);
@@ -105,9 +105,10 @@
         return endUse(id, now);
     const PendingReply pending = std::move(connection->pending.front());
     connection->pending.pop_front();
+    m_router.observeRoundTrip(connection->upstream, now - pending.sentAt, now);
     m_reachability.responseReceived(connection->upstream, now);
     if (reply.position != Model::LogPosition {})
-        m_router.observePosition(connection->upstream, reply.position);
+        m_router.observePosition(connection->upstream, reply.position, now);
     if (reply.code == ResultCode::Busy)
         m_pool.busy(connection->upstream, now);
     const bool freesSlot = pending.kind == CommandKind::Statement && connection->slotHeldSince;
@@ -169,7 +170,9 @@
 {
     if (reply.code == ResultCode::Complete) {
         connection.isInTransaction = true;
-        if (kind == CommandKind::Begin)
+        // Without a session, the role may have ended since the message was sent.
+        if (kind == CommandKind::Begin
+            && m_router.isPrimaryAllowed(connection.service, connection.upstream, now))
             m_router.observePrimaryRole(connection.service, connection.upstream, reply.position, sentAt);
         if (Session* session = findSession(connection.session))
             sendStatement(*session, connection, now);
@@ -199,6 +202,9 @@
 {
     m_router.observeAnswer(connection.upstream, sentAt, now);
     Session* session = findSession(connection.session);
+    // A write may fail because of its data, and only the primary runs writes.
+    if (reply.code != ResultCode::Failed || !session || !session->request->isWrite)
+        m_router.observeResult(connection.upstream, reply.code, sentAt, now);
     if (!session) {
         connection.isInTransaction = reply.state != TransactionState::None;
         return;
@@ -458,6 +464,7 @@
 {
     updateSlots();
     checkPendingOpens(now);
+    m_router.directoryChanged(now);
     std::vector<ConnectionId> closing;
     for (const auto& [id, connection] : m_pool.connections()) {
         const Directory::Upstream* upstream = m_view.findUpstream(connection.upstream);
--- a/src/libs/core/proxy/enginetime.cpp
+++ b/src/libs/core/proxy/enginetime.cpp
@@ -54,6 +54,7 @@
         m_nextSurplusCheck = now + surplusCheckPeriod;
         closeSurplus(now);
     }
+    observePrimaries(now);
     dispatch(now);
 }
 
--- a/src/libs/logging/eventid.cpp
+++ b/src/libs/logging/eventid.cpp
@@ -9,7 +9,7 @@
 
     using enum EventId;
 
-    constexpr std::array<EventInfo, 58> table { {
+    constexpr std::array<EventInfo, 62> table { {
         { ProcessStarted, "process_started", Severity::Info, "the process listens on all its addresses" },
         { ProcessStopped, "process_stopped", Severity::Info, "the process ended after its last request" },
         { DrainStarted, "drain_started", Severity::Info, "SIGTERM received; no new requests are accepted" },
@@ -98,6 +98,13 @@
             "the connection to a host that executes this host's statements was lost" },
         { RequestRefusedByEstimate, "request_refused_by_estimate", Severity::Info,
             "a statement was refused and did not run, because it would not get an execution slot in time" },
+        { ReadsLeftZone, "reads_left_zone", Severity::Info, "reads of a service began to leave the zone" },
+        { ReadsReturnedToZone, "reads_returned_to_zone", Severity::Info,
+            "reads of a service ceased to leave the zone" },
+        { UpstreamSetAside, "upstream_set_aside", Severity::Warning,
+            "an upstream gets only probes because it fails part of its statements" },
+        { UpstreamTakenBack, "upstream_taken_back", Severity::Info,
+            "an upstream that was set aside gets reads again" },
     } };
 
 }
--- a/src/libs/logging/eventid.h
+++ b/src/libs/logging/eventid.h
@@ -66,6 +66,10 @@
     UpstreamConnectionLost = 606,
     PoolHostLost = 620,
     RequestRefusedByEstimate = 630,
+    ReadsLeftZone = 640,
+    ReadsReturnedToZone = 641,
+    UpstreamSetAside = 642,
+    UpstreamTakenBack = 643,
 };
 
 enum class Severity : std::uint8_t {
--- a/tests/auto/core/proxy/enginefixture.cpp
+++ b/tests/auto/core/proxy/enginefixture.cpp
@@ -36,6 +36,11 @@
     setUpstream("p", Directory::Role::Primary);
     setUpstream("q", Directory::Role::Replica);
     setUpstream("r", Directory::Role::Replica);
+    createEngine(settings);
+}
+
+void EngineFixture::createEngine(EngineSettings settings)
+{
     EngineHooks hooks;
     hooks.reply = [this](SessionId id, const Reply& reply) { m_replies[id].push_back(reply); };
     hooks.rejectSession
