Mend what the reviews of forwarding, queue and balance found

Each has a test unless said otherwise: a statement or answer that is too long broke the connection between two hosts for all sessions; a paused host gave its connections up; ticks were due all the time while a forwarded answer was overdue; statements given up counted as outstanding for ever (no test); an operation that waits for admission counted as further demand at each try, and was cut off at a shutdown (no tests). Older faults: a read for the primary waited until its time limit after one failed attempt; the first statement of a transaction was not sent again after BUSY; a connection with an unanswered rollback counted as in use for ever. Further, without tests: openings to other upstreams than those of the request do not count; routes with different staleness share no answer; one slow statement refuses no others.

--- a/src/libs/core/allowance/fleetallowance.cpp
+++ b/src/libs/core/allowance/fleetallowance.cpp
@@ -123,9 +123,14 @@
 }
 
 bool FleetAllowance::admit(const Directory::Customer& customer, Model::Time now)
+{
+    ++bucketOf(customer, now).requested;
+    return admitAgain(customer, now);
+}
+
+bool FleetAllowance::admitAgain(const Directory::Customer& customer, Model::Time now)
 {
     Bucket& bucket = bucketOf(customer, now);
-    ++bucket.requested;
     if (!m_arePeersKnown)
         return false;
     const bool isBelowWatermark = bucket.tokens < bucket.burst * lowWatermark;
--- a/src/libs/core/allowance/fleetallowance.h
+++ b/src/libs/core/allowance/fleetallowance.h
@@ -90,6 +90,8 @@
     void setCustomers(const Directory::Configuration& configuration, Model::Time now);
     /// Returns whether an operation may start now, and charges it if so.
     bool admit(const Directory::Customer& customer, Model::Time now);
+    /// The same for an operation that was not admitted before; it is no further demand of the customer.
+    bool admitAgain(const Directory::Customer& customer, Model::Time now);
     /// Whether this host has started so recently that it lacks the reports of others. It admits little until
     /// they arrive, usually within half a second.
     bool isSettling(Model::Time now) const;
--- a/src/libs/core/placement/linkhealth.cpp
+++ b/src/libs/core/placement/linkhealth.cpp
@@ -13,6 +13,8 @@
     /// Longer than an overloaded host takes to answer, since statements on a connection that is given up are
     /// in doubt.
     constexpr Model::Duration pingTimeout = std::chrono::milliseconds(700);
+    /// New operations are sent elsewhere sooner, which puts none in doubt.
+    constexpr Model::Duration usablePingTimeout = std::chrono::milliseconds(300);
     /// A host that comes and goes is not used each time that it is back for a moment.
     constexpr Model::Duration returnPause = std::chrono::seconds(1);
     constexpr Model::Duration declinedPause = std::chrono::milliseconds(200);
@@ -81,7 +83,8 @@
 
 bool LinkHealth::isUsable(Model::Time now) const
 {
-    return m_state == LinkState::Up && !m_isDraining && (!m_usableAt || now >= *m_usableAt);
+    const bool isSilent = m_pingedAt && now - *m_pingedAt >= usablePingTimeout;
+    return m_state == LinkState::Up && !m_isDraining && !isSilent && (!m_usableAt || now >= *m_usableAt);
 }
 
 }
--- a/src/libs/core/placement/linkhealth.h
+++ b/src/libs/core/placement/linkhealth.h
@@ -2,6 +2,7 @@
 
 #include "core/model/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 
@@ -26,9 +27,8 @@
 
     /// Anything was received.
     void received(Model::Time now);
-    /// A statement was sent whose answer is outstanding.
-    void sent() { ++m_outstanding; }
-    void answered() { m_outstanding = m_outstanding > 0 ? m_outstanding - 1 : 0; }
+    /// Sets the number of statements whose answers are outstanding.
+    void setOutstanding(std::size_t count) { m_outstanding = count; }
     bool isPingDue(Model::Time now) const;
     void pinged(Model::Time now);
     /// Whether the connection has to be closed: it was not opened in time, or a ping has not been answered.
@@ -52,7 +52,7 @@
     /// No connection is opened, or no new operation sent, before these times.
     std::optional<Model::Time> m_connectAt;
     std::optional<Model::Time> m_usableAt;
-    std::uint64_t m_outstanding = 0;
+    std::size_t m_outstanding = 0;
     bool m_isDraining = false;
 };
 
--- a/src/libs/core/proxy/engine.cpp
+++ b/src/libs/core/proxy/engine.cpp
@@ -59,6 +59,7 @@
         m_hooks.reply(session.id, errorReply(code, reason, TransactionState::None));
         return false;
     };
+    const auto awaitedSince = std::exchange(session.admissionAwaitedSince, std::nullopt);
     session.configuration = m_view.configuration();
     session.route = session.configuration->findRoute(session.database);
     if (!session.route)
@@ -70,13 +71,13 @@
     session.hasWritten = false;
     if (statement.kind == StatementKind::Commit)
         return refuseStart(ResultCode::Malformed, "no transaction is open");
-    const bool isAdmitted = !customer || m_hooks.admit(*customer, now);
-    if (!isAdmitted && awaitAdmission(session, *customer, statement, now))
+    if (!customer)
+        return true;
+    if (awaitedSince ? m_hooks.admitAgain(*customer, now) : m_hooks.admit(*customer, now))
+        return true;
+    if (awaitAdmission(session, *customer, statement, awaitedSince.value_or(now), now))
         return false;
-    session.admissionAwaitedSince.reset();
-    if (!isAdmitted)
-        return refuseStart(ResultCode::Busy, "beyond the customer's rate", m_hooks.explainLimit(*customer));
-    return true;
+    return refuseStart(ResultCode::Busy, "beyond the customer's rate", m_hooks.explainLimit(*customer));
 }
 
 /// Answers a statement that needs no upstream.
@@ -263,6 +264,7 @@
     session.connection = connection.id;
     holdSlot(connection, now);
     ++request.attempts;
+    request.retryAt.reset();
     request.upstream = connection.upstream;
     m_router.observeSent(connection.upstream, now);
     enterHop(request, HopKind::Upstream, now);
@@ -301,11 +303,11 @@
 
 void Engine::sendStatement(Session& session, Connection& connection, Model::Time now)
 {
-    if (!takeSlotInTransaction(session, connection, now))
-        return;
     Request& request = *session.request;
     if (mustWaitForColdUpstream(request, connection, now))
         return;
+    if (!takeSlotInTransaction(session, connection, now))
+        return;
     std::vector<Command> commands { statementCommand(session, connection) };
     if (request.target == Target::Fresh && session.state == TransactionState::None
         && !connection.isInTransaction)
--- a/src/libs/core/proxy/engine.h
+++ b/src/libs/core/proxy/engine.h
@@ -33,6 +33,8 @@
     std::function<void(ConnectionId)> disconnect;
     /// Whether the customer may start another operation now; if so, charges it.
     std::function<bool(const Directory::Customer&, Model::Time)> admit;
+    /// As `admit`, for an operation that was not admitted before and waited. Empty if none ever waits.
+    std::function<bool(const Directory::Customer&, Model::Time)> admitAgain;
     /// Whether `admit` may permit the operation soon, because this host does not know the others' use yet.
     /// Empty if it never does.
     std::function<bool(const Directory::Customer&, Model::Time)> mayAdmitSoon;
@@ -147,6 +149,8 @@
     /// Connections to one upstream that this host opens at the same time. Opening one occupies an execution
     /// slot of the upstream.
     static constexpr int maxOpening = 2;
+    /// A pool host answers a statement at its time limit; the answer needs some time to arrive.
+    static constexpr Model::Duration forwardedReplySlack = std::chrono::milliseconds(150);
     /// A statement is tried on no more upstreams than a service usually has.
     static constexpr int maxAttempts = 4;
 
@@ -178,8 +182,8 @@
     void handleBeforeOpen(SessionId id, Statement statement, Model::Time now);
     void checkPendingOpens(Model::Time now);
     bool beginOperation(Session& session, const Statement& statement, Model::Time now);
-    bool awaitAdmission(
-        Session& session, const Directory::Customer& customer, const Statement& statement, Model::Time now);
+    bool awaitAdmission(Session& session, const Directory::Customer& customer, const Statement& statement,
+        Model::Time since, Model::Time now);
     void retryAdmissions(Model::Time now);
     void handlePipelined(SessionId id, Model::Time now);
     void answer(Session& session, const Statement& statement, Model::Time now);
@@ -203,6 +207,7 @@
     WaitLane waitLane(const Session& session, const ServiceQueue& service, Model::Time now) const;
     ServiceQueue& serviceQueue(const std::string& name);
     void enqueue(Session& session, Model::Time now);
+    static Model::Duration executionTime(const Session& session, const ServiceQueue& service);
     static Model::Duration latestStart(const Session& session, const ServiceQueue& service);
     static void pushWaiting(ServiceQueue& service, const WaitingRequest& request, Model::Time now);
     void enqueueAgain(Session& session, Model::Time now);
@@ -217,7 +222,8 @@
     bool startNext(ServiceQueue& service, Model::Time now);
     NextStart findNext(const ServiceQueue& service, WaitLane lane, const std::vector<UsableUpstream>& usable,
         Model::Time now) const;
-    bool needsOpening(const Session& session, const ServiceQueue& service) const;
+    bool needsOpening(const Session& session, const ServiceQueue& service,
+        const std::vector<const Directory::Upstream*>& candidates) const;
     void checkScheduled(Session& session, Model::Time now);
     void abortWaiting(Session& session, Model::Time now);
     bool hasCandidates(const Session& session, Model::Time now);
@@ -253,6 +259,8 @@
     void sessionConnectionLost(Session& session, const std::string& upstream, Model::Time now);
     void release(Connection& connection, Model::Time now);
     void detach(Session& session, Model::Time now);
+    static void exclude(Request& request, const std::string& upstream);
+    static void separate(Session& session, Connection& connection, Model::Time now);
     void closeConnection(ConnectionId id);
     void failCommands(Connection& connection);
     void abandonConnection(ConnectionId id, Model::Time now);
@@ -300,7 +308,7 @@
     bool m_isDispatching = false;
     bool m_dispatchesAgain = false;
     /// Answers of `hasCandidates` since the last tick.
-    std::map<std::tuple<std::string, Directory::RouteKind, Target>, bool> m_hasCandidates;
+    std::map<std::tuple<std::string, Directory::RouteKind, Model::Duration, Target>, bool> m_hasCandidates;
     /// Earliest end of the pauses of busy upstreams.
     std::optional<Model::Time> m_pauseEnd;
     Model::Time m_tickedAt;
--- a/src/libs/core/proxy/engineconnections.cpp
+++ b/src/libs/core/proxy/engineconnections.cpp
@@ -191,9 +191,8 @@
     if (isAttemptFree(reply.code))
         --session->request->attempts;
     else if (reply.code != ResultCode::Busy)
-        session->request->excluded.push_back(connection.upstream);
-    connection.session = 0;
-    session->connection = 0;
+        exclude(*session->request, connection.upstream);
+    separate(*session, connection, now);
     retry(*session, "upstream did not begin the transaction", now);
 }
 
@@ -235,8 +234,7 @@
     }
     reply.state = session.state;
     if (session.state == TransactionState::None) {
-        connection.session = 0;
-        session.connection = 0;
+        separate(session, connection, now);
         // Released before the reply, so that a pipelined statement of the session finds the connection idle.
         if (connection.pending.empty())
             release(connection, now);
@@ -251,8 +249,7 @@
     Request& request = *session.request;
     const std::string upstream = connection.upstream;
     request.lastCode = reply.code;
-    connection.session = 0;
-    session.connection = 0;
+    separate(session, connection, now);
     if (reply.code == ResultCode::ReadOnly)
         m_router.observeNotPrimary(upstream, now);
     if (reply.code == ResultCode::Lagging)
@@ -267,7 +264,7 @@
     if (isAttemptFree(reply.code))
         --request.attempts;
     else if (reply.code != ResultCode::Busy && reply.code != ResultCode::UnknownStatement)
-        request.excluded.push_back(upstream);
+        exclude(request, upstream);
     retry(session, "upstream did not run the statement", now);
 }
 
@@ -289,8 +286,7 @@
         m_router.observeNotPrimary(connection.upstream, now);
     session.state = isCommit ? TransactionState::None : TransactionState::Failed;
     connection.isInTransaction = reply.state != TransactionState::None;
-    connection.session = 0;
-    session.connection = 0;
+    separate(session, connection, now);
     decided(DecisionKind::TransactionAborted, session, reply.code, "statement failed", now);
     finish(session, errorReply(reply.code, reply.text, session.state), now);
 }
@@ -393,9 +389,7 @@
     const bool isStarted = request.target == Target::Transaction || session.hasWritten;
     const bool isTransaction = session.state == TransactionState::Open;
     if (request.phase != RequestPhase::Running && !isStarted) {
-        // No other upstream than the primary could run a request for it.
-        if (request.target == Target::Fresh)
-            request.excluded.push_back(upstream);
+        exclude(request, upstream);
         return retry(session, "connection lost before the statement was sent", now);
     }
     if (isTransaction) {
@@ -414,7 +408,7 @@
             errorReply(ResultCode::InDoubt, "the connection to the upstream was lost", session.state), now);
         return;
     }
-    request.excluded.push_back(upstream);
+    exclude(request, upstream);
     retry(session, "connection lost", now);
 }
 
@@ -437,6 +431,26 @@
     dispatch(now);
 }
 
+/// Excludes an upstream from further attempts of the request. Not the primary: no other upstream could run a
+/// request for it, and the number of attempts is limited.
+void Engine::exclude(Request& request, const std::string& upstream)
+{
+    if (request.target == Target::Fresh)
+        request.excluded.push_back(upstream);
+}
+
+/// Ends the use of the connection by the session. Replies that are outstanding, such as to a rollback, have
+/// to arrive soon.
+void Engine::separate(Session& session, Connection& connection, Model::Time now)
+{
+    connection.session = 0;
+    session.connection = 0;
+    if (connection.pending.empty())
+        return;
+    connection.state = ConnectionState::AwaitingReplies;
+    connection.changedAt = now;
+}
+
 /// Separates the session from its connection, which returns to the pool once all its replies have arrived.
 void Engine::detach(Session& session, Model::Time now)
 {
--- a/src/libs/core/proxy/engineforwarding.cpp
+++ b/src/libs/core/proxy/engineforwarding.cpp
@@ -6,13 +6,6 @@
 
 namespace Proxy {
 
-namespace {
-
-    /// A pool host answers a statement at its time limit; the answer needs some time to arrive.
-    constexpr Model::Duration forwardedReplySlack = std::chrono::milliseconds(150);
-
-}
-
 /// Sends the session's request to the pool host of its service. Returns false if this host has to execute it.
 bool Engine::forwardRequest(Session& session, Model::Time now)
 {
@@ -101,7 +94,8 @@
     if (session->request->isContinued)
         return sessionConnectionLost(*session, {}, now);
     --session->request->attempts;
-    session->request->lastCode = ResultCode::Busy;
+    // Not `Busy`: the statement has used no turn in this host's queue.
+    session->request->lastCode = ResultCode::Aborted;
     retry(*session, "pool host did not take the statement", now);
 }
 
--- a/src/libs/core/proxy/enginescheduling.cpp
+++ b/src/libs/core/proxy/enginescheduling.cpp
@@ -106,7 +106,7 @@
     if (!isSent)
         return freeSlot(connection, SlotResult::Unused, now);
     connection.slotHeldSince.reset();
-    slotWindow(connection.upstream).lost(now + lostStatementTime);
+    slotWindow(connection.upstream).lost(now + lostStatementTime, now);
 }
 
 /// Returns whether an attempt with this result does not count. The router leaves an upstream that is not the
@@ -181,8 +181,7 @@
     const WaitingRequest request = waitingRequest(session, waitLane(session, service, now));
     if (!service.waiting.isEmpty(request.lane)) {
         const Model::Duration wait = expectedWait(session, service, request, now);
-        if (now + wait + service.estimate.meanStatementTime(session.route->priority)
-            > session.request->deadline)
+        if (now + wait + executionTime(session, service) > session.request->deadline)
             return refuseByEstimate(session, wait, now);
     }
     pushWaiting(service, request, now);
@@ -190,6 +189,14 @@
     dispatch(now);
 }
 
+/// Returns the time that the session's statement is expected to run for. One slow statement, for example the
+/// first one after a start, must not make all others seem hopeless.
+Model::Duration Engine::executionTime(const Session& session, const ServiceQueue& service)
+{
+    return std::min(service.estimate.meanStatementTime(session.route->priority),
+        session.route->targetLatency / startMarginDivisor);
+}
+
 /// Returns after which wait a request is not expected to meet its target latency.
 Model::Duration Engine::latestStart(const Session& session, const ServiceQueue& service)
 {
@@ -363,10 +370,10 @@
             usable, [&](const UsableUpstream& upstream) { return upstream.isIdleFor(session.customer); });
         if (++visited > maxVisited)
             return false;
-        const bool mayOpen = opening.session == 0 && needsOpening(session, service);
-        if (!mayBeIdle && !mayOpen)
+        if (!mayBeIdle && opening.session != 0)
             return true;
         const auto candidates = m_router.candidates(session, *session.request, now);
+        const bool mayOpen = opening.session == 0 && needsOpening(session, service, candidates);
         const Directory::Upstream* openable = nullptr;
         for (const Directory::Upstream* candidate : candidates) {
             const auto found = std::ranges::find(usable, candidate, &UsableUpstream::upstream);
@@ -390,13 +397,14 @@
 }
 
 /// Returns whether the waiting requests of the session's customer outnumber the connections that are being
-/// opened for it.
-bool Engine::needsOpening(const Session& session, const ServiceQueue& service) const
+/// opened for it to upstreams on which its request may run.
+bool Engine::needsOpening(const Session& session, const ServiceQueue& service,
+    const std::vector<const Directory::Upstream*>& candidates) const
 {
     std::size_t opening = 0;
-    for (const std::string& upstream : service.upstreams)
+    for (const Directory::Upstream* upstream : candidates)
         opening += std::ranges::count(
-            m_pool.customers(upstream, ConnectionState::Opening), std::string_view(session.customer));
+            m_pool.customers(upstream->id, ConnectionState::Opening), std::string_view(session.customer));
     return opening < service.waiting.sizeOfCustomer(session.id);
 }
 
@@ -420,7 +428,7 @@
         service.waiting.remove(session.id);
         pushWaiting(service, waiting, now);
     }
-    const Model::Duration mean = service.estimate.meanStatementTime(session.route->priority);
+    const Model::Duration mean = executionTime(session, service);
     // While no upstream can run requests, the late ones are not behind others.
     if (waiting.isLate && !hasCandidates(session, now))
         service.estimate.lateWaitsFrom(waiting, now);
@@ -455,7 +463,8 @@
     };
     if (!request.excluded.empty())
         return find();
-    const std::tuple key { session.route->service, session.route->kind, request.target };
+    const std::tuple key { session.route->service, session.route->kind, session.route->maxStaleness,
+        request.target };
     const auto known = m_hasCandidates.find(key);
     if (known != m_hasCandidates.end())
         return known->second;
--- a/src/libs/core/proxy/enginesessions.cpp
+++ b/src/libs/core/proxy/enginesessions.cpp
@@ -89,15 +89,14 @@
 
 /// Lets an operation wait that this host cannot admit yet. Callers of a fleet that has just started would use
 /// up their retries within milliseconds. Returns false if the operation has to be refused.
-bool Engine::awaitAdmission(
-    Session& session, const Directory::Customer& customer, const Statement& statement, Model::Time now)
+bool Engine::awaitAdmission(Session& session, const Directory::Customer& customer, const Statement& statement,
+    Model::Time since, Model::Time now)
 {
     if (!m_settings.schedulesStatements || !m_hooks.mayAdmitSoon || !m_hooks.mayAdmitSoon(customer, now))
         return false;
-    if (!session.admissionAwaitedSince)
-        session.admissionAwaitedSince = now;
-    if (now - *session.admissionAwaitedSince >= maxAdmissionWait)
+    if (now - since >= maxAdmissionWait)
         return false;
+    session.admissionAwaitedSince = since;
     session.pipelined.push_front(statement);
     m_awaitingAdmission.insert(session.id);
     m_active.insert(session.id);
@@ -118,11 +117,12 @@
     Session* session = findSession(id);
     if (!session)
         return;
-    detach(*session, now);
-    m_active.erase(id);
-    m_awaitingAdmission.erase(id);
+    // The session must not be found in a queue while its connection is released.
     std::erase(m_waiting, id);
     removeFromQueues(*session);
+    m_awaitingAdmission.erase(id);
+    detach(*session, now);
+    m_active.erase(id);
     m_sessions.erase(id);
     dispatch(now);
 }
--- a/src/libs/core/proxy/enginetime.cpp
+++ b/src/libs/core/proxy/enginetime.cpp
@@ -76,8 +76,7 @@
             return refuse(session, ResultCode::Busy, "no upstream can run it", now);
         return;
     }
-    if (request.retryAt && request.phase == RequestPhase::Preparing && now >= *request.retryAt
-        && request.target == Target::Transaction) {
+    if (request.retryAt && request.phase == RequestPhase::Preparing && now >= *request.retryAt) {
         request.retryAt.reset();
         if (Connection* connection = m_pool.find(session.connection))
             sendStatement(session, *connection, now);
@@ -169,7 +168,8 @@
             next = std::min(next, request.arrivedAt + maxQueueTime(session));
         if (request.phase == RequestPhase::Running && request.target != Target::Forwarded)
             next = std::min(next, std::max(now, request.sentAt) + overdueCheckPeriod);
-        next = std::min(next, request.deadline + replySlack);
+        const bool isForwarded = request.target == Target::Forwarded;
+        next = std::min(next, request.deadline + (isForwarded ? forwardedReplySlack : replySlack));
     }
     return next;
 }
@@ -193,7 +193,7 @@
     const std::vector<SessionId> active(m_active.begin(), m_active.end());
     for (const SessionId id : active) {
         const Session* session = findSession(id);
-        if (!session || session->request)
+        if (!session || session->request || m_awaitingAdmission.contains(id))
             continue;
         decided(DecisionKind::TransactionAborted, *session, ResultCode::Aborted, "shutdown", now);
         sessionClosed(id, now);
--- a/src/libs/core/proxy/slotwindow.cpp
+++ b/src/libs/core/proxy/slotwindow.cpp
@@ -45,8 +45,9 @@
         increase(now);
 }
 
-void SlotWindow::lost(Model::Time occupiedUntil)
+void SlotWindow::lost(Model::Time occupiedUntil, Model::Time now)
 {
+    std::erase_if(m_lost, [now](Model::Time until) { return until <= now; });
     m_inProgress = std::max(0, m_inProgress - 1);
     m_lost.push_back(occupiedUntil);
 }
--- a/src/libs/core/proxy/slotwindow.h
+++ b/src/libs/core/proxy/slotwindow.h
@@ -33,7 +33,7 @@
     void started() { ++m_inProgress; }
     void ended(SlotResult result, Model::Time now);
     /// Records that the connection was lost. The upstream may run the statement until `occupiedUntil`.
-    void lost(Model::Time occupiedUntil);
+    void lost(Model::Time occupiedUntil, Model::Time now);
 
     int limit() const { return static_cast<int>(m_limit); }
     int inProgress() const { return m_inProgress; }
--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -10,8 +10,11 @@
 
 namespace {
 
-    /// A connection with more unsent data is closed: the pool host does not read.
+    /// No more statements are sent on a connection with more unsent data: they would be in doubt if the pool
+    /// host did not read on. Pings show whether it does.
     constexpr std::size_t maxUnsentBytes = 8UL * 1024 * 1024;
+    /// Calls of `update` that are further apart show that the process was paused.
+    constexpr Model::Duration pauseThreshold = std::chrono::milliseconds(250);
 
 }
 
@@ -80,16 +83,23 @@
     Link* target = findLink(link);
     if (!target || !target->stream)
         return false;
-    target->health.sent();
-    target->stream->send(encode(statement));
+    const std::string message = encode(statement);
+    if (message.size() > maxMessageBytes || target->stream->unsentBytes() + message.size() > maxUnsentBytes)
+        return false;
+    target->outstanding.insert(statement.session);
+    target->health.setOutstanding(target->outstanding.size());
+    target->stream->send(message);
     return true;
 }
 
 void Forwarder::end(Proxy::ForwardLinkId link, Proxy::SessionId session)
 {
-    const Link* target = findLink(link);
-    if (target && target->stream)
-        target->stream->send(encode(End { session }));
+    Link* target = findLink(link);
+    if (!target || !target->stream)
+        return;
+    target->outstanding.erase(session);
+    target->health.setOutstanding(target->outstanding.size());
+    target->stream->send(encode(End { session }));
 }
 
 /// The hosts that execute the statements of the services in use, or would if the first ones failed.
@@ -108,6 +118,10 @@
 
 void Forwarder::update(Model::Time now)
 {
+    // What has arrived during a pause is not read yet.
+    if (m_updatedAt && now - *m_updatedAt > pauseThreshold)
+        processPaused(now);
+    m_updatedAt = now;
     for (const std::string& host : preferredHosts())
         m_links.try_emplace(host);
     std::vector<std::string> hosts;
@@ -121,8 +135,6 @@
 {
     if (link.health.isUnresponsive(now))
         return lose(host, "no response", now);
-    if (link.stream && link.stream->unsentBytes() > maxUnsentBytes)
-        return lose(host, "the host does not read", now);
     if (link.health.shouldConnect(now))
         return connect(host, link, now);
     if (!link.health.isPingDue(now))
@@ -138,6 +150,7 @@
         return;
     link.id = ++m_lastLink;
     m_hostsByLink.emplace(link.id, host);
+    link.outstanding.clear();
     link.health.connecting(now);
     MessageStreamHooks hooks;
     hooks.connected = [this, id = link.id] {
@@ -168,10 +181,12 @@
         return lose(host, "malformed message", now);
     }
     if (const auto* reply = std::get_if<StatementReply>(&*message)) {
-        link.health.answered();
+        link.outstanding.erase(reply->session);
+        link.health.setOutstanding(link.outstanding.size());
         m_hooks.answered(*reply);
     } else if (const auto* decline = std::get_if<Decline>(&*message)) {
-        link.health.answered();
+        link.outstanding.erase(decline->session);
+        link.health.setOutstanding(link.outstanding.size());
         link.health.declined(now);
         m_hooks.declined(*decline);
     } else if (std::holds_alternative<Drain>(*message)) {
--- a/src/libs/forwarding/forwarder.h
+++ b/src/libs/forwarding/forwarder.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -63,6 +64,8 @@
         /// Changes with each connection.
         Proxy::ForwardLinkId id = 0;
         std::unique_ptr<MessageStream> stream;
+        /// Sessions whose statement has not been answered.
+        std::set<Proxy::SessionId> outstanding;
     };
 
     void connect(const std::string& host, Link& link, Model::Time now);
@@ -82,6 +85,7 @@
     /// Services whose statements were forwarded, or would have been.
     std::set<std::string> m_services;
     Proxy::ForwardLinkId m_lastLink = 0;
+    std::optional<Model::Time> m_updatedAt;
 };
 
 }
--- a/src/libs/forwarding/messagestream.cpp
+++ b/src/libs/forwarding/messagestream.cpp
@@ -9,8 +9,6 @@
 namespace {
 
     constexpr std::size_t lengthBytes = 4;
-    /// An answer may consist of several rows of up to 1 MiB.
-    constexpr std::size_t maxMessageBytes = 16UL * 1024 * 1024;
     constexpr int bitsPerByte = 8;
 
     std::array<char, lengthBytes> encodeLength(std::size_t length)
--- a/src/libs/forwarding/messagestream.h
+++ b/src/libs/forwarding/messagestream.h
@@ -19,6 +19,10 @@
     std::function<void()> closed;
 };
 
+/// Longer messages are refused by the receiving host, which closes the connection. An answer may consist of
+/// several rows of up to 1 MiB.
+constexpr std::size_t maxMessageBytes = 16UL * 1024 * 1024;
+
 /// Sends and receives messages of bytes on a TCP connection, each with its length before it. Used on the
 /// loop's thread.
 class MessageStream {
--- a/src/libs/forwarding/receiver.cpp
+++ b/src/libs/forwarding/receiver.cpp
@@ -76,7 +76,13 @@
     if (isNew)
         local->second = ++m_lastSession | forwardedBit;
     const Proxy::SessionId session = local->second;
-    m_sessions[session] = { id, statement.session, statement.sequence };
+    ForwardedSession& known = m_sessions[session];
+    if (known.isAwaitingReply) {
+        // A host sends the next statement of a session only after the answer to the previous one.
+        Logging::write(Logging::EventId::PeerMessageMalformed);
+        return close(id);
+    }
+    known = { id, statement.session, statement.sequence, true };
     m_hooks.received(session, std::move(statement));
 }
 
@@ -97,11 +103,19 @@
     const auto session = m_sessions.find(id);
     if (session == m_sessions.end())
         return;
+    session->second.isAwaitingReply = false;
     const ForwardedSession target = session->second;
     Peer& peer = m_peers.at(target.peer);
     if (reply.state != Proxy::TransactionState::Open)
         forget(id);
-    peer.stream->send(encode(StatementReply { target.remote, target.sequence, reply }));
+    std::string message = encode(StatementReply { target.remote, target.sequence, reply });
+    if (message.size() > maxMessageBytes) {
+        // The session's host gives the statement up at its time limit, as after a lost answer.
+        Logging::write(Logging::EventId::PeerMessageMalformed,
+            { { "reason", "the answer to a forwarded statement is too long" } });
+        return;
+    }
+    peer.stream->send(message);
     if (peer.stream->unsentBytes() > maxUnsentBytes)
         m_loop.post([this, lost = target.peer] { close(lost); });
 }
@@ -122,10 +136,10 @@
         return;
     Peer peer = std::move(found->second);
     m_peers.erase(found);
-    for (const auto& [remote, session] : peer.sessions) {
+    for (const auto& [remote, session] : peer.sessions)
         m_sessions.erase(session);
+    for (const auto& [remote, session] : peer.sessions)
         m_hooks.ended(session);
-    }
     // Destroyed after the callback of the stream that may have called this function has returned.
     m_loop.post([stream = std::shared_ptr<MessageStream>(std::move(peer.stream))] {});
 }
--- a/src/libs/forwarding/receiver.h
+++ b/src/libs/forwarding/receiver.h
@@ -65,6 +65,7 @@
         PeerId peer = 0;
         Proxy::SessionId remote = 0;
         std::uint64_t sequence = 0;
+        bool isAwaitingReply = false;
     };
 
     void accept(std::unique_ptr<EventLoop::TcpStream> stream);
--- a/src/libs/proxyhost/proxyhost.cpp
+++ b/src/libs/proxyhost/proxyhost.cpp
@@ -69,6 +69,9 @@
     hooks.admit = [this](const Directory::Customer& customer, Model::Time now) {
         return m_allowance.admit(customer, now);
     };
+    hooks.admitAgain = [this](const Directory::Customer& customer, Model::Time now) {
+        return m_allowance.admitAgain(customer, now);
+    };
     hooks.mayAdmitSoon = [this](const Directory::Customer& /*customer*/, Model::Time now) {
         return m_allowance.isSettling(now);
     };
--- a/src/libs/sessionserver/server.cpp
+++ b/src/libs/sessionserver/server.cpp
@@ -63,6 +63,7 @@
         = [this](Proxy::ConnectionId id, std::span<const Proxy::Command> commands) { send(id, commands); };
     result.disconnect = [this](Proxy::ConnectionId id) { m_upstreams.erase(id); };
     result.admit = m_hooks.admit;
+    result.admitAgain = m_hooks.admitAgain;
     result.mayAdmitSoon = m_hooks.mayAdmitSoon;
     result.explainLimit = m_hooks.explainLimit;
     result.mayUsePrimaries = m_hooks.mayUsePrimaries;
--- a/src/libs/sessionserver/server.h
+++ b/src/libs/sessionserver/server.h
@@ -38,6 +38,8 @@
 struct ServerHooks {
     /// Returns whether the customer's rate limit admits another operation now, and charges it if so.
     std::function<bool(const Directory::Customer&, Model::Time)> admit;
+    /// As `admit`, for an operation that waited.
+    std::function<bool(const Directory::Customer&, Model::Time)> admitAgain;
     /// Whether `admit` may permit the operation soon.
     std::function<bool(const Directory::Customer&, Model::Time)> mayAdmitSoon;
     /// The figures on which the last decision of `admit` for the customer was based, for logs.
--- a/tests/auto/core/placement/tst_linkhealth.cpp
+++ b/tests/auto/core/placement/tst_linkhealth.cpp
@@ -26,11 +26,15 @@
 TEST_F(LinkHealthTest, FindsSilentHost)
 {
     open();
-    m_health.sent();
+    m_health.setOutstanding(1);
     m_now += 200ms;
     ASSERT_TRUE(m_health.isPingDue(m_now));
     m_health.pinged(m_now);
-    m_now += 600ms;
+    m_now += 290ms;
+    EXPECT_TRUE(m_health.isUsable(m_now));
+    m_now += 10ms;
+    EXPECT_FALSE(m_health.isUsable(m_now));
+    m_now += 300ms;
     EXPECT_FALSE(m_health.isUnresponsive(m_now));
     m_now += 100ms;
     EXPECT_TRUE(m_health.isUnresponsive(m_now));
@@ -40,7 +44,7 @@
 TEST_F(LinkHealthTest, AnyMessageShowsThatHostIsAlive)
 {
     open();
-    m_health.sent();
+    m_health.setOutstanding(1);
     for (int i = 0; i < 50; ++i) {
         m_now += 250ms;
         ASSERT_FALSE(m_health.isUnresponsive(m_now));
--- a/tests/auto/core/proxy/enginefixture.cpp
+++ b/tests/auto/core/proxy/enginefixture.cpp
@@ -57,6 +57,7 @@
     };
     hooks.disconnect = [this](ConnectionId id) { m_links.at(id).isClosed = true; };
     hooks.admit = [this](const Directory::Customer&, Model::Time) { return m_isAdmitted; };
+    hooks.admitAgain = hooks.admit;
     hooks.mayAdmitSoon = [this](const Directory::Customer&, Model::Time) { return m_mayAdmitSoon; };
     hooks.explainLimit = [](const Directory::Customer&) { return std::string("rate=1"); };
     hooks.mayUsePrimaries = [this](Model::Time) { return m_mayUsePrimaries; };
--- a/tests/auto/core/proxy/tst_enginefailures.cpp
+++ b/tests/auto/core/proxy/tst_enginefailures.cpp
@@ -510,3 +510,53 @@
     answer(link);
     EXPECT_EQ(lastReply(session).code, ResultCode::Complete);
 }
+
+// Guards against a read for the primary that waits until its time limit after one failed attempt, because the
+// only upstream that could run it is excluded.
+TEST_F(EngineFailures, ReadForPrimaryIsTriedAgainOnPrimary)
+{
+    const SessionId session = open("strict");
+    send(session, statement(StatementKind::Read, "item"));
+    acceptConnections();
+    const ConnectionId link = linkTo("p");
+    take(link);
+    answer(link, ResultCode::Failed);
+    const auto commands = take(link);
+    ASSERT_FALSE(commands.empty());
+    EXPECT_EQ(commands.back().kind, CommandKind::Begin);
+}
+
+// Guards against a transaction that waits until its time limit because a busy upstream did not run its first
+// statement.
+TEST_F(EngineFailures, SendsFirstStatementOfTransactionAgainAfterBusy)
+{
+    const SessionId session = open("strict");
+    send(session, statement(StatementKind::Begin));
+    send(session, statement(StatementKind::Write, "item data"));
+    acceptConnections();
+    const ConnectionId link = linkTo("p");
+    answer(link, ResultCode::Complete, TransactionState::Open, 10);
+    take(link);
+    answer(link, ResultCode::Busy, TransactionState::Open);
+    advance(20ms);
+    const auto commands = take(link);
+    ASSERT_EQ(commands.size(), 1U);
+    EXPECT_EQ(commands[0].kind, CommandKind::Statement);
+    EXPECT_GT(m_engine->nextTick(m_now), m_now);
+}
+
+// Guards against a connection that counts as in use for ever, because the upstream fell silent after it had
+// answered the statement but not the rollback.
+TEST_F(EngineFailures, ClosesConnectionWithOverdueRollback)
+{
+    const SessionId session = open("strict");
+    send(session, statement(StatementKind::Read, "item"));
+    acceptConnections();
+    const ConnectionId link = linkTo("p");
+    answer(link, ResultCode::Complete, TransactionState::Open, 10);
+    answer(link, ResultCode::Complete, TransactionState::Open, 10);
+    EXPECT_EQ(lastReply(session).code, ResultCode::Complete);
+    for (int i = 0; i < 30; ++i)
+        advance(100ms);
+    EXPECT_TRUE(m_links.at(link).isClosed);
+}
--- a/tests/auto/core/proxy/tst_engineforwarding.cpp
+++ b/tests/auto/core/proxy/tst_engineforwarding.cpp
@@ -258,3 +258,13 @@
     EXPECT_EQ(m_callerReplies.back().code, ResultCode::InDoubt);
     EXPECT_EQ(m_ended, 1);
 }
+
+// Guards against a timer that is due all the time while an answer is overdue but not given up yet.
+TEST_F(ForwardingFixture, NextTickLiesAheadWhileAnswerIsOverdue)
+{
+    openAtEntry("strict");
+    sendAtEntry(statement(StatementKind::Write, "item data"));
+    m_now += 870ms;
+    m_entry->tick(m_now);
+    EXPECT_GT(m_entry->nextTick(m_now), m_now);
+}
--- a/tests/auto/core/proxy/tst_slotwindow.cpp
+++ b/tests/auto/core/proxy/tst_slotwindow.cpp
@@ -71,7 +71,7 @@
 {
     SlotWindow window(1);
     window.started();
-    window.lost(start + 50ms);
+    window.lost(start + 50ms, start);
     EXPECT_FALSE(window.mayStart(start + 49ms));
     EXPECT_TRUE(window.mayStart(start + 50ms));
 }
--- a/tests/auto/forwarding/tst_forwarding.cpp
+++ b/tests/auto/forwarding/tst_forwarding.cpp
@@ -135,6 +135,10 @@
     ASSERT_TRUE(runUntil([this] { return m_received.size() == 2; }));
     EXPECT_EQ(m_ended, std::vector { m_received[0].first });
     EXPECT_NE(m_received[0].first, m_received[1].first);
+    Proxy::Reply open;
+    open.state = Proxy::TransactionState::Open;
+    m_receiver->reply(m_received[1].first, open);
+    ASSERT_TRUE(runUntil([this] { return !m_replies.empty(); }));
     m_forwarder.forward(link(), statement(5, true));
     ASSERT_TRUE(runUntil([this] { return m_received.size() == 3; }));
     EXPECT_EQ(m_received[1].first, m_received[2].first);
@@ -168,3 +172,39 @@
     EXPECT_TRUE(runUntil([&] { return isClosed; }));
     ASSERT_TRUE(runUntil([this] { return link() != 0; }));
 }
+
+// Guards against a session whose statement is too long and that breaks the connection for all others.
+TEST_F(ForwardingTest, StatementThatIsTooLongIsNotSent)
+{
+    ASSERT_TRUE(runUntil([this] { return link() != 0; }));
+    Proxy::ForwardedStatement tooLong = statement(5);
+    tooLong.values.emplace("v1", std::string(maxMessageBytes, 'x'));
+    EXPECT_FALSE(m_forwarder.forward(link(), tooLong));
+    ASSERT_TRUE(m_forwarder.forward(link(), statement(6)));
+    ASSERT_TRUE(runUntil([this] { return !m_received.empty(); }));
+    EXPECT_TRUE(m_lostLinks.empty());
+}
+
+// The same for an answer.
+TEST_F(ForwardingTest, AnswerThatIsTooLongBreaksNoConnection)
+{
+    ASSERT_TRUE(runUntil([this] { return link() != 0; }));
+    m_forwarder.forward(link(), statement(5));
+    m_forwarder.forward(link(), statement(6));
+    ASSERT_TRUE(runUntil([this] { return m_received.size() == 2; }));
+    m_receiver->reply(m_received[0].first, { { std::string(maxMessageBytes, 'x') } });
+    m_receiver->reply(m_received[1].first, { { "row" } });
+    ASSERT_TRUE(runUntil([this] { return !m_replies.empty(); }));
+    EXPECT_EQ(m_replies[0].session, 6U);
+    EXPECT_TRUE(m_lostLinks.empty());
+}
+
+// Guards against a host that was paused itself and gives its connections up, whose answers it has not read.
+TEST_F(ForwardingTest, OwnPauseLosesNoConnection)
+{
+    ASSERT_TRUE(runUntil([this] { return link() != 0; }));
+    // Lets a ping become due and be sent, and then the process pause.
+    ASSERT_TRUE(runUntil([this, since = EventLoop::now()] { return EventLoop::now() - since > 1100ms; }));
+    m_forwarder.update(EventLoop::now() + 5s);
+    EXPECT_TRUE(m_lostLinks.empty());
+}
