Report customers' usage from one host at a time

The platform bills customers by the statements that upstreams began to run. Each host counts its own statements by window and sends them to three collecting hosts; one of these writes the window's counts to the store under a lease and sends what the store has. Active only with the setting usageWindowS.

--- a/src/libs/core/proxy/connection.h
+++ b/src/libs/core/proxy/connection.h
@@ -29,6 +29,8 @@
     /// Called with the reply to a message of the proxy itself, or with `nullopt` if the connection is lost
     /// before the reply arrives. Empty for messages of sessions.
     std::function<void(const std::optional<Reply>&)> answered;
+    /// Customer whose usage includes the statement; empty for none.
+    std::string chargedCustomer = {};
 };
 
 /// Identifies a prepared statement by its kind and shape (the argument of `Prepare`), independently of the
--- a/src/libs/core/proxy/engine.h
+++ b/src/libs/core/proxy/engine.h
@@ -36,6 +36,9 @@
     std::function<bool()> isNextTraced;
     /// Called when a statement that needs an upstream has been answered, `elapsed` after its arrival.
     std::function<void(const Session&, ResultCode, Model::Duration elapsed)> answered;
+    /// Called when it is known, or has to be assumed, that an upstream began to run a customer's statement.
+    /// Empty if usage is not counted.
+    std::function<void(const std::string& customer, Model::Time sentAt)> statementRan;
 };
 
 /// Runs the statements of sessions on connections to upstreams. Performs no input or output: the owner
@@ -148,6 +151,8 @@
     void release(Connection& connection, Model::Time now);
     void detach(Session& session, Model::Time now);
     void closeConnection(ConnectionId id);
+    std::string chargedCustomer(const Connection& connection) const;
+    void countStatement(const PendingReply& pending, ResultCode code) const;
     void failCommands(Connection& connection);
     void abandonConnection(ConnectionId id, Model::Time now);
     void removeLost(ConnectionId id, Model::Time now);
--- a/src/libs/core/proxy/engineconnections.cpp
+++ b/src/libs/core/proxy/engineconnections.cpp
@@ -18,8 +18,11 @@
 
 void Engine::send(Connection& connection, const std::vector<Command>& commands, Model::Time now)
 {
-    for (const Command& command : commands)
+    for (const Command& command : commands) {
         connection.pending.push_back({ command.kind, now, {} });
+        if (command.kind == CommandKind::Statement)
+            connection.pending.back().chargedCustomer = chargedCustomer(connection);
+    }
     connection.changedAt = now;
     m_reachability.requestSent(connection.upstream, now);
     m_hooks.send(connection.id, commands);
@@ -70,7 +73,7 @@
             upstream, { CommandKind::Status }, [](const std::optional<Reply>&) {}, now);
 }
 
-/// Calls the reply callbacks of a lost connection with `nullopt`.
+/// Calls the reply callbacks of a lost connection with `nullopt`. A statement without a reply may have run.
 void Engine::failCommands(Connection& connection)
 {
     if (connection.firstAnswered)
@@ -78,6 +81,7 @@
     for (const PendingReply& pending : connection.pending) {
         if (pending.answered)
             pending.answered(std::nullopt);
+        countStatement(pending, ResultCode::Failed);
     }
 }
 
@@ -110,6 +114,7 @@
         return endUse(id, now);
     const PendingReply pending = std::move(connection->pending.front());
     connection->pending.pop_front();
+    countStatement(pending, reply.code);
     m_reachability.responseReceived(connection->upstream, now);
     if (reply.position != Model::LogPosition {})
         m_router.observePosition(connection->upstream, reply.position);
--- /dev/null
+++ b/src/libs/core/usage/collectinghosts.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Usage {
+
+/// Hosts to which all others send their counts, so that two of them may fail.
+constexpr std::size_t collectingHostCount = 3;
+
+/// Ranks the hosts by rendezvous hashing and returns the first ones. A host that joins or leaves does not
+/// change the order of the others.
+std::vector<std::string> collectingHosts(std::vector<std::string> hosts);
+
+/// Position of the host in the ranking; `nullopt` if it is not in it.
+std::optional<int> rankOf(const std::string& host, const std::vector<std::string>& ranking);
+
+}
--- /dev/null
+++ b/src/libs/core/usage/windowcounts.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "core/model/time.h"
+#include "core/usage/window.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Usage {
+
+/// How often each host sends its counts. A killed host's counts of the last period are lost.
+constexpr Model::Duration sendPeriod = std::chrono::milliseconds(500);
+
+/// Cumulative counts of one host in one window.
+struct WindowReport {
+    Window window = 0;
+    /// All customers with a count are included, and the window is over on the sender.
+    bool isComplete = false;
+    Counts counts;
+};
+
+/// This host's counts of the last few windows by customer.
+class WindowCounts {
+public:
+    /// Counts a statement; ignored if the window is older than those that are kept.
+    void add(const std::string& customer, Window window);
+
+    /// Returns what has to be sent: the counts that have changed since the last call and, twice after the end
+    /// of a window, all of them. A host that began to collect meanwhile, or lost a message, is then complete.
+    /// Windows without a statement are included after their end.
+    std::vector<WindowReport> takeUnsent(Window current);
+    /// Returns all counts of the kept windows, as complete. For the last message of a shutdown.
+    std::vector<WindowReport> all() const;
+
+private:
+    struct Entry {
+        Counts counts;
+        std::set<std::string> changed;
+        int completeReports = 0;
+    };
+
+    void removeOld(Window newest);
+
+    std::map<Window, Entry> m_windows;
+    std::optional<Window> m_newest;
+};
+
+}
--- a/src/libs/logging/eventid.cpp
+++ b/src/libs/logging/eventid.cpp
@@ -9,7 +9,7 @@
 
     using enum EventId;
 
-    constexpr std::array<EventInfo, 56> table { {
+    constexpr std::array<EventInfo, 61> table { {
         { ProcessStarted, "process_started", Severity::Info, "the process listens on all its addresses" },
         { ProcessStopped, "process_stopped", Severity::Info, "the process ended after its last request" },
         { DrainStarted, "drain_started", Severity::Info, "SIGTERM received; no new requests are accepted" },
@@ -83,6 +83,16 @@
         { LeaseLapsed, "lease_lapsed", Severity::Warning, "a newer process of this host holds the lease" },
         { CustomerLimitExceeded, "customer_limit_exceeded", Severity::Warning,
             "the hosts together have admitted more of a customer's operations than its limit permits" },
+        { UsageReported, "usage_reported", Severity::Info,
+            "the platform accepted this host's usage report of a window" },
+        { UsageReportFailed, "usage_report_failed", Severity::Warning,
+            "an attempt to report the usage of a window failed; it is repeated until the report is due" },
+        { UsageReportOverdue, "usage_report_overdue", Severity::Warning,
+            "a usage report was due, and this collecting host does not know of an accepted one" },
+        { UsageHostsNotHeard, "usage_hosts_not_heard", Severity::Warning,
+            "a usage report was written without all counts of some hosts" },
+        { UsageCountsConflict, "usage_counts_conflict", Severity::Error,
+            "the store has other counts of a window than were published; this host does not send them" },
         { RequestRefused, "request_refused", Severity::Info, "a statement was refused and did not run" },
         { RequestRetried, "request_retried", Severity::Info, "a statement that had no effect is retried" },
         { RequestInDoubt, "request_in_doubt", Severity::Warning,
--- a/src/libs/proxyhost/fleet.cpp
+++ b/src/libs/proxyhost/fleet.cpp
@@ -5,6 +5,7 @@
 #include "proxyhost/rows.h"
 #include "wire/hostreport.pb.h"
 
+#include <chrono>
 #include <cmath>
 #include <set>
 
@@ -24,6 +25,12 @@
     /// protobuf message, so that hosts of earlier releases discard these messages.
     std::string countsPrefix(const std::string& host) { return '\x07' + host + '\n'; }
 
+    /// The same for messages about usage.
+    std::string usagePrefix(const std::string& host) { return '\x06' + host + '\n'; }
+
+    /// A host that shuts down sends counts of usage for longer than its row exists.
+    constexpr Model::Duration departedLifetime = std::chrono::seconds(15);
+
     Wire::PrimaryView::State wireState(Failover::ReachabilityState state)
     {
         switch (state) {
@@ -108,6 +115,13 @@
             receiveCounts(message.substr(length));
         });
     }
+    if (!m_hooks.usageReceived)
+        return;
+    for (const std::string& prefix : { usagePrefix(m_self), usagePrefix({}) }) {
+        m_bus.subscribe(prefix, [this, length = prefix.size()](std::string_view message) {
+            receiveUsage(message.substr(length));
+        });
+    }
 }
 
 std::optional<std::string> Fleet::listen(const std::string& ip, int firstPort, int lastPort)
@@ -119,6 +133,7 @@
 
 void Fleet::hostsChanged(const std::vector<StoreRow>& rows, bool isComplete, Model::Time now)
 {
+    const std::map<std::string, std::string> before = m_hosts;
     if (isComplete)
         m_hosts.clear();
     for (const StoreRow& row : rows) {
@@ -128,15 +143,33 @@
         else if (row.key != m_self)
             m_hosts[row.key] = address;
     }
-    std::set<std::string> addresses;
-    for (const auto& [name, address] : m_hosts)
-        addresses.insert(address);
+    for (const auto& [name, address] : before) {
+        if (m_hooks.usageReceived && !m_hosts.contains(name))
+            m_departed.insert_or_assign(name, Departed { address, now + departedLifetime });
+    }
     const std::vector<std::string> others = hostNames();
     m_allowance.setPeers(others, now);
     m_versions.retainHosts(others);
+    connectToHosts();
+}
+
+void Fleet::connectToHosts()
+{
+    std::erase_if(m_departed, [this](const auto& entry) { return m_hosts.contains(entry.first); });
+    std::set<std::string> addresses;
+    for (const auto& [name, address] : m_hosts)
+        addresses.insert(address);
+    for (const auto& [name, departed] : m_departed)
+        addresses.insert(departed.address);
     m_bus.setPeers(addresses);
 }
 
+void Fleet::removeDeparted(Model::Time now)
+{
+    if (std::erase_if(m_departed, [now](const auto& entry) { return entry.second.until < now; }) != 0)
+        connectToHosts();
+}
+
 std::vector<std::string> Fleet::hostNames() const
 {
     std::vector<std::string> names;
@@ -196,6 +229,10 @@
         entry.set_open(static_cast<std::uint32_t>(open));
     }
     writeFences(own.fences, report);
+    if (m_hooks.wallClockReported) {
+        const auto wallClock = std::chrono::system_clock::now().time_since_epoch();
+        report.set_wall_clock_us(std::chrono::duration_cast<std::chrono::microseconds>(wallClock).count());
+    }
     m_bus.publish(report.SerializeAsString());
 }
 
@@ -271,6 +308,19 @@
     m_allowance.receiveBalances(received.host(), balances, now);
 }
 
+void Fleet::sendUsage(const std::string& host, const UsageMessage& message)
+{
+    m_bus.publish(usagePrefix(host) + formatUsageMessage(message));
+}
+
+void Fleet::receiveUsage(std::string_view message)
+{
+    if (const auto received = parseUsageMessage(message))
+        m_hooks.usageReceived(*received, EventLoop::now());
+    else
+        Logging::write(Logging::EventId::PeerMessageMalformed);
+}
+
 void Fleet::receive(std::string_view message)
 {
     Wire::HostReport report;
@@ -278,9 +328,14 @@
         Logging::write(Logging::EventId::PeerMessageMalformed);
         return;
     }
+    // A host that shuts down is connected only for its counts of usage.
+    if (m_departed.contains(report.host()))
+        return;
     const Model::Time now = EventLoop::now();
     if (report.host() != m_self)
         m_lastReportAt = now;
+    if (m_hooks.wallClockReported && report.wall_clock_us() > 0)
+        m_hooks.wallClockReported(report.host(), report.wall_clock_us(), now);
     if (m_hooks.fencesReported) {
         m_hooks.fencesReported(
             report.host(), report.incarnation(), report.sequence(), readFences(report), now);
--- a/src/libs/proxyhost/fleet.h
+++ b/src/libs/proxyhost/fleet.h
@@ -8,6 +8,7 @@
 #include "peerbus/peerbus.h"
 #include "proxyhost/primaryguard.h"
 #include "proxyhost/store.h"
+#include "proxyhost/usagemessages.h"
 
 #include <cstdint>
 #include <functional>
@@ -64,6 +65,11 @@
         std::function<void(const std::string& host, std::uint64_t incarnation, std::uint64_t sequence,
             const FenceReport& fences, Model::Time now)>
             fencesReported;
+        /// A message about usage arrived; empty if usage is not reported.
+        std::function<void(const UsageMessage&, Model::Time now)> usageReceived;
+        /// The wall clock of a host showed this time, in microseconds since 1970, when it sent its report.
+        std::function<void(const std::string& host, std::int64_t wallClock, Model::Time now)>
+            wallClockReported;
     };
 
     Fleet(EventLoop::Loop& loop, std::string self, Allowance::FleetAllowance& allowance,
@@ -100,11 +106,23 @@
     /// nothing if the reports are frequent, or before the incarnation is set. Has to be called several times
     /// a second.
     void sendCounts(Model::Time now);
+    /// Sends a message about usage to one host, or to all if `host` is empty.
+    void sendUsage(const std::string& host, const UsageMessage& message);
+    /// Stops to receive from hosts that were removed a while ago.
+    void removeDeparted(Model::Time now);
 
 private:
+    /// A host that has removed its row to shut down. It still sends its counts of usage.
+    struct Departed {
+        std::string address;
+        Model::Time until;
+    };
+
     void receive(std::string_view message);
     void receiveCounts(std::string_view message);
     void updateCountingHosts(Model::Time now);
+    void receiveUsage(std::string_view message);
+    void connectToHosts();
     void sendBalances(Model::Time now);
 
     std::string m_self;
@@ -122,6 +140,8 @@
     std::optional<Model::Time> m_lastReportAt;
     /// IP:PORT of the other hosts by host name.
     std::map<std::string, std::string> m_hosts;
+    /// By host name; only if usage is reported.
+    std::map<std::string, Departed> m_departed;
     Allowance::ReportedVersions m_versions;
 };
 
--- a/src/libs/proxyhost/platformworker.cpp
+++ b/src/libs/proxyhost/platformworker.cpp
@@ -47,6 +47,11 @@
     m_changed.notify_all();
 }
 
+void PlatformWorker::call(std::function<void(const PlatformCalls&)> task)
+{
+    enqueue([this, task = std::move(task)] { task(m_calls); });
+}
+
 void PlatformWorker::run()
 {
     while (true) {
--- a/src/libs/proxyhost/platformworker.h
+++ b/src/libs/proxyhost/platformworker.h
@@ -3,6 +3,7 @@
 #include "core/failover/primaryfences.h"
 #include "proxyhost/rows.h"
 #include "proxyhost/store.h"
+#include "proxyhost/tables.h"
 
 #include <condition_variable>
 #include <deque>
@@ -19,12 +20,6 @@
 
 namespace ProxyHost {
 
-/// Names of the store tables that hosts write.
-namespace Tables {
-    constexpr const char* hosts = "hosts";
-    constexpr const char* promotionLeases = "duties";
-}
-
 /// An acquired promotion lease.
 struct AcquiredLease {
     std::string service;
@@ -80,6 +75,8 @@
     void registerHost(const HostRow& host, std::function<void(std::uint64_t version)> done);
     /// Deletes the row of this host, or a stale host row, if it still has this version.
     void deleteHostRow(const std::string& host, std::uint64_t version);
+    /// Runs other calls on the worker's thread.
+    void call(std::function<void(const PlatformCalls&)> task);
 
 private:
     void enqueue(std::function<void()> task);
--- a/src/libs/proxyhost/proxyhost.cpp
+++ b/src/libs/proxyhost/proxyhost.cpp
@@ -27,6 +27,8 @@
     /// process ends after the second.
     constexpr double rollbackFraction = 0.5;
     constexpr double exitFraction = 0.85;
+    /// Time for the last counts of usage to be sent.
+    constexpr Model::Duration lastUsageDelay = std::chrono::milliseconds(150);
 
     std::string milliseconds(Model::Duration duration)
     {
@@ -57,6 +59,8 @@
     , m_shutdownTimer(loop, [this] { continueShutdown(); })
     , m_staleHostRows(settings.host, std::chrono::seconds(settings.forgetHostsAfterS))
 {
+    if (settings.usageWindowS != 0)
+        createUsageReports(calls());
 }
 
 SessionServer::ServerHooks ProxyHost::serverHooks()
@@ -69,6 +73,11 @@
         = [this](const Directory::Customer& customer) { return m_allowance.describe(customer.name); };
     if (!m_settings.promoterChecksFencing)
         hooks.mayUsePrimaries = [this](Model::Time now) { return m_guard->mayUsePrimaries(now); };
+    if (m_settings.usageWindowS != 0) {
+        hooks.statementRan = [this](const std::string& customer, Model::Time sentAt) {
+            m_usage->statementRan(customer, sentAt);
+        };
+    }
     return hooks;
 }
 
@@ -85,6 +94,13 @@
     hooks.changeReported = [this](StoreTable table, std::uint64_t version) {
         m_missedChanges[table].reportedByPeer(version, EventLoop::now());
     };
+    if (m_settings.usageWindowS != 0) {
+        hooks.usageReceived
+            = [this](const UsageMessage& message, Model::Time now) { m_usage->receive(message, now); };
+        hooks.wallClockReported = [this](const std::string& host, std::int64_t wallClock, Model::Time now) {
+            m_usage->wallClockReported(host, Usage::WallTime(wallClock), now);
+        };
+    }
     if (!m_settings.promoterChecksFencing) {
         hooks.fencesReported = [this](const std::string& host, std::uint64_t incarnation,
                                    std::uint64_t sequence, const FenceReport& fences, Model::Time now) {
@@ -217,6 +233,7 @@
     if (m_fleet.isReportDue(m_failovers.isAnyPrimarySuspected(now), now))
         publish();
     m_fleet.sendCounts(now);
+    updateUsage(now);
     logOverruns(now);
     m_checkTimer.start(checkPeriod);
 }
@@ -443,6 +460,8 @@
     m_shutdownAt = EventLoop::now();
     if (m_guard)
         m_guard->shutDown();
+    if (m_usage)
+        m_usage->shutDown();
     if (m_ownRowVersion != 0)
         m_worker.deleteHostRow(m_settings.host, m_ownRowVersion);
     updateReadiness();
@@ -459,11 +478,16 @@
     m_server.closeIdleSessions();
     const bool isOver = elapsed >= std::chrono::duration_cast<Model::Duration>(limit * exitFraction);
     const bool isDone = m_server.engine().sessionCount() == 0 && m_server.isEveryAnswerSent();
-    if (isDone || isOver) {
-        m_loop.stop();
+    if (!isDone && !isOver) {
+        m_shutdownTimer.start(shutdownCheckPeriod);
+        return;
+    }
+    if (m_usage && !std::exchange(m_isLastUsageSent, true)) {
+        m_usage->sendAll(EventLoop::now());
+        m_shutdownTimer.start(lastUsageDelay);
         return;
     }
-    m_shutdownTimer.start(shutdownCheckPeriod);
+    m_loop.stop();
 }
 
 }
--- a/src/libs/proxyhost/proxyhost.h
+++ b/src/libs/proxyhost/proxyhost.h
@@ -14,6 +14,7 @@
 #include "proxyhost/platformworker.h"
 #include "proxyhost/primaryguard.h"
 #include "proxyhost/storeevents.h"
+#include "proxyhost/usagereports.h"
 #include "sessionserver/server.h"
 #include "settings/proxysettings.h"
 
@@ -61,6 +62,10 @@
     void publish();
     SessionServer::ServerHooks serverHooks();
     Fleet::Hooks fleetHooks();
+    void createUsageReports(PlatformCalls calls);
+    void acquireUsageWindow(const Usage::Proposal& proposal);
+    void sendUsageReport(const UsageReport& report);
+    void updateUsage(Model::Time now);
     Failovers::Hooks failoverHooks();
     void registerHost();
     void setHosts(const std::vector<StoreRow>& rows, bool isComplete);
@@ -79,10 +84,15 @@
     /// Null if the promoter takes the role from the previous primary.
     std::unique_ptr<PrimaryGuard> m_guard;
     Failovers m_failovers;
+    /// Null if usage is not reported.
+    std::unique_ptr<UsageReports> m_usage;
+    std::unique_ptr<PlatformWorker> m_usageWorker;
     EventLoop::Timer m_checkTimer;
     Probe::ProbeServer m_probe;
     EventLoop::Timer m_shutdownTimer;
     std::optional<Model::Time> m_shutdownAt;
+    /// The last counts of usage were sent; the process ends shortly after.
+    bool m_isLastUsageSent = false;
     bool m_hasUpstreams = false;
     bool m_areHostsKnown = false;
     /// The newest configuration that was read before the list of hosts.
--- a/src/libs/proxyhost/rows.cpp
+++ b/src/libs/proxyhost/rows.cpp
@@ -2,10 +2,18 @@
 
 #include "settings/hostsettings.h"
 
+#include <charconv>
+
 #include <nlohmann/json.hpp>
 
 namespace ProxyHost {
 
+namespace {
+
+    constexpr std::string_view usageWindowPrefix = "window-";
+
+}
+
 std::string formatPromotionLeaseRow(const PromotionLeaseRow& row)
 {
     nlohmann::json json { { "token", row.lease.token }, { "holder", row.lease.holder },
@@ -54,4 +62,36 @@
     }
 }
 
+std::string usageWindowKey(Usage::Window window)
+{
+    return std::string(usageWindowPrefix) + std::to_string(window);
+}
+
+std::optional<Usage::Window> usageWindowOfKey(const std::string& key)
+{
+    if (!key.starts_with(usageWindowPrefix))
+        return std::nullopt;
+    Usage::Window window = 0;
+    const char* end = key.data() + key.size();
+    const auto result = std::from_chars(key.data() + usageWindowPrefix.size(), end, window);
+    if (result.ec != std::errc() || result.ptr != end)
+        return std::nullopt;
+    return window;
+}
+
+std::string formatUsageRow(const UsageRow& row)
+{
+    return nlohmann::json { { "counts", row.counts }, { "epoch", row.epoch } }.dump();
+}
+
+std::optional<UsageRow> parseUsageRow(const std::string& value)
+{
+    try {
+        const auto json = nlohmann::json::parse(value);
+        return UsageRow { json.at("counts").get<Usage::Counts>(), json.at("epoch").get<std::uint64_t>() };
+    } catch (const nlohmann::json::exception&) {
+        return std::nullopt;
+    }
+}
+
 }
--- a/src/libs/proxyhost/rows.h
+++ b/src/libs/proxyhost/rows.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "core/failover/promotionlease.h"
+#include "core/usage/window.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace ProxyHost {
@@ -32,4 +34,18 @@
 /// Returns a row with an empty address if `value` is malformed.
 HostRow parseHostRow(const std::string& value);
 
+/// Row of a window: the counts that are reported.
+struct UsageRow {
+    Usage::Counts counts;
+    /// The store's epoch when the host decided to write the row.
+    std::uint64_t epoch = 0;
+};
+
+std::string usageWindowKey(Usage::Window window);
+/// Returns `nullopt` if the key is not that of a window.
+std::optional<Usage::Window> usageWindowOfKey(const std::string& key);
+std::string formatUsageRow(const UsageRow& row);
+/// Returns `nullopt` if `value` is malformed.
+std::optional<UsageRow> parseUsageRow(const std::string& value);
+
 }
--- a/src/libs/proxyhost/store.h
+++ b/src/libs/proxyhost/store.h
@@ -2,6 +2,7 @@
 
 #include "core/directory/tablewatch.h"
 #include "core/failover/promotion.h"
+#include "core/usage/window.h"
 
 #include <cstdint>
 #include <functional>
@@ -72,6 +73,27 @@
     Model::Time sendBefore = Model::Time::max();
 };
 
+/// A report to the platform of the statements that upstreams ran in one window.
+struct UsageReport {
+    Usage::Window window = 0;
+    Usage::Counts counts;
+    /// Name of the host that holds the lease for usage reports, and the fencing token of its acquisition.
+    std::string holder;
+    Failover::FencingToken token = 0;
+    /// The report must not be sent later than this, since another host may hold the lease by then.
+    Model::Time sendBefore = Model::Time::max();
+};
+
+enum class UsageReportResult : std::uint8_t {
+    Accepted,
+    /// The platform has seen a higher token.
+    Refused,
+    /// Certainly not accepted.
+    Unavailable,
+    /// It may have been accepted, or may be later.
+    Unknown,
+};
+
 /// Callbacks through which the host controls the watching of the store.
 struct StoreControl {
     /// Reads a table that has changed long before `now` on a new connection, if the present one is
@@ -91,6 +113,10 @@
     /// Writes the rows in one transaction.
     std::function<StoreAnswer(const std::vector<StoreWrite>&)> commit;
     std::function<Failover::PromotionRequestResult(const PromotionRequest&)> promote;
+    std::function<UsageReportResult(const UsageReport&)> reportUsage;
+    /// The newest epoch of the store that any call of this process has seen; 0 if none has. Does not block;
+    /// any thread may call it.
+    std::function<std::uint64_t()> newestEpoch;
 };
 
 }
--- a/src/libs/sessionserver/server.cpp
+++ b/src/libs/sessionserver/server.cpp
@@ -61,6 +61,7 @@
     result.admit = std::move(hooks.admit);
     result.explainLimit = std::move(hooks.explainLimit);
     result.mayUsePrimaries = std::move(hooks.mayUsePrimaries);
+    result.statementRan = std::move(hooks.statementRan);
     result.decided
         = [this](const Proxy::Decision& decision) { m_decisionLog.write(decision, EventLoop::now()); };
     result.isNextTraced = [] { return Logging::isNextTraceSampled(); };
--- a/src/libs/sessionserver/server.h
+++ b/src/libs/sessionserver/server.h
@@ -41,6 +41,8 @@
     std::function<std::string(const Directory::Customer&)> explainLimit;
     /// Whether this host may use primaries now; empty if it always may.
     std::function<bool(Model::Time)> mayUsePrimaries;
+    /// An upstream began to run a statement of the customer; empty if usage is not counted.
+    std::function<void(const std::string& customer, Model::Time sentAt)> statementRan;
 };
 
 /// Serves callers: owns the sockets of callers and upstreams and connects them to the engine. Used on the
--- a/src/libs/settings/proxysettings.cpp
+++ b/src/libs/settings/proxysettings.cpp
@@ -21,6 +21,9 @@
     /// Enough for the connections to the store, the probe, the other hosts and the upstreams, and for some
     /// callers.
     constexpr int minDescriptors = 700;
+    constexpr int maxUsageWindowS = 3600;
+    /// A second host has to wait for the end of the first one's lease, which takes 3.2 s.
+    constexpr int minUsageDueS = 8;
 
 }
 
@@ -48,6 +51,8 @@
     reader.boolean("scheduleStatements", settings.scheduleStatements);
     reader.boolean("balanceUpstreams", settings.balanceUpstreams);
     reader.boolean("forwardStatements", settings.forwardStatements);
+    reader.integer("usageWindowS", settings.usageWindowS, 0, maxUsageWindowS);
+    reader.integer("usageDueS", settings.usageDueS, minUsageDueS, maxUsageWindowS);
     if (!reader.error().empty())
         return makeError(ErrorCode::InvalidRequest, reader.error());
     return settings;
--- a/src/libs/settings/proxysettings.h
+++ b/src/libs/settings/proxysettings.h
@@ -43,6 +43,11 @@
     bool scheduleStatements = false;
     bool balanceUpstreams = false;
     bool forwardStatements = false;
+    /// Length of the windows for which the customers' usage is reported to the promoter's address, in s; 0 if
+    /// it is not reported.
+    int usageWindowS = 0;
+    /// Time after the end of a window within which its report has to arrive, in s.
+    int usageDueS = 10;
 };
 
 /// Parses settings from JSON text. Unknown fields are ignored, since the platform adds fields of its own. The
--- a/tests/auto/settings/tst_proxysettings.cpp
+++ b/tests/auto/settings/tst_proxysettings.cpp
@@ -16,7 +16,9 @@
         { "probe", "10.0.0.1:8460" }, { "probePath", "/ready" }, { "ip", "10.0.0.1" },
         { "peerPorts", { 7560, 7575 } }, { "store", "10.0.0.9:8466" }, { "promoter", "10.0.0.8:8466" },
         { "promoterChecksFencing", false }, { "shutdownMs", 6000 }, { "maxDescriptors", 4200 },
-        { "forgetHostsAfterS", 60 }, { "traceSampleRate", 0.5 } };
+        { "forgetHostsAfterS", 60 }, { "traceSampleRate", 0.5 }, { "scheduleStatements", true },
+        { "balanceUpstreams", true }, { "forwardStatements", true }, { "usageWindowS", 5 },
+        { "usageDueS", 12 } };
 }
 
 }
@@ -34,6 +36,8 @@
     EXPECT_EQ(settings->shutdownMs, 6000);
     EXPECT_EQ(settings->forgetHostsAfterS, 60);
     EXPECT_EQ(settings->traceSampleRate, 0.5);
+    EXPECT_EQ(settings->usageWindowS, 5);
+    EXPECT_EQ(settings->usageDueS, 12);
 }
 
 // Guards against a process that starts with a missing or invalid field, and against an error message that
