--- a/tests/auto/core/proxy/enginefixture.cpp
+++ b/tests/auto/core/proxy/enginefixture.cpp
@@ -55,6 +55,7 @@
     hooks.explainLimit = [](const Directory::Customer&) { return std::string("rate=1"); };
     hooks.mayUsePrimaries = [this](Model::Time) { return m_mayUsePrimaries; };
     hooks.decided = [this](const Decision& decision) { m_decisions.push_back(decision); };
+    hooks.statementRan = [this](const std::string& customer, Model::Time) { ++m_statementsRan[customer]; };
     hooks.isNextTraced = [this] { return m_isTraced; };
     hooks.answered = [this](const Session& session, ResultCode, Model::Duration) {
         if (session.request->trace)
--- a/tests/auto/core/proxy/enginefixture.h
+++ b/tests/auto/core/proxy/enginefixture.h
@@ -68,6 +68,8 @@
     std::map<Proxy::ConnectionId, Link> m_links;
     std::vector<Proxy::ConnectionId> m_opening;
     std::vector<Proxy::Decision> m_decisions;
+    /// Statements that count as usage, by customer.
+    std::map<std::string, int> m_statementsRan;
     std::unique_ptr<Proxy::Engine> m_engine;
 
 private:
--- a/tests/auto/proxyhost/tst_usageattempt.cpp
+++ b/tests/auto/proxyhost/tst_usageattempt.cpp
@@ -33,8 +33,13 @@
     const AcquiredWindow first = fixture.acquire("a", 7, 1, { { "acme", 5 } });
     ASSERT_EQ(first.failure, AcquireFailure::None);
     EXPECT_EQ(fixture.acquire("b", 7, 1, { { "acme", 6 } }).failure, AcquireFailure::LeaseHeld);
-    std::this_thread::sleep_for(3300ms);
-    const AcquiredWindow second = fixture.acquire("b", 7, 1, { { "acme", 6 } });
+    AcquiredWindow second;
+    for (int i = 0; i < 100; ++i) {
+        second = fixture.acquire("b", 7, 1, { { "acme", 6 } });
+        if (second.failure == AcquireFailure::None)
+            break;
+        std::this_thread::sleep_for(100ms);
+    }
     ASSERT_EQ(second.failure, AcquireFailure::None);
     EXPECT_EQ(second.report.counts, first.report.counts);
     EXPECT_GT(second.report.token, first.report.token);
--- a/tests/auto/sessionproxy/testcluster.cpp
+++ b/tests/auto/sessionproxy/testcluster.cpp
@@ -195,7 +195,7 @@
         { "ip", "127.0.0.1" }, { "peerPorts", { peerPort, peerPort } }, { "store", store },
         { "promoter", store }, { "promoterChecksFencing", m_fencing == Fencing::Promoter },
         { "shutdownMs", 4000 }, { "forgetHostsAfterS", m_forgetHostsAfterS },
-        { "traceSampleRate", m_traceSampleRate } };
+        { "traceSampleRate", m_traceSampleRate }, { "usageWindowS", m_usageWindowS } };
     const std::string file = temporaryFile(name + ".json");
     std::ofstream(file) << settings.dump();
     host.process = std::make_unique<Integration::Process>(PARSLEYTACKD,
--- a/tests/auto/sessionproxy/testcluster.h
+++ b/tests/auto/sessionproxy/testcluster.h
@@ -69,6 +69,8 @@
     /// of traced statements, from 0 to 1.
     void setForgetHostsAfter(int seconds) { m_forgetHostsAfterS = seconds; }
     void setTraceSampleRate(double rate) { m_traceSampleRate = rate; }
+    /// 0 for no usage reports.
+    void setUsageWindow(int seconds) { m_usageWindowS = seconds; }
     /// Applies to configurations that are published later.
     void setStatementTimeout(std::chrono::milliseconds timeout) { m_statementTimeout = timeout; }
     void startHost(int host);
@@ -120,5 +122,6 @@
     int m_furtherRoutes = 0;
     int m_forgetHostsAfterS = 600;
     double m_traceSampleRate = 0;
+    int m_usageWindowS = 0;
     std::chrono::milliseconds m_statementTimeout { 800 };
 };
--- a/tests/standins/sessionplatform/rowstore.cpp
+++ b/tests/standins/sessionplatform/rowstore.cpp
@@ -26,6 +26,16 @@
         return result;
     }
 
+    /// Value of a header; empty if there is none.
+    std::string header(const HttpRequest& request, const std::string& name)
+    {
+        const std::size_t start = request.headers.find(name + ": ");
+        if (start == std::string::npos)
+            return {};
+        const std::size_t value = start + name.size() + 2;
+        return request.headers.substr(value, request.headers.find_first_of("\r\n", value) - value);
+    }
+
     std::string parameter(const HttpRequest& request, const std::string& name)
     {
         const auto found = request.query.find(name);
@@ -113,6 +123,12 @@
     return m_promotions;
 }
 
+std::vector<RowStore::UsageReport> RowStore::usageReports() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_usageReports;
+}
+
 Json RowStore::rowJson(const Key& key, const Row& row) const
 {
     Json json { { "table", key.first }, { "part", "" }, { "key", key.second },
@@ -147,6 +163,8 @@
     }
     if (request.path == "/promote")
         return promote(request);
+    if (request.path == "/usage")
+        return reportUsage(request);
     if (request.path == "/-/rows-get")
         return rows(request);
     if (request.path == "/-/rows-feed")
@@ -226,4 +244,17 @@
     return jsonResponse(isDone ? 200 : 409, Json::object());
 }
 
+HttpResponse RowStore::reportUsage(const HttpRequest& request)
+{
+    const Json body = Json::parse(request.body);
+    UsageReport report { header(request, "X-Duty-Holder"), std::stoull(header(request, "X-Fencing-Token")),
+        body.at("windowId").get<std::uint64_t>(), body.at("counts") };
+    const std::lock_guard lock(m_mutex);
+    if (report.token < m_highestUsageToken)
+        return jsonResponse(409, Json::object());
+    m_highestUsageToken = report.token;
+    m_usageReports.push_back(std::move(report));
+    return jsonResponse(200, Json::object());
+}
+
 }
--- a/tests/standins/sessionplatform/rowstore.h
+++ b/tests/standins/sessionplatform/rowstore.h
@@ -40,6 +40,14 @@
     void restore();
     /// Number of successful promotions.
     int promotions() const;
+    /// A usage report that was accepted.
+    struct UsageReport {
+        std::string holder;
+        std::uint64_t token = 0;
+        std::uint64_t window = 0;
+        std::map<std::string, std::uint64_t> counts;
+    };
+    std::vector<UsageReport> usageReports() const;
 
 private:
     struct Row {
@@ -55,6 +63,7 @@
     HttpResponse feed(const HttpRequest& request);
     HttpResponse transaction(const Json& body);
     HttpResponse promote(const HttpRequest& request);
+    HttpResponse reportUsage(const HttpRequest& request);
     Json rowJson(const Key& key, const Row& row) const;
     enum class HasMore : std::uint8_t { No, Yes };
     HttpResponse answer(int status, Json rows, HasMore hasMore = HasMore::No) const;
@@ -71,6 +80,8 @@
     std::uint64_t m_savedVersion = 0;
     bool m_isUnavailable = false;
     int m_promotions = 0;
+    std::vector<UsageReport> m_usageReports;
+    std::uint64_t m_highestUsageToken = 0;
     HttpServer m_server;
 };
 
