Count statements from the start of a process, and trust the store's epoch only with a confirmed clock

Statements that ran before the first periodic check were not counted, as the test with real processes showed: the clock was unknown until then. A host that has just started with a wrong clock could have taken an epoch for one from before the end of a window.

--- a/src/libs/core/usage/usageduty.cpp
+++ b/src/libs/core/usage/usageduty.cpp
@@ -19,7 +19,7 @@
     constexpr double lateDistance = 0.03;
     /// After the end of a window, a restored store can have lost a row of it only once hosts may have written
     /// one, which is after `firstAttempt`, less the difference of their clocks.
-    constexpr double epochFraction = 0.15;
+    constexpr double epochFraction = 0.1;
     constexpr Model::Duration retryPause = std::chrono::milliseconds(400);
     /// A host that did not run for this long may have missed counts.
     constexpr Model::Duration pauseThreshold = std::chrono::seconds(1);
@@ -44,14 +44,15 @@
     m_collectingSince = now;
 }
 
-std::vector<Window> UsageDuty::update(const WindowClock& clock, std::uint64_t epoch, Model::Time now)
+std::vector<Window> UsageDuty::update(
+    const WindowClock& clock, std::optional<std::uint64_t> epoch, Model::Time now)
 {
     if (m_updatedAt && now - *m_updatedAt > pauseThreshold && m_collectingSince)
         m_collectingSince = now;
     m_updatedAt = now;
     const Window current = clock.windowAt(now);
     for (Window window = current == 0 ? 0 : current - 1; window <= current; ++window) {
-        if (now < clock.endOf(window) + fraction(m_due, epochFraction))
+        if (epoch && now < clock.endOf(window) + fraction(m_due, epochFraction))
             m_windows[window].epoch = epoch;
     }
     std::vector<Window> overdue;
--- a/src/libs/core/usage/usageduty.h
+++ b/src/libs/core/usage/usageduty.h
@@ -47,9 +47,9 @@
     /// This host reports no further windows.
     void stop() { m_isStopped = true; }
     /// Has to be called several times a second. `epoch` is the newest epoch of the store that this host has
-    /// seen; 0 if it has seen none. Returns the windows whose report is overdue without this host having
-    /// learnt that one was accepted.
-    std::vector<Window> update(const WindowClock& clock, std::uint64_t epoch, Model::Time now);
+    /// seen; `nullopt` if it has seen none, or its clock may be wrong. Returns the windows whose report is
+    /// overdue without this host having learnt that one was accepted.
+    std::vector<Window> update(const WindowClock& clock, std::optional<std::uint64_t> epoch, Model::Time now);
     /// The oldest window that this host should report now.
     std::optional<Window> takeDue(
         const WindowClock& clock, const std::function<Standing(Window)>& standing, Model::Time now);
--- a/src/libs/core/usage/windowclock.h
+++ b/src/libs/core/usage/windowclock.h
@@ -25,6 +25,8 @@
     /// Computes the median again. Has to be called regularly.
     void update(Model::Time now);
 
+    /// The number of other hosts whose clocks are known.
+    std::size_t observedHosts() const { return m_observations.size(); }
     /// Whether the time is known.
     bool isKnown() const { return m_offset.has_value(); }
     /// The following functions may be called only if the time is known.
--- a/src/libs/proxyhost/proxyhostusage.cpp
+++ b/src/libs/proxyhost/proxyhostusage.cpp
@@ -18,6 +18,8 @@
         std::chrono::seconds(m_settings.usageDueS) };
     m_usage = std::make_unique<UsageReports>(settings, m_metrics, std::move(hooks));
     m_usageWorker = std::make_unique<PlatformWorker>(m_loop, std::move(calls), m_settings.host);
+    // Statements may run before the first periodic check, and are counted only if the time is known.
+    updateUsage(EventLoop::now());
 }
 
 void ProxyHost::acquireUsageWindow(const Usage::Proposal& proposal)
--- a/src/libs/proxyhost/usagereports.cpp
+++ b/src/libs/proxyhost/usagereports.cpp
@@ -88,13 +88,22 @@
     return Usage::collectingHosts(std::move(hosts));
 }
 
+/// The epoch that the store has now; `nullopt` while this host knows too few clocks to tell which window has
+/// ended, as shortly after its start.
+std::optional<std::uint64_t> UsageReports::trustedEpoch(Model::Time now) const
+{
+    const bool isClockConfirmed = now - *m_startedAt >= firstReportsPeriod
+        || m_clock.observedHosts() * 2 >= m_hooks.registeredHosts().size();
+    return isClockConfirmed ? std::optional(m_hooks.newestEpoch()) : std::nullopt;
+}
+
 void UsageReports::update(Usage::WallTime wall, Model::Time now)
 {
     m_clock.setOwn(wall, now);
     m_clock.update(now);
     if (!m_startedAt)
         return;
-    for (const Usage::Window window : m_duty.update(m_clock, m_hooks.newestEpoch(), now)) {
+    for (const Usage::Window window : m_duty.update(m_clock, trustedEpoch(now), now)) {
         if (!Usage::rankOf(m_settings.host, ranking(now)))
             continue;
         m_metrics.counter("parsleytack_usage_reports_overdue_total").add();
--- a/src/libs/proxyhost/usagereports.h
+++ b/src/libs/proxyhost/usagereports.h
@@ -60,6 +60,7 @@
 
 private:
     std::vector<std::string> ranking(Model::Time now) const;
+    std::optional<std::uint64_t> trustedEpoch(Model::Time now) const;
     void send(const std::vector<Usage::WindowReport>& reports, Model::Time now);
     Usage::Standing standing(Usage::Window window, Model::Time now) const;
     void announce(ReportProgress progress);
--- a/tests/auto/proxyhost/tst_usagereports.cpp
+++ b/tests/auto/proxyhost/tst_usagereports.cpp
@@ -217,6 +217,8 @@
                 fleet.restore();
                 break;
             default:
+                for (int other = 0; other < 6; ++other)
+                    fleet.setClockError(other, {});
                 fleet.setClockError(host, std::chrono::seconds(random() % 7) - 3s);
                 break;
             }
