--- a/tests/auto/core/usage/tst_usagecollector.cpp
+++ b/tests/auto/core/usage/tst_usagecollector.cpp
@@ -75,9 +75,9 @@
 // the fleet.
 TEST(CollectingHosts, RemovedHostKeepsOrderOfOthers)
 {
-    std::vector<std::string> hosts;
-    for (int i = 0; i < 84; ++i)
-        hosts.push_back("host-" + std::to_string(i));
+    std::vector<std::string> hosts(84);
+    for (std::size_t i = 0; i < hosts.size(); ++i)
+        hosts[i] = "host-" + std::to_string(i);
     const auto before = collectingHosts(hosts);
     ASSERT_EQ(before.size(), collectingHostCount);
     std::erase(hosts, before[0]);
--- a/tests/auto/proxyhost/usagesimulation.cpp
+++ b/tests/auto/proxyhost/usagesimulation.cpp
@@ -308,16 +308,18 @@
         return Model::Time(windowLength * static_cast<std::int64_t>(window + 1) - wallOffset);
     };
     std::vector<Usage::Window> wrong;
-    for (const auto& [window, counts] : m_trueCounts) {
+    for (const auto& entry : m_trueCounts) {
+        const Usage::Window window = entry.first;
+        const Usage::Counts& counts = entry.second;
         if (window < first || m_now < endOf(window) + dueTime)
             continue;
         const auto isRight = [&](const Call& call) {
             if (!call.isAccepted || call.window != window || call.at > endOf(window) + dueTime)
                 return false;
-            return std::ranges::all_of(counts, [&](const auto& entry) {
-                const auto found = call.counts.find(entry.first);
+            return std::ranges::all_of(counts, [&](const auto& expectedCount) {
+                const auto found = call.counts.find(expectedCount.first);
                 const double reported = found == call.counts.end() ? 0 : static_cast<double>(found->second);
-                const auto expected = static_cast<double>(entry.second);
+                const auto expected = static_cast<double>(expectedCount.second);
                 return std::abs(reported - expected) <= 0.05 * expected;
             });
         };
