--- a/src/libs/core/proxy/engine.h
+++ b/src/libs/core/proxy/engine.h
@@ -57,6 +57,9 @@
     /// The number of hosts that share the connections of the service's upstreams; 0 if this host is none of
     /// them. Empty if all hosts do.
     std::function<int(const std::string& service)> poolHostCount;
+    /// Called when it is known, or has to be assumed, that an upstream began to run a customer's statement.
+    /// Empty if usage is not counted.
+    std::function<void(const std::string& customer, Model::Time sentAt)> statementRan;
 };
 
 /// What the scheduling of statements has decided since the start, and the requests that wait now.
@@ -262,6 +265,8 @@
     static void exclude(Request& request, const std::string& upstream);
     static void separate(Session& session, Connection& connection, Model::Time now);
     void closeConnection(ConnectionId id);
+    std::string chargedCustomer(const Connection& connection) const;
+    void countStatement(const PendingReply& pending, ResultCode code) const;
     void failCommands(Connection& connection);
     void abandonConnection(ConnectionId id, Model::Time now);
     void removeLost(ConnectionId id, Model::Time now);
--- a/src/libs/core/proxy/engineconnections.cpp
+++ b/src/libs/core/proxy/engineconnections.cpp
@@ -10,8 +10,11 @@
 
 void Engine::send(Connection& connection, const std::vector<Command>& commands, Model::Time now)
 {
-    for (const Command& command : commands)
+    for (const Command& command : commands) {
         connection.pending.push_back({ command.kind, now, {} });
+        if (command.kind == CommandKind::Statement)
+            connection.pending.back().chargedCustomer = chargedCustomer(connection);
+    }
     connection.changedAt = now;
     m_reachability.requestSent(connection.upstream, now);
     m_hooks.send(connection.id, commands);
@@ -64,7 +67,7 @@
             upstream, { CommandKind::Status }, [](const std::optional<Reply>&) {}, now);
 }
 
-/// Calls the reply callbacks of a lost connection with `nullopt`.
+/// Calls the reply callbacks of a lost connection with `nullopt`. A statement without a reply may have run.
 void Engine::failCommands(Connection& connection)
 {
     if (connection.firstAnswered)
@@ -72,6 +75,7 @@
     for (const PendingReply& pending : connection.pending) {
         if (pending.answered)
             pending.answered(std::nullopt);
+        countStatement(pending, ResultCode::Failed);
     }
 }
 
@@ -106,6 +110,7 @@
     const PendingReply pending = std::move(connection->pending.front());
     connection->pending.pop_front();
     m_router.observeRoundTrip(connection->upstream, now - pending.sentAt, now);
+    countStatement(pending, reply.code);
     m_reachability.responseReceived(connection->upstream, now);
     if (reply.position != Model::LogPosition {})
         m_router.observePosition(connection->upstream, reply.position, now);
--- a/src/libs/sessionserver/server.cpp
+++ b/src/libs/sessionserver/server.cpp
@@ -71,6 +71,7 @@
     result.forward = m_hooks.forward;
     result.endForwarded = m_hooks.endForwarded;
     result.poolHostCount = m_hooks.poolHostCount;
+    result.statementRan = m_hooks.statementRan;
     result.decided = [this](const Proxy::Decision& decision) {
         countDecision(decision.kind);
         m_decisionLog.write(decision, EventLoop::now());
--- a/src/libs/sessionserver/server.h
+++ b/src/libs/sessionserver/server.h
@@ -57,6 +57,8 @@
     std::function<bool(Proxy::SessionId)> closeForwarded;
     /// The process was paused; what has arrived meanwhile is not read yet.
     std::function<void(Model::Time)> processPaused;
+    /// An upstream began to run a statement of the customer; empty if usage is not counted.
+    std::function<void(const std::string& customer, Model::Time sentAt)> statementRan;
 };
 
 /// Serves callers: owns the sockets of callers and upstreams and connects them to the engine. Used on the
--- a/src/libs/settings/proxysettings.h
+++ b/src/libs/settings/proxysettings.h
@@ -48,6 +48,11 @@
     /// Share of a processor that the host has, from 0 to 1; hosts with more execute more statements of
     /// others.
     double processorShare = 1;
+    /// Length of the windows for which the customers' usage is reported to the promoter's address, in s; 0 if
+    /// it is not reported.
+    int usageWindowS = 0;
+    /// Time after the end of a window within which its report has to arrive, in s.
+    int usageDueS = 10;
 };
 
 /// Parses settings from JSON text. Unknown fields are ignored, since the platform adds fields of its own. The
