Let operations wait for their customer's limit, and count usage by operations

Operations now wait while the host expects to admit them within 500 ms and the route's target latency, the oldest first; others are refused at once as before. Cause, usage: reports of calm windows were 1,038 to 1,123 too high of 2,538 to 2,882; a transaction counts once.

--- a/src/libs/core/allowance/fleetallowance.cpp
+++ b/src/libs/core/allowance/fleetallowance.cpp
@@ -20,6 +20,8 @@
     constexpr Model::Duration shareReservedFor = std::chrono::seconds(40);
     /// All live hosts have reported by this time after a start, if their reports arrive.
     constexpr Model::Duration settlingTime = std::chrono::seconds(1);
+    /// Longer waits for an admission are not told apart.
+    constexpr double maxWaitSeconds = 60;
     constexpr Model::Duration demandAveragingPeriod = std::chrono::milliseconds(250);
     /// Weight of the newest period in the moving averages of requested and admitted operations.
     constexpr double newestDemandWeight = 0.3;
@@ -124,7 +126,7 @@
 
 bool FleetAllowance::admit(const Directory::Customer& customer, Model::Time now)
 {
-    ++bucketOf(customer, now).requested;
+    demanded(customer, now);
     return admitAgain(customer, now);
 }
 
@@ -145,6 +147,31 @@
     return true;
 }
 
+void FleetAllowance::demanded(const Directory::Customer& customer, Model::Time now)
+{
+    ++bucketOf(customer, now).requested;
+}
+
+std::optional<Model::Duration> FleetAllowance::admissionWait(
+    const Directory::Customer& customer, std::size_t ahead, Model::Time now)
+{
+    if (isSettling(now))
+        return Model::Duration {};
+    const Bucket& bucket = bucketOf(customer, now);
+    const double ownRate = bucket.rate * bucket.ownShare;
+    if (ownRate <= 0)
+        return std::nullopt;
+    double wait = std::max(0.0, (static_cast<double>(ahead) + 1 - bucket.ownTokens) / ownRate);
+    if (bucket.tokens < 1) {
+        const double refillRate = bucket.rate - bucket.estimatedRate;
+        if (refillRate <= 0)
+            return std::nullopt;
+        wait = std::max(wait, (static_cast<double>(ahead) + 1 - bucket.tokens) / refillRate);
+    }
+    return std::chrono::duration_cast<Model::Duration>(
+        std::chrono::duration<double>(std::min(wait, maxWaitSeconds)));
+}
+
 bool FleetAllowance::isSettling(Model::Time now) const
 {
     if (!m_arePeersKnown)
--- a/src/libs/core/allowance/fleetallowance.h
+++ b/src/libs/core/allowance/fleetallowance.h
@@ -92,9 +92,14 @@
     bool admit(const Directory::Customer& customer, Model::Time now);
     /// The same for an operation that was not admitted before; it is no further demand of the customer.
     bool admitAgain(const Directory::Customer& customer, Model::Time now);
-    /// Whether this host has started so recently that it lacks the reports of others. It admits little until
-    /// they arrive, usually within half a second.
-    bool isSettling(Model::Time now) const;
+    /// Counts an operation as demand that is not to be admitted yet.
+    void demanded(const Directory::Customer& customer, Model::Time now);
+    /// Returns after which time an operation may be admitted that waits behind `ahead` others of the
+    /// customer; `nullopt` if the other hosts use up the rate. While this host has started so recently that
+    /// it lacks the reports of others, the time is 0: it admits little until they arrive, usually within half
+    /// a second.
+    std::optional<Model::Duration> admissionWait(
+        const Directory::Customer& customer, std::size_t ahead, Model::Time now);
     /// The state of the customer's bucket as of its last update, which the last decision was based on, for
     /// logs. Empty for an unknown customer.
     std::string describe(const std::string& customer) const;
@@ -204,6 +209,7 @@
     bool isShareReserved(const Peer& peer, Model::Time now) const;
     bool isPresumedDead(const Peer& peer, Model::Time now) const;
     bool isNotReporting(const Peer& peer, Model::Time now) const;
+    bool isSettling(Model::Time now) const;
 
     std::string m_self;
     Model::Duration m_reportPeriod = std::chrono::milliseconds(200);
--- a/src/libs/core/proxy/engine.cpp
+++ b/src/libs/core/proxy/engine.cpp
@@ -69,11 +69,12 @@
         return refuseStart(ResultCode::InvalidKey, "unknown key");
     session.customer = customer ? customer->name : std::string();
     session.hasWritten = false;
+    session.isUsageCounted = false;
     if (statement.kind == StatementKind::Commit)
         return refuseStart(ResultCode::Malformed, "no transaction is open");
     if (!customer)
         return true;
-    if (awaitedSince ? m_hooks.admitAgain(*customer, now) : m_hooks.admit(*customer, now))
+    if (mayAdmit(*customer, awaitedSince.has_value(), now))
         return true;
     if (awaitAdmission(session, *customer, statement, awaitedSince.value_or(now), now))
         return false;
--- a/src/libs/core/proxy/engine.h
+++ b/src/libs/core/proxy/engine.h
@@ -33,11 +33,14 @@
     std::function<void(ConnectionId)> disconnect;
     /// Whether the customer may start another operation now; if so, charges it.
     std::function<bool(const Directory::Customer&, Model::Time)> admit;
-    /// As `admit`, for an operation that was not admitted before and waited. Empty if none ever waits.
+    /// As `admit`, for an operation that was not admitted before and waited.
     std::function<bool(const Directory::Customer&, Model::Time)> admitAgain;
-    /// Whether `admit` may permit the operation soon, because this host does not know the others' use yet.
-    /// Empty if it never does.
-    std::function<bool(const Directory::Customer&, Model::Time)> mayAdmitSoon;
+    /// Counts an operation that waits behind others of the customer as demand, without admitting it.
+    std::function<void(const Directory::Customer&, Model::Time)> demanded;
+    /// Returns when an operation that waits behind `ahead` others of the customer may be admitted, from now
+    /// on; `nullopt` if that cannot be expected. Empty if no operation waits for its admission.
+    std::function<std::optional<Model::Duration>(const Directory::Customer&, std::size_t ahead, Model::Time)>
+        admissionWait;
     /// Describes the state of the customer's limit that `admit` checked, for the log entry of a refusal.
     std::function<std::string(const Directory::Customer&)> explainLimit;
     /// Whether this host may use primaries now; empty if it always may.
@@ -57,9 +60,9 @@
     /// The number of hosts that share the connections of the service's upstreams; 0 if this host is none of
     /// them. Empty if all hosts do.
     std::function<int(const std::string& service)> poolHostCount;
-    /// Called when it is known, or has to be assumed, that an upstream began to run a customer's statement.
-    /// Empty if usage is not counted.
-    std::function<void(const std::string& customer, Model::Time sentAt)> statementRan;
+    /// Called when it is known, or has to be assumed, that an upstream began to run a customer's operation: a
+    /// single statement, or the first one of a transaction. Empty if usage is not counted.
+    std::function<void(const std::string& customer, Model::Time sentAt)> operationRan;
 };
 
 /// What the scheduling of statements has decided since the start, and the requests that wait now.
@@ -187,6 +190,8 @@
     bool beginOperation(Session& session, const Statement& statement, Model::Time now);
     bool awaitAdmission(Session& session, const Directory::Customer& customer, const Statement& statement,
         Model::Time since, Model::Time now);
+    bool mayAdmit(const Directory::Customer& customer, bool hasWaited, Model::Time now);
+    void leaveAdmissionQueue(SessionId id);
     void retryAdmissions(Model::Time now);
     void handlePipelined(SessionId id, Model::Time now);
     void answer(Session& session, const Statement& statement, Model::Time now);
@@ -266,7 +271,7 @@
     static void separate(Session& session, Connection& connection, Model::Time now);
     void closeConnection(ConnectionId id);
     std::string chargedCustomer(const Connection& connection) const;
-    void countStatement(const PendingReply& pending, ResultCode code) const;
+    void countUsage(const PendingReply& pending, SessionId id, ResultCode code);
     void failCommands(Connection& connection);
     void abandonConnection(ConnectionId id, Model::Time now);
     void removeLost(ConnectionId id, Model::Time now);
@@ -301,8 +306,10 @@
     std::map<SessionId, PendingOpen> m_pendingOpens;
     /// Sessions that have an unanswered statement or are in a transaction.
     std::set<SessionId> m_active;
-    /// Sessions whose operation may be admitted soon.
-    std::set<SessionId> m_awaitingAdmission;
+    /// The customers of sessions whose operation waits for its admission.
+    std::unordered_map<SessionId, std::string> m_awaitingAdmission;
+    /// The number of such sessions by customer.
+    std::map<std::string, std::size_t> m_admissionQueues;
     /// Sessions whose request has no connection yet, most urgent and oldest first.
     std::vector<SessionId> m_waiting;
     std::unordered_map<std::string, UpstreamSlots> m_slots;
--- a/src/libs/core/proxy/engineconnections.cpp
+++ b/src/libs/core/proxy/engineconnections.cpp
@@ -75,7 +75,7 @@
     for (const PendingReply& pending : connection.pending) {
         if (pending.answered)
             pending.answered(std::nullopt);
-        countStatement(pending, ResultCode::Failed);
+        countUsage(pending, connection.session, ResultCode::Failed);
     }
 }
 
@@ -110,7 +110,7 @@
     const PendingReply pending = std::move(connection->pending.front());
     connection->pending.pop_front();
     m_router.observeRoundTrip(connection->upstream, now - pending.sentAt, now);
-    countStatement(pending, reply.code);
+    countUsage(pending, connection->session, reply.code);
     m_reachability.responseReceived(connection->upstream, now);
     if (reply.position != Model::LogPosition {})
         m_router.observePosition(connection->upstream, reply.position, now);
--- a/src/libs/core/proxy/enginesessions.cpp
+++ b/src/libs/core/proxy/enginesessions.cpp
@@ -2,6 +2,7 @@
 
 #include "core/proxy/reply.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace Proxy {
@@ -87,26 +88,62 @@
     }
 }
 
-/// Lets an operation wait that this host cannot admit yet. Callers of a fleet that has just started would use
-/// up their retries within milliseconds. Returns false if the operation has to be refused.
+bool Engine::mayAdmit(const Directory::Customer& customer, bool hasWaited, Model::Time now)
+{
+    if (hasWaited)
+        return m_hooks.admitAgain(customer, now);
+    if (!m_admissionQueues.contains(customer.name))
+        return m_hooks.admit(customer, now);
+    // Operations that arrived before this one wait.
+    m_hooks.demanded(customer, now);
+    return false;
+}
+
+/// Lets an operation wait that the customer's limit does not permit yet, but soon. Callers would use up their
+/// retries within milliseconds, while this host's part of the limit is refilled, or the reports of the other
+/// hosts arrive. Returns false if the operation has to be refused.
 bool Engine::awaitAdmission(Session& session, const Directory::Customer& customer, const Statement& statement,
     Model::Time since, Model::Time now)
 {
-    if (!m_settings.schedulesStatements || !m_hooks.mayAdmitSoon || !m_hooks.mayAdmitSoon(customer, now))
+    if (!m_settings.schedulesStatements || !m_hooks.admissionWait)
         return false;
-    if (now - since >= maxAdmissionWait)
+    const auto queue = m_admissionQueues.find(customer.name);
+    const auto wait
+        = m_hooks.admissionWait(customer, queue == m_admissionQueues.end() ? 0 : queue->second, now);
+    const Model::Duration limit = std::min(maxAdmissionWait, session.route->targetLatency);
+    if (!wait || now + *wait - since >= limit)
         return false;
     session.admissionAwaitedSince = since;
     session.pipelined.push_front(statement);
-    m_awaitingAdmission.insert(session.id);
+    m_awaitingAdmission.emplace(session.id, customer.name);
+    ++m_admissionQueues[customer.name];
     m_active.insert(session.id);
     return true;
 }
 
+void Engine::leaveAdmissionQueue(SessionId id)
+{
+    const auto waiting = m_awaitingAdmission.find(id);
+    if (waiting == m_awaitingAdmission.end())
+        return;
+    const auto queue = m_admissionQueues.find(waiting->second);
+    if (--queue->second == 0)
+        m_admissionQueues.erase(queue);
+    m_awaitingAdmission.erase(waiting);
+    m_active.erase(id);
+}
+
+/// Tries the operations that wait for their admission again, the oldest ones first.
 void Engine::retryAdmissions(Model::Time now)
 {
-    for (const SessionId id : std::exchange(m_awaitingAdmission, {})) {
-        m_active.erase(id);
+    std::vector<std::pair<Model::Time, SessionId>> waiting;
+    for (const auto& [id, customer] : m_awaitingAdmission)
+        waiting.emplace_back(*m_sessions.at(id).admissionAwaitedSince, id);
+    std::ranges::sort(waiting);
+    for (const auto& [since, id] : waiting) {
+        if (!m_awaitingAdmission.contains(id))
+            continue;
+        leaveAdmissionQueue(id);
         handlePipelined(id, now);
     }
 }
@@ -120,7 +157,7 @@
     // The session must not be found in a queue while its connection is released.
     std::erase(m_waiting, id);
     removeFromQueues(*session);
-    m_awaitingAdmission.erase(id);
+    leaveAdmissionQueue(id);
     detach(*session, now);
     m_active.erase(id);
     m_sessions.erase(id);
--- a/src/libs/core/proxy/engineusage.cpp
+++ b/src/libs/core/proxy/engineusage.cpp
@@ -24,21 +24,25 @@
 
 }
 
-/// The customer whose usage includes a statement of the connection's session. Statements on open routes are
-/// not attributed to customers.
+/// The customer whose usage includes the operation of the connection's session, if this statement may be the
+/// first one of it that runs; otherwise empty. Statements on open routes are not attributed to customers.
 std::string Engine::chargedCustomer(const Connection& connection) const
 {
     const auto session = m_sessions.find(connection.session);
-    if (!m_hooks.statementRan || session == m_sessions.end() || session->second.route->isOpen)
+    if (!m_hooks.operationRan || session == m_sessions.end())
         return {};
-    return connection.customer;
+    const bool isCharged = !session->second.route->isOpen && !session->second.isUsageCounted;
+    return isCharged ? connection.customer : std::string();
 }
 
-/// Counts a message that was answered with this code if it is a statement that has begun.
-void Engine::countStatement(const PendingReply& pending, ResultCode code) const
+/// Counts the operation of a statement that was answered with this code, if it has begun.
+void Engine::countUsage(const PendingReply& pending, SessionId id, ResultCode code)
 {
-    if (!pending.chargedCustomer.empty() && hasBegun(code))
-        m_hooks.statementRan(pending.chargedCustomer, pending.sentAt);
+    if (pending.chargedCustomer.empty() || !hasBegun(code))
+        return;
+    if (Session* session = findSession(id))
+        session->isUsageCounted = true;
+    m_hooks.operationRan(pending.chargedCustomer, pending.sentAt);
 }
 
 }
--- a/src/libs/core/proxy/session.h
+++ b/src/libs/core/proxy/session.h
@@ -91,6 +91,8 @@
     ConnectionId connection = 0;
     /// The link to the pool host that runs the open transaction or the statement; 0 for none.
     ForwardLinkId link = 0;
+    /// An upstream has begun to run the operation, so that the customer's usage includes it.
+    bool isUsageCounted = false;
     /// The proxy rolled the transaction back; the reply to the caller's next statement reports it.
     bool isAborted = false;
     std::optional<Request> request;
--- a/src/libs/proxyhost/proxyhost.cpp
+++ b/src/libs/proxyhost/proxyhost.cpp
@@ -76,8 +76,11 @@
     hooks.admitAgain = [this](const Directory::Customer& customer, Model::Time now) {
         return m_allowance.admitAgain(customer, now);
     };
-    hooks.mayAdmitSoon = [this](const Directory::Customer& /*customer*/, Model::Time now) {
-        return m_allowance.isSettling(now);
+    hooks.demanded = [this](const Directory::Customer& customer, Model::Time now) {
+        m_allowance.demanded(customer, now);
+    };
+    hooks.admissionWait = [this](const Directory::Customer& customer, std::size_t ahead, Model::Time now) {
+        return m_allowance.admissionWait(customer, ahead, now);
     };
     hooks.explainLimit
         = [this](const Directory::Customer& customer) { return m_allowance.describe(customer.name); };
@@ -86,8 +89,8 @@
     if (m_settings.forwardStatements)
         StatementForwarding::addHooks(hooks, [this]() -> StatementForwarding& { return *m_forwarding; });
     if (m_settings.usageWindowS != 0) {
-        hooks.statementRan = [this](const std::string& customer, Model::Time sentAt) {
-            m_usage->statementRan(customer, sentAt);
+        hooks.operationRan = [this](const std::string& customer, Model::Time sentAt) {
+            m_usage->operationRan(customer, sentAt);
         };
     }
     return hooks;
--- a/src/libs/proxyhost/usagereports.cpp
+++ b/src/libs/proxyhost/usagereports.cpp
@@ -45,7 +45,7 @@
     m_duty.start(now);
 }
 
-void UsageReports::statementRan(const std::string& customer, Model::Time sentAt)
+void UsageReports::operationRan(const std::string& customer, Model::Time sentAt)
 {
     if (m_clock.isKnown())
         m_counts.add(customer, m_clock.windowAt(sentAt));
--- a/src/libs/proxyhost/usagereports.h
+++ b/src/libs/proxyhost/usagereports.h
@@ -45,7 +45,7 @@
 
     /// This process is registered under the incarnation and knows the other hosts.
     void start(std::uint64_t incarnation, Model::Time now);
-    void statementRan(const std::string& customer, Model::Time sentAt);
+    void operationRan(const std::string& customer, Model::Time sentAt);
     /// The wall clock of another host showed `wall` when it sent a report that has just arrived.
     void wallClockReported(const std::string& host, Usage::WallTime wall, Model::Time now);
     void receive(const UsageMessage& message, Model::Time now);
--- a/src/libs/sessionserver/server.cpp
+++ b/src/libs/sessionserver/server.cpp
@@ -64,14 +64,15 @@
     result.disconnect = [this](Proxy::ConnectionId id) { m_upstreams.erase(id); };
     result.admit = m_hooks.admit;
     result.admitAgain = m_hooks.admitAgain;
-    result.mayAdmitSoon = m_hooks.mayAdmitSoon;
+    result.demanded = m_hooks.demanded;
+    result.admissionWait = m_hooks.admissionWait;
     result.explainLimit = m_hooks.explainLimit;
     result.mayUsePrimaries = m_hooks.mayUsePrimaries;
     result.chooseLink = m_hooks.chooseLink;
     result.forward = m_hooks.forward;
     result.endForwarded = m_hooks.endForwarded;
     result.poolHostCount = m_hooks.poolHostCount;
-    result.statementRan = m_hooks.statementRan;
+    result.operationRan = m_hooks.operationRan;
     result.decided = [this](const Proxy::Decision& decision) {
         countDecision(decision.kind);
         m_decisionLog.write(decision, EventLoop::now());
--- a/src/libs/sessionserver/server.h
+++ b/src/libs/sessionserver/server.h
@@ -38,10 +38,11 @@
 struct ServerHooks {
     /// Returns whether the customer's rate limit admits another operation now, and charges it if so.
     std::function<bool(const Directory::Customer&, Model::Time)> admit;
-    /// As `admit`, for an operation that waited.
+    /// Hooks for operations that wait for their admission; see `Proxy::EngineHooks`. Empty if none do.
     std::function<bool(const Directory::Customer&, Model::Time)> admitAgain;
-    /// Whether `admit` may permit the operation soon.
-    std::function<bool(const Directory::Customer&, Model::Time)> mayAdmitSoon;
+    std::function<void(const Directory::Customer&, Model::Time)> demanded;
+    std::function<std::optional<Model::Duration>(const Directory::Customer&, std::size_t ahead, Model::Time)>
+        admissionWait;
     /// The figures on which the last decision of `admit` for the customer was based, for logs.
     std::function<std::string(const Directory::Customer&)> explainLimit;
     /// Whether this host may use primaries now; empty if it always may.
@@ -58,7 +59,7 @@
     /// The process was paused; what has arrived meanwhile is not read yet.
     std::function<void(Model::Time)> processPaused;
     /// An upstream began to run a statement of the customer; empty if usage is not counted.
-    std::function<void(const std::string& customer, Model::Time sentAt)> statementRan;
+    std::function<void(const std::string& customer, Model::Time sentAt)> operationRan;
 };
 
 /// Serves callers: owns the sockets of callers and upstreams and connects them to the engine. Used on the
--- a/tests/auto/core/proxy/enginefixture.cpp
+++ b/tests/auto/core/proxy/enginefixture.cpp
@@ -58,11 +58,13 @@
     hooks.disconnect = [this](ConnectionId id) { m_links.at(id).isClosed = true; };
     hooks.admit = [this](const Directory::Customer&, Model::Time) { return m_isAdmitted; };
     hooks.admitAgain = hooks.admit;
-    hooks.mayAdmitSoon = [this](const Directory::Customer&, Model::Time) { return m_mayAdmitSoon; };
+    hooks.demanded = [this](const Directory::Customer&, Model::Time) { ++m_demanded; };
+    hooks.admissionWait
+        = [this](const Directory::Customer&, std::size_t, Model::Time) { return m_admissionWait; };
     hooks.explainLimit = [](const Directory::Customer&) { return std::string("rate=1"); };
     hooks.mayUsePrimaries = [this](Model::Time) { return m_mayUsePrimaries; };
     hooks.decided = [this](const Decision& decision) { m_decisions.push_back(decision); };
-    hooks.statementRan = [this](const std::string& customer, Model::Time) { ++m_statementsRan[customer]; };
+    hooks.operationRan = [this](const std::string& customer, Model::Time) { ++m_operationsRan[customer]; };
     hooks.isNextTraced = [this] { return m_isTraced; };
     hooks.answered = [this](const Session& session, ResultCode, Model::Duration) {
         if (session.request->trace)
--- a/tests/auto/core/proxy/enginefixture.h
+++ b/tests/auto/core/proxy/enginefixture.h
@@ -60,7 +60,9 @@
     Directory::View m_view;
     Model::Time m_now { std::chrono::seconds(100) };
     bool m_isAdmitted = true;
-    bool m_mayAdmitSoon = false;
+    /// When an operation that is not admitted would be.
+    std::optional<Model::Duration> m_admissionWait;
+    int m_demanded = 0;
     bool m_mayUsePrimaries = true;
     bool m_isTraced = false;
     /// Hops of the traced statement that was answered last.
@@ -72,7 +74,7 @@
     std::vector<Proxy::ConnectionId> m_opening;
     std::vector<Proxy::Decision> m_decisions;
     /// Statements that count as usage, by customer.
-    std::map<std::string, int> m_statementsRan;
+    std::map<std::string, int> m_operationsRan;
     std::unique_ptr<Proxy::Engine> m_engine;
 
 private:
--- a/tests/auto/core/proxy/tst_engineadmission.cpp
+++ b/tests/auto/core/proxy/tst_engineadmission.cpp
@@ -5,14 +5,14 @@
 
 namespace {
 
-/// A host that has just started and does not know yet what the others admit.
+/// A host that cannot admit operations now, but expects that it can soon.
 class AdmissionFixture : public EngineFixture {
 protected:
     AdmissionFixture()
         : EngineFixture({ .schedulesStatements = true })
     {
         m_isAdmitted = false;
-        m_mayAdmitSoon = true;
+        m_admissionWait = Model::Duration {};
     }
 };
 
@@ -52,12 +52,35 @@
 // Guards against callers beyond their limit that wait although nothing will change.
 TEST_F(AdmissionFixture, OperationBeyondLimitIsRefusedAtOnce)
 {
-    m_mayAdmitSoon = false;
+    m_admissionWait.reset();
     const SessionId session = open("strict");
     send(session, statement(StatementKind::Write, "item data"));
     EXPECT_EQ(lastReply(session).code, ResultCode::Busy);
 }
 
+// Guards against an operation that waits although its admission is not expected within its target latency.
+TEST_F(AdmissionFixture, OperationWithLongExpectedWaitIsRefusedAtOnce)
+{
+    m_admissionWait = 200ms;
+    const SessionId session = open("strict");
+    send(session, statement(StatementKind::Write, "item data"));
+    EXPECT_EQ(lastReply(session).code, ResultCode::Busy);
+}
+
+// Guards against operations that overtake earlier ones of their customer, and that do not count as demand.
+TEST_F(AdmissionFixture, NewOperationsWaitBehindEarlierOnes)
+{
+    const SessionId first = open("strict");
+    send(first, statement(StatementKind::Write, "item data"));
+    m_isAdmitted = true;
+    const SessionId second = open("strict");
+    send(second, statement(StatementKind::Write, "item data"));
+    EXPECT_EQ(m_demanded, 1);
+    EXPECT_TRUE(m_links.empty());
+    advance(20ms);
+    EXPECT_FALSE(m_links.empty());
+}
+
 // Guards against a session that goes on after its caller has left.
 TEST_F(AdmissionFixture, CallerLeavesWhileItWaits)
 {
--- a/tests/auto/core/proxy/tst_engineusage.cpp
+++ b/tests/auto/core/proxy/tst_engineusage.cpp
@@ -25,12 +25,12 @@
 TEST_F(EngineUsage, CountsStatementsThatBegan)
 {
     write("own", ResultCode::Complete);
-    EXPECT_EQ(m_statementsRan, (std::map<std::string, int> { { "acme", 1 } }));
+    EXPECT_EQ(m_operationsRan, (std::map<std::string, int> { { "acme", 1 } }));
     write("own", ResultCode::Failed);
-    EXPECT_EQ(m_statementsRan.at("acme"), 2);
+    EXPECT_EQ(m_operationsRan.at("acme"), 2);
     write("own", ResultCode::Busy);
     write("own", ResultCode::ReadOnly);
-    EXPECT_EQ(m_statementsRan.at("acme"), 2);
+    EXPECT_EQ(m_operationsRan.at("acme"), 2);
 }
 
 // Guards against a bill for the proxy's own BEGIN and ROLLBACK.
@@ -41,10 +41,27 @@
     acceptConnections();
     const ConnectionId link = linkTo("p");
     answer(link, ResultCode::Complete, TransactionState::Open, 10);
-    EXPECT_TRUE(m_statementsRan.empty());
+    EXPECT_TRUE(m_operationsRan.empty());
     answer(link, ResultCode::Complete, TransactionState::Open, 10);
     answer(link);
-    EXPECT_EQ(m_statementsRan.at("acme"), 1);
+    EXPECT_EQ(m_operationsRan.at("acme"), 1);
+}
+
+// Guards against a bill for each statement of a transaction: the customer's rate counts operations, too.
+TEST_F(EngineUsage, CountsTransactionOnce)
+{
+    const SessionId session = open("strict");
+    send(session, statement(StatementKind::Begin));
+    send(session, statement(StatementKind::Write, "item data"));
+    acceptConnections();
+    const ConnectionId link = linkTo("p");
+    answer(link, ResultCode::Complete, TransactionState::Open, 10);
+    answer(link, ResultCode::Complete, TransactionState::Open, 10);
+    send(session, statement(StatementKind::Write, "item data"));
+    answer(link, ResultCode::Complete, TransactionState::Open, 10);
+    send(session, statement(StatementKind::Commit));
+    answer(link, ResultCode::Complete, TransactionState::None, 11);
+    EXPECT_EQ(m_operationsRan.at("acme"), 1);
 }
 
 // Guards against a statement that is not billed because its answer was lost.
@@ -54,7 +71,7 @@
     send(session, statement(StatementKind::Write, "item"));
     acceptConnections();
     m_engine->connectionLost(linkTo("p"), m_now);
-    EXPECT_EQ(m_statementsRan.at("acme"), 1);
+    EXPECT_EQ(m_operationsRan.at("acme"), 1);
 }
 
 // Guards against a bill for a route that is open to callers without a key.
@@ -65,5 +82,5 @@
             route.isOpen = true;
     });
     write("own", ResultCode::Complete);
-    EXPECT_TRUE(m_statementsRan.empty());
+    EXPECT_TRUE(m_operationsRan.empty());
 }
--- a/tests/auto/proxyhost/usagesimulation.cpp
+++ b/tests/auto/proxyhost/usagesimulation.cpp
@@ -258,7 +258,7 @@
         const int statements = static_cast<int>(rate * stepLength / 1s);
         for (int i = 0; i < statements; ++i) {
             for (const std::string customer : { "acme", "beta" }) {
-                host.reports->statementRan(customer, m_now);
+                host.reports->operationRan(customer, m_now);
                 ++m_trueCounts[windowNow()][customer];
             }
         }
