--- a/tests/auto/integration/process.h
+++ b/tests/auto/integration/process.h
@@ -40,6 +40,7 @@
     Process(const Process&) = delete;
     Process& operator=(const Process&) = delete;
 
+    pid_t pid() const { return m_pid; }
     void signal(int number) const;
     /// Sends SIGKILL and waits until the process has ended.
     void kill();
--- a/tests/auto/sessionproxy/testcluster.cpp
+++ b/tests/auto/sessionproxy/testcluster.cpp
@@ -190,12 +190,13 @@
     const std::string name = "host-" + std::to_string(index);
     const std::string store
         = m_storeLinks.empty() ? m_store->address() : "127.0.0.1:" + std::to_string(storeLink(index).port());
-    const nlohmann::json settings { { "host", name }, { "zone", "north" },
-        { "callers", host.callers->address() }, { "probe", host.probe->address() }, { "probePath", "/ready" },
-        { "ip", "127.0.0.1" }, { "peerPorts", { peerPort, peerPort } }, { "store", store },
-        { "promoter", store }, { "promoterChecksFencing", m_fencing == Fencing::Promoter },
-        { "shutdownMs", 4000 }, { "forgetHostsAfterS", m_forgetHostsAfterS },
-        { "traceSampleRate", m_traceSampleRate } };
+    nlohmann::json settings { { "host", name }, { "zone", "north" }, { "callers", host.callers->address() },
+        { "probe", host.probe->address() }, { "probePath", "/ready" }, { "ip", "127.0.0.1" },
+        { "peerPorts", { peerPort, peerPort } }, { "store", store }, { "promoter", store },
+        { "promoterChecksFencing", m_fencing == Fencing::Promoter }, { "shutdownMs", 4000 },
+        { "forgetHostsAfterS", m_forgetHostsAfterS }, { "traceSampleRate", m_traceSampleRate } };
+    for (const auto& [field, value] : m_limits)
+        settings[field] = value;
     const std::string file = temporaryFile(name + ".json");
     std::ofstream(file) << settings.dump();
     host.process = std::make_unique<Integration::Process>(PARSLEYTACKD,
--- a/tests/auto/sessionproxy/testcluster.h
+++ b/tests/auto/sessionproxy/testcluster.h
@@ -6,6 +6,7 @@
 #include "sessionplatform/rowstore.h"
 
 #include <chrono>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -69,6 +70,7 @@
     /// of traced statements, from 0 to 1.
     void setForgetHostsAfter(int seconds) { m_forgetHostsAfterS = seconds; }
     void setTraceSampleRate(double rate) { m_traceSampleRate = rate; }
+    void setLimit(const std::string& name, int value) { m_limits[name] = value; }
     /// Applies to configurations that are published later.
     void setStatementTimeout(std::chrono::milliseconds timeout) { m_statementTimeout = timeout; }
     void startHost(int host);
@@ -120,5 +122,7 @@
     int m_furtherRoutes = 0;
     int m_forgetHostsAfterS = 600;
     double m_traceSampleRate = 0;
+    /// Numeric settings by name.
+    std::map<std::string, int> m_limits;
     std::chrono::milliseconds m_statementTimeout { 800 };
 };
--- a/tests/standins/sessionplatform/databases.cpp
+++ b/tests/standins/sessionplatform/databases.cpp
@@ -319,8 +319,13 @@
         connection.isFailed = connection.isInTransaction;
         return error("READONLY");
     }
-    if (!isWrite)
-        return "DATAROW " + m_items[words.at(1)] + "\r\n" + receipt;
+    if (!isWrite) {
+        const std::string row = "DATAROW " + m_items[words.at(1)] + "\r\n";
+        std::string rows;
+        for (int i = 0; i < m_rowsPerRead; ++i)
+            rows += row;
+        return rows + receipt;
+    }
     if (connection.isInTransaction) {
         connection.writes.emplace_back(words.at(1), words.at(2));
         return receipt;
--- a/tests/standins/sessionplatform/databases.h
+++ b/tests/standins/sessionplatform/databases.h
@@ -42,6 +42,9 @@
     /// While set, single writes get no answer, as if they waited for a replica; all else is answered.
     void setWritesWaiting(bool areWaiting);
 
+    /// Number of rows that each later read returns, all with the same content; 1 at first.
+    void setRowsPerRead(int rows) { m_rowsPerRead = rows; }
+
     /// Number of commits of this data.
     int commits(const std::string& data) const;
     /// Names of the customers for which connections were opened.
@@ -94,6 +97,7 @@
     std::vector<std::string> m_protocolViolations;
     bool m_areWritesWaiting = false;
     std::condition_variable m_writesReleased;
+    std::atomic<int> m_rowsPerRead = 1;
     std::atomic<bool> m_isStopping = false;
 };
 
