Bound the memory that clients occupy together

Change: one budget for all clients of a process (clientMemoryMb, by default a quarter of the machine's memory). Each caller and each connection to an upstream is charged with what it holds, after each event that changes it. Reading from a session pauses while its statements or unread answers exceed a limit; the holder of most is closed when the budget is used up, and one that holds a quarter by itself in any case. Messages have a time limit (messageTimeoutMs), values and prepared statements a limit for each session (sessionValuesKb) and connection. Freed blocks are returned to the system. Ids in log lines are cut, since they may be as long as a message. Events 650 to 658 and the counter parsleytack_client_limits_total report the limits.

The settings test also lists the three fields that were documented without it, so that it had failed.

--- a/src/libs/core/proxy/connection.h
+++ b/src/libs/core/proxy/connection.h
@@ -45,6 +45,8 @@
 struct SessionContext {
     std::map<std::string, std::string> values;
     std::map<std::string, PreparedShape> prepared;
+    /// Memory that both occupy.
+    std::size_t bytes = 0;
 };
 
 /// One connection to an upstream, opened for one customer and used by one session at a time.
@@ -59,6 +61,8 @@
     std::map<std::string, std::string> values;
     /// Prepared statements on the connection, with the names that the proxy gave them.
     std::map<PreparedShape, std::string> prepared;
+    /// Memory that both occupy.
+    std::size_t contextBytes = 0;
     /// Outstanding replies, in the order of the messages.
     std::deque<PendingReply> pending;
     /// The session that uses the connection, or 0.
@@ -71,6 +75,12 @@
     std::function<void(const std::optional<Reply>&)> firstAnswered;
 };
 
+/// Keeps the value or prepared statement of a `Set` or `Prepare`. Returns false, and changes nothing, if the
+/// session would then occupy more than `maxBytes` with these.
+bool keepInContext(SessionContext& context, const Statement& statement, std::size_t maxBytes);
+/// Forgets a prepared statement.
+void closePrepared(SessionContext& context, const std::string& name);
+
 /// Returns the commands that give the connection the session values of `context` and, unless `shape` is null,
 /// a prepared statement of that shape. Updates the record in `connection` as if they had succeeded; if one of
 /// them fails, the connection has to be closed.
--- a/src/libs/core/proxy/engine.cpp
+++ b/src/libs/core/proxy/engine.cpp
@@ -35,6 +35,7 @@
             m_hooks.closeSession(id);
             return;
         }
+        session->pipelinedBytes += statementBytes(statement);
         session->pipelined.push_back(std::move(statement));
         return;
     }
@@ -101,13 +102,12 @@
         m_active.erase(session.id);
         break;
     case StatementKind::Set:
-        session.context.values[statement.name] = statement.argument;
-        break;
     case StatementKind::Prepare:
-        session.context.prepared[statement.name] = { statement.prepared, statement.argument };
+        if (!keepValue(session, statement))
+            return;
         break;
     case StatementKind::Close:
-        session.context.prepared.erase(statement.name);
+        closePrepared(session.context, statement.name);
         break;
     default:
         m_hooks.reply(session.id, errorReply(ResultCode::Malformed, "unknown statement", session.state));
@@ -352,6 +352,7 @@
          current = findSession(id)) {
         Statement next = std::move(current->pipelined.front());
         current->pipelined.pop_front();
+        current->pipelinedBytes -= statementBytes(next);
         handle(id, std::move(next), now);
     }
     // Otherwise a caller that sends one statement after the other would be cut at the end of the shutdown.
--- a/src/libs/core/proxy/engine.h
+++ b/src/libs/core/proxy/engine.h
@@ -32,6 +32,8 @@
     /// Whether this host may use primaries now; empty if it always may.
     std::function<bool(Model::Time)> mayUsePrimaries;
     std::function<void(const Decision&)> decided;
+    /// Called when a session reached the limit of its values and prepared statements; may be empty.
+    std::function<void(SessionId, std::size_t bytes)> valuesRefused;
     /// Whether the hops of the next statement for an upstream are recorded.
     std::function<bool()> isNextTraced;
     /// Called when a statement that needs an upstream has been answered, `elapsed` after its arrival.
@@ -90,6 +92,10 @@
     void closeIdleSessions();
     /// Rolls back the transactions that wait for their caller's next statement, and closes their sessions.
     void endIdleTransactions(Model::Time now);
+    /// Closes a connection that no session uses, which says nothing about the upstream's reachability.
+    void closeUnused(ConnectionId id, Model::Time now) { endUse(id, now); }
+    /// Memory that the session occupies; 0 if it does not exist.
+    SessionBytes sessionBytes(SessionId id) const;
     std::size_t sessionCount() const { return m_sessions.size(); }
     const Pool& pool() const { return m_pool; }
     const Router& router() const { return m_router; }
@@ -115,6 +121,7 @@
     void handleBeforeOpen(SessionId id, Statement statement, Model::Time now);
     void checkPendingOpens(Model::Time now);
     bool beginOperation(Session& session, const Statement& statement, Model::Time now);
+    bool keepValue(Session& session, const Statement& statement);
     void answer(Session& session, const Statement& statement, Model::Time now);
     void startRequest(Session& session, Statement statement, Model::Time now);
     void handleInFailedTransaction(Session& session, const Statement& statement, Model::Time now);
--- a/src/libs/core/proxy/enginesessions.cpp
+++ b/src/libs/core/proxy/enginesessions.cpp
@@ -85,6 +85,37 @@
     }
 }
 
+/// Returns false if the statement was refused, because the session would occupy too much memory.
+bool Engine::keepValue(Session& session, const Statement& statement)
+{
+    if (keepInContext(session.context, statement, m_settings.maxContextBytes))
+        return true;
+    if (m_hooks.valuesRefused)
+        m_hooks.valuesRefused(session.id, session.context.bytes);
+    m_hooks.reply(session.id,
+        errorReply(ResultCode::Malformed, "too many session values and prepared statements", session.state));
+    return false;
+}
+
+SessionBytes Engine::sessionBytes(SessionId id) const
+{
+    const auto found = m_sessions.find(id);
+    if (found != m_sessions.end()) {
+        const Session& session = found->second;
+        const std::size_t running = session.request ? statementBytes(session.request->statement) : 0;
+        return { session.pipelinedBytes + running,
+            session.context.bytes + session.key.size() + session.database.size() };
+    }
+    SessionBytes result;
+    const auto pending = m_pendingOpens.find(id);
+    if (pending == m_pendingOpens.end())
+        return result;
+    result.context = pending->second.key.size() + pending->second.database.size();
+    for (const Statement& statement : pending->second.pipelined)
+        result.statements += statementBytes(statement);
+    return result;
+}
+
 void Engine::sessionClosed(SessionId id, Model::Time now)
 {
     m_pendingOpens.erase(id);
--- a/src/libs/core/proxy/enginesettings.h
+++ b/src/libs/core/proxy/enginesettings.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstddef>
+
 namespace Proxy {
 
 /// Features of the engine that a host's settings switch on. docs/proxysettings.md describes them.
@@ -10,6 +12,8 @@
     bool balancesUpstreams = false;
     /// Statements are executed by the pool host of their service.
     bool forwardsStatements = false;
+    /// Memory for the values and prepared statements of one session.
+    std::size_t maxContextBytes = 2UL * 1024 * 1024;
 };
 
 }
--- a/src/libs/core/proxy/session.cpp
+++ b/src/libs/core/proxy/session.cpp
@@ -2,6 +2,11 @@
 
 namespace Proxy {
 
+std::size_t statementBytes(const Statement& statement)
+{
+    return sizeof(Statement) + statement.id.size() + statement.name.size() + statement.argument.size();
+}
+
 bool needsUpstream(StatementKind kind)
 {
     switch (kind) {
--- a/src/libs/core/proxy/session.h
+++ b/src/libs/core/proxy/session.h
@@ -81,10 +81,21 @@
     std::optional<Request> request;
     /// Statements that were received before the previous one was answered.
     std::deque<Statement> pipelined;
+    std::size_t pipelinedBytes = 0;
     Model::LogPosition lastCommit;
     Model::Time lastActivity;
 };
 
+/// Memory that a session occupies.
+struct SessionBytes {
+    /// The running and the pipelined statements.
+    std::size_t statements = 0;
+    /// Session values, prepared statements, and what the caller sent to open the session.
+    std::size_t context = 0;
+};
+
+/// Memory that the statement occupies.
+std::size_t statementBytes(const Statement& statement);
 /// Returns whether an upstream has to run the statement; the proxy answers all others itself.
 bool needsUpstream(StatementKind kind);
 /// Returns whether the statement writes. `prepared` is the prepared statement that an `Execute` names, or
--- a/src/libs/eventloop/tcpstream.cpp
+++ b/src/libs/eventloop/tcpstream.cpp
@@ -22,11 +22,6 @@
     /// The connection is closed if sent data remains unacknowledged for this long.
     constexpr unsigned userTimeoutMs = 4000;
 
-    struct PendingWrite {
-        uv_write_t request {};
-        std::string data;
-    };
-
     // All streams share one buffer: the `received` hook consumes the data before the next read.
     void allocate(uv_handle_t* /*handle*/, std::size_t /*suggested*/, uv_buf_t* buffer)
     {
@@ -77,9 +72,41 @@
         setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &keepAliveProbes, sizeof keepAliveProbes);
         setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeoutMs, sizeof userTimeoutMs);
     }
+    startReading();
+}
+
+void TcpStream::Private::startReading()
+{
     uv_read_start(reinterpret_cast<uv_stream_t*>(&handle), &allocate, &Private::onRead);
 }
 
+void TcpStream::Private::onWritten(uv_write_t* request, int status)
+{
+    auto* self = static_cast<Private*>(request->data);
+    self->heldBytes -= sizeof(PendingWrite) + self->pendingWrites.front().data.capacity();
+    self->pendingWrites.pop_front();
+    if (self->isClosed)
+        return;
+    // While reading is paused, the read callback does not report a failed connection.
+    if (status < 0 && self->isReadingPaused)
+        return self->fail();
+    const std::shared_ptr<const StreamHooks> hooks = self->hooks;
+    if (status == 0 && hooks->sent)
+        hooks->sent();
+}
+
+/// Lets libuv send `data` without its first `sent` bytes.
+void TcpStream::Private::enqueue(std::string data, std::size_t sent)
+{
+    PendingWrite& pending = pendingWrites.emplace_back();
+    pending.data = std::move(data);
+    pending.request.data = this;
+    heldBytes += sizeof(PendingWrite) + pending.data.capacity();
+    uv_buf_t buffer
+        = uv_buf_init(pending.data.data() + sent, static_cast<unsigned>(pending.data.size() - sent));
+    uv_write(&pending.request, reinterpret_cast<uv_stream_t*>(&handle), &buffer, 1, &Private::onWritten);
+}
+
 void TcpStream::Private::fail()
 {
     if (isClosed)
@@ -93,6 +120,12 @@
 {
     isClosed = true;
     hooks.reset();
+    // libuv sends nothing more, but ends the writes only at the end of the loop's iteration.
+    for (PendingWrite& pending : pendingWrites) {
+        heldBytes -= pending.data.capacity();
+        pending.data = std::string();
+        heldBytes += pending.data.capacity();
+    }
     uv_close(reinterpret_cast<uv_handle_t*>(&handle),
         [](uv_handle_t* closed) { delete static_cast<Private*>(closed->data); });
 }
@@ -138,28 +171,34 @@
     m_d->hooks = std::make_shared<const StreamHooks>(std::move(hooks));
 }
 
-void TcpStream::write(std::string_view data)
+/// Returns how many bytes need no buffer, because the socket has accepted them or the connection failed.
+std::size_t TcpStream::trySend(std::string_view data)
 {
-    if (m_d->isClosed || data.empty())
-        return;
     auto* stream = reinterpret_cast<uv_stream_t*>(&m_d->handle);
-    std::size_t sent = 0;
-    if (uv_stream_get_write_queue_size(stream) == 0) {
-        uv_buf_t buffer = uv_buf_init(const_cast<char*>(data.data()), static_cast<unsigned>(data.size()));
-        const int result = uv_try_write(stream, &buffer, 1);
-        // A failed connection is reported by the read callback.
-        if (result < 0 && result != UV_EAGAIN)
-            return;
-        sent = result > 0 ? static_cast<std::size_t>(result) : 0;
-    }
-    if (sent == data.size())
-        return;
-    auto* pending = new PendingWrite;
-    pending->data = std::string(data.substr(sent));
-    pending->request.data = pending;
-    uv_buf_t buffer = uv_buf_init(pending->data.data(), static_cast<unsigned>(pending->data.size()));
-    uv_write(&pending->request, stream, &buffer, 1,
-        [](uv_write_t* request, int /*status*/) { delete static_cast<PendingWrite*>(request->data); });
+    if (m_d->isClosed)
+        return data.size();
+    if (data.empty() || uv_stream_get_write_queue_size(stream) != 0)
+        return 0;
+    uv_buf_t buffer = uv_buf_init(const_cast<char*>(data.data()), static_cast<unsigned>(data.size()));
+    const int result = uv_try_write(stream, &buffer, 1);
+    // A failed connection is reported by the read callback.
+    if (result < 0 && result != UV_EAGAIN)
+        return data.size();
+    return result > 0 ? static_cast<std::size_t>(result) : 0;
+}
+
+void TcpStream::write(std::string_view data)
+{
+    const std::size_t sent = trySend(data);
+    if (sent < data.size())
+        m_d->enqueue(std::string(data.substr(sent)), 0);
+}
+
+void TcpStream::writeOwned(std::string data)
+{
+    const std::size_t sent = trySend(data);
+    if (sent < data.size())
+        m_d->enqueue(std::move(data), sent);
 }
 
 std::size_t TcpStream::unsentBytes() const
@@ -167,4 +206,20 @@
     return uv_stream_get_write_queue_size(reinterpret_cast<const uv_stream_t*>(&m_d->handle));
 }
 
+std::size_t TcpStream::heldBytes() const { return m_d->heldBytes; }
+
+void TcpStream::pauseReading()
+{
+    m_d->isReadingPaused = true;
+    if (!m_d->isClosed)
+        uv_read_stop(reinterpret_cast<uv_stream_t*>(&m_d->handle));
+}
+
+void TcpStream::resumeReading()
+{
+    m_d->isReadingPaused = false;
+    if (!m_d->isClosed)
+        m_d->startReading();
+}
+
 }
--- a/src/libs/logging/eventid.cpp
+++ b/src/libs/logging/eventid.cpp
@@ -9,7 +9,7 @@
 
     using enum EventId;
 
-    constexpr std::array<EventInfo, 56> table { {
+    constexpr std::array<EventInfo, 65> table { {
         { ProcessStarted, "process_started", Severity::Info, "the process listens on all its addresses" },
         { ProcessStopped, "process_stopped", Severity::Info, "the process ended after its last request" },
         { DrainStarted, "drain_started", Severity::Info, "SIGTERM received; no new requests are accepted" },
@@ -94,6 +94,24 @@
             "an upstream refused a further connection" },
         { UpstreamConnectionLost, "upstream_connection_lost", Severity::Warning,
             "a connection in use failed or did not respond in time" },
+        { ClientMemoryExhausted, "client_memory_exhausted", Severity::Warning,
+            "the memory for all clients was used up; the one that held most was disconnected" },
+        { ClientMemoryExceeded, "client_memory_exceeded", Severity::Info,
+            "a client was disconnected, because an answer for it was larger than one client's memory" },
+        { MessageIncomplete, "message_incomplete", Severity::Info,
+            "a client was disconnected, because it did not complete a message in time" },
+        { MessageTooLong, "message_too_long", Severity::Info,
+            "a client was disconnected, because its message was longer than allowed" },
+        { AnswersNotRead, "answers_not_read", Severity::Info,
+            "a client was disconnected, because it left too many answers unread" },
+        { TooManyPipelined, "too_many_pipelined", Severity::Info,
+            "a client was disconnected, because it sent too many statements ahead" },
+        { TooManySessions, "too_many_sessions", Severity::Warning,
+            "a connection was closed, because the host has as many as it may have" },
+        { ReadingPaused, "reading_paused", Severity::Info,
+            "reading from a client pauses, because its statements or answers wait" },
+        { SessionValuesRefused, "session_values_refused", Severity::Info,
+            "a session's value or prepared statement was refused, because it has too many" },
     } };
 
 }
--- a/src/libs/logging/eventid.h
+++ b/src/libs/logging/eventid.h
@@ -64,6 +64,15 @@
     SessionRejected = 604,
     UpstreamConnectionRefused = 605,
     UpstreamConnectionLost = 606,
+    ClientMemoryExhausted = 650,
+    ClientMemoryExceeded = 651,
+    MessageIncomplete = 652,
+    MessageTooLong = 653,
+    AnswersNotRead = 654,
+    TooManyPipelined = 655,
+    TooManySessions = 656,
+    ReadingPaused = 657,
+    SessionValuesRefused = 658,
 };
 
 enum class Severity : std::uint8_t {
--- a/src/libs/proxyhost/proxyhost.cpp
+++ b/src/libs/proxyhost/proxyhost.cpp
@@ -27,6 +27,7 @@
     /// process ends after the second.
     constexpr double rollbackFraction = 0.5;
     constexpr double exitFraction = 0.85;
+    constexpr std::size_t bytesPerKb = 1024;
 
     std::string milliseconds(Model::Duration duration)
     {
@@ -43,7 +44,10 @@
     , m_server(loop, m_view, std::move(codec), m_metrics,
           { settings.zone, settings.callers.ip, settings.callers.port,
               static_cast<std::size_t>(settings.maxDescriptors - reservedDescriptors),
-              { settings.scheduleStatements, settings.balanceUpstreams, settings.forwardStatements } },
+              { settings.scheduleStatements, settings.balanceUpstreams, settings.forwardStatements,
+                  settings.sessionValuesKb * bytesPerKb },
+              { settings.effectiveClientMemoryMb() * bytesPerKb * bytesPerKb,
+                  settings.pipelinedKb * bytesPerKb, std::chrono::milliseconds(settings.messageTimeoutMs) } },
           serverHooks())
     , m_fleet(loop, settings.host, m_allowance, m_server.engine().ledger(), fleetHooks())
     , m_worker(loop, calls(), settings.host)
--- a/src/libs/sessionserver/decisionlog.cpp
+++ b/src/libs/sessionserver/decisionlog.cpp
@@ -2,16 +2,12 @@
 
 #include "logging/log.h"
 
-#include <algorithm>
-
 namespace SessionServer {
 
 namespace {
 
-    /// Log lines per second for each kind of decision; the next written line reports how many were omitted.
-    constexpr double linesPerSecond = 20;
-    /// Log lines of one kind that may be written at once.
-    constexpr double burst = 100;
+    /// Ids may be as long as a message.
+    constexpr std::size_t maxFieldBytes = 200;
 
     /// In the order of `DecisionKind`.
     constexpr std::array events { Logging::EventId::RequestRefused, Logging::EventId::RequestRetried,
@@ -29,24 +25,18 @@
 void DecisionLog::write(const Proxy::Decision& decision, Model::Time now)
 {
     const auto kind = static_cast<std::size_t>(decision.kind);
-    Budget& budget = m_budgets.at(kind);
-    const double elapsed = std::chrono::duration<double>(now - budget.refilledAt).count();
-    budget.lines = std::min(burst, budget.lines + elapsed * linesPerSecond);
-    budget.refilledAt = now;
-    if (budget.lines < 1) {
-        ++budget.omitted;
+    const auto omitted = m_budgets.at(kind).take(now);
+    if (!omitted)
         return;
-    }
-    budget.lines -= 1;
     Logging::write(events.at(kind),
-        { { "request", decision.request }, { "database", decision.database },
-            { "customer", decision.customer }, { "upstream", decision.upstream },
+        { { "request", decision.request.substr(0, maxFieldBytes) },
+            { "database", decision.database.substr(0, maxFieldBytes) }, { "customer", decision.customer },
+            { "upstream", decision.upstream },
             { "result", std::string(Proxy::resultInfo(decision.code).name) },
             { "reason", std::string(decision.reason) }, { "inputs", decision.inputs },
             { "ageMs", milliseconds(decision.age) }, { "attempts", std::to_string(decision.attempts) },
             { "configuration", std::to_string(decision.configuration) },
-            { "omitted", std::to_string(budget.omitted) } });
-    budget.omitted = 0;
+            { "omitted", std::to_string(*omitted) } });
 }
 
 }
--- a/src/libs/sessionserver/decisionlog.h
+++ b/src/libs/sessionserver/decisionlog.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "core/proxy/decision.h"
+#include "sessionserver/logbudget.h"
 
 #include <array>
-#include <cstdint>
 
 namespace SessionServer {
 
@@ -13,15 +13,7 @@
     void write(const Proxy::Decision& decision, Model::Time now);
 
 private:
-    /// Token bucket of the log lines of one kind.
-    struct Budget {
-        double lines = 0;
-        Model::Time refilledAt;
-        /// Lines not written since the last written one.
-        std::uint64_t omitted = 0;
-    };
-
-    std::array<Budget, 7> m_budgets;
+    std::array<LogBudget, 7> m_budgets;
 };
 
 }
--- a/src/libs/sessionserver/linesplitter.cpp
+++ b/src/libs/sessionserver/linesplitter.cpp
@@ -23,6 +23,19 @@
     return end == std::string_view::npos ? end : end + lineEnd.size();
 }
 
+void LineSplitter::append(std::string_view data)
+{
+    const std::size_t longest = m_maxLine + lineEnd.size();
+    if (m_partial.size() + data.size() > m_maxLine / 2 && m_partial.capacity() < longest) {
+        // A string that grows would double its capacity, beyond the longest line.
+        std::string whole;
+        whole.reserve(longest);
+        whole.append(m_partial);
+        m_partial.swap(whole);
+    }
+    m_partial.append(data);
+}
+
 bool LineSplitter::feed(std::string_view data, const std::function<bool(std::string_view)>& handle)
 {
     while (!data.empty()) {
@@ -31,7 +44,7 @@
             const std::size_t lineEndBegun = data.ends_with('\r') ? 1 : 0;
             if (m_partial.size() + data.size() > m_maxLine + lineEndBegun)
                 return false;
-            m_partial.append(data);
+            append(data);
             return true;
         }
         const std::size_t length = m_partial.size() + end - lineEnd.size();
--- a/src/libs/sessionserver/linesplitter.h
+++ b/src/libs/sessionserver/linesplitter.h
@@ -17,7 +17,13 @@
     /// discards the rest of `data`. Returns false if a line is longer than allowed.
     bool feed(std::string_view data, const std::function<bool(std::string_view)>& handle);
 
+    /// Whether no part of a line is waiting for its rest.
+    bool isEmpty() const { return m_partial.empty(); }
+    /// Memory that the incomplete line occupies.
+    std::size_t heldBytes() const { return m_partial.empty() ? 0 : m_partial.capacity(); }
+
 private:
+    void append(std::string_view data);
     std::size_t findEnd(std::string_view data) const;
 
     std::size_t m_maxLine;
--- a/src/libs/sessionserver/server.cpp
+++ b/src/libs/sessionserver/server.cpp
@@ -18,6 +18,19 @@
     /// The timer is restarted only if the next tick is earlier than the planned one by more than this.
     constexpr Model::Duration tickSlack = std::chrono::milliseconds(1);
 
+    /// Memory that a row occupies besides its content: its place in the list and in the answer.
+    constexpr std::size_t rowOverhead = 2 * sizeof(std::string) + 16;
+
+    /// Returns at least the size of the encoded answer.
+    std::size_t encodedBytes(const Proxy::Reply& answer)
+    {
+        constexpr std::size_t fixedParts = 128;
+        std::size_t result = answer.text.size() + fixedParts;
+        for (const std::string& row : answer.rows)
+            result += row.size() + rowOverhead;
+        return result;
+    }
+
 }
 
 Server::Server(EventLoop::Loop& loop, const Directory::View& view, Codec codec, Metrics::Registry& metrics,
@@ -29,10 +42,13 @@
     , m_listener(std::make_unique<EventLoop::TcpListener>(
           loop, [this](std::unique_ptr<EventLoop::TcpStream> stream) { accept(std::move(stream)); }))
     , m_timer(loop, [this] { tick(); })
+    , m_budget(m_settings.limits.memoryBytes)
     , m_statements(metrics.counter("parsleytack_statements_received_total"))
     , m_connectionsOpened(metrics.counter("parsleytack_upstream_connections_opened_total"))
     , m_sessions(metrics.gauge("parsleytack_sessions"))
     , m_latency(metrics.histogram("parsleytack_statement_microseconds"))
+    , m_limitLog(metrics)
+    , m_clientMemory(metrics.gauge("parsleytack_client_memory_bytes"))
     , m_engine(view, m_settings.zone, engineHooks(std::move(hooks)), m_settings.engine)
 {
 }
@@ -58,6 +74,9 @@
     result.send
         = [this](Proxy::ConnectionId id, std::span<const Proxy::Command> commands) { send(id, commands); };
     result.disconnect = [this](Proxy::ConnectionId id) { m_upstreams.erase(id); };
+    result.valuesRefused = [this](Proxy::SessionId id, std::size_t bytes) {
+        m_limitLog.reached(ClientLimit::SessionValues, id, bytes, EventLoop::now());
+    };
     result.admit = std::move(hooks.admit);
     result.explainLimit = std::move(hooks.explainLimit);
     result.mayUsePrimaries = std::move(hooks.mayUsePrimaries);
@@ -73,26 +92,42 @@
 
 void Server::accept(std::unique_ptr<EventLoop::TcpStream> stream)
 {
-    if (m_callers.size() >= m_settings.maxSessions)
+    if (m_callers.size() >= m_settings.maxSessions) {
+        m_limitLog.reached(ClientLimit::Sessions, 0, 0, EventLoop::now());
         return;
+    }
     const Proxy::SessionId id = ++m_lastSession;
     EventLoop::StreamHooks hooks;
-    hooks.received = [this, id](std::string_view data) {
-        const auto caller = m_callers.find(id);
-        if (caller == m_callers.end())
-            return;
-        const bool isValid = caller->second.splitter.feed(
-            data, [this, id](std::string_view line) { return receive(id, line); });
-        if (!isValid)
-            callerClosed(id);
-        scheduleTick();
-    };
+    hooks.received = [this, id](std::string_view data) { receiveData(id, data); };
+    hooks.sent = [this, id] { settleCaller(id); };
     hooks.closed = [this, id] {
         callerClosed(id);
         scheduleTick();
     };
     stream->setHooks(std::move(hooks));
-    m_callers.emplace(id, Caller { std::move(stream), LineSplitter(m_codec.maxLine) });
+    Caller caller { std::move(stream), LineSplitter(m_codec.maxLine), MemoryCharge(m_budget) };
+    caller.messageSince = EventLoop::now();
+    m_callers.emplace(id, std::move(caller));
+}
+
+void Server::receiveData(Proxy::SessionId id, std::string_view data)
+{
+    const auto caller = m_callers.find(id);
+    if (caller == m_callers.end())
+        return;
+    MessageProgress progress = MessageProgress::Begun;
+    const bool isValid = caller->second.splitter.feed(data, [this, id, &progress](std::string_view line) {
+        progress = MessageProgress::Completed;
+        return receive(id, line);
+    });
+    if (!isValid) {
+        disconnectCaller(id, ClientLimit::MessageLength, caller->second.charge.bytes());
+    } else if (m_callers.contains(id)) {
+        noteMessageBegin(m_callers.at(id), progress);
+        settleCaller(id);
+    }
+    enforceBudget();
+    scheduleTick();
 }
 
 /// Returns whether the caller is still connected.
@@ -107,6 +142,8 @@
     } else if (message.kind == CallerMessageKind::Statement && caller.isOpen) {
         m_statements.add();
         m_engine.handle(id, std::move(message.statement), now);
+        if (!m_callers.contains(id) && !m_isShuttingDown)
+            m_limitLog.reached(ClientLimit::PipelinedStatements, id, 0, now);
     } else {
         callerClosed(id);
     }
@@ -136,14 +173,18 @@
     if (caller == m_callers.end())
         return;
     m_buffer.clear();
+    m_buffer.reserve(encodedBytes(answer));
     if (!caller->second.isGreeted)
         m_codec.encodeGreeting(m_buffer, answer);
     else
         m_codec.encodeReply(m_buffer, answer);
     caller->second.isGreeted = true;
-    caller->second.stream->write(m_buffer);
-    if (caller->second.stream->unsentBytes() > maxUnsentBytes)
+    sendBuffer(*caller->second.stream);
+    settleCaller(id);
+    if (caller->second.stream->unsentBytes() > maxUnsentBytes) {
+        m_limitLog.reached(ClientLimit::UnreadAnswers, id, caller->second.charge.bytes(), EventLoop::now());
         m_loop.post([this, id] { callerClosed(id); });
+    }
 }
 
 void Server::reject(Proxy::SessionId id, Proxy::ResultCode code, std::string_view text)
@@ -160,23 +201,15 @@
 void Server::connect(Proxy::ConnectionId id, const Directory::Upstream& upstream, const std::string& customer)
 {
     m_connectionsOpened.add();
-    UpstreamConnection connection { nullptr, LineSplitter(m_codec.maxLine) };
+    UpstreamConnection connection { nullptr, LineSplitter(m_codec.maxLine), MemoryCharge(m_budget) };
     m_codec.encodeOpen(connection.openMessage, upstream, customer);
     EventLoop::StreamHooks hooks;
     hooks.connected = [this, id] {
         UpstreamConnection& open = m_upstreams.at(id);
         open.stream->write(open.openMessage);
     };
-    hooks.received = [this, id](std::string_view data) {
-        const auto open = m_upstreams.find(id);
-        if (open == m_upstreams.end())
-            return;
-        const bool isValid = open->second.splitter.feed(
-            data, [this, id](std::string_view line) { return receiveFromUpstream(id, line); });
-        if (!isValid)
-            upstreamClosed(id);
-        scheduleTick();
-    };
+    hooks.received = [this, id](std::string_view data) { receiveUpstreamData(id, data); };
+    hooks.sent = [this, id] { settleUpstream(id); };
     hooks.closed = [this, id] {
         upstreamClosed(id);
         scheduleTick();
@@ -185,6 +218,23 @@
     m_upstreams.emplace(id, std::move(connection));
 }
 
+void Server::receiveUpstreamData(Proxy::ConnectionId id, std::string_view data)
+{
+    const auto open = m_upstreams.find(id);
+    if (open == m_upstreams.end())
+        return;
+    const bool isValid = open->second.splitter.feed(
+        data, [this, id](std::string_view line) { return receiveFromUpstream(id, line); });
+    if (!isValid)
+        upstreamClosed(id);
+    settleUpstream(id);
+    const auto left = m_upstreams.find(id);
+    if (left != m_upstreams.end() && left->second.charge.bytes() > m_budget.limitOfClient())
+        closeUpstream(id, ClientLimit::ClientMemory);
+    enforceBudget();
+    scheduleTick();
+}
+
 /// Returns whether the connection still exists.
 bool Server::receiveFromUpstream(Proxy::ConnectionId id, std::string_view line)
 {
@@ -193,7 +243,11 @@
     UpstreamConnection& connection = m_upstreams.at(id);
     switch (message.kind) {
     case UpstreamMessageKind::Row:
-        connection.reply.rows.push_back(std::move(message.text));
+        // The first row is kept in any case: it answers a command of the proxy itself.
+        if (connection.reply.rows.empty() || isAnswerExpected(id)) {
+            connection.replyBytes += message.text.size() + rowOverhead;
+            connection.reply.rows.push_back(std::move(message.text));
+        }
         break;
     case UpstreamMessageKind::Complete:
         connection.reply.text = std::move(message.text);
@@ -205,11 +259,13 @@
             return false;
         }
         connection.reply.rows.clear();
+        connection.replyBytes = 0;
         connection.reply.code = message.code;
         connection.reply.text = std::move(message.text);
         break;
     case UpstreamMessageKind::Ready: {
         Proxy::Reply reply = std::exchange(connection.reply, {});
+        connection.replyBytes = 0;
         reply.state = message.state;
         reply.position = message.position;
         if (std::exchange(connection.isOpen, true))
@@ -239,7 +295,8 @@
     m_buffer.clear();
     for (const Proxy::Command& command : commands)
         m_codec.encodeCommand(m_buffer, command);
-    connection->second.stream->write(m_buffer);
+    sendBuffer(*connection->second.stream);
+    settleUpstream(id);
 }
 
 void Server::directoryChanged()
@@ -294,6 +351,9 @@
     m_tickAt.reset();
     m_sessions.set(static_cast<std::int64_t>(m_engine.sessionCount()));
     m_engine.tick(now);
+    checkMessageTimes(now);
+    m_clientMemory.set(static_cast<std::int64_t>(m_budget.used()));
+    enforceBudget();
     scheduleTick();
 }
 
--- a/src/libs/sessionserver/server.h
+++ b/src/libs/sessionserver/server.h
@@ -5,9 +5,11 @@
 #include "eventloop/loop.h"
 #include "eventloop/tcplistener.h"
 #include "eventloop/timer.h"
+#include "sessionserver/clientlimits.h"
 #include "sessionserver/codec.h"
 #include "sessionserver/decisionlog.h"
 #include "sessionserver/linesplitter.h"
+#include "sessionserver/memorybudget.h"
 
 #include <memory>
 #include <optional>
@@ -31,6 +33,7 @@
     /// Connections of further callers are closed at once.
     std::size_t maxSessions = 3200;
     Proxy::EngineSettings engine;
+    ClientLimits limits;
 };
 
 /// Callbacks that the owner of the server supplies.
@@ -81,6 +84,12 @@
     struct Caller {
         std::unique_ptr<EventLoop::TcpStream> stream;
         LineSplitter splitter;
+        MemoryCharge charge;
+        /// When the message began whose rest has not arrived. Before the session is requested, the time of
+        /// the connection; empty if no message has begun.
+        std::optional<Model::Time> messageSince;
+        /// Its data is not read at present.
+        bool isPaused = false;
         /// The caller has requested a session.
         bool isOpen = false;
         /// The session was accepted.
@@ -89,13 +98,17 @@
     struct UpstreamConnection {
         std::unique_ptr<EventLoop::TcpStream> stream;
         LineSplitter splitter;
+        MemoryCharge charge;
         /// The part of the current answer that has arrived.
-        Proxy::Reply reply;
+        Proxy::Reply reply {};
+        /// Memory that its rows occupy.
+        std::size_t replyBytes = 0;
         /// The upstream has accepted the connection.
         bool isOpen = false;
         /// Sent first on the connection.
-        std::string openMessage;
+        std::string openMessage {};
     };
+    enum class MessageProgress : std::uint8_t { Begun, Completed };
 
     Proxy::EngineHooks engineHooks(ServerHooks hooks);
     void accept(std::unique_ptr<EventLoop::TcpStream> stream);
@@ -110,6 +123,18 @@
     void upstreamClosed(Proxy::ConnectionId id);
     void send(Proxy::ConnectionId id, std::span<const Proxy::Command> commands);
 
+    void settleCaller(Proxy::SessionId id);
+    void settleUpstream(Proxy::ConnectionId id);
+    static void noteMessageBegin(Caller& caller, MessageProgress progress);
+    void enforceBudget();
+    void disconnectCaller(Proxy::SessionId id, ClientLimit limit, std::size_t bytes);
+    void closeUpstream(Proxy::ConnectionId id, ClientLimit limit);
+    bool isAnswerExpected(Proxy::ConnectionId id) const;
+    void checkMessageTimes(Model::Time now);
+    void sendBuffer(EventLoop::TcpStream& stream);
+    void receiveData(Proxy::SessionId id, std::string_view data);
+    void receiveUpstreamData(Proxy::ConnectionId id, std::string_view data);
+
     void countAnswer(const Proxy::Session& session, Proxy::ResultCode code, Model::Duration elapsed);
     void tick();
     void scheduleTick();
@@ -120,6 +145,8 @@
     ServerSettings m_settings;
     std::unique_ptr<EventLoop::TcpListener> m_listener;
     EventLoop::Timer m_timer;
+    /// The charges of callers and upstreams refer to it.
+    MemoryBudget m_budget;
     std::unordered_map<Proxy::SessionId, Caller> m_callers;
     std::unordered_map<Proxy::ConnectionId, UpstreamConnection> m_upstreams;
     /// Callers whose sessions have ended with a part of their answers still to be sent.
@@ -136,6 +163,9 @@
     std::map<std::pair<std::string, Proxy::ResultCode>, Metrics::Counter*> m_answers;
     std::string m_buffer;
     DecisionLog m_decisionLog;
+    ClientLimitLog m_limitLog;
+    Model::Time m_nextMessageCheck;
+    Metrics::Counter& m_clientMemory;
     Proxy::Engine m_engine;
 };
 
--- a/src/libs/settings/proxysettings.cpp
+++ b/src/libs/settings/proxysettings.cpp
@@ -2,6 +2,7 @@
 
 #include "settings/fieldreader.h"
 
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 
@@ -21,9 +22,29 @@
     /// Enough for the connections to the store, the probe, the other hosts and the upstreams, and for some
     /// callers.
     constexpr int minDescriptors = 700;
+    constexpr int maxMemoryMb = 1048576;
+    /// A client may occupy a quarter, and a message has up to 1 MiB.
+    constexpr int minClientMemoryMb = 16;
+    /// The rest is for the program itself, the fleet's state and the system's buffers of the connections.
+    constexpr int clientMemoryDivisor = 4;
+    constexpr int unknownMachineClientMemoryMb = 256;
+    constexpr int minMessageTimeoutMs = 100;
+    constexpr int maxMessageTimeoutMs = 600000;
+    /// A message of the greatest length has to fit.
+    constexpr int minSessionKb = 1100;
+    constexpr int maxSessionKb = 1048576;
 
 }
 
+int ProxySettings::effectiveClientMemoryMb() const
+{
+    if (clientMemoryMb != 0)
+        return clientMemoryMb;
+    if (memoryMb == 0)
+        return unknownMachineClientMemoryMb;
+    return std::max(minClientMemoryMb, memoryMb / clientMemoryDivisor);
+}
+
 Model::Result<ProxySettings> parseProxySettings(std::string_view json)
 {
     const auto document = nlohmann::json::parse(json, nullptr, false);
@@ -48,6 +69,11 @@
     reader.boolean("scheduleStatements", settings.scheduleStatements);
     reader.boolean("balanceUpstreams", settings.balanceUpstreams);
     reader.boolean("forwardStatements", settings.forwardStatements);
+    reader.integer("memoryMb", settings.memoryMb, 0, maxMemoryMb);
+    reader.integer("clientMemoryMb", settings.clientMemoryMb, minClientMemoryMb, maxMemoryMb);
+    reader.integer("messageTimeoutMs", settings.messageTimeoutMs, minMessageTimeoutMs, maxMessageTimeoutMs);
+    reader.integer("pipelinedKb", settings.pipelinedKb, minSessionKb, maxSessionKb);
+    reader.integer("sessionValuesKb", settings.sessionValuesKb, minSessionKb, maxSessionKb);
     if (!reader.error().empty())
         return makeError(ErrorCode::InvalidRequest, reader.error());
     return settings;
--- a/src/libs/settings/proxysettings.h
+++ b/src/libs/settings/proxysettings.h
@@ -43,6 +43,19 @@
     bool scheduleStatements = false;
     bool balanceUpstreams = false;
     bool forwardStatements = false;
+    /// Memory of the machine in MB; 0 if it is unknown.
+    int memoryMb = 0;
+    /// Memory for all clients together in MB; 0 for a share of the machine's memory.
+    int clientMemoryMb = 0;
+    /// Time for a caller's message from its first byte to its last one, in ms.
+    int messageTimeoutMs = 30000;
+    /// Statements of a session that wait for the previous one, in KB, before reading from it pauses.
+    int pipelinedKb = 2048;
+    /// Values and prepared statements of a session, in KB.
+    int sessionValuesKb = 2048;
+
+    /// Memory for all clients together, in MB.
+    int effectiveClientMemoryMb() const;
 };
 
 /// Parses settings from JSON text. Unknown fields are ignored, since the platform adds fields of its own. The
--- a/src/tools/parsleytackd/sessionproxy.cpp
+++ b/src/tools/parsleytackd/sessionproxy.cpp
@@ -11,6 +11,8 @@
 #include <cstdlib>
 #include <iostream>
 
+#include <malloc.h>
+
 namespace {
 
 /// Reads the settings file again and applies the settings that can change while the process runs. Invalid
@@ -25,11 +27,22 @@
     host.changeSettings(*settings);
 }
 
+/// Makes the allocator return large blocks to the system. By default it keeps up to 64 MiB of the blocks that
+/// it has seen freed, which a small machine lacks.
+void returnFreedMemory()
+{
+    constexpr int mappedBlockBytes = 256 * 1024;
+    constexpr int keptBytes = 1024 * 1024;
+    mallopt(M_MMAP_THRESHOLD, mappedBlockBytes);
+    mallopt(M_TRIM_THRESHOLD, keptBytes);
+}
+
 }
 
 ExitCode runSessionProxy(const std::string& settingsFile, const Settings::ProxySettings& settings)
 {
     std::signal(SIGPIPE, SIG_IGN);
+    returnFreedMemory();
     Logging::configure({ {}, settings.host, settings.traceSampleRate });
     EventLoop::Loop loop;
     const auto storeEpoch = std::make_shared<Adapter::StoreEpoch>();
--- a/tests/auto/core/proxy/tst_connection.cpp
+++ b/tests/auto/core/proxy/tst_connection.cpp
@@ -43,3 +43,18 @@
     commandsToMatch(connection, {}, &two);
     EXPECT_NE(connection.prepared.at(one), connection.prepared.at(two));
 }
+
+// Guards against a connection that collects the prepared statements of all sessions that used it.
+TEST(Connection, ForgetsPreparedStatementsBeyondLimit)
+{
+    Connection connection;
+    bool wasReset = false;
+    for (int i = 0; i < 100; ++i) {
+        const PreparedShape shape { PreparedKind::Read, std::to_string(i) + std::string(100UL * 1024, 'x') };
+        for (const Command& command : commandsToMatch(connection, {}, &shape))
+            wasReset = wasReset || command.kind == CommandKind::Reset;
+        EXPECT_LE(connection.contextBytes, 4300UL * 1024);
+        EXPECT_TRUE(connection.prepared.contains(shape));
+    }
+    EXPECT_TRUE(wasReset);
+}
--- a/tests/auto/core/proxy/tst_engine.cpp
+++ b/tests/auto/core/proxy/tst_engine.cpp
@@ -310,3 +310,38 @@
     EXPECT_EQ(m_rejections[session], ResultCode::Busy);
     EXPECT_FALSE(m_rejections.contains(closed));
 }
+
+// Guards against a session that keeps values and prepared statements without a limit.
+TEST_F(EngineFixture, RefusesValuesBeyondLimitOfSession)
+{
+    const SessionId session = open("strict");
+    const std::string large(512UL * 1024, 'x');
+    for (const char* name : { "a", "b", "c" }) {
+        send(session, named(StatementKind::Set, name, large));
+        EXPECT_EQ(lastReply(session).code, ResultCode::Complete);
+    }
+    send(session, named(StatementKind::Prepare, "d", large));
+    EXPECT_EQ(lastReply(session).code, ResultCode::Malformed);
+    send(session, named(StatementKind::Set, "a", "small"));
+    send(session, named(StatementKind::Prepare, "d", large));
+    EXPECT_EQ(lastReply(session).code, ResultCode::Complete);
+    const std::size_t before = m_engine->sessionBytes(session).context;
+    send(session, named(StatementKind::Close, "d"));
+    EXPECT_EQ(before - m_engine->sessionBytes(session).context, large.size() + 161);
+}
+
+// Guards against waiting statements whose memory is not reported, so that a session may send too far ahead,
+// or stays reported, so that it is never read again.
+TEST_F(EngineFixture, ReportsMemoryOfWaitingStatements)
+{
+    const SessionId session = open("strict");
+    EXPECT_EQ(m_engine->sessionBytes(session).statements, 0U);
+    for (int i = 0; i < 3; ++i)
+        send(session, statement(StatementKind::Write, std::string(1000, 'x')));
+    EXPECT_GE(m_engine->sessionBytes(session).statements, 3000U);
+    acceptConnections();
+    for (int i = 0; i < 3; ++i)
+        answer(linkTo("p"));
+    EXPECT_EQ(replyCount(session), 4U);
+    EXPECT_EQ(m_engine->sessionBytes(session).statements, 0U);
+}
--- a/tests/auto/sessionproxy/tst_sessionproxy.cpp
+++ b/tests/auto/sessionproxy/tst_sessionproxy.cpp
@@ -601,3 +601,36 @@
         [&] { return cluster.host(1).output().find("\"host_row_lost\"") != std::string::npos; }, 2s));
     EXPECT_TRUE(writeUntilComplete(cluster, 1, "after"));
 }
+
+// Guards against limits that a client within them reaches: the longest messages, as many ahead as are
+// permitted, on the smallest machine.
+TEST(SessionProxy, ServesLargeStatementsSentAhead)
+{
+    TestCluster cluster(1);
+    cluster.host(0).kill();
+    cluster.setLimit("memoryMb", 160);
+    cluster.startHost(0);
+    ASSERT_TRUE(waitUntil([&] { return cluster.isReady(0); }));
+    constexpr int statements = 64;
+    constexpr std::size_t maxMessage = 1024UL * 1024;
+    std::vector<std::unique_ptr<Client>> clients;
+    std::vector<std::thread> senders;
+    for (int i = 0; i < 3; ++i) {
+        clients.push_back(std::make_unique<Client>(cluster.callers(0)));
+        ASSERT_TRUE(clients.back()->open("strict", "key-1").starts_with("READY"));
+        senders.emplace_back([&client = *clients.back()] {
+            const std::string begin = "QUERY id WRITE item ";
+            for (int j = 0; j < statements; ++j)
+                client.sendRaw(begin + std::string(maxMessage - begin.size(), 'x') + "\r\n");
+        });
+    }
+    for (const auto& client : clients) {
+        for (int j = 0; j < statements; ++j) {
+            EXPECT_TRUE(client->line().value_or("").starts_with("COMPLETE"));
+            EXPECT_TRUE(client->line().value_or("").starts_with("READY"));
+        }
+    }
+    for (std::thread& sender : senders)
+        sender.join();
+    EXPECT_EQ(cluster.databases().commits(std::string(maxMessage - 20, 'x')), 3 * statements);
+}
--- a/tests/auto/sessionserver/tst_linesplitter.cpp
+++ b/tests/auto/sessionserver/tst_linesplitter.cpp
@@ -61,3 +61,17 @@
     EXPECT_TRUE(splitter.feed("a\r\nb\r\nc\r\n", [&](std::string_view) { return ++count < 2; }));
     EXPECT_EQ(count, 2);
 }
+
+// Guards against an incomplete line that occupies memory without being charged, or twice its greatest length.
+TEST(LineSplitter, ReportsMemoryOfIncompleteLine)
+{
+    LineSplitter splitter(100000);
+    const auto handle = [](std::string_view) { return true; };
+    for (int i = 0; i < 99; ++i)
+        EXPECT_TRUE(splitter.feed(std::string(1000, 'x'), handle));
+    EXPECT_GE(splitter.heldBytes(), 99000U);
+    EXPECT_LE(splitter.heldBytes(), 110000U);
+    EXPECT_TRUE(splitter.feed("\r\n", handle));
+    EXPECT_EQ(splitter.heldBytes(), 0U);
+    EXPECT_TRUE(splitter.isEmpty());
+}
--- a/tests/auto/settings/tst_proxysettings.cpp
+++ b/tests/auto/settings/tst_proxysettings.cpp
@@ -16,7 +16,10 @@
         { "probe", "10.0.0.1:8460" }, { "probePath", "/ready" }, { "ip", "10.0.0.1" },
         { "peerPorts", { 7560, 7575 } }, { "store", "10.0.0.9:8466" }, { "promoter", "10.0.0.8:8466" },
         { "promoterChecksFencing", false }, { "shutdownMs", 6000 }, { "maxDescriptors", 4200 },
-        { "forgetHostsAfterS", 60 }, { "traceSampleRate", 0.5 } };
+        { "forgetHostsAfterS", 60 }, { "traceSampleRate", 0.5 }, { "scheduleStatements", true },
+        { "balanceUpstreams", true }, { "forwardStatements", true }, { "memoryMb", 160 },
+        { "clientMemoryMb", 48 }, { "messageTimeoutMs", 5000 }, { "pipelinedKb", 1200 },
+        { "sessionValuesKb", 1300 } };
 }
 
 }
@@ -34,6 +37,27 @@
     EXPECT_EQ(settings->shutdownMs, 6000);
     EXPECT_EQ(settings->forgetHostsAfterS, 60);
     EXPECT_EQ(settings->traceSampleRate, 0.5);
+    EXPECT_TRUE(settings->scheduleStatements);
+    EXPECT_TRUE(settings->balanceUpstreams);
+    EXPECT_TRUE(settings->forwardStatements);
+    EXPECT_EQ(settings->memoryMb, 160);
+    EXPECT_EQ(settings->clientMemoryMb, 48);
+    EXPECT_EQ(settings->messageTimeoutMs, 5000);
+    EXPECT_EQ(settings->pipelinedKb, 1200);
+    EXPECT_EQ(settings->sessionValuesKb, 1300);
+}
+
+// Guards against a host that lets clients use more memory than its machine has, or too little to serve one.
+TEST(ProxySettings, MemoryOfClientsFollowsFromMachine)
+{
+    ProxySettings settings;
+    EXPECT_EQ(settings.effectiveClientMemoryMb(), 256);
+    settings.memoryMb = 160;
+    EXPECT_EQ(settings.effectiveClientMemoryMb(), 40);
+    settings.memoryMb = 32;
+    EXPECT_EQ(settings.effectiveClientMemoryMb(), 16);
+    settings.clientMemoryMb = 20;
+    EXPECT_EQ(settings.effectiveClientMemoryMb(), 20);
 }
 
 // Guards against a process that starts with a missing or invalid field, and against an error message that
@@ -48,10 +72,11 @@
         ASSERT_FALSE(settings) << field;
         EXPECT_NE(settings.error().message.find(field), std::string::npos) << settings.error().message;
     }
-    for (const auto& [field, value] :
-        std::vector<std::pair<std::string, nlohmann::json>> { { "peerPorts", { 7575, 7560 } },
-            { "peerPorts", { 1 } }, { "callers", "localhost:1" }, { "shutdownMs", -1 },
-            { "maxDescriptors", 10 }, { "forgetHostsAfterS", 0 }, { "traceSampleRate", 1.5 } }) {
+    for (const auto& [field, value] : std::vector<std::pair<std::string, nlohmann::json>> {
+             { "peerPorts", { 7575, 7560 } }, { "peerPorts", { 1 } }, { "callers", "localhost:1" },
+             { "shutdownMs", -1 }, { "maxDescriptors", 10 }, { "forgetHostsAfterS", 0 },
+             { "traceSampleRate", 1.5 }, { "clientMemoryMb", 1 }, { "messageTimeoutMs", 0 },
+             { "pipelinedKb", 1000 }, { "sessionValuesKb", 1000 } }) {
         auto json = validSettings();
         json[field] = value;
         EXPECT_FALSE(parseProxySettings(json.dump())) << field;
