Refuse long messages at the probe and the port between hosts

Cause: the HTTP library collected the body of any request to the probe, and a subscriber of the port between hosts could announce and send a message of any length. Twenty connections that sent 16 MiB each drove a process to 346 MB in both cases.

Change: bodies to the probe are cut at 1 KiB. ZeroMQ refuses subscriptions above 4 KiB and reports above 1 MiB.

--- a/src/libs/peerbus/peerbus.cpp
+++ b/src/libs/peerbus/peerbus.cpp
@@ -3,6 +3,7 @@
 #include "eventloop/loop.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <map>
 #include <vector>
 
@@ -23,6 +24,11 @@
     /// The operating system repeats a lost connection request only after seconds.
     constexpr int connectTimeoutMs = 500;
 
+    /// A report of a fleet of the design size has less than half of it.
+    constexpr std::int64_t maxReportBytes = 1024L * 1024;
+    /// Subscribers send only the prefixes of the messages that they want.
+    constexpr std::int64_t maxSubscriptionBytes = 4096;
+
     std::string endpoint(const std::string& address) { return "tcp://" + address; }
 
     void configure(zmq::socket_t& socket)
@@ -78,6 +84,8 @@
 {
     configure(m_d->publisher);
     configure(m_d->subscriber);
+    m_d->publisher.set(zmq::sockopt::maxmsgsize, maxSubscriptionBytes);
+    m_d->subscriber.set(zmq::sockopt::maxmsgsize, maxReportBytes);
     m_d->poll = new uv_poll_t {};
     m_d->poll->data = m_d.get();
     uv_poll_init(loop.handle(), m_d->poll, m_d->subscriber.get(zmq::sockopt::fd));
--- a/src/libs/probe/probeserver.cpp
+++ b/src/libs/probe/probeserver.cpp
@@ -16,6 +16,8 @@
     constexpr unsigned statusNotReady = 503;
     constexpr std::intptr_t connectionLimit = 32;
     constexpr std::intptr_t idleTimeoutSeconds = 30;
+    /// No request to the probe needs a body; the HTTP library would collect any in memory.
+    constexpr std::size_t maxBodyBytes = 1024;
 
 }
 
@@ -63,6 +65,9 @@
     inet_pton(AF_INET, m_settings.ip.c_str(), &m_d->address.sin_addr);
     if (ulfius_init_instance(&m_d->instance, m_settings.port, &m_d->address, nullptr) != U_OK)
         return "cannot initialize the HTTP server of the readiness probe";
+    m_d->instance.max_post_body_size = maxBodyBytes;
+    m_d->instance.max_post_param_size = maxBodyBytes;
+    m_d->instance.allowed_post_processor = U_POST_PROCESS_NONE;
     ulfius_add_endpoint_by_val(
         &m_d->instance, "GET", nullptr, m_settings.path.c_str(), 0, &Private::onProbe, m_d.get());
     ulfius_add_endpoint_by_val(&m_d->instance, "GET", nullptr, "/metrics", 0, &Private::onMetrics, m_d.get());
--- a/tests/auto/sessionproxy/testcluster.h
+++ b/tests/auto/sessionproxy/testcluster.h
@@ -80,6 +80,9 @@
     {
         return m_hosts.at(static_cast<std::size_t>(host)).callers->address();
     }
+    /// Addresses of the probe and for messages of other hosts, of the form IP:PORT.
+    std::string probe(int host) const { return m_hosts.at(static_cast<std::size_t>(host)).probe->address(); }
+    std::string peers(int host) const { return m_hosts.at(static_cast<std::size_t>(host)).peers->address(); }
     /// Requests a path, such as that of the readiness probe or of the metrics, from the host's probe address.
     /// Returns the whole HTTP response; empty if there is none.
     std::string get(int host, const std::string& path) const;
