--- a/src/libs/proxyhost/fleet.cpp
+++ b/src/libs/proxyhost/fleet.cpp
@@ -5,6 +5,7 @@
 #include "proxyhost/rows.h"
 #include "wire/hostreport.pb.h"
 
+#include <algorithm>
 #include <cmath>
 #include <set>
 
@@ -17,6 +18,9 @@
     /// How often the list of the hosts that count customers' operations is updated.
     constexpr Model::Duration countingHostsPeriod = std::chrono::seconds(1);
 
+    /// No host opens more connections to one upstream.
+    constexpr std::uint32_t maxReportedConnections = 100000;
+
     /// Start of each report: the tag of its first field.
     constexpr const char* reportPrefix = "\x0a";
 
@@ -286,12 +290,14 @@
             report.host(), report.incarnation(), report.sequence(), readFences(report), now);
     }
     Allowance::UsageReport usage { report.host(), report.incarnation(), {} };
-    for (const Wire::CustomerUsage& entry : report.usage())
-        usage.usage.push_back({ entry.customer(), entry.admitted(), entry.demand(), entry.available() });
+    for (const Wire::CustomerUsage& entry : report.usage()) {
+        if (std::isfinite(entry.demand()) && entry.demand() >= 0 && std::isfinite(entry.available()))
+            usage.usage.push_back({ entry.customer(), entry.admitted(), entry.demand(), entry.available() });
+    }
     m_allowance.receive(usage, now);
     std::unordered_map<std::uint32_t, int> open;
     for (const Wire::ConnectionUse& entry : report.connections())
-        open.emplace(entry.upstream(), static_cast<int>(entry.open()));
+        open.emplace(entry.upstream(), static_cast<int>(std::min(entry.open(), maxReportedConnections)));
     m_ledger.setOpen(report.host(), std::move(open), now);
     if (report.host() != m_self)
         m_versions.reported(report.host(), report.configuration(), now);
--- a/src/libs/proxyhost/fleet.h
+++ b/src/libs/proxyhost/fleet.h
@@ -101,9 +101,12 @@
     /// a second.
     void sendCounts(Model::Time now);
 
-private:
+    /// Handles a report, or counts of customers' operations, of another host. Invalid ones are logged, and
+    /// values that no host sends are left out.
     void receive(std::string_view message);
     void receiveCounts(std::string_view message);
+
+private:
     void updateCountingHosts(Model::Time now);
     void sendBalances(Model::Time now);
 
