--- a/src/libs/core/proxy/engine.cpp
+++ b/src/libs/core/proxy/engine.cpp
@@ -30,6 +30,7 @@
             m_hooks.closeSession(id);
             return;
         }
+        session->pipelinedBytes += statementBytes(statement);
         session->pipelined.push_back(std::move(statement));
         return;
     }
@@ -102,13 +103,12 @@
         m_active.erase(session.id);
         break;
     case StatementKind::Set:
-        session.context.values[statement.name] = statement.argument;
-        break;
     case StatementKind::Prepare:
-        session.context.prepared[statement.name] = { statement.prepared, statement.argument };
+        if (!keepValue(session, statement))
+            return;
         break;
     case StatementKind::Close:
-        session.context.prepared.erase(statement.name);
+        closePrepared(session.context, statement.name);
         break;
     default:
         m_hooks.reply(session.id, errorReply(ResultCode::Malformed, "unknown statement", session.state));
@@ -396,6 +396,7 @@
          session = findSession(id)) {
         Statement next = std::move(session->pipelined.front());
         session->pipelined.pop_front();
+        session->pipelinedBytes -= statementBytes(next);
         handle(id, std::move(next), now);
     }
 }
--- a/src/libs/proxyhost/fleet.h
+++ b/src/libs/proxyhost/fleet.h
@@ -111,6 +111,11 @@
     /// Stops to receive from hosts that were removed a while ago.
     void removeDeparted(Model::Time now);
 
+    /// Handles a report, or counts of customers' operations, of another host. Invalid ones are logged, and
+    /// values that no host sends are left out.
+    void receive(std::string_view message);
+    void receiveCounts(std::string_view message);
+
 private:
     /// A host that has removed its row to shut down. It still sends its counts of usage.
     struct Departed {
@@ -118,9 +123,7 @@
         Model::Time until;
     };
 
-    void receive(std::string_view message);
     void noteIncarnation(const std::string& host, std::uint64_t incarnation);
-    void receiveCounts(std::string_view message);
     void updateCountingHosts(Model::Time now);
     void receiveUsage(std::string_view message);
     void connectToHosts();
--- a/src/libs/proxyhost/proxyhost.cpp
+++ b/src/libs/proxyhost/proxyhost.cpp
@@ -30,6 +30,7 @@
     constexpr double exitFraction = 0.85;
     /// Time for the last counts of usage to be sent.
     constexpr Model::Duration lastUsageDelay = std::chrono::milliseconds(150);
+    constexpr std::size_t bytesPerKb = 1024;
 
     std::string milliseconds(Model::Duration duration)
     {
@@ -46,7 +47,10 @@
     , m_server(loop, m_view, std::move(codec), m_metrics,
           { settings.zone, settings.callers.ip, settings.callers.port,
               static_cast<std::size_t>(settings.maxDescriptors - reservedDescriptors),
-              { settings.scheduleStatements, settings.balanceUpstreams, settings.forwardStatements } },
+              { settings.scheduleStatements, settings.balanceUpstreams, settings.forwardStatements,
+                  settings.sessionValuesKb * bytesPerKb },
+              { settings.effectiveClientMemoryMb() * bytesPerKb * bytesPerKb,
+                  settings.pipelinedKb * bytesPerKb, std::chrono::milliseconds(settings.messageTimeoutMs) } },
           serverHooks())
     , m_forwarding(settings.forwardStatements ? std::make_unique<StatementForwarding>(loop, settings.host,
                        settings.zone, m_server, [this] { return m_view.configuration() && m_hasUpstreams; })
--- a/src/libs/settings/proxysettings.cpp
+++ b/src/libs/settings/proxysettings.cpp
@@ -2,6 +2,7 @@
 
 #include "settings/fieldreader.h"
 
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 
@@ -25,9 +26,29 @@
     constexpr int maxUsageWindowS = 3600;
     /// A second host has to wait for the end of the first one's lease, which takes 3.2 s.
     constexpr int minUsageDueS = 8;
+    constexpr int maxMemoryMb = 1048576;
+    /// A client may occupy a quarter, and a message has up to 1 MiB.
+    constexpr int minClientMemoryMb = 16;
+    /// The rest is for the program itself, the fleet's state and the system's buffers of the connections.
+    constexpr int clientMemoryDivisor = 4;
+    constexpr int unknownMachineClientMemoryMb = 256;
+    constexpr int minMessageTimeoutMs = 100;
+    constexpr int maxMessageTimeoutMs = 600000;
+    /// A message of the greatest length has to fit.
+    constexpr int minSessionKb = 1100;
+    constexpr int maxSessionKb = 1048576;
 
 }
 
+int ProxySettings::effectiveClientMemoryMb() const
+{
+    if (clientMemoryMb != 0)
+        return clientMemoryMb;
+    if (memoryMb == 0)
+        return unknownMachineClientMemoryMb;
+    return std::max(minClientMemoryMb, memoryMb / clientMemoryDivisor);
+}
+
 Model::Result<ProxySettings> parseProxySettings(std::string_view json)
 {
     const auto document = nlohmann::json::parse(json, nullptr, false);
@@ -61,6 +82,11 @@
     reader.fraction("processorShare", settings.processorShare);
     reader.integer("usageWindowS", settings.usageWindowS, 0, maxUsageWindowS);
     reader.integer("usageDueS", settings.usageDueS, minUsageDueS, maxUsageWindowS);
+    reader.integer("memoryMb", settings.memoryMb, 0, maxMemoryMb);
+    reader.integer("clientMemoryMb", settings.clientMemoryMb, minClientMemoryMb, maxMemoryMb);
+    reader.integer("messageTimeoutMs", settings.messageTimeoutMs, minMessageTimeoutMs, maxMessageTimeoutMs);
+    reader.integer("pipelinedKb", settings.pipelinedKb, minSessionKb, maxSessionKb);
+    reader.integer("sessionValuesKb", settings.sessionValuesKb, minSessionKb, maxSessionKb);
     if (!reader.error().empty())
         return makeError(ErrorCode::InvalidRequest, reader.error());
     return settings;
--- a/src/libs/settings/proxysettings.h
+++ b/src/libs/settings/proxysettings.h
@@ -53,6 +53,19 @@
     int usageWindowS = 0;
     /// Time after the end of a window within which its report has to arrive, in s.
     int usageDueS = 10;
+    /// Memory of the machine in MB; 0 if it is unknown.
+    int memoryMb = 0;
+    /// Memory for all clients together in MB; 0 for a share of the machine's memory.
+    int clientMemoryMb = 0;
+    /// Time for a caller's message from its first byte to its last one, in ms.
+    int messageTimeoutMs = 30000;
+    /// Statements of a session that wait for the previous one, in KB, before reading from it pauses.
+    int pipelinedKb = 2048;
+    /// Values and prepared statements of a session, in KB.
+    int sessionValuesKb = 2048;
+
+    /// Memory for all clients together, in MB.
+    int effectiveClientMemoryMb() const;
 };
 
 /// Parses settings from JSON text. Unknown fields are ignored, since the platform adds fields of its own. The
--- a/tests/auto/sessionproxy/testcluster.h
+++ b/tests/auto/sessionproxy/testcluster.h
@@ -6,6 +6,7 @@
 #include "sessionplatform/rowstore.h"
 
 #include <chrono>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -71,6 +72,7 @@
     void setTraceSampleRate(double rate) { m_traceSampleRate = rate; }
     /// 0 for no usage reports.
     void setUsageWindow(int seconds) { m_usageWindowS = seconds; }
+    void setLimit(const std::string& name, int value) { m_limits[name] = value; }
     /// Applies to configurations that are published later.
     void setStatementTimeout(std::chrono::milliseconds timeout) { m_statementTimeout = timeout; }
     void startHost(int host);
@@ -80,6 +82,9 @@
     {
         return m_hosts.at(static_cast<std::size_t>(host)).callers->address();
     }
+    /// Addresses of the probe and for messages of other hosts, of the form IP:PORT.
+    std::string probe(int host) const { return m_hosts.at(static_cast<std::size_t>(host)).probe->address(); }
+    std::string peers(int host) const { return m_hosts.at(static_cast<std::size_t>(host)).peers->address(); }
     /// Requests a path, such as that of the readiness probe or of the metrics, from the host's probe address.
     /// Returns the whole HTTP response; empty if there is none.
     std::string get(int host, const std::string& path) const;
@@ -123,5 +128,7 @@
     int m_forgetHostsAfterS = 600;
     double m_traceSampleRate = 0;
     int m_usageWindowS = 0;
+    /// Numeric settings by name.
+    std::map<std::string, int> m_limits;
     std::chrono::milliseconds m_statementTimeout { 800 };
 };
