--- a/src/libs/core/proxy/enginesessions.cpp
+++ b/src/libs/core/proxy/enginesessions.cpp
@@ -11,8 +11,9 @@
 
     /// Callers time out two seconds after they have requested a session.
     constexpr Model::Duration maxOpenWait = std::chrono::milliseconds(1500);
-    /// Callers whose operation is refused after this time can still try it on another host.
-    constexpr Model::Duration maxAdmissionWait = std::chrono::milliseconds(500);
+    /// An operation waits for its admission for 1 / admissionWaitDivisor of its target latency at most. Those
+    /// that waited for longer would use the limit up for others that can still meet it.
+    constexpr int admissionWaitDivisor = 2;
 
 }
 
@@ -110,7 +111,7 @@
     const auto queue = m_admissionQueues.find(customer.name);
     const auto wait
         = m_hooks.admissionWait(customer, queue == m_admissionQueues.end() ? 0 : queue->second, now);
-    const Model::Duration limit = std::min(maxAdmissionWait, session.route->targetLatency);
+    const Model::Duration limit = session.route->targetLatency / admissionWaitDivisor;
     if (!wait || now + *wait - since >= limit)
         return false;
     session.admissionAwaitedSince = since;
