--- a/tests/auto/sessionproxy/testcluster.cpp
+++ b/tests/auto/sessionproxy/testcluster.cpp
@@ -111,8 +111,9 @@
     return rest.substr(0, rest.find(' '));
 }
 
-TestCluster::TestCluster(int hosts, Path path, Fencing fencing)
+TestCluster::TestCluster(int hosts, Path path, Fencing fencing, std::map<std::string, int> limits)
     : m_fencing(fencing)
+    , m_limits(std::move(limits))
 {
     m_store = std::make_unique<Standins::RowStore>(
         [this](const std::string&, const std::string& id) { return m_databases->promote(id); });
@@ -192,7 +193,7 @@
         = m_storeLinks.empty() ? m_store->address() : "127.0.0.1:" + std::to_string(storeLink(index).port());
     nlohmann::json settings { { "host", name }, { "zone", "north" }, { "callers", host.callers->address() },
         { "probe", host.probe->address() }, { "probePath", "/ready" }, { "ip", "127.0.0.1" },
-        { "peerPorts", { peerPort, peerPort } }, { "store", store }, { "promoter", store },
+        { "peerPorts", { peerPort, peerPort + furtherPeerPorts } }, { "store", store }, { "promoter", store },
         { "promoterChecksFencing", m_fencing == Fencing::Promoter }, { "shutdownMs", 4000 },
         { "forgetHostsAfterS", m_forgetHostsAfterS }, { "traceSampleRate", m_traceSampleRate },
         { "usageWindowS", m_usageWindowS } };
--- a/tests/auto/sessionproxy/testcluster.h
+++ b/tests/auto/sessionproxy/testcluster.h
@@ -63,8 +63,9 @@
         Hosts,
     };
 
-    /// Starts the hosts and waits until they are ready.
-    explicit TestCluster(int hosts, Path path = Path::Direct, Fencing fencing = Fencing::Promoter);
+    /// Starts the hosts, with `limits` as for `setLimit`, and waits until they are ready.
+    explicit TestCluster(int hosts, Path path = Path::Direct, Fencing fencing = Fencing::Promoter,
+        std::map<std::string, int> limits = {});
 
     /// These settings apply to hosts that are started later. The time is in seconds; the rate is the fraction
     /// of traced statements, from 0 to 1.
@@ -106,6 +107,9 @@
     Standins::RowStore& store() { return *m_store; }
 
 private:
+    /// Ports after the reserved one that a host may use for other hosts.
+    static constexpr int furtherPeerPorts = 15;
+
     struct Host {
         std::unique_ptr<Integration::ReservedPort> callers;
         std::unique_ptr<Integration::ReservedPort> probe;
--- a/tests/auto/sessionproxy/tst_sessionproxy.cpp
+++ b/tests/auto/sessionproxy/tst_sessionproxy.cpp
@@ -678,3 +678,51 @@
         sender.join();
     EXPECT_EQ(cluster.databases().commits(std::string(maxMessage - 20, 'x')), 3 * statements);
 }
+
+// Guards against hosts that do not forward statements, or run them twice or not at all, and against callers
+// that are not served after their pool host was killed.
+TEST(SessionProxy, ForwardsStatementsAlsoAfterLossOfPoolHost)
+{
+    TestCluster cluster(
+        3, TestCluster::Path::Direct, TestCluster::Fencing::Promoter, { { "toleratedZoneLosses", 0 } });
+    const auto executedForOthers = [&](int host) {
+        const std::string name = "\nparsleytack_statements_executed_for_others_total ";
+        const std::string metrics = cluster.get(host, "/metrics");
+        const std::size_t at = metrics.find(name);
+        return at == std::string::npos ? 0 : std::atoi(metrics.c_str() + at + name.size());
+    };
+    // A host connects to the pool hosts of a service when it is used first.
+    for (int host = 0; host < 3; ++host)
+        EXPECT_TRUE(writeUntilComplete(cluster, host, "first"));
+    std::this_thread::sleep_for(1s);
+    int other = -1;
+    int poolHost = -1;
+    const auto findPoolHost = [&](int host) {
+        for (int candidate = 0; candidate < 3; ++candidate) {
+            const int before = executedForOthers(candidate);
+            EXPECT_TRUE(writeUntilComplete(cluster, host, "calm"));
+            if (candidate == host || executedForOthers(candidate) == before)
+                continue;
+            other = host;
+            poolHost = candidate;
+        }
+    };
+    for (int host = 0; host < 3 && poolHost < 0; ++host)
+        findPoolHost(host);
+    ASSERT_GE(poolHost, 0);
+    Client client(cluster.callers(other));
+    ASSERT_TRUE(client.open("own", "key-1").starts_with("READY"));
+    EXPECT_TRUE(isComplete(client.query("SET v1 abc")));
+    EXPECT_TRUE(isComplete(client.query("BEGIN")));
+    EXPECT_TRUE(isComplete(client.query("WRITE a one")));
+    EXPECT_TRUE(isComplete(client.query("READ a")));
+    EXPECT_TRUE(isComplete(client.query("COMMIT")));
+    EXPECT_TRUE(isComplete(client.query("BEGIN")));
+    EXPECT_TRUE(isComplete(client.query("WRITE a lost")));
+    cluster.host(poolHost).kill();
+    EXPECT_EQ(errorCode(client.query("COMMIT")), "ABORTED");
+    EXPECT_TRUE(writeUntilComplete(cluster, other, "afterwards"));
+    EXPECT_EQ(cluster.databases().commits("one"), 1);
+    EXPECT_EQ(cluster.databases().commits("lost"), 0);
+    EXPECT_TRUE(cluster.databases().protocolViolations().empty());
+}
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -65,13 +65,16 @@
     int furtherRoutes = 0;
     /// Delay of each part of a message to and from the store.
     std::chrono::milliseconds storeDelay {};
+    /// The hosts forward statements, schedule them and balance the upstreams.
+    bool hasOverloadFeatures = false;
 };
 
 int runSoak(const Options& options)
 {
-    const auto [seed, hosts, callers, duration, furtherRoutes, storeDelay] = options;
+    const auto [seed, hosts, callers, duration, furtherRoutes, storeDelay, hasOverloadFeatures] = options;
     History history;
-    TestCluster cluster(hosts, TestCluster::Path::Links);
+    TestCluster cluster(hosts, TestCluster::Path::Links, TestCluster::Fencing::Promoter,
+        { { "toleratedZoneLosses", hasOverloadFeatures ? 0 : 1 } });
     for (int host = 0; host < hosts; ++host)
         cluster.storeLink(host).configure({ { "delayMs", storeDelay.count() } });
     cluster.setFurtherRoutes(furtherRoutes);
@@ -128,6 +131,8 @@
         "", "routes", "routes of the configuration besides those that are used", false, 0, "N", command);
     TCLAP::ValueArg<int> storeDelay(
         "", "store-delay", "delay of the links to the store, in milliseconds", false, 0, "MS", command);
+    TCLAP::SwitchArg overload("", "overload-features",
+        "the hosts forward statements, schedule them and balance the upstreams", command);
     command.parse(argc, argv);
     if (hosts.getValue() < 1 || callers.getValue() < 1 || seconds.getValue() < 1) {
         std::fprintf(stderr, "soak: --hosts, --callers and --seconds must be at least 1\n");
@@ -140,7 +145,7 @@
     std::setvbuf(stdout, nullptr, _IOLBF, 0);
     const int result = runSoak(
         { seed.getValue(), hosts.getValue(), callers.getValue(), std::chrono::seconds(seconds.getValue()),
-            routes.getValue(), std::chrono::milliseconds(storeDelay.getValue()) });
+            routes.getValue(), std::chrono::milliseconds(storeDelay.getValue()), overload.getValue() });
     // The detached threads of the links still run: exit without destroying static objects.
     std::_Exit(result);
 }
