Send statements elsewhere if the pool host does not reach the primary, or falls silent

A pool host now declines new operations that need a primary it does not reach, and reads are sent again after 0.2 s without an answer to a ping.

--- a/src/libs/core/placement/linkhealth.cpp
+++ b/src/libs/core/placement/linkhealth.cpp
@@ -8,13 +8,13 @@
 
     constexpr Model::Duration connectTimeout = std::chrono::milliseconds(700);
     constexpr Model::Duration reconnectPause = std::chrono::milliseconds(300);
-    constexpr Model::Duration busyPingPeriod = std::chrono::milliseconds(200);
+    constexpr Model::Duration busyPingPeriod = std::chrono::milliseconds(100);
     constexpr Model::Duration idlePingPeriod = std::chrono::seconds(1);
     /// Longer than an overloaded host takes to answer, since statements on a connection that is given up are
     /// in doubt.
     constexpr Model::Duration pingTimeout = std::chrono::milliseconds(700);
-    /// New operations are sent elsewhere sooner, which puts none in doubt.
-    constexpr Model::Duration usablePingTimeout = std::chrono::milliseconds(300);
+    /// New operations and reads are sent elsewhere sooner, which puts none in doubt.
+    constexpr Model::Duration silentAfter = std::chrono::milliseconds(200);
     /// A host that comes and goes is not used each time that it is back for a moment.
     constexpr Model::Duration returnPause = std::chrono::seconds(1);
     constexpr Model::Duration declinedPause = std::chrono::milliseconds(200);
@@ -81,10 +81,11 @@
 
 void LinkHealth::declined(Model::Time now) { m_usableAt = now + declinedPause; }
 
+bool LinkHealth::isSilent(Model::Time now) const { return m_pingedAt && now - *m_pingedAt >= silentAfter; }
+
 bool LinkHealth::isUsable(Model::Time now) const
 {
-    const bool isSilent = m_pingedAt && now - *m_pingedAt >= usablePingTimeout;
-    return m_state == LinkState::Up && !m_isDraining && !isSilent && (!m_usableAt || now >= *m_usableAt);
+    return m_state == LinkState::Up && !m_isDraining && !isSilent(now) && (!m_usableAt || now >= *m_usableAt);
 }
 
 }
--- a/src/libs/core/placement/linkhealth.h
+++ b/src/libs/core/placement/linkhealth.h
@@ -40,6 +40,8 @@
     void setDraining() { m_isDraining = true; }
     /// The other host could not take a statement, for example because it has no configuration yet.
     void declined(Model::Time now);
+    /// Whether a ping has not been answered for a while, though not long enough to close the connection.
+    bool isSilent(Model::Time now) const;
     /// Whether new operations may be sent.
     bool isUsable(Model::Time now) const;
 
--- a/src/libs/core/proxy/engine.h
+++ b/src/libs/core/proxy/engine.h
@@ -59,6 +59,10 @@
     std::function<bool(ForwardLinkId, const ForwardedStatement&)> forward;
     /// The pool host has to roll back the session's transaction, if one is open there.
     std::function<void(ForwardLinkId, SessionId)> endForwarded;
+    /// Whether the pool host has not responded for so long that reads should be tried elsewhere.
+    std::function<bool(ForwardLinkId, Model::Time)> isLinkSuspect;
+    /// Tells the host of a forwarded session that this one cannot execute its statement.
+    std::function<void(SessionId)> declineForwarded;
     /// The number of hosts that share the connections of the service's upstreams; 0 if this host is none of
     /// them. Empty if all hosts do.
     std::function<int(const std::string& service)> poolHostCount;
@@ -208,6 +212,7 @@
     bool forwardRequest(Session& session, Model::Time now);
     ForwardedStatement forwardedStatement(const Session& session, bool isContinued, Model::Time now) const;
     Session* findForwarded(SessionId id, std::uint64_t sequence);
+    bool canExecute(const ForwardedStatement& forwarded, Model::Time now) const;
     Session& forwardedSession(SessionId id, const ForwardedStatement& forwarded);
     void removeIfOver(SessionId id);
     void checkForwarded(Session& session, Model::Time now);
--- a/src/libs/core/proxy/engineforwarding.cpp
+++ b/src/libs/core/proxy/engineforwarding.cpp
@@ -111,18 +111,34 @@
     }
 }
 
-/// Gives up a forwarded request whose answer is overdue.
+/// Gives up a forwarded request whose answer is overdue, or a read whose pool host does not respond.
 void Engine::checkForwarded(Session& session, Model::Time now)
 {
     Request& request = *session.request;
-    if (now < request.deadline + forwardedReplySlack)
+    const bool isOverdue = now >= request.deadline + forwardedReplySlack;
+    const bool isRepeatable = session.state == TransactionState::None && !request.isWrite;
+    if (!isOverdue && !(isRepeatable && m_hooks.isLinkSuspect(session.link, now)))
         return;
-    request.attempts = maxAttempts;
+    if (isOverdue)
+        request.attempts = maxAttempts;
     if (const ForwardLinkId link = std::exchange(session.link, 0); link != 0)
         m_hooks.endForwarded(link, session.id);
     sessionConnectionLost(session, {}, now);
 }
 
+/// Returns whether this host reaches what a new operation needs. If it does not reach the primary, another
+/// host of the zone may.
+bool Engine::canExecute(const ForwardedStatement& forwarded, Model::Time now) const
+{
+    if (forwarded.isContinued)
+        return true;
+    const bool writes = isWrite(forwarded.statement, forwarded.shape ? &*forwarded.shape : nullptr);
+    const bool isReadOnly
+        = forwarded.state == TransactionState::Open ? forwarded.isReadOnlyTransaction : !writes;
+    const bool needsPrimary = forwarded.route.kind == Directory::RouteKind::Primary || !isReadOnly;
+    return !needsPrimary || m_router.primary(forwarded.route.service, now) != nullptr;
+}
+
 Session& Engine::forwardedSession(SessionId id, const ForwardedStatement& forwarded)
 {
     Session& session = m_sessions[id];
@@ -140,6 +156,8 @@
 
 void Engine::handleForwarded(SessionId id, ForwardedStatement forwarded, Model::Time now)
 {
+    if (!canExecute(forwarded, now))
+        return m_hooks.declineForwarded(id);
     Session& session = forwardedSession(id, forwarded);
     // A host sends the next statement of a session only after the answer to the previous one.
     if (session.request)
--- a/src/libs/core/proxy/enginetime.cpp
+++ b/src/libs/core/proxy/enginetime.cpp
@@ -166,7 +166,7 @@
             next = std::min(next, std::max(*request.retryAt, now));
         if (request.phase == RequestPhase::Waiting && now - request.arrivedAt < maxQueueTime(session))
             next = std::min(next, request.arrivedAt + maxQueueTime(session));
-        if (request.phase == RequestPhase::Running && request.target != Target::Forwarded)
+        if (request.phase == RequestPhase::Running)
             next = std::min(next, std::max(now, request.sentAt) + overdueCheckPeriod);
         const bool isForwarded = request.target == Target::Forwarded;
         next = std::min(next, request.deadline + (isForwarded ? forwardedReplySlack : replySlack));
--- a/src/libs/forwarding/forwarder.cpp
+++ b/src/libs/forwarding/forwarder.cpp
@@ -13,6 +13,8 @@
     /// No more statements are sent on a connection with more unsent data: they would be in doubt if the pool
     /// host did not read on. Pings show whether it does.
     constexpr std::size_t maxUnsentBytes = 8UL * 1024 * 1024;
+    /// Statements of a service that a host has declined are sent elsewhere for this long.
+    constexpr Model::Duration serviceDeclinedPause = std::chrono::milliseconds(500);
     /// Calls of `update` that are further apart show that the process was paused.
     constexpr Model::Duration pauseThreshold = std::chrono::milliseconds(250);
 
@@ -54,7 +56,7 @@
         if (host == m_self)
             return 0;
         const auto link = m_links.find(host);
-        if (link != m_links.end() && link->second.health.isUsable(now))
+        if (link != m_links.end() && isUsable(link->second, service, now))
             return link->second.id;
     }
     return 0;
@@ -66,7 +68,7 @@
         if (host == m_self)
             return m_poolHosts.zoneCount();
         const auto link = m_links.find(host);
-        if (link != m_links.end() && link->second.health.isUsable(now))
+        if (link != m_links.end() && isUsable(link->second, service, now))
             return 0;
     }
     return 0;
@@ -78,6 +80,18 @@
     return host == m_hostsByLink.end() ? nullptr : &m_links.at(host->second);
 }
 
+bool Forwarder::isUsable(const Link& link, const std::string& service, Model::Time now)
+{
+    const auto declined = link.declinedUntil.find(service);
+    return link.health.isUsable(now) && (declined == link.declinedUntil.end() || now >= declined->second);
+}
+
+bool Forwarder::isSuspect(Proxy::ForwardLinkId link, Model::Time now)
+{
+    const Link* target = findLink(link);
+    return target && target->health.isSilent(now);
+}
+
 bool Forwarder::forward(Proxy::ForwardLinkId link, const Proxy::ForwardedStatement& statement)
 {
     Link* target = findLink(link);
@@ -86,7 +100,7 @@
     const std::string message = encode(statement);
     if (message.size() > maxMessageBytes || target->stream->unsentBytes() + message.size() > maxUnsentBytes)
         return false;
-    target->outstanding.insert(statement.session);
+    target->outstanding.insert_or_assign(statement.session, statement.route.service);
     target->health.setOutstanding(target->outstanding.size());
     target->stream->send(message);
     return true;
@@ -185,9 +199,12 @@
         link.health.setOutstanding(link.outstanding.size());
         m_hooks.answered(*reply);
     } else if (const auto* decline = std::get_if<Decline>(&*message)) {
-        link.outstanding.erase(decline->session);
+        const auto declined = link.outstanding.extract(decline->session);
         link.health.setOutstanding(link.outstanding.size());
-        link.health.declined(now);
+        if (!decline->isForService)
+            link.health.declined(now);
+        else if (!declined.empty())
+            link.declinedUntil[declined.mapped()] = now + serviceDeclinedPause;
         m_hooks.declined(*decline);
     } else if (std::holds_alternative<Drain>(*message)) {
         link.health.setDraining();
--- a/src/libs/forwarding/forwarder.h
+++ b/src/libs/forwarding/forwarder.h
@@ -48,6 +48,8 @@
     Proxy::ForwardLinkId chooseLink(const std::string& service, Model::Time now);
     /// Returns false if the link was lost before, so that the statement was certainly not sent.
     bool forward(Proxy::ForwardLinkId link, const Proxy::ForwardedStatement& statement);
+    /// Whether the pool host has not responded for so long that reads should be tried elsewhere.
+    bool isSuspect(Proxy::ForwardLinkId link, Model::Time now);
     /// Lets the pool host roll back the session's transaction.
     void end(Proxy::ForwardLinkId link, Proxy::SessionId session);
     /// The number of hosts that share the connections of the service's upstreams; 0 if this host is none of
@@ -64,8 +66,10 @@
         /// Changes with each connection.
         Proxy::ForwardLinkId id = 0;
         std::unique_ptr<MessageStream> stream;
-        /// Sessions whose statement has not been answered.
-        std::set<Proxy::SessionId> outstanding;
+        /// The services of sessions whose statement has not been answered.
+        std::unordered_map<Proxy::SessionId, std::string> outstanding;
+        /// Until when statements of a service are sent elsewhere.
+        std::map<std::string, Model::Time> declinedUntil;
     };
 
     void connect(const std::string& host, Link& link, Model::Time now);
@@ -74,6 +78,7 @@
     void updateLink(const std::string& host, Link& link, Model::Time now);
     std::set<std::string> preferredHosts() const;
     Link* findLink(Proxy::ForwardLinkId id);
+    static bool isUsable(const Link& link, const std::string& service, Model::Time now);
 
     EventLoop::Loop& m_loop;
     std::string m_self;
--- a/src/libs/forwarding/messages.cpp
+++ b/src/libs/forwarding/messages.cpp
@@ -95,6 +95,7 @@
     {
         message.mutable_decline()->set_session(source.session);
         message.mutable_decline()->set_sequence(source.sequence);
+        message.mutable_decline()->set_is_for_service(source.isForService);
     }
 
     void write(const End& source, Wire::ForwardMessage& message)
@@ -193,7 +194,8 @@
     case Wire::ForwardMessage::kReply:
         return read(message.reply());
     case Wire::ForwardMessage::kDecline:
-        return Decline { message.decline().session(), message.decline().sequence() };
+        return Decline { message.decline().session(), message.decline().sequence(),
+            message.decline().is_for_service() };
     case Wire::ForwardMessage::kPong:
         return Pong {};
     case Wire::ForwardMessage::kDrain:
--- a/src/libs/forwarding/messages.h
+++ b/src/libs/forwarding/messages.h
@@ -21,6 +21,8 @@
 struct Decline {
     Proxy::SessionId session = 0;
     std::uint64_t sequence = 0;
+    /// The host cannot execute statements of this service now, but those of others.
+    bool isForService = false;
 };
 
 /// The transaction of a session has to be rolled back.
--- a/src/libs/forwarding/receiver.cpp
+++ b/src/libs/forwarding/receiver.cpp
@@ -120,6 +120,16 @@
         m_loop.post([this, lost = target.peer] { close(lost); });
 }
 
+void Receiver::decline(Proxy::SessionId id)
+{
+    const auto session = m_sessions.find(id);
+    if (session == m_sessions.end())
+        return;
+    const ForwardedSession target = session->second;
+    forget(id);
+    m_peers.at(target.peer).stream->send(encode(Decline { target.remote, target.sequence, true }));
+}
+
 void Receiver::forget(Proxy::SessionId id)
 {
     const auto session = m_sessions.find(id);
--- a/src/libs/forwarding/receiver.h
+++ b/src/libs/forwarding/receiver.h
@@ -44,6 +44,9 @@
     static bool isForwarded(Proxy::SessionId id) { return (id & forwardedBit) != 0; }
     /// Sends the reply to the session's last statement to its host.
     void reply(Proxy::SessionId id, const Proxy::Reply& reply);
+    /// Tells the host of a session that this one cannot execute its statement, because it does not reach what
+    /// the service needs.
+    void decline(Proxy::SessionId id);
     /// Forgets a session that this host has ended.
     void forget(Proxy::SessionId id);
     /// Tells the other hosts that this one is shutting down.
--- a/src/libs/proxyhost/statementforwarding.cpp
+++ b/src/libs/proxyhost/statementforwarding.cpp
@@ -27,6 +27,10 @@
     hooks.endForwarded = [forwarding](Proxy::ForwardLinkId link, Proxy::SessionId session) {
         forwarding().m_forwarder.end(link, session);
     };
+    hooks.isLinkSuspect = [forwarding](Proxy::ForwardLinkId link, Model::Time now) {
+        return forwarding().m_forwarder.isSuspect(link, now);
+    };
+    hooks.declineForwarded = [forwarding](Proxy::SessionId id) { forwarding().m_receiver.decline(id); };
     hooks.poolHostCount = [forwarding](const std::string& service) {
         return forwarding().m_forwarder.poolHostCount(service, EventLoop::now());
     };
--- a/src/libs/sessionserver/server.cpp
+++ b/src/libs/sessionserver/server.cpp
@@ -90,6 +90,8 @@
     result.chooseLink = m_hooks.chooseLink;
     result.forward = m_hooks.forward;
     result.endForwarded = m_hooks.endForwarded;
+    result.isLinkSuspect = m_hooks.isLinkSuspect;
+    result.declineForwarded = m_hooks.declineForwarded;
     result.poolHostCount = m_hooks.poolHostCount;
     result.operationRan = m_hooks.operationRan;
     result.decided = [this](const Proxy::Decision& decision) {
--- a/src/libs/sessionserver/server.h
+++ b/src/libs/sessionserver/server.h
@@ -54,6 +54,8 @@
     std::function<Proxy::ForwardLinkId(const std::string& service, Model::Time)> chooseLink;
     std::function<bool(Proxy::ForwardLinkId, const Proxy::ForwardedStatement&)> forward;
     std::function<void(Proxy::ForwardLinkId, Proxy::SessionId)> endForwarded;
+    std::function<bool(Proxy::ForwardLinkId, Model::Time)> isLinkSuspect;
+    std::function<void(Proxy::SessionId)> declineForwarded;
     std::function<int(const std::string& service)> poolHostCount;
     /// Takes the replies to sessions of other hosts' callers, and learns that the engine has closed one.
     /// Returns false if the session is one of this host's callers.
--- a/tests/auto/core/proxy/enginefixture.cpp
+++ b/tests/auto/core/proxy/enginefixture.cpp
@@ -57,6 +57,7 @@
     };
     hooks.disconnect = [this](ConnectionId id) { m_links.at(id).isClosed = true; };
     hooks.admit = [this](const Directory::Customer&, Model::Time) { return m_isAdmitted; };
+    hooks.declineForwarded = [this](SessionId id) { m_declined.push_back(id); };
     hooks.admitAgain = hooks.admit;
     hooks.demanded = [this](const Directory::Customer&, Model::Time) { ++m_demanded; };
     hooks.admissionWait
--- a/tests/auto/core/proxy/enginefixture.h
+++ b/tests/auto/core/proxy/enginefixture.h
@@ -63,6 +63,8 @@
     /// When an operation that is not admitted would be.
     std::optional<Model::Duration> m_admissionWait;
     int m_demanded = 0;
+    /// Forwarded sessions whose statement the engine has not taken.
+    std::vector<Proxy::SessionId> m_declined;
     bool m_mayUsePrimaries = true;
     bool m_isTraced = false;
     /// Hops of the traced statement that was answered last.
--- a/tests/auto/core/proxy/tst_engineforwarding.cpp
+++ b/tests/auto/core/proxy/tst_engineforwarding.cpp
@@ -35,6 +35,7 @@
             return true;
         };
         hooks.endForwarded = [this](ForwardLinkId, SessionId) { ++m_ended; };
+        hooks.isLinkSuspect = [this](ForwardLinkId, Model::Time) { return m_isLinkSuspect; };
         hooks.poolHostCount = [](const std::string&) { return 0; };
         m_entry = std::make_unique<Engine>(m_view, "north", std::move(hooks));
         m_entry->directoryChanged(m_now);
@@ -67,6 +68,7 @@
     std::vector<Reply> m_callerReplies;
     int m_directConnections = 0;
     int m_ended = 0;
+    bool m_isLinkSuspect = false;
     std::unique_ptr<Engine> m_entry;
 };
 
@@ -268,3 +270,33 @@
     m_entry->tick(m_now);
     EXPECT_GT(m_entry->nextTick(m_now), m_now);
 }
+
+// Guards against reads that wait for a pool host that was cut off, although others could run them. A write
+// may have run.
+TEST_F(ForwardingFixture, OnlyReadsAreTriedElsewhereIfPoolHostIsSilent)
+{
+    openAtEntry("strict");
+    sendAtEntry(statement(StatementKind::Read, "item"));
+    m_isLinkSuspect = true;
+    m_now += 100ms;
+    m_entry->tick(m_now);
+    EXPECT_EQ(m_sent.size(), 2U);
+    EXPECT_EQ(m_ended, 1);
+    m_isLinkSuspect = false;
+    m_entry->forwardAnswered(caller, m_sent.back().sequence, Reply {}, m_now);
+    sendAtEntry(statement(StatementKind::Write, "item data"));
+    m_isLinkSuspect = true;
+    m_entry->tick(m_now);
+    EXPECT_EQ(m_sent.size(), 3U);
+}
+
+// Guards against writes of a whole zone that fail because its pool host does not reach the primary.
+TEST_F(ForwardingFixture, PoolHostWithoutPrimaryDeclinesNewWrites)
+{
+    setUpstream("p", Directory::Role::Replica);
+    openAtEntry("strict");
+    sendAtEntry(statement(StatementKind::Write, "item data"));
+    m_engine->handleForwarded(firstForwarded, m_sent.back(), m_now);
+    EXPECT_EQ(m_declined, std::vector { firstForwarded });
+    EXPECT_EQ(m_engine->sessionCount(), 0U);
+}
--- a/tests/auto/forwarding/tst_forwarding.cpp
+++ b/tests/auto/forwarding/tst_forwarding.cpp
@@ -208,3 +208,17 @@
     m_forwarder.update(EventLoop::now() + 5s);
     EXPECT_TRUE(m_lostLinks.empty());
 }
+
+// Guards against statements of a service that go to a host again which cannot execute them, and against those
+// of other services that go elsewhere.
+TEST_F(ForwardingTest, DeclinedServiceIsSentElsewhere)
+{
+    ASSERT_TRUE(runUntil([this] { return link() != 0; }));
+    m_forwarder.forward(link(), statement(5));
+    ASSERT_TRUE(runUntil([this] { return !m_received.empty(); }));
+    m_receiver->decline(m_received[0].first);
+    ASSERT_TRUE(runUntil([this] { return !m_declines.empty(); }));
+    EXPECT_EQ(link(), 0U);
+    EXPECT_NE(m_forwarder.chooseLink("archive", EventLoop::now()), 0U);
+    EXPECT_TRUE(runUntil([this] { return link() != 0; }));
+}
