--- a/src/libs/core/allowance/fleetallowance.cpp
+++ b/src/libs/core/allowance/fleetallowance.cpp
@@ -18,7 +18,8 @@
     /// The share of a host that does not report is reserved for longer: it may be partitioned from this one
     /// and still serve callers.
     constexpr Model::Duration shareReservedFor = std::chrono::seconds(40);
-    /// All live hosts have reported by this time after a start, if their reports arrive.
+    /// While reports of other hosts are missing, operations are expected to be admitted soon for at most this
+    /// long after the hosts became known. In a fleet of more than 250 hosts, some first reports arrive later.
     constexpr Model::Duration settlingTime = std::chrono::seconds(1);
     /// Longer waits for an admission are not told apart.
     constexpr double maxWaitSeconds = 60;
--- a/src/libs/core/allowance/reportplan.h
+++ b/src/libs/core/allowance/reportplan.h
@@ -14,9 +14,9 @@
 /// The period in which each of `hosts` hosts reports to all others. It grows with the fleet to bound the rate
 /// of reports that a host receives.
 Model::Duration reportPeriod(int hosts);
-/// The same for a host that started `sinceStart` ago: at first it reports more often. Other hosts count it as
-/// not reporting until then, and reserve it a share of each customer's limit that it may not need. After a
-/// start of the whole fleet, most operations would be refused for two or three regular periods.
+/// The same for a host that started `sinceStart` ago, which reports more often at first. Until its reports
+/// arrive, other hosts reserve it a share of each customer's limit that it may not need. With the regular
+/// period, most operations would be refused for two or three periods after a start of the whole fleet.
 Model::Duration reportPeriod(int hosts, Model::Duration sinceStart);
 
 /// Decides when this host reports to the others and which customers a report includes. Used on one thread.
--- a/src/libs/core/placement/linkhealth.cpp
+++ b/src/libs/core/placement/linkhealth.cpp
@@ -13,9 +13,11 @@
     /// Longer than an overloaded host takes to answer, since statements on a connection that is given up are
     /// in doubt.
     constexpr Model::Duration pingTimeout = std::chrono::milliseconds(700);
-    /// New operations and reads are sent elsewhere sooner, which puts none in doubt.
+    /// After this time without an answer to a ping, new operations and reads are sent to other hosts. This is
+    /// shorter than `pingTimeout`, because it puts no statement in doubt.
     constexpr Model::Duration silentAfter = std::chrono::milliseconds(200);
-    /// A host that comes and goes is not used each time that it is back for a moment.
+    /// After a lost connection, the host gets no new operations for this long, so that an unstable connection
+    /// is not used after each reconnection.
     constexpr Model::Duration returnPause = std::chrono::seconds(1);
     constexpr Model::Duration declinedPause = std::chrono::milliseconds(200);
 
--- a/src/libs/core/proxy/coldlimit.cpp
+++ b/src/libs/core/proxy/coldlimit.cpp
@@ -9,7 +9,8 @@
 
     constexpr Model::Duration interval = std::chrono::seconds(1);
 
-    /// Time from one statement to the one `count` statements later.
+    /// Returns the interval in which max(1, floor(`perSecond`)) statements may be sent: a second, or 1 /
+    /// `perSecond` seconds for a share below 1.
     Model::Duration spanOf(double perSecond)
     {
         if (perSecond >= 1)
--- a/src/libs/core/proxy/enginesessions.cpp
+++ b/src/libs/core/proxy/enginesessions.cpp
@@ -11,8 +11,8 @@
 
     /// Callers time out two seconds after they have requested a session.
     constexpr Model::Duration maxOpenWait = std::chrono::milliseconds(1500);
-    /// An operation waits for its admission for 1 / admissionWaitDivisor of its target latency at most. Those
-    /// that waited for longer would use the limit up for others that can still meet it.
+    /// An operation waits for admission for at most 1 / admissionWaitDivisor of its target latency. Admitting
+    /// it later would use tokens that operations with more time left need.
     constexpr int admissionWaitDivisor = 2;
 
 }
@@ -100,8 +100,8 @@
     return false;
 }
 
-/// Lets an operation wait that the customer's limit does not permit yet, but soon. Callers would use up their
-/// retries within milliseconds, while this host's part of the limit is refilled, or the reports of the other
+/// Queues an operation that the customer's limit is expected to permit soon. If it were refused, the caller
+/// would use up its retries within milliseconds, before this host's share is refilled or the reports of other
 /// hosts arrive. Returns false if the operation has to be refused.
 bool Engine::awaitAdmission(Session& session, const Directory::Customer& customer, const Statement& statement,
     Model::Time since, Model::Time now)
--- a/src/libs/core/proxy/forwardedstatement.h
+++ b/src/libs/core/proxy/forwardedstatement.h
@@ -12,8 +12,8 @@
 
 namespace Proxy {
 
-/// A connection between two hosts on which statements are forwarded; never used again for another one. 0 for
-/// none.
+/// Identifies a connection between two hosts on which statements are forwarded. A number is not reused for a
+/// later connection; 0 means none.
 using ForwardLinkId = std::uint64_t;
 
 /// A statement that the pool host of a service executes for a session of another host, with all that it
--- a/src/libs/core/proxy/readbalancer.cpp
+++ b/src/libs/core/proxy/readbalancer.cpp
@@ -9,12 +9,13 @@
 
 namespace {
 
-    /// Reads use the primary if every replica takes this much longer, since only the primary can run writes.
+    /// Added to the expected time of a read on the primary, so that the primary stays free for writes, which
+    /// no other upstream can run.
     constexpr Model::Duration primaryCost = std::chrono::milliseconds(25);
     /// An upstream that takes longer than the best one by this factor is not used only because it has an idle
     /// connection.
     constexpr int maxRatio = 3;
-    /// In this time a probe gets its connection.
+    /// A probe that has not been sent within this time is abandoned; the request may then use any upstream.
     constexpr Model::Duration probeTime = std::chrono::milliseconds(100);
     /// A request that has waited for this part of its target latency may leave the zone.
     constexpr int waitDivisor = 10;
@@ -99,8 +100,8 @@
             option.key = std::numeric_limits<double>::infinity();
     }
     std::ranges::sort(options, {}, &ReadOption::key);
-    // A request that has waited uses what it gets; the primary and slow upstreams serve as long as the best
-    // one has no connection for it.
+    // The limits grow with the age of the request, so that one that has waited accepts the primary or a
+    // slower upstream. The first choice is kept in any case unless it is the primary.
     const Model::Duration limit = best * maxRatio + age;
     const auto isTooSlow = [&](const ReadOption& option) {
         return option.isPrimary ? option.expected > best + age : option.expected > limit;
--- a/src/libs/core/proxy/session.h
+++ b/src/libs/core/proxy/session.h
@@ -96,7 +96,8 @@
     /// The proxy rolled the transaction back; the reply to the caller's next statement reports it.
     bool isAborted = false;
     std::optional<Request> request;
-    /// When the operation arrived whose admission is awaited; its first statement is the first pipelined one.
+    /// Arrival time of the operation that waits for admission; its first statement is at the front of
+    /// `pipelined`. Empty if none waits.
     std::optional<Model::Time> admissionAwaitedSince;
     /// Statements that were received before the previous one was answered.
     std::deque<Statement> pipelined;
--- a/src/libs/core/proxy/slotwindow.cpp
+++ b/src/libs/core/proxy/slotwindow.cpp
@@ -8,10 +8,12 @@
 
     /// Pause after the first `Busy`; it doubles with each further one without another answer in between.
     constexpr Model::Duration firstPause = std::chrono::milliseconds(4);
-    /// Other hosts' statements leave a slot within such a time, so longer pauses would leave slots unused.
+    /// Limits the pause to 16 ms. Other hosts' statements usually free a slot within this time, so a longer
+    /// pause would leave slots unused.
     constexpr int maxPauseDoublings = 2;
     constexpr double decreaseFactor = 0.75;
-    /// Answers at least as frequent as this let the limit rise from 1 to the number of slots in a second.
+    /// Longest time since the last change that counts toward an increase. If answers arrive at least this
+    /// often, the limit rises by the number of slots in a second.
     constexpr Model::Duration maxIncreaseInterval = std::chrono::milliseconds(200);
 
 }
--- a/src/libs/core/proxy/upstreamload.cpp
+++ b/src/libs/core/proxy/upstreamload.cpp
@@ -30,7 +30,8 @@
     /// An upstream that fails again within this time has to succeed more often before it is taken back.
     constexpr Model::Duration relapseTime = std::chrono::seconds(15);
     constexpr Model::Duration roundTripPeriod = std::chrono::seconds(10);
-    /// Until the next attempt of a statement that was busy, which occurs at most `maxAttempts` times.
+    /// Pause before a statement that was answered with `Busy` is tried again, and the number of attempts;
+    /// equal to `busyPause` and `maxAttempts` of the engine.
     constexpr double busySeconds = 0.015;
     constexpr int maxAttempts = 4;
     constexpr double maxBusyRatio = 0.95;
@@ -97,8 +98,8 @@
 LoadChange UpstreamLoad::succeeded(Model::Time sentAt, Model::Time now)
 {
     m_failureRatio -= m_failureRatio * answerWeight;
-    // Statements that were in progress when the upstream was set aside, and the many of a primary, say less
-    // than probes over some time.
+    // Successes of statements sent before the upstream was set aside do not count. The successes also have to
+    // extend over `probePeriod`, since a primary still runs many statements while it is set aside.
     if (!m_isSetAside || sentAt < m_setAsideAt)
         return LoadChange::None;
     ++m_successes;
--- a/src/libs/core/proxy/waitestimate.h
+++ b/src/libs/core/proxy/waitestimate.h
@@ -16,8 +16,8 @@
     void statementEnded(int priority, Model::Duration held);
     /// Records that the opening of a connection occupied a slot for `held`.
     void openingEnded(Model::Duration held) { m_openingTime += held; }
-    /// Records that a request left the queue to start. `isBacklogged`: others of its class and lane still
-    /// wait that are late if and only if it was.
+    /// Records that a request left the queue to start. `isBacklogged` is set if other requests with the same
+    /// class, lane and lateness are still waiting.
     void taken(const WaitingRequest& request, bool isBacklogged, Model::Time now);
     /// Records that late requests of a class and lane wait since `now`: the first one is queued, or no
     /// upstream could run them until now.
--- a/src/libs/core/proxy/waitqueue.h
+++ b/src/libs/core/proxy/waitqueue.h
@@ -68,8 +68,8 @@
     void push(const WaitingRequest& request);
     /// Returns a request that was taken but did not run to its previous place, and its turn to the customer.
     void putBack(const WaitingRequest& request);
-    /// Removes a request that starts now, and counts its customer's turn. Returns whether requests of the
-    /// same class and lane are still waiting that are late if and only if it was.
+    /// Removes a request that starts now, and counts its customer's turn. Returns whether other requests with
+    /// the same class, lane and lateness are still waiting.
     bool take(std::uint64_t id);
     /// Removes a request that will not run. Does nothing if it is not queued.
     void remove(std::uint64_t id);
--- a/src/libs/core/proxy/zonechoice.cpp
+++ b/src/libs/core/proxy/zonechoice.cpp
@@ -9,12 +9,14 @@
     /// A transaction consists of several statements, so a single one may take only a fraction of the target
     /// latency.
     constexpr double maxPartOfTarget = 0.2;
-    /// Reads that have left the zone return if they take less than this part there.
+    /// The own zone serves reads well if their expected time there is at most this part of the target latency
+    /// and at most `returnBusyRatio` of the statements are answered with `BUSY`. Reads then return.
     constexpr double returnPartOfTarget = 0.12;
     /// At this ratio one read in 256 is refused after four attempts.
     constexpr double maxBusyRatio = 0.25;
     constexpr double returnBusyRatio = 0.1;
-    /// Reads leave the zone if that saves at least this time, and a quarter of the time there.
+    /// Reads leave the zone only if the other zone is faster by more than the largest of this time, the
+    /// additional round trip, and 1 / `marginDivisor` of the expected time in the other zone.
     constexpr Model::Duration minMargin = std::chrono::milliseconds(3);
     constexpr int marginDivisor = 4;
     /// A step is smaller than the margin: it raises the time in the other zone by less than what leaving
--- a/src/libs/core/usage/usageduty.cpp
+++ b/src/libs/core/usage/usageduty.cpp
@@ -17,13 +17,15 @@
     constexpr double lastAttempt = 0.85;
     /// Hosts that are late for the same reason do not all start at once.
     constexpr double lateDistance = 0.02;
-    /// After the end of a window, a restored store can have lost a row of it only once hosts may have written
-    /// one, which is after `firstAttempt`, less the difference of their clocks.
+    /// The store's epoch is recorded for a window until this fraction of the time until its report is due. No
+    /// host writes the window's row before `firstAttempt`, so a restoration before then cannot lose the row.
+    /// The difference between the two fractions allows for hosts whose clocks differ.
     constexpr double epochFraction = 0.1;
     /// Longer than a lease. A restored store has lost the leases acquired since the copy was made.
     constexpr Model::Duration epochSettlingTime = std::chrono::milliseconds(3500);
-    /// The platform may execute a report without an answer up to about 3 s late, and hosts must not act in
-    /// the order A, B, A within 3 s.
+    /// After a report without an answer, this host does not take the lease over from another one for this
+    /// long: the platform may execute that report about 3 s late, and the same host must not hold the lease
+    /// both before and after another one within 3 s.
     constexpr Model::Duration unansweredPause = std::chrono::seconds(6);
     /// Each attempt costs a call of the store.
     constexpr Model::Duration retryPause = std::chrono::milliseconds(700);
--- a/src/libs/core/usage/usageduty.h
+++ b/src/libs/core/usage/usageduty.h
@@ -13,8 +13,8 @@
 struct Standing {
     /// Position among the collecting hosts; `nullopt` if this host is none of them.
     std::optional<int> rank;
-    /// Many registered hosts have sent all their counts of the window to this host. If not, it may be
-    /// partitioned from the others, and another host may know more.
+    /// At least 40 % of the other registered hosts have sent all their counts of the window to this host. If
+    /// not, this host may be partitioned from the others, and another host may have more counts.
     bool hasHeardEnough = false;
 };
 
--- a/src/libs/core/usage/windowcounts.h
+++ b/src/libs/core/usage/windowcounts.h
@@ -11,9 +11,10 @@
 
 namespace Usage {
 
-/// How often each host of a fleet of this size sends its counts. A killed host's counts of the last period
-/// are lost: with 0.5 s, more than 5 % of a window if half of the hosts are killed at once. In a very large
-/// fleet, the collecting hosts would receive too many messages.
+/// Returns the period in which each host of a fleet of `hosts` hosts sends its counts. The counts of a killed
+/// host's last period are lost: with 0.5 s and windows of 5 s, more than 5 % of a window if half of the hosts
+/// are killed at once. Above `largeFleet` hosts the period is longer, to limit the rate of messages that a
+/// collecting host receives.
 constexpr Model::Duration sendPeriod(std::size_t hosts)
 {
     constexpr std::size_t largeFleet = 300;
--- a/src/libs/logging/eventid.cpp
+++ b/src/libs/logging/eventid.cpp
@@ -128,11 +128,12 @@
         { TooManyPipelined, "too_many_pipelined", Severity::Info,
             "a client was disconnected, because it sent too many statements ahead" },
         { TooManySessions, "too_many_sessions", Severity::Warning,
-            "a connection was closed, because the host has as many as it may have" },
+            "a connection was closed, because the host has reached its maximum number of sessions" },
         { ReadingPaused, "reading_paused", Severity::Info,
-            "reading from a client pauses, because its statements or answers wait" },
+            "reading from a client was paused, because too many of its statements or answers are pending" },
         { SessionValuesRefused, "session_values_refused", Severity::Info,
-            "a session's value or prepared statement was refused, because it has too many" },
+            "a session value or prepared statement was refused, because the session reached its memory "
+            "limit" },
     } };
 
 }
--- a/src/libs/proxyhost/fleet.cpp
+++ b/src/libs/proxyhost/fleet.cpp
@@ -19,7 +19,7 @@
     /// How often the list of the hosts that count customers' operations is updated.
     constexpr Model::Duration countingHostsPeriod = std::chrono::seconds(1);
 
-    /// No host opens more connections to one upstream.
+    /// Larger counts in a received report are reduced to this value, which no host reaches.
     constexpr std::uint32_t maxReportedConnections = 100000;
 
     /// Start of each report: the tag of its first field.
--- a/src/libs/proxyhost/usageattempt.cpp
+++ b/src/libs/proxyhost/usageattempt.cpp
@@ -12,9 +12,9 @@
 namespace {
 
     constexpr const char* leaseKey = "duty";
-    /// A holder sends for this long after it began to read the lease, which it holds for 3.2 s. The rest is
-    /// for a report that arrives late, so that hosts do not act in turn.
-    constexpr Model::Duration sendPeriod = std::chrono::milliseconds(2200);
+    /// A report may be sent for this long after the read of the lease began. The lease lasts 3.2 s; the
+    /// remaining second lets a delayed report arrive before another host can hold the lease.
+    constexpr Model::Duration sendTimeLimit = std::chrono::milliseconds(2200);
 
     const StoreRow* findRow(const std::vector<StoreRow>& rows, const std::string& key)
     {
@@ -126,7 +126,7 @@
         return result;
     addDeletions(stored.rows, proposal.oldestKept, writes);
     result.failure = commit(calls, writes, stored.epoch);
-    result.report = { proposal.window, std::move(counts), host, lease->token, now + sendPeriod };
+    result.report = { proposal.window, std::move(counts), host, lease->token, now + sendTimeLimit };
     return result;
 }
 
--- a/src/libs/proxyhost/usagereports.cpp
+++ b/src/libs/proxyhost/usagereports.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-    /// For this long after its start, a host has not received a report of each other host yet.
+    /// For this long after its start, a host may lack the first reports of others. Until then, the collecting
+    /// hosts are chosen from all registered hosts instead of those that report.
     constexpr Model::Duration firstReportsPeriod = std::chrono::seconds(4);
     /// Host names in a log entry.
     constexpr std::size_t maxLoggedHosts = 10;
@@ -139,7 +140,7 @@
 Usage::Standing UsageReports::standing(Usage::Window window, Model::Time now) const
 {
     const std::vector<std::string> others = m_hooks.registeredHosts();
-    // After half of the hosts were killed, the rest has heard enough; one partitioned zone of three has not.
+    // 40 %: still reached if half of the hosts were killed, but not in one partitioned zone of three.
     const auto heard = static_cast<std::size_t>(std::ranges::count_if(
         others, [&](const std::string& host) { return m_collector.isComplete(window, host); }));
     return { Usage::rankOf(m_settings.host, ranking(now)), heard * 5 >= others.size() * 2 };
--- a/src/libs/sessionserver/clientlimits.h
+++ b/src/libs/sessionserver/clientlimits.h
@@ -26,9 +26,9 @@
 
 /// A limit that a client has reached.
 enum class ClientLimit : std::uint8_t {
-    /// All clients together; the one that held most was disconnected.
+    /// Memory of all clients together; the client that occupied the most was disconnected.
     Memory,
-    /// One client.
+    /// Memory of one client.
     ClientMemory,
     MessageTimeout,
     MessageLength,
--- a/src/libs/sessionserver/memorybudget.h
+++ b/src/libs/sessionserver/memorybudget.h
@@ -15,10 +15,10 @@
     std::size_t used() const { return m_used; }
     std::size_t limit() const { return m_limit; }
     bool isExceeded() const { return m_used > m_limit; }
-    /// Whether so little is left that no client should send far ahead.
+    /// Whether more than half of the budget is used, so that clients may pipeline fewer statements.
     bool isScarce() const { return m_used > m_limit / 2; }
-    /// What one client may occupy. An answer is copied while it is encoded, so that the process may exceed
-    /// its budget by this amount for a moment.
+    /// Maximum memory of one client, in bytes. Encoding an answer copies it, so the process may briefly
+    /// exceed its budget by this amount.
     std::size_t limitOfClient() const { return m_limit / 4; }
 
 private:
--- a/src/libs/settings/proxysettings.cpp
+++ b/src/libs/settings/proxysettings.cpp
@@ -71,7 +71,8 @@
     reader.integer("forgetHostsAfterS", settings.forgetHostsAfterS, 1, maxForgetHostsAfterS);
     reader.fraction("traceSampleRate", settings.traceSampleRate);
     reader.integer("toleratedZoneLosses", settings.toleratedZoneLosses, 0, maxZones);
-    // A fleet that has to bear the loss of a zone keeps the sessions of a host apart from all other hosts.
+    // These features make the sessions of one host depend on other hosts, so they are off by default in a
+    // fleet that has to tolerate the loss of a zone.
     const bool sharesUpstreams = settings.toleratedZoneLosses == 0;
     settings.scheduleStatements = sharesUpstreams;
     settings.balanceUpstreams = sharesUpstreams;
