--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,19 @@
+#!/usr/bin/env bash
+# Builds the stand-ins and the programs of the cases 6 to 10 into build-review-2/. They need no more than the
+# packages of the deploy file.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=build-review-2
+mkdir -p "$build"
+compile() { g++ -std=c++20 -O2 -Wall -Wextra -Werror -pthread "$@"; }
+objects=()
+for source in review/standins-2/*.cpp; do
+    object=$build/$(basename "$source" .cpp).o
+    compile -c "$source" -o "$object" &
+    objects+=("$object")
+done
+wait
+for case in review/{6,7,8,9,10}/case.cpp; do
+    [ -f "$case" ] || continue
+    compile "$case" "${objects[@]}" -o "$build/case-$(basename "$(dirname "$case")")"
+done
