Review case 6: a read gets the answer of the rollback behind it

Cause: a single read on the primary is sent together with the ROLLBACK of its own transaction, and answers are assigned by order alone. If the answer to the read is lost, the caller gets the one to ROLLBACK: a success without a receipt and without rows.

--- a/review/standins-2/databases.cpp
+++ b/review/standins-2/databases.cpp
@@ -1,6 +1,7 @@
 #include "databases.h"
 
 #include <thread>
+#include <utility>
 
 #include <sys/socket.h>
 #include <unistd.h>
@@ -85,6 +86,8 @@
     Session session;
     while (const auto line = reader.next()) {
         const std::string reply = answer(member, session, *line);
+        if (std::exchange(session.isAnswerLost, false))
+            continue;
         if (reply.empty() || !sendAll(socket, reply))
             break;
     }
@@ -211,6 +214,7 @@
     }
     if (!occupySlot(member, m_settings.work))
         return finish(error("BUSY"));
+    session.isAnswerLost = m_areAnswersLost && ++m_runStatements % m_settings.lostAnswerInterval == 0;
     const std::lock_guard lock(m_mutex);
     const std::string receipt = "COMPLETE receipt-" + id + "\r\n";
     const bool needsPrimary = isWrite || (session.state == 'T' && !session.isReadOnly);
--- a/review/standins-2/databases.h
+++ b/review/standins-2/databases.h
@@ -26,6 +26,9 @@
     milliseconds opening { 12 };
     /// Time that a read, a write or a commit occupies a slot.
     milliseconds work { 5 };
+    /// While answers are lost, one of so many statements of consumers that run gets no answer. Its connection
+    /// goes on.
+    int lostAnswerInterval = 5;
 };
 
 /// Stand-in for the databases of a service, which speak the platform's line protocol. The replicas have no
@@ -50,6 +53,8 @@
     std::string address(const std::string& id) const;
     bool isPrimary(const std::string& id) const;
     bool promote(const std::string& id);
+    /// Whether the answers of some statements are lost from now on.
+    void setAnswersLost(bool areLost) { m_areAnswersLost = areLost; }
 
 private:
     struct Member {
@@ -65,6 +70,7 @@
         char state = 'I';
         bool isReadOnly = false;
         bool hasWritten = false;
+        bool isAnswerLost = false;
         std::map<std::string, bool> prepared;
     };
 
@@ -89,6 +95,8 @@
     std::uint64_t m_term = 1;
     std::uint64_t m_position = 0;
     std::map<std::string, std::size_t> m_items;
+    std::atomic<bool> m_areAnswersLost = false;
+    std::atomic<int> m_runStatements = 0;
 };
 
 }
