Review case 7: a promotion does not count a replica whose entry was removed

Cause: with synchronous replicas, a promotion asks the databases that are registered at that moment and takes them for all. A replica that is cut from the store loses its entry after three ping intervals, but goes on to receive and to confirm commits.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,12 +7,14 @@
 mkdir -p "$build"
 compile() { g++ -std=c++20 -O2 -Wall -Wextra -Werror -pthread "$@"; }
 objects=()
+jobs=()
 for source in review/standins-2/*.cpp; do
     object=$build/$(basename "$source" .cpp).o
     compile -c "$source" -o "$object" &
     objects+=("$object")
+    jobs+=($!)
 done
-wait
+for job in "${jobs[@]}"; do wait "$job"; done
 for case in review/{6,7,8,9,10}/case.cpp; do
     [ -f "$case" ] || continue
     compile "$case" "${objects[@]}" -o "$build/case-$(basename "$(dirname "$case")")"
--- a/review/standins-2/deployment.cpp
+++ b/review/standins-2/deployment.cpp
@@ -3,7 +3,7 @@
 namespace Review2 {
 
 std::string desiredState(int version, const std::string& service, const std::vector<Route>& routes,
-    const std::vector<Tenant>& tenants)
+    const std::vector<Tenant>& tenants, int syncReplicas)
 {
     Json routeList = Json::array();
     for (const Route& route : routes) {
@@ -18,24 +18,31 @@
             { "ratePerS", tenant.ratePerS }, { "burst", tenant.burst } });
     }
     const Json services { { { "name", service }, { "healthPath", "/health" }, { "maxConns", 16 },
-        { "coldStartS", 0.0 }, { "coldPerS", 0.0 }, { "syncReplicas", 0 } } };
+        { "coldStartS", 0.0 }, { "coldPerS", 0.0 }, { "syncReplicas", syncReplicas } } };
     return Json {
         { "version", version }, { "routes", routeList }, { "services", services },
         { "limits", { { "txIdleMs", 3000 } } }, { "tenants", tenantList }
     }.dump();
 }
 
+std::string databaseEntry(const std::string& service, const std::string& address, const std::string& zone,
+    int slots, bool isPrimary)
+{
+    return Json {
+        { "service", service }, { "address", address }, { "zone", zone }, { "version", "v1" },
+        { "slots", slots }, { "state", "ready" }, { "coldLeftMs", 0 },
+        { "dbRole", isPrimary ? "primary" : "replica" }, { "seq", 1 }, { "born", 1700000000000 }
+    }.dump();
+}
+
 void registerDatabases(Store& store, const Databases& databases, const std::string& service, int slots,
     const std::vector<std::string>& zones)
 {
     std::size_t zone = 0;
     for (const std::string& id : databases.ids()) {
-        const Json entry { { "service", service }, { "address", databases.address(id) },
-            { "zone", zones[zone++ % zones.size()] }, { "version", "v1" }, { "slots", slots },
-            { "state", "ready" }, { "coldLeftMs", 0 },
-            { "dbRole", databases.isPrimary(id) ? "primary" : "replica" }, { "seq", 1 },
-            { "born", 1700000000000 } };
-        store.set("servers", id, entry.dump());
+        store.set("servers", id,
+            databaseEntry(service, databases.address(id), zones[zone++ % zones.size()], slots,
+                databases.isPrimary(id)));
     }
 }
 
--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -28,7 +28,10 @@
 
 /// Returns the text of `op/config` for one service.
 std::string desiredState(int version, const std::string& service, const std::vector<Route>& routes,
-    const std::vector<Tenant>& tenants);
+    const std::vector<Tenant>& tenants, int syncReplicas = 0);
+/// Returns the text of a database's entry in `servers/ID`.
+std::string databaseEntry(const std::string& service, const std::string& address, const std::string& zone,
+    int slots, bool isPrimary);
 /// Writes the entries of the databases, one in each zone in turn.
 void registerDatabases(Store& store, const Databases& databases, const std::string& service, int slots,
     const std::vector<std::string>& zones);
--- a/review/standins-2/store.cpp
+++ b/review/standins-2/store.cpp
@@ -95,6 +95,13 @@
     m_changed.notify_all();
 }
 
+void Store::remove(const std::string& table, const std::string& key)
+{
+    const std::lock_guard lock(m_mutex);
+    m_rows[{ table, key }] = { {}, ++m_version, true };
+    m_changed.notify_all();
+}
+
 int Store::silenceOpenConnections()
 {
     const std::lock_guard lock(m_mutex);
--- a/review/standins-2/store.h
+++ b/review/standins-2/store.h
@@ -26,6 +26,7 @@
 
     std::string address() const { return m_address; }
     void set(const std::string& table, const std::string& key, const std::string& value);
+    void remove(const std::string& table, const std::string& key);
     /// From now on, the connections that are open deliver nothing: what arrives on them is dropped, and no
     /// answer is sent. They are not closed. New connections are served. Returns the number of connections.
     int silenceOpenConnections();
