--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -15,7 +15,7 @@
     jobs+=($!)
 done
 for job in "${jobs[@]}"; do wait "$job"; done
-for case in review/{6,7,8,9,10}/case.cpp; do
+for case in review/{6,7,8,9,10}/main.cpp; do
     [ -f "$case" ] || continue
     compile "$case" "${objects[@]}" -o "$build/case-$(basename "$(dirname "$case")")"
 done
