--- a/review/standins-2/daemon.cpp
+++ b/review/standins-2/daemon.cpp
@@ -107,17 +107,6 @@
     return m_pid <= 0;
 }
 
-long Daemon::memoryMb() const
-{
-    std::ifstream file("/proc/" + std::to_string(m_pid) + "/status");
-    for (std::string line; std::getline(file, line);) {
-        constexpr std::string_view field = "VmRSS:";
-        if (line.starts_with(field))
-            return std::strtol(&line[field.size()], nullptr, 10) / 1024;
-    }
-    return 0;
-}
-
 std::vector<std::string> splitCommand(const std::string& command)
 {
     std::istringstream stream(command);
--- a/review/standins-2/daemon.h
+++ b/review/standins-2/daemon.h
@@ -38,8 +38,6 @@
     bool waitUntilReady(milliseconds limit) const;
     /// Waits until the process has ended. Returns false if it still runs after `limit`.
     bool waitUntilEnded(milliseconds limit);
-    /// The memory that the process occupies now, in MB; 0 if it has ended.
-    long memoryMb() const;
 
 private:
     bool isReady() const;
--- a/review/standins-2/store.cpp
+++ b/review/standins-2/store.cpp
@@ -114,13 +114,6 @@
     return count;
 }
 
-int Store::feedsAnswered(const std::string& table) const
-{
-    const std::lock_guard lock(m_mutex);
-    const auto found = m_feedsAnswered.find(table);
-    return found == m_feedsAnswered.end() ? 0 : found->second;
-}
-
 void Store::accept()
 {
     while (true) {
@@ -174,13 +167,8 @@
         const std::string head = "HTTP/1.1 " + std::to_string(answer.status)
             + " -\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(text.size())
             + "\r\n\r\n";
-        if (!connection.isSilent) {
-            if (!sendAll(connection.socket, head + text))
-                break;
-            const std::lock_guard lock(m_mutex);
-            if (request.path == "/-/rows-feed")
-                ++m_feedsAnswered[parameter(request.query, "table")];
-        }
+        if (!connection.isSilent && !sendAll(connection.socket, head + text))
+            break;
         request = {};
     }
     const std::lock_guard lock(m_mutex);
--- a/review/standins-2/store.h
+++ b/review/standins-2/store.h
@@ -30,8 +30,6 @@
     /// From now on, the connections that are open deliver nothing: what arrives on them is dropped, and no
     /// answer is sent. They are not closed. New connections are served. Returns the number of connections.
     int silenceOpenConnections();
-    /// Requests for the changes of a table that were answered on connections that are not silent.
-    int feedsAnswered(const std::string& table) const;
 
 private:
     struct Row {
@@ -72,7 +70,6 @@
     std::condition_variable m_changed;
     std::map<Key, Row> m_rows;
     std::uint64_t m_version = 0;
-    std::map<std::string, int> m_feedsAnswered;
     std::list<Connection> m_connections;
 };
 
