--- a/review/8/main.cpp
+++ b/review/8/main.cpp
@@ -72,7 +72,7 @@
     const std::string crashedPrimary = std::string(service) + "-db-0";
     const std::string cutReplica = std::string(service) + "-db-1";
     const std::string deafReplica = std::string(service) + "-db-2";
-    databases = std::make_unique<ReplicatedDatabases>(service, [&](const std::string& id) {
+    databases = std::make_unique<ReplicatedDatabases>(service, 1, [&](const std::string& id) {
         record.write(id + " is now " + (databases->isPrimary(id) ? "the primary" : "a replica"));
         const bool isSilent = (id == cutReplica && isCut) || (context.hasTrouble && id == crashedPrimary);
         if (!isSilent)
--- a/review/standins-2/net.cpp
+++ b/review/standins-2/net.cpp
@@ -46,6 +46,14 @@
     return socket;
 }
 
+int listenOnPort(std::uint16_t port)
+{
+    const int socket = bindLoopback(port);
+    if (socket < 0 || ::listen(socket, backlog) != 0)
+        std::abort();
+    return socket;
+}
+
 std::uint16_t freePort() { return freePorts(1); }
 
 std::uint16_t freePorts(int count)
--- a/review/standins-2/net.h
+++ b/review/standins-2/net.h
@@ -14,6 +14,8 @@
 
 /// Listens on a free port of 127.0.0.1. Ends the program if that fails.
 int listenOnFreePort(std::uint16_t& port);
+/// Listens on a port of 127.0.0.1 that was free before. Ends the program if that fails.
+int listenOnPort(std::uint16_t port);
 /// Returns a port of 127.0.0.1 that is free now.
 std::uint16_t freePort();
 /// Returns the first of `count` consecutive ports of 127.0.0.1 that are free now.
--- a/review/standins-2/replicateddatabases.cpp
+++ b/review/standins-2/replicateddatabases.cpp
@@ -29,8 +29,9 @@
 }
 
 ReplicatedDatabases::ReplicatedDatabases(
-    std::string service, std::function<void(const std::string&)> roleChanged)
+    std::string service, int syncReplicas, std::function<void(const std::string&)> roleChanged)
     : m_service(std::move(service))
+    , m_syncReplicas(syncReplicas)
     , m_roleChanged(std::move(roleChanged))
 {
     for (int i = 0; i < databaseCount; ++i) {
@@ -41,10 +42,15 @@
     }
     m_primary = m_members.front()->id;
     for (const auto& member : m_members)
-        std::thread([this, &member = *member] { accept(member); }).detach();
+        listen(*member);
     std::thread([this] { replicate(); }).detach();
 }
 
+void ReplicatedDatabases::listen(Member& member)
+{
+    std::thread([this, &member] { accept(member); }).detach();
+}
+
 std::vector<std::string> ReplicatedDatabases::ids() const
 {
     std::vector<std::string> result;
@@ -97,6 +103,27 @@
     m_received.notify_all();
 }
 
+void ReplicatedDatabases::restart(const std::string& id)
+{
+    const std::lock_guard lock(m_mutex);
+    Member& restarted = member(id);
+    restarted.listener = listenOnPort(restarted.port);
+    restarted.isUp = true;
+    listen(restarted);
+}
+
+void ReplicatedDatabases::goDark(const std::string& id)
+{
+    const std::lock_guard lock(m_mutex);
+    member(id).isDark = true;
+}
+
+std::vector<ReplicatedDatabases::Read> ReplicatedDatabases::reads() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_reads;
+}
+
 bool ReplicatedDatabases::promote(const std::string& id)
 {
     const std::lock_guard lock(m_mutex);
@@ -135,10 +162,10 @@
         std::this_thread::sleep_for(networkDelay);
         const std::lock_guard lock(m_mutex);
         const Member& source = member(m_primary);
-        if (!source.isUp)
+        if (!source.isUp || source.isDark)
             continue;
         for (const auto& replica : m_members) {
-            if (replica->id != m_primary && replica->isUp && !replica->isDeaf)
+            if (replica->id != m_primary && replica->isUp && !replica->isDeaf && !replica->isDark)
                 replica->log = source.log;
         }
         m_received.notify_all();
@@ -164,9 +191,14 @@
 void ReplicatedDatabases::serve(Member& member, int socket)
 {
     LineReader reader(socket);
-    bool isOpen = false;
+    Session session;
     while (const auto line = reader.next()) {
-        const std::string reply = answer(member, isOpen, *line);
+        const std::string reply = answer(member, session, *line);
+        {
+            const std::lock_guard lock(m_mutex);
+            if (member.isDark)
+                continue;
+        }
         if (reply.empty() || !sendAll(socket, reply))
             break;
     }
@@ -183,33 +215,55 @@
 }
 
 /// Returns the reply to a line; empty if the connection has to be closed.
-std::string ReplicatedDatabases::answer(Member& member, bool& isOpen, const std::string& line)
+std::string ReplicatedDatabases::answer(Member& member, Session& session, const std::string& line)
 {
     std::string rest = line;
     const std::string word = takeWord(rest);
     std::string result;
-    if (word == "STARTUP" && !isOpen) {
+    {
+        const std::lock_guard lock(m_mutex);
+        if (member.isDark)
+            return {};
+    }
+    if (word == "STARTUP" && !session.isOpen) {
         const std::string service = takeWord(rest);
         takeWord(rest);
         if (service != m_service || rest != member.id)
             return "ERROR WRONGNODE stand-in\r\n";
-        isOpen = true;
-    } else if (word == "QUERY" && isOpen) {
+        session.isOpen = true;
+    } else if (word == "QUERY" && session.isOpen) {
         const std::string id = takeWord(rest);
-        result = run(member, id, rest);
+        result = run(member, session, id, rest);
         if (result.empty())
             return {};
     } else {
         return {};
     }
     const std::lock_guard lock(m_mutex);
-    return member.isUp ? result + "READY I " + position(member) + "\r\n" : std::string();
+    if (!member.isUp)
+        return {};
+    result += std::string("READY ") + session.state + " ";
+    result += position(member) + "\r\n";
+    return result;
 }
 
-std::string ReplicatedDatabases::run(Member& member, const std::string& id, const std::string& text)
+std::string ReplicatedDatabases::run(
+    Member& member, Session& session, const std::string& id, const std::string& text)
 {
     if (text.starts_with("WRITE "))
         return write(member, id);
+    if (text.starts_with("READ "))
+        return read(member, id);
+    if (text == "BEGIN") {
+        if (!isPrimary(member.id))
+            return "ERROR READONLY stand-in\r\n";
+        session.state = 'T';
+        return completed;
+    }
+    if (text == "ROLLBACK") {
+        session.state = 'I';
+        return completed;
+    }
     if (text == "RESET" || text.starts_with("SET "))
         return completed;
     if (text != "STATUS")
@@ -219,6 +273,20 @@
         + std::to_string(m_term) + " " + position(member) + " 0 0 0 1\r\n" + completed;
 }
 
+/// Runs a read of a `primary` route, which comes inside a transaction.
+std::string ReplicatedDatabases::read(Member& member, const std::string& id)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_primary != member.id)
+        return "ERROR READONLY stand-in\r\n";
+    Read& read = m_reads.emplace_back();
+    read.id = id;
+    read.database = member.id;
+    for (const Entry& entry : member.log)
+        read.log.insert(entry.id);
+    return "DATAROW " + std::to_string(member.log.size()) + "\r\nCOMPLETE receipt-" + id + "\r\n";
+}
+
 std::string ReplicatedDatabases::write(Member& member, const std::string& id)
 {
     std::unique_lock lock(m_mutex);
@@ -233,7 +301,8 @@
             return replica->id != member.id && std::ranges::find(replica->log, entry) != replica->log.end();
         });
     };
-    m_received.wait(lock, [&] { return !member.isUp || m_primary != member.id || hasReceived(); });
+    if (m_syncReplicas > 0)
+        m_received.wait(lock, [&] { return !member.isUp || m_primary != member.id || hasReceived(); });
     if (!member.isUp || m_primary != member.id)
         return {};
     return "COMPLETE receipt-" + id + "\r\n";
