Answer every statement before a shutdown ends

Cause: after half of the time the host looked for transactions without a running statement every 100 ms, and seldom found such a one. Nothing kept it from accepting statements that it would not finish, and the process ended at a fixed moment, whether or not statements were unanswered. Ruled out by the log and the record of the case: that the rollback does not run (idle transactions are rolled back), and that answers are ready but not sent.

Change: from half of the time on, the next statement of a transaction is answered with ABORTED, and new operations (pipelined ones, those that wait for their admission, those of other hosts) are refused or declined. No time limit is later than 85 % of the time, so that the handling of time limits answers queued statements (not run) and running ones (ABORTED, INDOUBT). The process ends once all is answered, at 95 % in any case. Sessions that wait for the first configuration are rejected. This works because no statement is accepted any more without an answer that is certain to follow.

--- a/src/libs/core/proxy/engine.cpp
+++ b/src/libs/core/proxy/engine.cpp
@@ -34,6 +34,7 @@
         session->pipelined.push_back(std::move(statement));
         return;
     }
+    endTransactionOnShutdown(*session, now);
     if (session->state == TransactionState::Failed || session->isAborted)
         return handleInFailedTransaction(*session, statement, now);
     const bool isOperation = session->state == TransactionState::None
@@ -73,6 +74,9 @@
     session.isUsageCounted = false;
     if (statement.kind == StatementKind::Commit)
         return refuseStart(ResultCode::Malformed, "no transaction is open");
+    // The process would end before many of them, and no other statement waits for this one.
+    if (m_endsTransactions)
+        return refuseStart(ResultCode::Busy, "shutdown");
     if (!customer)
         return true;
     if (mayAdmit(*customer, awaitedSince.has_value(), now))
@@ -153,6 +157,8 @@
     request.statement = std::move(statement);
     request.arrivedAt = now;
     request.deadline = now + session.route->statementTimeout;
+    if (!session.forwardedRoute)
+        request.deadline = std::min(request.deadline, m_latestDeadline);
     if (session.isTraced || m_hooks.isNextTraced())
         request.trace.emplace();
     session.request = std::move(request);
--- a/src/libs/core/proxy/engine.h
+++ b/src/libs/core/proxy/engine.h
@@ -143,11 +143,18 @@
     /// Returns the latest time at which `tick` has to be called next.
     Model::Time nextTick(Model::Time now) const;
 
+    /// For a shutdown: ends every statement of this host's callers by `latest`. One that is still queued then
+    /// is refused; one that runs is given up and answered like at its time limit.
+    void limitDeadlines(Model::Time latest);
     /// Closes the sessions that have neither a transaction nor an unanswered statement, and from now on each
-    /// other one as soon as that is true of it.
+    /// other one as soon as that is true of it. Rejects sessions that wait for the first configuration.
     void closeIdleSessions();
     /// Rolls back the transactions that wait for their caller's next statement, and closes their sessions.
-    void endIdleTransactions(Model::Time now);
+    /// From now on the next statement of each other transaction is answered with `Aborted`, and new
+    /// operations are refused.
+    void endTransactions(Model::Time now);
+    /// Whether a statement that was received has not been answered, or waits for its admission.
+    bool hasUnansweredStatements() const;
     /// Closes a connection that no session uses, which says nothing about the upstream's reachability.
     void closeUnused(ConnectionId id, Model::Time now) { endUse(id, now); }
     /// Memory that the session occupies; 0 if it does not exist.
@@ -298,6 +305,9 @@
     static bool mayAbandon(const Session& session);
     bool isAnswerOverdue(const Session& session, Model::Time now) const;
     void checkTransaction(Session& session, Model::Time now);
+    void abortTransaction(Session& session, std::string_view reason, Model::Time now);
+    void endTransactionOnShutdown(Session& session, Model::Time now);
+    void declineIfNotStarted(const Session& session, Model::Time now);
     void closeSurplus(Model::Time now);
     void rejectOpen(SessionId id, const std::string& database, ResultCode code, std::string_view reason);
     void decided(DecisionKind kind, const Session& session, ResultCode code, std::string_view reason,
@@ -340,7 +350,10 @@
     ConnectionLedger m_ledger;
     std::uint64_t m_lastForwardSequence = 0;
     Model::Time m_nextSurplusCheck;
+    /// No statement of this host's callers has a later deadline.
+    Model::Time m_latestDeadline = Model::Time::max();
     bool m_closesIdleSessions = false;
+    bool m_endsTransactions = false;
 };
 
 }
--- a/src/libs/core/proxy/engineforwarding.cpp
+++ b/src/libs/core/proxy/engineforwarding.cpp
@@ -126,12 +126,14 @@
     sessionConnectionLost(session, {}, now);
 }
 
-/// Returns whether this host reaches what a new operation needs. If it does not reach the primary, another
-/// host of the zone may.
+/// Returns whether this host can take a new operation. If it is shutting down or does not reach the primary,
+/// another host of the zone may.
 bool Engine::canExecute(const ForwardedStatement& forwarded, Model::Time now) const
 {
     if (forwarded.isContinued)
         return true;
+    if (m_endsTransactions)
+        return false;
     const bool writes = isWrite(forwarded.statement, forwarded.shape ? &*forwarded.shape : nullptr);
     const bool isReadOnly
         = forwarded.state == TransactionState::Open ? forwarded.isReadOnlyTransaction : !writes;
@@ -172,6 +174,7 @@
         session.context.prepared.emplace(forwarded.statement.name, *forwarded.shape);
     session.forwardedRoute = std::make_shared<Directory::Route>(std::move(forwarded.route));
     session.route = session.forwardedRoute.get();
+    endTransactionOnShutdown(session, now);
     if (session.state == TransactionState::Failed || session.isAborted) {
         handleInFailedTransaction(session, forwarded.statement, now);
         return removeIfOver(id);
--- a/src/libs/core/proxy/enginetime.cpp
+++ b/src/libs/core/proxy/enginetime.cpp
@@ -115,7 +115,14 @@
         return;
     if (now - session.lastActivity < session.configuration->limits.idleTransaction)
         return;
-    decided(DecisionKind::TransactionAborted, session, ResultCode::Aborted, "idle transaction", now);
+    abortTransaction(session, "idle transaction", now);
+}
+
+/// Rolls back the open transaction of a session without a request. The reply to the caller's next statement
+/// reports it.
+void Engine::abortTransaction(Session& session, std::string_view reason, Model::Time now)
+{
+    decided(DecisionKind::TransactionAborted, session, ResultCode::Aborted, reason, now);
     session.isAborted = true;
     detach(session, now);
 }
@@ -174,33 +181,6 @@
     return next;
 }
 
-void Engine::closeIdleSessions()
-{
-    m_closesIdleSessions = true;
-    std::vector<SessionId> idle;
-    for (const auto& [id, session] : m_sessions) {
-        if (isIdle(id))
-            idle.push_back(id);
-    }
-    for (const SessionId id : idle) {
-        m_sessions.erase(id);
-        m_hooks.closeSession(id);
-    }
-}
-
-void Engine::endIdleTransactions(Model::Time now)
-{
-    const std::vector<SessionId> active(m_active.begin(), m_active.end());
-    for (const SessionId id : active) {
-        const Session* session = findSession(id);
-        if (!session || session->request || m_awaitingAdmission.contains(id))
-            continue;
-        decided(DecisionKind::TransactionAborted, *session, ResultCode::Aborted, "shutdown", now);
-        sessionClosed(id, now);
-        m_hooks.closeSession(id);
-    }
-}
-
 Model::Duration Engine::maxQueueTime(const Session& session) const
 {
     const auto expected = m_primaryExpected.find(session.route->service);
--- a/src/libs/proxyhost/proxyhost.cpp
+++ b/src/libs/proxyhost/proxyhost.cpp
@@ -24,14 +24,20 @@
     constexpr int reportLifetimePeriods = 10;
     /// Upstream entries that are removed this soon after an outage of the store may have expired during it.
     constexpr Model::Duration storeRecoveryWindow = std::chrono::milliseconds(2500);
-    /// Fractions of the time that a shutdown may take: idle transactions are rolled back after the first, the
-    /// process ends after the second.
+    /// Fractions of the time that a shutdown may take: transactions are rolled back after the first, all
+    /// statements are answered after the second, and the process ends after the last.
     constexpr double rollbackFraction = 0.5;
-    constexpr double exitFraction = 0.85;
+    constexpr double lastAnswerFraction = 0.85;
+    constexpr double exitFraction = 0.95;
     /// Time for the last counts of usage to be sent.
     constexpr Model::Duration lastUsageDelay = std::chrono::milliseconds(150);
     constexpr std::size_t bytesPerKb = 1024;
 
+    Model::Duration fractionOf(Model::Duration duration, double fraction)
+    {
+        return std::chrono::duration_cast<Model::Duration>(duration * fraction);
+    }
+
     std::string milliseconds(Model::Duration duration)
     {
         return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
@@ -504,7 +510,9 @@
     if (m_ownRowVersion != 0)
         m_worker.deleteHostRow(m_settings.host, m_ownRowVersion);
     updateReadiness();
-    m_shutdownTimer.start(balancerDelay);
+    const Model::Duration limit = std::chrono::milliseconds(m_settings.shutdownMs);
+    m_server.limitDeadlines(*m_shutdownAt + fractionOf(limit, lastAnswerFraction));
+    m_shutdownTimer.start(std::min(balancerDelay, fractionOf(limit, rollbackFraction)));
 }
 
 void ProxyHost::continueShutdown()
@@ -512,13 +520,17 @@
     const Model::Duration elapsed = EventLoop::now() - *m_shutdownAt;
     const Model::Duration limit = std::chrono::milliseconds(m_settings.shutdownMs);
     m_server.stopListening();
-    if (elapsed >= std::chrono::duration_cast<Model::Duration>(limit * rollbackFraction))
-        m_server.endIdleTransactions();
+    if (elapsed >= fractionOf(limit, rollbackFraction))
+        m_server.endTransactions();
     m_server.closeIdleSessions();
-    const bool isOver = elapsed >= std::chrono::duration_cast<Model::Duration>(limit * exitFraction);
+    const bool isOver = elapsed >= fractionOf(limit, exitFraction);
+    const Proxy::Engine& engine = m_server.engine();
+    // Callers whose transaction has failed may never end it.
+    const bool areSessionsOver = engine.sessionCount() == 0
+        || (elapsed >= fractionOf(limit, lastAnswerFraction) && !engine.hasUnansweredStatements());
     const bool areAnswersSent
         = m_server.isEveryAnswerSent() && (!m_forwarding || m_forwarding->isEveryReplySent());
-    const bool isDone = m_server.engine().sessionCount() == 0 && areAnswersSent;
+    const bool isDone = areSessionsOver && areAnswersSent;
     if (!isDone && !isOver) {
         m_shutdownTimer.start(shutdownCheckPeriod);
         return;
--- a/src/libs/sessionserver/server.cpp
+++ b/src/libs/sessionserver/server.cpp
@@ -386,7 +386,17 @@
         closeCaller(id);
 }
 
-void Server::endIdleTransactions() { m_engine.endIdleTransactions(EventLoop::now()); }
+void Server::limitDeadlines(Model::Time latest)
+{
+    m_engine.limitDeadlines(latest);
+    scheduleTick();
+}
+
+void Server::endTransactions()
+{
+    m_engine.endTransactions(EventLoop::now());
+    scheduleTick();
+}
 
 void Server::tick()
 {
--- a/src/libs/sessionserver/server.h
+++ b/src/libs/sessionserver/server.h
@@ -90,8 +90,9 @@
     /// which is checked only here: has to be called again until `isEveryAnswerSent`.
     void closeIdleSessions();
     bool isEveryAnswerSent() const { return m_closing.empty(); }
-    /// Rolls back the transactions that wait for their caller, and closes their sessions.
-    void endIdleTransactions();
+    /// For a shutdown; see the functions of `Proxy::Engine`.
+    void limitDeadlines(Model::Time latest);
+    void endTransactions();
     /// Sends a command of the proxy itself to an upstream. `answered` gets `nullopt` if no answer arrives, or
     /// if it is an error or malformed.
     void sendCommand(const std::string& upstream, const Proxy::Command& command,
--- a/tests/auto/core/proxy/enginefixture.cpp
+++ b/tests/auto/core/proxy/enginefixture.cpp
@@ -165,6 +165,15 @@
     m_engine->connectionReply(link, reply, m_now);
 }
 
+ConnectionId EngineFixture::run(SessionId session, StatementKind kind)
+{
+    send(session, statement(kind, "a 1"));
+    acceptConnections();
+    const ConnectionId link = linkTo("p");
+    take(link);
+    return link;
+}
+
 void EngineFixture::observePrimary(std::uint64_t position)
 {
     const SessionId writer = open("strict");
--- a/tests/auto/core/proxy/enginefixture.h
+++ b/tests/auto/core/proxy/enginefixture.h
@@ -45,6 +45,8 @@
     /// Answers the oldest message on a connection.
     void answer(Proxy::ConnectionId link, Proxy::ResultCode code = Proxy::ResultCode::Complete,
         Proxy::TransactionState state = Proxy::TransactionState::None, std::uint64_t position = 0);
+    /// Sends a statement of the session and lets it reach the primary. Returns the connection that runs it.
+    Proxy::ConnectionId run(Proxy::SessionId session, Proxy::StatementKind kind);
     /// Lets the engine observe a position of the primary by running a write.
     void observePrimary(std::uint64_t position);
     void advance(Model::Duration duration);
--- a/tests/auto/core/proxy/tst_enginefailures.cpp
+++ b/tests/auto/core/proxy/tst_enginefailures.cpp
@@ -15,16 +15,6 @@
             result.push_back(command.kind);
         return result;
     }
-
-    /// Sends a statement of the session and lets it reach the primary. Returns the connection that runs it.
-    ConnectionId run(SessionId session, StatementKind kind)
-    {
-        send(session, statement(kind, "a 1"));
-        acceptConnections();
-        const ConnectionId link = linkTo("p");
-        take(link);
-        return link;
-    }
 };
 
 }
@@ -333,48 +323,6 @@
     EXPECT_EQ(lastReply(session).code, ResultCode::Aborted);
 }
 
-// Guards against a shutdown that cuts the statements of a caller that is seldom idle: its session has to end
-// after one of its answers.
-TEST_F(EngineFailures, ClosesBusySessionAfterAnswerOnShutdown)
-{
-    const SessionId session = open("strict");
-    const SessionId inTransaction = open("strict", "key-bolt");
-    send(inTransaction, statement(StatementKind::Begin));
-    const ConnectionId other = run(inTransaction, StatementKind::Write);
-    const ConnectionId link = run(session, StatementKind::Write);
-    send(session, statement(StatementKind::Write, "b 2"));
-    m_engine->closeIdleSessions();
-    answer(link, ResultCode::Complete, TransactionState::None, 1);
-    EXPECT_EQ(replyCount(session), 2U);
-    // The pipelined statement was accepted before, so it is answered too.
-    EXPECT_FALSE(m_closedSessions.contains(session));
-    answer(link, ResultCode::Complete, TransactionState::None, 2);
-    EXPECT_EQ(replyCount(session), 3U);
-    EXPECT_TRUE(m_closedSessions.contains(session));
-    answer(other, ResultCode::Complete, TransactionState::Open);
-    answer(other, ResultCode::Complete, TransactionState::Open);
-    EXPECT_FALSE(m_closedSessions.contains(inTransaction));
-    send(inTransaction, statement(StatementKind::Commit));
-    answer(other, ResultCode::Complete, TransactionState::None, 3);
-    EXPECT_TRUE(m_closedSessions.contains(inTransaction));
-}
-
-// Guards against a shutdown that waits for callers that are idle, also within transactions.
-TEST_F(EngineFailures, ClosesIdleSessionsAndTransactionsOnShutdown)
-{
-    const SessionId idle = open("strict");
-    const SessionId idleInTransaction = open("strict");
-    send(idleInTransaction, statement(StatementKind::Begin));
-    const SessionId running = open("strict");
-    run(running, StatementKind::Write);
-    m_engine->closeIdleSessions();
-    EXPECT_TRUE(m_closedSessions.contains(idle));
-    EXPECT_FALSE(m_closedSessions.contains(idleInTransaction));
-    m_engine->endIdleTransactions(m_now);
-    EXPECT_TRUE(m_closedSessions.contains(idleInTransaction));
-    EXPECT_FALSE(m_closedSessions.contains(running));
-}
-
 // Guards against a reply without a request that is taken for the reply to the next statement.
 TEST_F(EngineFailures, ClosesConnectionOnUnexpectedReply)
 {
--- a/tests/auto/core/proxy/tst_engineforwarding.cpp
+++ b/tests/auto/core/proxy/tst_engineforwarding.cpp
@@ -300,3 +300,40 @@
     EXPECT_EQ(m_declined, std::vector { firstForwarded });
     EXPECT_EQ(m_engine->sessionCount(), 0U);
 }
+
+// Guards against a pool host that runs the operations and transactions of other hosts' callers until it ends,
+// and cuts them.
+TEST_F(ForwardingFixture, PoolHostEndsTransactionsOnShutdown)
+{
+    openAtEntry("strict");
+    sendAtEntry(statement(StatementKind::Begin));
+    sendAtEntry(statement(StatementKind::Write, "item data"));
+    deliver();
+    const ConnectionId link = linkTo("p");
+    answer(link, ResultCode::Complete, TransactionState::Open, 10);
+    m_engine->endTransactions(m_now);
+    answer(link, ResultCode::Complete, TransactionState::Open, 10);
+    returnReply();
+    EXPECT_EQ(m_callerReplies.back().code, ResultCode::Complete);
+    take(link);
+    sendAtEntry(statement(StatementKind::Commit));
+    deliver();
+    EXPECT_EQ(take(link).at(0).kind, CommandKind::Rollback);
+    returnReply();
+    EXPECT_EQ(m_callerReplies.back().code, ResultCode::Aborted);
+    sendAtEntry(statement(StatementKind::Write, "item data"));
+    deliver(firstForwarded + 1);
+    EXPECT_EQ(m_declined, std::vector<SessionId> { firstForwarded + 1 });
+}
+
+// Guards against a queued operation of another host that is in doubt after the end of the pool host, although
+// it certainly did not run.
+TEST_F(ForwardingFixture, PoolHostReturnsQueuedOperationsOnShutdown)
+{
+    openAtEntry("strict");
+    sendAtEntry(statement(StatementKind::Write, "item data"));
+    m_engine->handleForwarded(firstForwarded, m_sent.back(), m_now);
+    m_engine->endTransactions(m_now);
+    EXPECT_EQ(m_declined, std::vector<SessionId> { firstForwarded });
+    EXPECT_EQ(m_engine->sessionCount(), 0U);
+}
--- a/tests/auto/sessionproxy/tst_sessionproxy.cpp
+++ b/tests/auto/sessionproxy/tst_sessionproxy.cpp
@@ -450,6 +450,58 @@
     EXPECT_EQ(cluster.host(0).waitForExit(4s), 0);
 }
 
+// Guards against a shutdown that cuts statements of transactions. Each statement follows the answer to the
+// previous one at once, so that the host hardly ever finds a transaction idle.
+TEST(SessionProxy, AnswersStatementsOfTransactionsOnShutdown)
+{
+    TestCluster cluster(1);
+    cluster.databases().setStatementTime(50ms);
+    constexpr int sessions = 4;
+    std::vector<std::vector<std::string>> lastAnswers(sessions);
+    std::vector<std::thread> threads;
+    threads.reserve(sessions);
+    for (int i = 0; i < sessions; ++i) {
+        threads.emplace_back([&, i] {
+            Client client(cluster.callers(0));
+            client.open("own", "key-1");
+            auto& answer = lastAnswers[static_cast<std::size_t>(i)];
+            const auto runs
+                = [&](const std::string& text) { return isComplete(answer = client.query(text)); };
+            if (!runs("BEGIN"))
+                return;
+            while (runs("READ a")) { }
+        });
+    }
+    std::this_thread::sleep_for(500ms);
+    cluster.host(0).signal(SIGTERM);
+    for (std::thread& thread : threads)
+        thread.join();
+    for (const auto& answer : lastAnswers)
+        EXPECT_EQ(errorCode(answer), "ABORTED");
+    EXPECT_EQ(cluster.host(0).waitForExit(4s), 0);
+}
+
+// Guards against a shutdown that cuts a statement whose upstream does not answer, without telling the caller
+// that the outcome is unknown.
+TEST(SessionProxy, AnswersUnansweredWriteOnShutdown)
+{
+    TestCluster cluster(1);
+    cluster.setStatementTimeout(20s);
+    cluster.publish({ "key-1" });
+    cluster.databases().setWritesWaiting(true);
+    std::this_thread::sleep_for(1s);
+    Client client(cluster.callers(0));
+    ASSERT_EQ(client.open("own", "key-1"), "READY I -");
+    client.sendRaw("QUERY write WRITE a 1\r\n");
+    std::this_thread::sleep_for(200ms);
+    cluster.host(0).signal(SIGTERM);
+    // The client waits for 5 s at most, the host for longer.
+    std::this_thread::sleep_for(2s);
+    EXPECT_TRUE(client.line().value_or("").starts_with("ERROR INDOUBT"));
+    EXPECT_EQ(cluster.host(0).waitForExit(2s), 0);
+    cluster.databases().setWritesWaiting(false);
+}
+
 // Guards against logs and metrics that do not show why a request was refused: the log line of the refusal
 // must contain the request id, the reason and the version of the configuration.
 TEST(SessionProxy, LogsReasonOfRefusedRequest)
--- a/tests/standins/sessionplatform/databases.cpp
+++ b/tests/standins/sessionplatform/databases.cpp
@@ -209,6 +209,8 @@
         std::string output;
         for (std::size_t end = 0; (end = input.find("\r\n")) != std::string::npos;) {
             const std::string line = input.substr(0, end);
+            if (line.starts_with("QUERY") && !line.starts_with("QUERY - "))
+                std::this_thread::sleep_for(m_statementTime.load());
             if (line.find(" WRITE ") != std::string::npos)
                 waitWithWrite(member);
             output += processLine(member, connection, line);
--- a/tests/standins/sessionplatform/databases.h
+++ b/tests/standins/sessionplatform/databases.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <condition_variable>
 #include <cstdint>
 #include <functional>
@@ -42,6 +43,8 @@
     /// While set, single writes get no answer, as if they waited for a replica; all else is answered.
     void setWritesWaiting(bool areWaiting);
 
+    /// Time that each later statement of a caller takes; none at first.
+    void setStatementTime(std::chrono::milliseconds time) { m_statementTime = time; }
     /// Number of rows that each later read returns, all with the same content; 1 at first.
     void setRowsPerRead(int rows) { m_rowsPerRead = rows; }
 
@@ -98,6 +101,7 @@
     bool m_areWritesWaiting = false;
     std::condition_variable m_writesReleased;
     std::atomic<int> m_rowsPerRead = 1;
+    std::atomic<std::chrono::milliseconds> m_statementTime = std::chrono::milliseconds(0);
     std::atomic<bool> m_isStopping = false;
 };
 
