Promote no log with entries that a promotion rolled back

Cause: at a service without synchronous replicas the highest position decided which upstream is promoted. A primary that had been replaced came back, under a new id, with commits that no replica had received; its position was higher than that of the other replica, but its log is no continuation of its successor's. Nothing recorded where the successor's log began. Ruled out by the survey in the log: wrong or old positions (1.63 and 1.46 were true), and an upstream that counts as having received from the successor (its position was of term 1).

Change: the row of the promotion lease records the newest promotions with the end of the promoted log. A log of an earlier term that ends behind it has parted from the primary's and is not promoted; without another candidate the service waits for the primary, until 30 s after its entry is gone. A leaving primary does not step down without a candidate. This works because every later choice, by whichever host, sees from the store what the promotion rolled back. It costs one write to the store a promotion, beside the promotion request.

--- a/src/libs/core/failover/promotion.cpp
+++ b/src/libs/core/failover/promotion.cpp
@@ -83,13 +83,14 @@
     m_phaseAt = now;
 }
 
-void Promotion::leaseAcquired(std::optional<FencingToken> token, Model::Time now)
+void Promotion::leaseAcquired(std::optional<FencingToken> token, Model::Time now, const TermHistory& recorded)
 {
     if (m_phase != PromotionPhase::TakingDuty)
         return;
     if (!token)
         return enter(PromotionPhase::Failed, now);
     m_token = *token;
+    m_recorded = recorded;
     // Another upstream may have become the primary while the store handled the lease.
     if (hasNewPrimary())
         return enter(PromotionPhase::Finished, now);
@@ -182,6 +183,10 @@
 
 void Promotion::finishSurvey(Model::Time now)
 {
+    m_promotions = m_recorded;
+    if (!hasNewestTakenPlace())
+        m_promotions.removeNewest();
+    m_mayPromoteParted = m_hooks.mayPromoteParted && m_hooks.mayPromoteParted(now);
     if (!isSurveySufficient())
         return promote({}, now);
     const auto previous = m_statuses.find(m_previousPrimary);
@@ -189,28 +194,65 @@
         return promote(bestReplica(), now);
     if (!previous->second)
         return stepDownFailed(now);
-    const bool isSynchronous = synchronousReplicas() > 0;
     // Nobody leads if the promotion after an earlier step-down did not take place.
-    if (previous->second->role != Directory::Role::Primary)
-        return promote(isSynchronous ? longestLog(PreviousPrimary::Included) : bestReplica(), now);
+    if (previous->second->role != Directory::Role::Primary) {
+        const std::string best
+            = synchronousReplicas() > 0 ? longestLog(PreviousPrimary::Included) : bestReplica();
+        return promote(best.empty() ? m_previousPrimary : best, now);
+    }
     // The primary keeps its role until a replica that accepts work has what the others have acknowledged.
     const Directory::Upstream* next = m_view.findUpstream(bestReplica());
-    if (isSynchronous && (!next || !m_view.acceptsWork(*next)))
+    if (!next || !m_view.acceptsWork(*next))
         return promote({}, now);
     enter(PromotionPhase::SteppingDown, now);
     m_outstanding.clear();
     m_hooks.stepDown(m_previousPrimary, nextTerm());
 }
 
-/// The term of the next primary, as far as the upstreams' statuses show it.
-std::uint64_t Promotion::nextTerm() const
+/// The newest term that an upstream is known to have reached.
+std::uint64_t Promotion::knownTerm() const
 {
-    std::uint64_t term = 0;
+    std::uint64_t term = m_hooks.knownPosition(m_previousPrimary).term;
     for (const auto& [upstream, status] : m_statuses) {
         if (status)
-            term = std::max(term, status->term);
+            term = std::max({ term, status->term, status->received.term });
+    }
+    return term;
+}
+
+/// The term of the next primary, as far as the upstreams and the recorded promotions show it.
+std::uint64_t Promotion::nextTerm() const { return std::max(knownTerm(), m_promotions.newestTerm()) + 1; }
+
+/// Whether the newest recorded promotion has taken place. It is recorded when it is requested.
+bool Promotion::hasNewestTakenPlace() const
+{
+    if (m_recorded.starts().empty())
+        return true;
+    const TermStart& newest = m_recorded.starts().back();
+    return m_previousPrimary.empty() || m_previousPrimary == newest.primary || knownTerm() >= newest.term;
+}
+
+bool Promotion::hasParted(const Model::LogPosition& position) const
+{
+    return !m_mayPromoteParted && m_promotions.hasParted(position);
+}
+
+/// The end of the upstream's log, by its status or else as this host has last seen it.
+Model::LogPosition Promotion::lastPosition(const std::string& upstream) const
+{
+    const auto status = m_statuses.find(upstream);
+    const bool isKnown = status != m_statuses.end() && status->second;
+    return isKnown ? status->second->received : m_hooks.knownPosition(upstream);
+}
+
+std::vector<std::string> Promotion::partedUpstreams() const
+{
+    std::vector<std::string> result;
+    for (const auto& [upstream, status] : m_statuses) {
+        if (upstream != m_previousPrimary && m_promotions.hasParted(lastPosition(upstream)))
+            result.push_back(upstream);
     }
-    return term + 1;
+    return result;
 }
 
 /// On a platform that does not take the role from the previous primary, it continues as one until it is asked
@@ -219,7 +261,7 @@
 {
     const bool isReplaced = m_candidate != m_previousPrimary && m_view.findUpstream(m_previousPrimary);
     if (m_hooks.isFenceEffective && isReplaced)
-        m_hooks.stepDown(m_previousPrimary, nextTerm());
+        m_hooks.stepDown(m_previousPrimary, m_term);
 }
 
 /// Whether the replica has received from the previous primary. If it has not, it may lack commits that only
@@ -238,7 +280,8 @@
     for (const auto& [id, status] : m_statuses) {
         const Directory::Upstream* upstream = m_view.findUpstream(id);
         const bool isExcluded = id == m_previousPrimary && previousPrimary == PreviousPrimary::Excluded;
-        if (isExcluded || !upstream || !status || !hasLogOfPreviousTerm(*status))
+        if (isExcluded || !upstream || !status || !hasLogOfPreviousTerm(*status)
+            || hasParted(status->received))
             continue;
         const std::pair rank(status->received, m_view.acceptsWork(*upstream));
         if (longest.empty() || rank > longestRank) {
@@ -255,28 +298,34 @@
         return longestLog(PreviousPrimary::Excluded);
     std::string best;
     std::optional<Model::LogPosition> bestPosition;
+    bool hasSkipped = false;
     for (const Directory::Upstream* upstream : m_view.upstreamsOf(m_service)) {
         if (upstream->id == m_previousPrimary || !m_view.acceptsWork(*upstream))
             continue;
-        const auto status = m_statuses.find(upstream->id);
-        const bool isKnown = status != m_statuses.end() && status->second;
-        const Model::LogPosition position
-            = isKnown ? status->second->received : m_hooks.knownPosition(upstream->id);
-        if (!bestPosition || position > *bestPosition) {
+        const Model::LogPosition position = lastPosition(upstream->id);
+        if (hasParted(position)) {
+            hasSkipped = true;
+        } else if (!bestPosition || position > *bestPosition) {
             best = upstream->id;
             bestPosition = position;
         }
     }
-    return best;
+    // An upstream without a log, for example a new one, would lose more than one whose log has parted.
+    const bool isEmpty = bestPosition && bestPosition->position == 0;
+    return hasSkipped && isEmpty ? std::string() : best;
 }
 
 /// Requests the promotion of the candidate, or fails if there is none.
 void Promotion::promote(const std::string& candidate, Model::Time now)
 {
     m_candidate = candidate;
-    m_hooks.surveyed(m_statuses, m_candidate);
+    m_hooks.surveyed({ m_statuses, partedUpstreams(), m_candidate });
     if (m_candidate.empty())
         return enter(PromotionPhase::Failed, now);
+    m_term = nextTerm();
+    // Without a position, nothing can be said of the logs of the others.
+    if (const Model::LogPosition end = lastPosition(m_candidate); end != Model::LogPosition {})
+        m_promotions.add({ m_term, m_candidate, end });
     if (m_hooks.allowPrimary) {
         enter(PromotionPhase::Allowing, now);
         m_hooks.allowPrimary(m_service, m_candidate);
--- a/src/libs/core/failover/promotion.h
+++ b/src/libs/core/failover/promotion.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace Failover {
 
@@ -53,6 +54,15 @@
 /// Last status of each upstream by its id; `nullopt` if it has not responded.
 using UpstreamStatuses = std::map<std::string, std::optional<UpstreamStatus>>;
 
+/// What a survey has found.
+struct SurveyResult {
+    UpstreamStatuses statuses;
+    /// The upstreams whose logs have entries that an earlier promotion rolled back.
+    std::vector<std::string> parted;
+    /// Empty if no upstream can be promoted.
+    std::string candidate;
+};
+
 /// Callbacks that a promotion needs. Answers are delivered by calls of `Promotion`.
 struct PromotionHooks {
     /// Acquires the lease, and with a fence ends the use of any primary of the service.
@@ -70,9 +80,11 @@
     std::function<bool(const std::string& upstream)> isReachable;
     /// The last log position that the upstream reported in a response of any kind.
     std::function<Model::LogPosition(const std::string& upstream)> knownPosition;
-    /// Called with the statuses on which the choice of the new primary is based, for logs; `candidate` is
-    /// empty if none can be promoted.
-    std::function<void(const UpstreamStatuses& statuses, const std::string& candidate)> surveyed;
+    /// Called when the new primary is chosen, for logs.
+    std::function<void(const SurveyResult&)> surveyed;
+    /// Whether upstreams with entries that an earlier promotion rolled back may be promoted, because no other
+    /// has appeared for long.
+    std::function<bool(Model::Time now)> mayPromoteParted;
 };
 
 /// One replacement of a service's primary by the replica that has received the longest log. Used on one
@@ -81,6 +93,9 @@
 /// Where commits wait for synchronous replicas, an acknowledged one is in the log of at least as many
 /// replicas. No upstream is promoted before so many replicas have responded that one of them must have it,
 /// and the longest log decides, also if its upstream is about to leave.
+///
+/// An upstream that has entries which an earlier promotion rolled back is not promoted: reads have run on the
+/// replaced primary without them.
 class Promotion {
 public:
     /// `previousPrimary` is the last known primary of the service, also if it is no longer registered; empty
@@ -88,8 +103,9 @@
     Promotion(const Directory::View& view, std::string service, PromotionReason reason,
         std::string previousPrimary, PromotionHooks hooks, Model::Time now);
 
-    /// `nullopt` if the lease could not be acquired.
-    void leaseAcquired(std::optional<FencingToken> token, Model::Time now);
+    /// `token` is `nullopt` if the lease could not be acquired. `recorded` are the promotions that the lease
+    /// had recorded.
+    void leaseAcquired(std::optional<FencingToken> token, Model::Time now, const TermHistory& recorded = {});
     /// Answer to `allowPrimary`; `isAllowed` is false if the store did not accept it.
     void primaryAllowed(bool isAllowed, Model::Time now);
     /// Response to `requestStatus` or `stepDown`; `nullopt` if the upstream did not respond.
@@ -101,6 +117,11 @@
 
     PromotionPhase phase() const { return m_phase; }
     bool isOver() const { return m_phase == PromotionPhase::Finished || m_phase == PromotionPhase::Failed; }
+    /// Whether the upstream may have got the promotion request, and is not the primary yet.
+    bool isRequested() const
+    {
+        return m_phase == PromotionPhase::Requesting || m_phase == PromotionPhase::Awaiting;
+    }
     const std::string& service() const { return m_service; }
     /// Whether this host holds the lease, so that the others need not try to acquire it.
     bool holdsLease() const { return m_token != 0 && !isOver(); }
@@ -109,6 +130,8 @@
     PromotionReason reason() const { return m_reason; }
     Model::Time startedAt() const { return m_startedAt; }
     FencingToken token() const { return m_token; }
+    /// The promotions that have taken place, and this one once its candidate is chosen.
+    const TermHistory& promotions() const { return m_promotions; }
     /// Until when the promotion request may be sent.
     Model::Time leaseEnd() const;
     /// When the new primary is expected to accept writes if it takes `promotionDuration` from the acceptance
@@ -123,7 +146,12 @@
     void requestPromotion(Model::Time now);
     void stepDownPreviousPrimary();
     void stepDownFailed(Model::Time now);
+    std::uint64_t knownTerm() const;
     std::uint64_t nextTerm() const;
+    bool hasNewestTakenPlace() const;
+    bool hasParted(const Model::LogPosition& position) const;
+    Model::LogPosition lastPosition(const std::string& upstream) const;
+    std::vector<std::string> partedUpstreams() const;
     void survey(Model::Time now);
     void requestStatus(const std::string& upstream);
     void continueSurvey(Model::Time now);
@@ -159,6 +187,12 @@
     /// Its last position, if it stepped down.
     Model::LogPosition m_target;
     std::string m_candidate;
+    /// Term of the candidate as the primary.
+    std::uint64_t m_term = 0;
+    /// The promotions that the lease had recorded.
+    TermHistory m_recorded;
+    TermHistory m_promotions;
+    bool m_mayPromoteParted = false;
     /// When a promotion request that is unavailable or has an unknown outcome is repeated.
     std::optional<Model::Time> m_retryAt;
 };
--- a/src/libs/core/failover/promotionlease.cpp
+++ b/src/libs/core/failover/promotionlease.cpp
@@ -19,7 +19,7 @@
 
 PromotionLease leaseOfRevision(std::uint64_t revision, const std::optional<std::string>& primary)
 {
-    return { revision / 2, {}, {}, primary };
+    return { revision / 2, {}, {}, primary, {} };
 }
 
 std::optional<PromotionLease> acquireLease(
@@ -30,7 +30,7 @@
     // The store's version keeps the token increasing if the row was unreadable, and if the store lost later
     // acquisitions because it was restored from an older copy.
     return PromotionLease { std::max(current.token, storeVersion) + 1, host, now + leaseDuration,
-        current.primary };
+        current.primary, current.promotions };
 }
 
 }
--- a/src/libs/core/failover/promotionlease.h
+++ b/src/libs/core/failover/promotionlease.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/failover/termhistory.h"
+
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -23,6 +25,8 @@
     /// The only upstream that may be used as the primary: empty while none may, because a promotion is under
     /// way; `nullopt` while any may.
     std::optional<std::string> primary;
+    /// Of the newest one it is not known whether it has taken place.
+    TermHistory promotions;
 };
 
 /// Orders the states of a service's lease: higher with each acquisition, and once more when its holder allows
@@ -34,7 +38,7 @@
 
 /// Returns the lease after its acquisition by `host`, or `nullopt` while another host holds it. A holder can
 /// acquire its own lease again. `storeVersion` is that of the store, which increases with every change of any
-/// row. The primary is that of `current`.
+/// row. The primary and the promotions are those of `current`.
 std::optional<PromotionLease> acquireLease(
     const PromotionLease& current, std::uint64_t storeVersion, const std::string& host, StoreTime now);
 
--- a/src/libs/proxyhost/failovers.cpp
+++ b/src/libs/proxyhost/failovers.cpp
@@ -5,6 +5,7 @@
 #include "sessionserver/server.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace ProxyHost {
 
@@ -22,6 +23,10 @@
     /// The directory shows the result of a promotion with a delay; until then, no other one is started.
     constexpr Model::Duration pauseAfterEnd = std::chrono::milliseconds(400);
 
+    constexpr Model::Duration recordRetryPause = std::chrono::milliseconds(200);
+    /// A crashed primary is back with its log within this time, if ever.
+    constexpr Model::Duration partedLogPatience = std::chrono::seconds(30);
+
     /// Time between two checks whether a replica has received enough to take over from a leaving primary.
     constexpr Model::Duration replicaCheckPeriod = std::chrono::seconds(2);
 
@@ -106,6 +111,7 @@
     const Directory::Upstream* primary = m_view.primaryOf(service);
     if (!primary)
         return;
+    m_onlyPartedSince.erase(service);
     KnownPrimary& known = m_knownPrimaries[service];
     if (known.since != primary->primarySince)
         m_server.engine().resetReachability(primary->id);
@@ -174,15 +180,35 @@
     };
     hooks.knownPosition
         = [this](const std::string& upstream) { return m_server.engine().router().position(upstream); };
-    hooks.surveyed = [service](const Failover::UpstreamStatuses& statuses, const std::string& candidate) {
-        Logging::write(Logging::EventId::PromotionSurveyed,
-            { { "service", service }, { "candidate", candidate }, { "statuses", describe(statuses) } });
-    };
+    hooks.surveyed = [this, service](const Failover::SurveyResult& result) { surveyed(service, result); };
+    hooks.mayPromoteParted = [this, service](Model::Time at) { return mayPromoteParted(service, at); };
     m_promotions.emplace(service,
         std::make_unique<Failover::Promotion>(
             m_view, service, reason, m_knownPrimaries[service].upstream, std::move(hooks), EventLoop::now()));
 }
 
+void Failovers::surveyed(const std::string& service, const Failover::SurveyResult& result)
+{
+    std::string parted;
+    for (const std::string& upstream : result.parted)
+        parted += (parted.empty() ? "" : " ") + upstream;
+    Logging::write(Logging::EventId::PromotionSurveyed,
+        { { "service", service }, { "candidate", result.candidate },
+            { "statuses", describe(result.statuses) }, { "parted", parted } });
+    if (result.candidate.empty() && !result.parted.empty())
+        m_onlyPartedSince.try_emplace(service, EventLoop::now());
+    else
+        m_onlyPartedSince.erase(service);
+}
+
+/// Whether logs may be promoted although they have parted from the replaced primary's: the service has had no
+/// other candidate for long, and the primary has not come back with its log.
+bool Failovers::mayPromoteParted(const std::string& service, Model::Time now) const
+{
+    const auto since = m_onlyPartedSince.find(service);
+    return since != m_onlyPartedSince.end() && now - since->second > partedLogPatience;
+}
+
 void Failovers::acquireLease(const std::string& service, Failover::Fence fence)
 {
     // Without the hook, the promoter takes the role from the previous primary, so that no fence is needed.
@@ -202,16 +228,21 @@
         m_storeFailedAt = now;
     if (lease)
         m_leases.insert_or_assign(service, *lease);
-    promotion->second->leaseAcquired(lease ? std::optional(lease->lease.token) : std::nullopt, now);
+    if (lease)
+        promotion->second->leaseAcquired(lease->lease.token, now, lease->lease.promotions);
+    else
+        promotion->second->leaseAcquired(std::nullopt, now);
     advance(service);
 }
 
 void Failovers::allowPrimary(const std::string& service, const std::string& upstream)
 {
-    m_worker.allowPrimary(
-        m_leases.at(service), upstream, [this, service](const std::optional<AcquiredLease>& lease) {
-            if (lease)
+    m_worker.allowPrimary(m_leases.at(service), upstream, m_promotions.at(service)->promotions(),
+        [this, service](const std::optional<AcquiredLease>& lease) {
+            if (lease) {
+                m_leases.insert_or_assign(service, *lease);
                 m_hooks.leaseWritten(*lease);
+            }
             const auto promotion = m_promotions.find(service);
             if (promotion == m_promotions.end())
                 return;
@@ -234,6 +265,27 @@
         });
 }
 
+/// Records the requested promotion in the lease's row. The next promotion needs it to tell which logs have
+/// parted from the primary's; this one does not wait for the store.
+void Failovers::recordPromotions(const std::string& service)
+{
+    AcquiredLease& lease = m_leases.at(service);
+    const Failover::TermHistory& promotions = m_promotions.at(service)->promotions();
+    if (lease.lease.promotions == promotions || EventLoop::now() < m_recordAfter[service])
+        return;
+    const AcquiredLease before = lease;
+    lease.lease.promotions = promotions;
+    m_worker.recordPromotions(
+        before, promotions, [this, service, before](const std::optional<AcquiredLease>& written) {
+            AcquiredLease& current = m_leases.at(service);
+            if (current.lease.token != before.lease.token)
+                return;
+            current = written.value_or(before);
+            if (!written)
+                m_recordAfter[service] = EventLoop::now() + recordRetryPause;
+        });
+}
+
 /// Requests an upstream's status. If `stepDownTerm` is not 0, a primary of a lower term becomes a replica
 /// first.
 void Failovers::requestStatus(
@@ -261,6 +313,8 @@
     Failover::Promotion& promotion = *found->second;
     const Model::Time now = EventLoop::now();
     promotion.update(now);
+    if (promotion.isRequested())
+        recordPromotions(service);
     if (!promotion.isOver())
         return;
     const bool isDone = promotion.phase() == Failover::PromotionPhase::Finished;
--- a/src/libs/proxyhost/failovers.h
+++ b/src/libs/proxyhost/failovers.h
@@ -64,11 +64,14 @@
     void acquireLease(const std::string& service, Failover::Fence fence);
     void allowPrimary(const std::string& service, const std::string& upstream);
     void leaseAcquired(const std::string& service, const std::optional<AcquiredLease>& lease);
+    void recordPromotions(const std::string& service);
     void requestPromotion(
         const std::string& service, const std::string& upstream, Failover::FencingToken token);
     void checkPrimary(const std::string& service);
     std::optional<Model::Time> primaryExpected(const std::string& service, Model::Time now) const;
     bool isPausing(const std::string& service, Model::Time now) const;
+    void surveyed(const std::string& service, const Failover::SurveyResult& result);
+    bool mayPromoteParted(const std::string& service, Model::Time now) const;
     bool isWaitingForReplicas(
         const std::string& service, Failover::PromotionReason reason, Model::Time now) const;
 
@@ -86,6 +89,10 @@
     /// The lease of each running promotion that has acquired it.
     std::map<std::string, AcquiredLease> m_leases;
     std::map<std::string, Model::Time> m_lastEnded;
+    /// When a failed record of a promotion is repeated.
+    std::map<std::string, Model::Time> m_recordAfter;
+    /// Since when each promotion of the service has failed because all logs had parted from the primary's.
+    std::map<std::string, Model::Time> m_onlyPartedSince;
     /// When this or another host was last seen to replace the primary.
     std::map<std::string, Model::Time> m_lastAttempts;
     struct KnownPrimary {
--- a/src/libs/proxyhost/platformworker.cpp
+++ b/src/libs/proxyhost/platformworker.cpp
@@ -137,12 +137,29 @@
     return std::nullopt;
 }
 
-void PlatformWorker::allowPrimary(const AcquiredLease& lease, const std::string& upstream, LeaseHook done)
+void PlatformWorker::allowPrimary(const AcquiredLease& lease, const std::string& upstream,
+    const Failover::TermHistory& promotions, LeaseHook done)
 {
-    enqueue([this, lease, upstream, done = std::move(done)] {
+    AcquiredLease changed = lease;
+    changed.lease.primary = upstream;
+    changed.lease.promotions = promotions;
+    changeLease(std::move(changed), std::move(done));
+}
+
+void PlatformWorker::recordPromotions(
+    const AcquiredLease& lease, const Failover::TermHistory& promotions, LeaseHook done)
+{
+    AcquiredLease changed = lease;
+    changed.lease.promotions = promotions;
+    changeLease(std::move(changed), std::move(done));
+}
+
+/// Writes the lease if its row still has the version that the lease has.
+void PlatformWorker::changeLease(AcquiredLease lease, LeaseHook done)
+{
+    enqueue([this, lease = std::move(lease), done = std::move(done)] {
         std::optional<AcquiredLease> changed = lease;
-        changed->lease.primary = upstream;
-        if (const auto written = writeLease(lease.service, changed->lease, lease.version))
+        if (const auto written = writeLease(lease.service, lease.lease, lease.version))
             changed->version = written->version;
         else
             changed.reset();
@@ -175,7 +192,8 @@
     FenceState state { {}, hosts.rows };
     for (const StoreRow& row : leases.rows) {
         const Failover::PromotionLease lease = parsePromotionLeaseRow(row.value).lease;
-        state.primaries.push_back({ { row.key, leaseRevision(lease), lease.primary }, row.version });
+        state.primaries.push_back(
+            { { row.key, leaseRevision(lease), lease.primary }, lease.promotions, row.version });
     }
     return state;
 }
--- a/src/libs/proxyhost/platformworker.h
+++ b/src/libs/proxyhost/platformworker.h
@@ -35,6 +35,7 @@
 /// The allowed primary of a service as it stands in the store.
 struct StoredPrimary {
     Failover::AllowedPrimary primary;
+    Failover::TermHistory promotions;
     /// Version of the lease's row.
     std::uint64_t rowVersion = 0;
 };
@@ -59,9 +60,15 @@
     /// reads the registered hosts. `done` gets `nullopt` if another host holds the lease or was faster, or
     /// the store gave no definite answer.
     void acquireLease(const std::string& service, Failover::Fence fence, LeaseHook done);
-    /// Changes the allowed primary in the row of a lease that this host holds. `done` gets the lease with the
-    /// new version, or `nullopt` if the row has changed or the store gave no definite answer.
-    void allowPrimary(const AcquiredLease& lease, const std::string& upstream, LeaseHook done);
+    /// Changes the allowed primary and the promotions in the row of a lease that this host holds. `done` gets
+    /// the lease with the new version, or `nullopt` if the row has changed or the store gave no definite
+    /// answer.
+    void allowPrimary(const AcquiredLease& lease, const std::string& upstream,
+        const Failover::TermHistory& promotions, LeaseHook done);
+    /// Writes the promotions into the row of a lease that this host holds. `done` gets the same as that of
+    /// `allowPrimary`.
+    void recordPromotions(
+        const AcquiredLease& lease, const Failover::TermHistory& promotions, LeaseHook done);
     /// Writes a lease that the store has lost, unless its row has changed since it had this version.
     void restoreLease(
         const std::string& service, const Failover::PromotionLease& lease, std::uint64_t rowVersion);
@@ -80,6 +87,7 @@
 
 private:
     void enqueue(std::function<void()> task);
+    void changeLease(AcquiredLease lease, LeaseHook done);
     void run();
     std::optional<AcquiredLease> acquireLeaseNow(const std::string& service, Failover::Fence fence);
     struct WrittenRow {
--- a/src/libs/proxyhost/primaryguard.cpp
+++ b/src/libs/proxyhost/primaryguard.cpp
@@ -152,8 +152,9 @@
         Logging::write(Logging::EventId::PrimaryRestored,
             { { "service", known.service }, { "upstream", known.upstream.value_or(std::string()) },
                 { "version", std::to_string(known.revision) } });
-        m_worker.restoreLease(
-            known.service, Failover::leaseOfRevision(known.revision, known.upstream), stored.rowVersion);
+        Failover::PromotionLease lease = Failover::leaseOfRevision(known.revision, known.upstream);
+        lease.promotions = stored.promotions;
+        m_worker.restoreLease(known.service, lease, stored.rowVersion);
     }
 }
 
--- a/src/libs/proxyhost/rows.cpp
+++ b/src/libs/proxyhost/rows.cpp
@@ -12,6 +12,16 @@
 
     constexpr std::string_view usageWindowPrefix = "window-";
 
+    Failover::TermHistory parsePromotions(const nlohmann::json& json)
+    {
+        std::vector<Failover::TermStart> starts;
+        for (const auto& entry : json) {
+            starts.push_back({ entry.at("term").get<std::uint64_t>(), entry.at("primary").get<std::string>(),
+                { entry.at("endTerm").get<std::uint64_t>(), entry.at("endPosition").get<std::uint64_t>() } });
+        }
+        return Failover::TermHistory(std::move(starts));
+    }
+
 }
 
 std::string formatPromotionLeaseRow(const PromotionLeaseRow& row)
@@ -20,6 +30,10 @@
         { "leaseEndMs", row.lease.leaseEnd.count() }, { "nonce", row.nonce } };
     if (row.lease.primary)
         json["primary"] = *row.lease.primary;
+    for (const Failover::TermStart& start : row.lease.promotions.starts()) {
+        json["promotions"].push_back({ { "term", start.term }, { "primary", start.primary },
+            { "endTerm", start.end.term }, { "endPosition", start.end.position } });
+    }
     return json.dump();
 }
 
@@ -34,6 +48,8 @@
         row.nonce = json.at("nonce").get<std::uint32_t>();
         if (json.contains("primary"))
             row.lease.primary = json.at("primary").get<std::string>();
+        if (json.contains("promotions"))
+            row.lease.promotions = parsePromotions(json.at("promotions"));
         return row;
     } catch (const nlohmann::json::exception&) {
         return {};
--- a/tests/auto/core/failover/tst_promotion.cpp
+++ b/tests/auto/core/failover/tst_promotion.cpp
@@ -62,7 +62,8 @@
         };
         hooks.isReachable = [this](const std::string& upstream) { return !m_unreachable.contains(upstream); };
         hooks.knownPosition = [this](const std::string& upstream) { return m_knownPositions[upstream]; };
-        hooks.surveyed = [](const UpstreamStatuses&, const std::string&) {};
+        hooks.surveyed = [this](const SurveyResult& result) { m_surveyResult = result; };
+        hooks.mayPromoteParted = [this](Time) { return m_mayPromoteParted; };
         if (m_needsFence) {
             hooks.isFenceEffective = [this](const std::string&, Time) { return m_isFenceEffective; };
             hooks.allowPrimary
@@ -89,6 +90,8 @@
     std::vector<std::string> m_promotionRequests;
     FencingToken m_token = 0;
     std::set<std::string> m_unreachable;
+    SurveyResult m_surveyResult;
+    bool m_mayPromoteParted = false;
     std::map<std::string, Model::LogPosition> m_knownPositions;
 };
 
@@ -414,3 +417,91 @@
     run.statusArrived("r", status(101), Time { 20ms });
     EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "p" });
 }
+
+// Guards against reads that lacked acknowledged commits (review/6): a replaced primary that had come back was
+// promoted again, with the entries that the promotion of its successor `p` had rolled back.
+TEST_F(PromotionTest, PromotesNoUpstreamWithRolledBackEntries)
+{
+    const TermHistory recorded({ { 4, "p", { 3, 46 } } });
+    Promotion run = promotion(PromotionReason::Unreachable);
+    run.leaseAcquired(1, Time { 10ms }, recorded);
+    run.statusArrived("q", status(63), Time { 20ms });
+    run.statusArrived("r", status(46), Time { 20ms });
+    EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "r" });
+    EXPECT_EQ(m_surveyResult.parted, std::vector<std::string> { "q" });
+    // `q` has still to be told from the others at the next promotion.
+    const TermHistory expected({ { 4, "p", { 3, 46 } }, { 5, "r", { 3, 46 } } });
+    EXPECT_EQ(run.promotions(), expected);
+}
+
+// Guards against the same at a service with synchronous replicas, whose replaced primary had not written yet.
+TEST_F(PromotionTest, PromotesNoSynchronousReplicaWithRolledBackEntries)
+{
+    makeSynchronous();
+    m_knownPositions["p"] = { 3, 46 };
+    Promotion run = promotion(PromotionReason::Unreachable);
+    run.leaseAcquired(1, Time { 10ms }, TermHistory({ { 4, "p", { 3, 46 } } }));
+    run.statusArrived("q", status(63), Time { 20ms });
+    run.statusArrived("r", status(46), Time { 20ms });
+    EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "r" });
+}
+
+// Guards against a replica that counts as parted because of a promotion that has not taken place.
+TEST_F(PromotionTest, IgnoresRecordedPromotionThatHasNotTakenPlace)
+{
+    const TermHistory recorded({ { 3, "p", { 2, 30 } }, { 4, "x", { 3, 46 } } });
+    Promotion run = promotion(PromotionReason::Unreachable);
+    run.leaseAcquired(1, Time { 10ms }, recorded);
+    run.statusArrived("q", status(63), Time { 20ms });
+    run.statusArrived("r", status(46), Time { 20ms });
+    EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "q" });
+    const TermHistory expected({ { 3, "p", { 2, 30 } }, { 4, "q", { 3, 63 } } });
+    EXPECT_EQ(run.promotions(), expected);
+}
+
+// Guards against the opposite: the primary that was promoted is unknown to this host, but its term is not.
+TEST_F(PromotionTest, RecordedPromotionCountsIfItsTermIsKnown)
+{
+    Promotion run = promotion(PromotionReason::Unreachable);
+    run.leaseAcquired(1, Time { 10ms }, TermHistory({ { 4, "x", { 3, 46 } } }));
+    run.statusArrived("q", status(63), Time { 20ms });
+    run.statusArrived("r", UpstreamStatus { Role::Replica, 4, { 3, 46 } }, Time { 20ms });
+    EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "r" });
+}
+
+// Guards against the loss of a whole log: of an upstream without one and one whose end was rolled back,
+// neither is promoted while the primary may come back, and the latter after that.
+TEST_F(PromotionTest, PromotesPartedLogOnlyAsLastResort)
+{
+    const TermHistory recorded({ { 4, "p", { 3, 46 } } });
+    for (const bool isLastResort : { false, true }) {
+        m_mayPromoteParted = isLastResort;
+        Promotion run = promotion(PromotionReason::Unreachable);
+        run.leaseAcquired(1, Time { 10ms }, recorded);
+        run.statusArrived("q", status(63), Time { 20ms });
+        run.statusArrived("r", UpstreamStatus { Role::Replica, 3, {} }, Time { 20ms });
+        EXPECT_EQ(m_promotionRequests.size(), isLastResort ? 1U : 0U);
+    }
+    EXPECT_EQ(m_promotionRequests.back(), "q");
+}
+
+// Guards against a planned change to an upstream whose end was rolled back, and against a primary that steps
+// down although there is no other one to take over.
+TEST_F(PromotionTest, LeavingPrimaryKeepsRoleIfAllOtherLogsHaveParted)
+{
+    const TermHistory recorded({ { 4, "p", { 3, 46 } } });
+    Promotion run = promotion(PromotionReason::Leaving);
+    run.leaseAcquired(1, Time { 10ms }, recorded);
+    run.statusArrived("p", UpstreamStatus { Role::Primary, 4, { 4, 50 } }, Time { 20ms });
+    run.statusArrived("q", status(63), Time { 20ms });
+    run.statusArrived("r", status(60), Time { 20ms });
+    EXPECT_TRUE(m_steppedDown.empty());
+    EXPECT_TRUE(m_promotionRequests.empty());
+    // One that has stepped down before gets its role back.
+    Promotion next = promotion(PromotionReason::Leaving);
+    next.leaseAcquired(2, Time { 10ms }, recorded);
+    next.statusArrived("p", UpstreamStatus { Role::Replica, 4, { 4, 50 } }, Time { 20ms });
+    next.statusArrived("q", status(63), Time { 20ms });
+    next.statusArrived("r", status(60), Time { 20ms });
+    EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "p" });
+}
--- a/tests/auto/proxyhost/tst_platformworker.cpp
+++ b/tests/auto/proxyhost/tst_platformworker.cpp
@@ -30,6 +30,18 @@
         return result;
     }
 
+    std::optional<AcquiredLease> recordPromotions(
+        const AcquiredLease& lease, const Failover::TermHistory& promotions)
+    {
+        std::optional<AcquiredLease> result;
+        m_worker.recordPromotions(lease, promotions, [&](const std::optional<AcquiredLease>& written) {
+            result = written;
+            m_loop.stop();
+        });
+        m_loop.run();
+        return result;
+    }
+
 private:
     Standins::RowStore m_store { [](const std::string&, const std::string&) { return true; } };
     EventLoop::Loop m_loop;
@@ -81,3 +93,19 @@
     loop.run();
     EXPECT_NE(version, 0U);
 }
+
+// Guards against a promotion whose host does not learn from where the primary's log goes on: another host had
+// promoted it.
+TEST(PlatformWorker, LeaseKeepsRecordedPromotions)
+{
+    Fixture fixture;
+    const auto first = fixture.acquireLease("ledger");
+    ASSERT_TRUE(first);
+    const Failover::TermHistory promotions({ { 2, "db-1", { 1, 46 } }, { 3, "db-2", { 2, 80 } } });
+    ASSERT_TRUE(fixture.recordPromotions(*first, promotions));
+    // A holder of an earlier version must not overwrite it.
+    EXPECT_FALSE(fixture.recordPromotions(*first, {}));
+    const auto next = fixture.acquireLease("ledger");
+    ASSERT_TRUE(next);
+    EXPECT_EQ(next->lease.promotions, promotions);
+}
--- a/tests/auto/sessionproxy/tst_sessionproxy.cpp
+++ b/tests/auto/sessionproxy/tst_sessionproxy.cpp
@@ -778,3 +778,34 @@
     EXPECT_EQ(cluster.databases().commits("lost"), 0);
     EXPECT_TRUE(cluster.databases().protocolViolations().empty());
 }
+
+// Guards against reads that lacked acknowledged commits (review/6): a replaced primary that had come back was
+// promoted again, with commits that the promotion of its successor had rolled back. The hosts have restarted
+// in between, so that only the store tells where the successor's log began.
+TEST(SessionProxy, PromotesNoPrimaryWhoseCommitsWereRolledBack)
+{
+    constexpr int hosts = 3;
+    TestCluster cluster(hosts);
+    ASSERT_TRUE(writeUntilComplete(cluster, 0, "before"));
+    Standins::Databases& databases = cluster.databases();
+    databases.setDeaf("db-1");
+    databases.setDeaf("db-2");
+    for (int i = 0; i < 5; ++i)
+        ASSERT_TRUE(writeUntilComplete(cluster, 0, "rolledback"));
+    databases.setDeaf("db-0");
+    databases.crash("db-0");
+    ASSERT_TRUE(writeUntilComplete(cluster, 0, "after"));
+    const std::string successor = databases.primary();
+    databases.restart("db-0");
+    for (int host = 0; host < hosts; ++host) {
+        cluster.host(host).signal(SIGKILL);
+        cluster.host(host).waitForExit(5s);
+        cluster.startHost(host);
+    }
+    for (int host = 0; host < hosts; ++host)
+        ASSERT_TRUE(waitUntil([&] { return cluster.isReady(host); }, 10s));
+    databases.crash(successor);
+    ASSERT_TRUE(writeUntilComplete(cluster, 0, "last"));
+    EXPECT_NE(databases.primary(), successor);
+    EXPECT_NE(databases.primary(), "db-0");
+}
--- a/tests/standins/sessionplatform/databases.cpp
+++ b/tests/standins/sessionplatform/databases.cpp
@@ -224,11 +224,25 @@
     ::close(socket);
 }
 
-std::string Databases::ready(const Connection& connection) const
+void Databases::setDeaf(const std::string& id)
+{
+    const std::lock_guard lock(m_mutex);
+    m_heldPositions[id] = std::to_string(m_term) + "." + std::to_string(m_position);
+}
+
+/// The end of the database's log.
+std::string Databases::position(const Member& member) const
+{
+    const auto held = m_heldPositions.find(member.id);
+    if (held != m_heldPositions.end() && m_primary != member.id)
+        return held->second;
+    return std::to_string(m_term) + "." + std::to_string(m_position);
+}
+
+std::string Databases::ready(const Member& member, const Connection& connection) const
 {
     const char* state = connection.isFailed ? "E" : connection.isInTransaction ? "T" : "I";
-    return std::string("READY ") + state + " " + std::to_string(m_term) + "." + std::to_string(m_position)
-        + "\r\n";
+    return std::string("READY ") + state + " " + position(member) + "\r\n";
 }
 
 std::string Databases::processLine(Member& member, Connection& connection, const std::string& line)
@@ -240,13 +254,13 @@
             return error("WRONGNODE");
         connection.isOpen = true;
         m_customers.insert(words[2]);
-        return ready(connection);
+        return ready(member, connection);
     }
     if (words.size() < 3 || words[0] != "QUERY" || !connection.isOpen) {
         m_protocolViolations.push_back(line);
-        return error("MALFORMED") + ready(connection);
+        return error("MALFORMED") + ready(member, connection);
     }
-    return runQuery(member, connection, line) + ready(connection);
+    return runQuery(member, connection, line) + ready(member, connection);
 }
 
 std::string Databases::runQuery(Member& member, Connection& connection, const std::string& line)
@@ -283,8 +297,7 @@
         return "COMPLETE -\r\n";
     if (verb == "STATUS" || verb == "STEPDOWN") {
         return std::string("DATAROW ") + (m_primary == member.id ? "primary " : "replica ")
-            + std::to_string(m_term) + " " + std::to_string(m_term) + "." + std::to_string(m_position)
-            + " 0 0 0 1\r\nCOMPLETE -\r\n";
+            + std::to_string(m_term) + " " + position(member) + " 0 0 0 1\r\nCOMPLETE -\r\n";
     }
     if (isProxyStatement) {
         m_protocolViolations.push_back(line);
--- a/tests/standins/sessionplatform/databases.h
+++ b/tests/standins/sessionplatform/databases.h
@@ -43,6 +43,9 @@
     /// While set, single writes get no answer, as if they waited for a replica; all else is answered.
     void setWritesWaiting(bool areWaiting);
 
+    /// From now on the database receives nothing from the primary, and reports the end of the log that it
+    /// has.
+    void setDeaf(const std::string& id);
     /// Time that each later statement of a caller takes; none at first.
     void setStatementTime(std::chrono::milliseconds time) { m_statementTime = time; }
     /// Number of rows that each later read returns, all with the same content; 1 at first.
@@ -84,7 +87,8 @@
     std::string runQuery(Member& member, Connection& connection, const std::string& line);
     std::string runStatement(
         Member& member, Connection& connection, const std::string& id, std::vector<std::string> words);
-    std::string ready(const Connection& connection) const;
+    std::string position(const Member& member) const;
+    std::string ready(const Member& member, const Connection& connection) const;
 
     std::string m_service;
     std::function<void(const std::string&)> m_statusChanged;
@@ -94,6 +98,8 @@
     std::string m_primary;
     std::uint64_t m_term = 1;
     std::uint64_t m_position = 0;
+    /// Ends of the logs of databases that receive nothing, as TERM.NUMBER.
+    std::map<std::string, std::string> m_heldPositions;
     std::map<std::string, std::string> m_items;
     std::map<std::string, int> m_commits;
     std::set<std::string> m_customers;
