Count replicas whose entry was removed in promotions

Cause: a promotion took the upstreams that are registered at that moment for all replicas of the service. The entry of a replica that does not reach the store is removed after some seconds, so that it was neither asked nor counted as silent. Ruled out by the survey's event, which names the other replica only: an answer that came too late, and one that was not chosen.

Change: hosts remember removed upstreams with their addresses, unless another one is registered there. Surveys of such services ask them too. One that answers counts like the others; one that does not counts as silent for 10 s after the removal, and as lost after that. Upstreams that register during a survey are asked as well. A host that has started promotes for such a service only 10 s after it has read the directory, since it does not know what was removed before. This works because an acknowledged commit is in the log of a replica that either answers or keeps the survey from being sufficient.

PromotionTest.DoesNotWaitForSynchronousReplicaThatIsGone was wrong: it removed a replica's entry during a survey and required that the other one is promoted at once, which is this fault.

--- a/src/libs/core/directory/view.cpp
+++ b/src/libs/core/directory/view.cpp
@@ -2,6 +2,13 @@
 
 namespace Directory {
 
+namespace {
+
+    /// Longer than an upstream that runs is usually cut off from the store.
+    constexpr Model::Duration formerUpstreamLifetime = std::chrono::minutes(10);
+
+}
+
 bool View::adopt(std::shared_ptr<const Configuration> configuration)
 {
     if (m_configuration && configuration->version <= m_configuration->version)
@@ -15,6 +22,9 @@
     if (upstream.role == Role::Primary)
         upstream.primarySince = knownPrimarySince(upstream).value_or(upstream.revision);
     const std::string id = upstream.id;
+    std::erase_if(m_formerUpstreams, [&](const auto& former) {
+        return former.first == id || former.second.upstream.address == upstream.address;
+    });
     m_upstreams.insert_or_assign(id, std::move(upstream));
 }
 
@@ -33,11 +43,16 @@
     return std::nullopt;
 }
 
-void View::removeUpstream(const std::string& id)
+void View::removeUpstream(const std::string& id, Model::Time now)
 {
     const Upstream* known = findUpstream(id);
-    if (known && known->role == Role::Primary)
+    if (!known)
+        return;
+    if (known->role == Role::Primary)
         m_removedPrimaries.insert_or_assign(id, RemovedPrimary { known->startedAt, known->primarySince });
+    std::erase_if(m_formerUpstreams,
+        [&](const auto& former) { return now - former.second.removedAt > formerUpstreamLifetime; });
+    m_formerUpstreams.insert_or_assign(id, FormerUpstream { *known, now });
     m_upstreams.erase(id);
 }
 
@@ -47,6 +62,22 @@
     return found == m_upstreams.end() ? nullptr : &found->second;
 }
 
+const FormerUpstream* View::findFormerUpstream(std::string_view id) const
+{
+    const auto found = m_formerUpstreams.find(id);
+    return found == m_formerUpstreams.end() ? nullptr : &found->second;
+}
+
+std::vector<const FormerUpstream*> View::formerUpstreamsOf(std::string_view service) const
+{
+    std::vector<const FormerUpstream*> result;
+    for (const auto& [id, former] : m_formerUpstreams) {
+        if (former.upstream.service == service)
+            result.push_back(&former);
+    }
+    return result;
+}
+
 std::vector<const Upstream*> View::upstreamsOf(std::string_view service) const
 {
     std::vector<const Upstream*> result;
--- a/src/libs/core/directory/view.h
+++ b/src/libs/core/directory/view.h
@@ -14,6 +14,12 @@
 
 namespace Directory {
 
+/// An upstream that is no longer registered, with its last entry.
+struct FormerUpstream {
+    Upstream upstream;
+    Model::Time removedAt;
+};
+
 /// A host's view of the configuration, the upstreams and the zones out of service. Used on one thread.
 class View {
 public:
@@ -23,10 +29,16 @@
     /// Null until the first configuration is adopted.
     const std::shared_ptr<const Configuration>& configuration() const { return m_configuration; }
 
-    /// Adds or replaces an upstream.
+    /// Adds or replaces an upstream. One that had its address before is gone for good.
     void setUpstream(Upstream upstream);
-    void removeUpstream(const std::string& id);
+    /// Removes an upstream, which may still run: its entry may have expired because it does not reach the
+    /// store. It is remembered for some minutes.
+    void removeUpstream(const std::string& id, Model::Time now);
     const Upstream* findUpstream(std::string_view id) const;
+    /// A removed upstream that is remembered, or null.
+    const FormerUpstream* findFormerUpstream(std::string_view id) const;
+    /// The remembered upstreams of a service in ascending order of their ids.
+    std::vector<const FormerUpstream*> formerUpstreamsOf(std::string_view service) const;
     const std::map<std::string, Upstream, std::less<>>& upstreams() const { return m_upstreams; }
     /// The upstreams of a service in ascending order of their ids.
     std::vector<const Upstream*> upstreamsOf(std::string_view service) const;
@@ -60,6 +72,7 @@
     /// Former primaries by id. Their entries may appear again without being newer, if the store is restored
     /// from an older copy.
     std::map<std::string, RemovedPrimary, std::less<>> m_removedPrimaries;
+    std::map<std::string, FormerUpstream, std::less<>> m_formerUpstreams;
     std::set<std::string> m_zonesOut;
     /// The only upstream that may be the primary, by service.
     std::map<std::string, std::string, std::less<>> m_allowedPrimaries;
--- a/src/libs/core/failover/primarywatch.cpp
+++ b/src/libs/core/failover/primarywatch.cpp
@@ -1,5 +1,6 @@
 #include "core/failover/primarywatch.h"
 
+#include "core/failover/replicareturntime.h"
 #include "core/model/rendezvous.h"
 
 #include <algorithm>
@@ -83,11 +84,22 @@
     const Model::Duration base = *found == PromotionReason::Missing ? missingDelay : Model::Duration {};
     if (now - entry->second.since < base + rankDelay * rank(service, now))
         return std::nullopt;
-    if (otherHostPromotingSince(service, now))
+    if (otherHostPromotingSince(service, now) || !knowsReplicas(service, now))
         return std::nullopt;
     return found;
 }
 
+/// Whether this host knows all replicas that may have acknowledged commits of the service. After its start,
+/// it does not know those that were removed from the directory before.
+bool PrimaryWatch::knowsReplicas(const std::string& service, Model::Time now) const
+{
+    const auto& configuration = m_view.configuration();
+    const Directory::Service* settings = configuration ? configuration->findService(service) : nullptr;
+    if (!settings || settings->synchronousReplicas == 0)
+        return true;
+    return m_upstreamsKnownSince && now - *m_upstreamsKnownSince >= replicaReturnTime;
+}
+
 std::optional<PromotionReason> PrimaryWatch::reason(
     const std::string& service, Model::Time now, Evidence evidence) const
 {
--- a/src/libs/core/failover/primarywatch.h
+++ b/src/libs/core/failover/primarywatch.h
@@ -49,6 +49,8 @@
     /// Whether a promotion needs the acknowledgements of a majority of the hosts. If so, none is due while
     /// fewer hosts report.
     void setNeedsMajority(bool needsMajority) { m_needsMajority = needsMajority; }
+    /// Records that all upstreams which are registered at `now` are known. The first call counts.
+    void setUpstreamsKnown(Model::Time now) { m_upstreamsKnownSince = m_upstreamsKnownSince.value_or(now); }
     /// Number of live hosts, including this one.
     void setHostCount(int count) { m_hostCount = count; }
 
@@ -78,6 +80,7 @@
     bool isUnreachableForOthers(
         const std::string& service, const std::string& upstream, Model::Time now) const;
     bool isMajorityReporting(Model::Time now) const;
+    bool knowsReplicas(const std::string& service, Model::Time now) const;
     int rank(const std::string& service, Model::Time now) const;
 
     const Directory::View& m_view;
@@ -85,6 +88,7 @@
     std::string m_self;
     int m_hostCount = 1;
     bool m_needsMajority = false;
+    std::optional<Model::Time> m_upstreamsKnownSince;
     Model::Duration m_reportPeriod = std::chrono::milliseconds(200);
     std::map<std::string, Host> m_hosts;
     std::map<std::string, std::map<std::string, HealthObservation>> m_healthObservations;
--- a/src/libs/core/failover/promotion.cpp
+++ b/src/libs/core/failover/promotion.cpp
@@ -1,5 +1,7 @@
 #include "core/failover/promotion.h"
 
+#include "core/failover/replicareturntime.h"
+
 #include <algorithm>
 
 namespace Failover {
@@ -113,16 +115,32 @@
     m_statuses.clear();
     m_outstanding.clear();
     m_statusRequestedAt = now;
-    for (const Directory::Upstream* upstream : m_view.upstreamsOf(m_service)) {
-        if (upstream->id != m_previousPrimary || m_reason == PromotionReason::Leaving)
-            m_statuses[upstream->id];
-    }
+    for (const std::string& upstream : surveyedUpstreams())
+        m_statuses[upstream];
     if (m_statuses.empty())
         return enter(PromotionPhase::Failed, now);
     for (const auto& [upstream, status] : m_statuses)
         requestStatus(upstream);
 }
 
+/// Where commits wait for synchronous replicas, also those whose entry was removed: they may run and have
+/// acknowledged commits, but not reach the store.
+std::vector<std::string> Promotion::surveyedUpstreams() const
+{
+    std::vector<std::string> result;
+    for (const Directory::Upstream* upstream : m_view.upstreamsOf(m_service)) {
+        if (upstream->id != m_previousPrimary || m_reason == PromotionReason::Leaving)
+            result.push_back(upstream->id);
+    }
+    if (synchronousReplicas() == 0)
+        return result;
+    for (const Directory::FormerUpstream* former : m_view.formerUpstreamsOf(m_service)) {
+        if (former->upstream.id != m_previousPrimary)
+            result.push_back(former->upstream.id);
+    }
+    return result;
+}
+
 void Promotion::requestStatus(const std::string& upstream)
 {
     if (m_outstanding.insert(upstream).second)
@@ -151,11 +169,10 @@
 
 void Promotion::continueSurvey(Model::Time now)
 {
-    // An upstream that is no longer registered has left or is gone with its log.
-    std::erase_if(m_statuses, [&](const auto& entry) { return !m_view.findUpstream(entry.first); });
+    updateSurveyedUpstreams();
     const bool isComplete = std::ranges::all_of(
         m_statuses, [&](const auto& entry) { return entry.second || !m_hooks.isReachable(entry.first); });
-    if ((isComplete && isSurveySufficient()) || now - m_phaseAt > surveyTimeout)
+    if ((isComplete && isSurveySufficient(now)) || now - m_phaseAt > surveyTimeout)
         return finishSurvey(now);
     if (now - m_statusRequestedAt < statusRetryPeriod)
         return;
@@ -166,6 +183,19 @@
     }
 }
 
+/// Adopts changes of the directory since the survey began. A synchronous replica may have been replaced by
+/// one that has its log.
+void Promotion::updateSurveyedUpstreams()
+{
+    const std::vector<std::string> upstreams = surveyedUpstreams();
+    std::erase_if(m_statuses,
+        [&](const auto& entry) { return std::ranges::find(upstreams, entry.first) == upstreams.end(); });
+    for (const std::string& upstream : upstreams) {
+        if (synchronousReplicas() > 0 && m_statuses.try_emplace(upstream).second)
+            requestStatus(upstream);
+    }
+}
+
 int Promotion::synchronousReplicas() const
 {
     const auto& configuration = m_view.configuration();
@@ -174,20 +204,28 @@
 }
 
 /// Whether every acknowledged commit must be in the log of a replica that has responded.
-bool Promotion::isSurveySufficient() const
+bool Promotion::isSurveySufficient(Model::Time now) const
 {
-    const auto silent = std::ranges::count_if(
-        m_statuses, [&](const auto& entry) { return !entry.second && entry.first != m_previousPrimary; });
+    const auto silent = std::ranges::count_if(m_statuses, [&](const auto& entry) {
+        return !entry.second && entry.first != m_previousPrimary && !isGone(entry.first, now);
+    });
     return synchronousReplicas() == 0 || silent < synchronousReplicas();
 }
 
+/// Whether the upstream, which has not responded, has left or is lost with its log.
+bool Promotion::isGone(const std::string& upstream, Model::Time now) const
+{
+    const Directory::FormerUpstream* former = m_view.findFormerUpstream(upstream);
+    return former && now - former->removedAt >= replicaReturnTime;
+}
+
 void Promotion::finishSurvey(Model::Time now)
 {
     m_promotions = m_recorded;
     if (!hasNewestTakenPlace())
         m_promotions.removeNewest();
     m_mayPromoteParted = m_hooks.mayPromoteParted && m_hooks.mayPromoteParted(now);
-    if (!isSurveySufficient())
+    if (!isSurveySufficient(now))
         return promote({}, now);
     const auto previous = m_statuses.find(m_previousPrimary);
     if (m_reason != PromotionReason::Leaving || previous == m_statuses.end())
@@ -272,18 +310,18 @@
 }
 
 /// The upstream with the longest log among those that have responded; of equal ones, one that accepts work.
-/// An upstream that is draining may alone hold an acknowledged commit. As the primary, it passes it on.
+/// An upstream that is draining or no longer registered may alone hold an acknowledged commit. As the
+/// primary, it passes it on.
 std::string Promotion::longestLog(PreviousPrimary previousPrimary) const
 {
     std::string longest;
     std::pair<Model::LogPosition, bool> longestRank;
     for (const auto& [id, status] : m_statuses) {
-        const Directory::Upstream* upstream = m_view.findUpstream(id);
         const bool isExcluded = id == m_previousPrimary && previousPrimary == PreviousPrimary::Excluded;
-        if (isExcluded || !upstream || !status || !hasLogOfPreviousTerm(*status)
-            || hasParted(status->received))
+        if (isExcluded || !status || !hasLogOfPreviousTerm(*status) || hasParted(status->received))
             continue;
-        const std::pair rank(status->received, m_view.acceptsWork(*upstream));
+        const Directory::Upstream* upstream = m_view.findUpstream(id);
+        const std::pair rank(status->received, upstream && m_view.acceptsWork(*upstream));
         if (longest.empty() || rank > longestRank) {
             longest = id;
             longestRank = rank;
--- a/src/libs/core/failover/promotion.h
+++ b/src/libs/core/failover/promotion.h
@@ -92,7 +92,7 @@
 ///
 /// Where commits wait for synchronous replicas, an acknowledged one is in the log of at least as many
 /// replicas. No upstream is promoted before so many replicas have responded that one of them must have it,
-/// and the longest log decides, also if its upstream is about to leave.
+/// and the longest log decides, also if its upstream is about to leave or its entry was removed.
 ///
 /// An upstream that has entries which an earlier promotion rolled back is not promoted: reads have run on the
 /// replaced primary without them.
@@ -155,7 +155,10 @@
     void survey(Model::Time now);
     void requestStatus(const std::string& upstream);
     void continueSurvey(Model::Time now);
-    bool isSurveySufficient() const;
+    std::vector<std::string> surveyedUpstreams() const;
+    void updateSurveyedUpstreams();
+    bool isSurveySufficient(Model::Time now) const;
+    bool isGone(const std::string& upstream, Model::Time now) const;
     void finishSurvey(Model::Time now);
     void promote(const std::string& candidate, Model::Time now);
     int synchronousReplicas() const;
--- a/src/libs/core/proxy/engine.h
+++ b/src/libs/core/proxy/engine.h
@@ -120,7 +120,8 @@
     void endDisallowedUses(Model::Time now);
     using AnswerHook = std::function<void(const std::optional<Reply>&)>;
     /// Sends a message of the proxy itself to an upstream. `answered` is called with the reply, or with
-    /// `nullopt` if the upstream is unknown or the connection fails before a reply arrives.
+    /// `nullopt` if the upstream is unknown (one that is no longer registered is known for a while) or the
+    /// connection fails before a reply arrives.
     void command(const std::string& upstream, const Command& command, AnswerHook answered, Model::Time now);
     /// Requests the status of the upstream if it has left requests unanswered for a while. Has to be called
     /// every 100 ms for upstreams whose reachability decides on their replacement.
--- a/src/libs/core/proxy/engineconnections.cpp
+++ b/src/libs/core/proxy/engineconnections.cpp
@@ -49,6 +49,9 @@
         return;
     }
     const Directory::Upstream* target = m_view.findUpstream(upstream);
+    const Directory::FormerUpstream* former = target ? nullptr : m_view.findFormerUpstream(upstream);
+    if (former)
+        target = &former->upstream;
     if (!target)
         return answered(std::nullopt);
     // Upstreams accept messages of the proxy itself without a customer.
--- a/src/libs/proxyhost/failovers.cpp
+++ b/src/libs/proxyhost/failovers.cpp
@@ -30,6 +30,14 @@
     /// Time between two checks whether a replica has received enough to take over from a leaving primary.
     constexpr Model::Duration replicaCheckPeriod = std::chrono::seconds(2);
 
+    std::string join(const std::vector<std::string>& words)
+    {
+        std::string text;
+        for (const std::string& word : words)
+            text += (text.empty() ? "" : " ") + word;
+        return text;
+    }
+
     /// One entry for each upstream, as in `db-1=replica@3.1209`; `?` if it has not responded.
     std::string describe(const Failover::UpstreamStatuses& statuses)
     {
@@ -69,6 +77,8 @@
     m_watch.setHealthObservation(service, std::move(observation));
 }
 
+void Failovers::upstreamsRead() { m_watch.setUpstreamsKnown(EventLoop::now()); }
+
 void Failovers::setHost(const std::string& host, bool canPromote)
 {
     m_watch.setHost(host, canPromote, EventLoop::now());
@@ -189,12 +199,15 @@
 
 void Failovers::surveyed(const std::string& service, const Failover::SurveyResult& result)
 {
-    std::string parted;
-    for (const std::string& upstream : result.parted)
-        parted += (parted.empty() ? "" : " ") + upstream;
+    std::vector<std::string> unregistered;
+    for (const auto& [upstream, status] : result.statuses) {
+        if (!m_view.findUpstream(upstream))
+            unregistered.push_back(upstream);
+    }
     Logging::write(Logging::EventId::PromotionSurveyed,
         { { "service", service }, { "candidate", result.candidate },
-            { "statuses", describe(result.statuses) }, { "parted", parted } });
+            { "statuses", describe(result.statuses) }, { "parted", join(result.parted) },
+            { "unregistered", join(unregistered) } });
     if (result.candidate.empty() && !result.parted.empty())
         m_onlyPartedSince.try_emplace(service, EventLoop::now());
     else
--- a/src/libs/proxyhost/failovers.h
+++ b/src/libs/proxyhost/failovers.h
@@ -44,6 +44,8 @@
     /// Sets the number of live hosts, this one included.
     void setHostCount(int count) { m_watch.setHostCount(count); }
     void setReportPeriod(Model::Duration period) { m_watch.setReportPeriod(period); }
+    /// All upstreams that are registered are known.
+    void upstreamsRead();
     /// Promotion leases can be acquired only while the store is reachable.
     void setStoreReachable(bool isReachable) { m_isStoreReachable = isReachable; }
     /// Starts the promotions that are due and advances the running ones.
--- a/src/libs/proxyhost/proxyhost.cpp
+++ b/src/libs/proxyhost/proxyhost.cpp
@@ -369,6 +369,7 @@
         for (const Directory::Upstream& upstream : upstreams)
             setUpstream(upstream);
         m_hasUpstreams = true;
+        m_failovers.upstreamsRead();
         updateReadiness();
         m_server.directoryChanged();
     };
@@ -440,7 +441,7 @@
         return;
     Logging::write(Logging::EventId::UpstreamGone, { { "upstream", id } });
     m_missingUpstreams.entrySeen(id);
-    m_view.removeUpstream(id);
+    m_view.removeUpstream(id, EventLoop::now());
     m_server.directoryChanged();
 }
 
--- a/tests/auto/core/directory/tst_view.cpp
+++ b/tests/auto/core/directory/tst_view.cpp
@@ -83,7 +83,7 @@
     View view;
     view.setUpstream(makeUpstream("a", Role::Primary, 1));
     view.setUpstream(makeUpstream("b", Role::Primary, 3));
-    view.removeUpstream("a");
+    view.removeUpstream("a", Model::Time {});
     view.setUpstream(makeUpstream("a", Role::Primary, 9));
     view.setUpstream(makeUpstream("b", Role::Primary, 9));
     EXPECT_EQ(view.primaryOf("ledger")->id, "b");
@@ -93,6 +93,35 @@
     EXPECT_EQ(view.primaryOf("ledger")->id, "a");
 }
 
+// Guards against a promotion that does not ask an upstream which runs, but does not reach the store, and
+// against one that waits for an upstream whose successor has its address.
+TEST(View, RemembersRemovedUpstreams)
+{
+    const auto at = [](const std::string& id, const std::string& address) {
+        Upstream result = makeUpstream(id, Role::Replica, 1);
+        result.address = address;
+        return result;
+    };
+    View view;
+    view.setUpstream(at("a", "10.0.0.1:1"));
+    view.setUpstream(at("b", "10.0.0.2:1"));
+    view.setUpstream(at("c", "10.0.0.3:1"));
+    for (const char* id : { "a", "b", "c" })
+        view.removeUpstream(id, Model::Time(std::chrono::seconds(5)));
+    EXPECT_EQ(view.findUpstream("a"), nullptr);
+    ASSERT_NE(view.findFormerUpstream("a"), nullptr);
+    EXPECT_EQ(view.findFormerUpstream("a")->upstream.address, "10.0.0.1:1");
+    EXPECT_EQ(view.findFormerUpstream("a")->removedAt, Model::Time(std::chrono::seconds(5)));
+    EXPECT_EQ(view.formerUpstreamsOf("ledger").size(), 3U);
+    EXPECT_TRUE(view.formerUpstreamsOf("other").empty());
+    view.setUpstream(at("a", "10.0.0.9:1"));
+    EXPECT_EQ(view.findFormerUpstream("a"), nullptr);
+    view.setUpstream(at("d", "10.0.0.2:1"));
+    EXPECT_EQ(view.findFormerUpstream("b"), nullptr);
+    view.removeUpstream("d", Model::Time(std::chrono::hours(1)));
+    EXPECT_EQ(view.findFormerUpstream("c"), nullptr);
+}
+
 // Guards against new work for upstreams that are draining or whose zone was taken out of service.
 TEST(View, DrainingUpstreamsAndZonesOutAcceptNoWork)
 {
--- a/tests/auto/core/failover/tst_primarywatch.cpp
+++ b/tests/auto/core/failover/tst_primarywatch.cpp
@@ -120,16 +120,33 @@
 // a service's upstreams arrive one by one.
 TEST_F(PrimaryWatchTest, ReplacesMissingPrimaryAfterDelay)
 {
-    m_view.removeUpstream("p");
+    m_view.removeUpstream("p", Time { 0ms });
     EXPECT_FALSE(m_watch.due("ledger", Time { 0ms }));
     EXPECT_FALSE(m_watch.due("ledger", Time { 300ms }));
     EXPECT_EQ(m_watch.due("ledger", Time { 2s }), PromotionReason::Missing);
 }
 
+// Guards against the loss of commits that only a replica has acknowledged whose entry was removed before this
+// host has started, so that it does not know of it.
+TEST_F(PrimaryWatchTest, PromotesForSynchronousServiceOnlyIfReplicasAreKnown)
+{
+    auto configuration = std::make_shared<Directory::Configuration>();
+    configuration->version = 1;
+    configuration->services.emplace("ledger", Directory::Service { "ledger", 16 });
+    configuration->services.at("ledger").synchronousReplicas = 1;
+    m_view.adopt(configuration);
+    setUpstream("p", Role::Primary, Availability::Draining);
+    EXPECT_FALSE(m_watch.due("ledger", Time { 0ms }));
+    m_watch.setUpstreamsKnown(Time { 1s });
+    m_watch.setUpstreamsKnown(Time { 8s });
+    EXPECT_FALSE(m_watch.due("ledger", Time { 10900ms }));
+    EXPECT_EQ(m_watch.due("ledger", Time { 11s }), PromotionReason::Leaving);
+}
+
 // Guards against a promotion for a service without another upstream to promote.
 TEST_F(PrimaryWatchTest, NothingIsDueWithoutCandidate)
 {
-    m_view.removeUpstream("r");
+    m_view.removeUpstream("r", Time { 0ms });
     setUpstream("p", Role::Primary, Availability::Draining);
     EXPECT_FALSE(m_watch.due("ledger", Time { 5s }));
 }
@@ -165,7 +182,7 @@
 {
     m_watch.setHostCount(9);
     m_watch.setNeedsMajority(true);
-    m_view.removeUpstream("p");
+    m_view.removeUpstream("p", Time { 0ms });
     std::optional<PromotionReason> reason;
     for (Time now { 0ms }; now < Time { 3s }; now += 100ms) {
         for (const char* host : { "a", "b", "c" })
--- a/tests/auto/core/failover/tst_promotion.cpp
+++ b/tests/auto/core/failover/tst_promotion.cpp
@@ -21,10 +21,13 @@
         setUpstream("r", Role::Replica);
     }
 
-    void setUpstream(const std::string& id, Role role, Availability availability = Availability::Ready)
+    /// Without an address, the upstream has one of its own.
+    void setUpstream(const std::string& id, Role role, Availability availability = Availability::Ready,
+        const std::string& address = {})
     {
         Directory::Upstream upstream;
         upstream.id = id;
+        upstream.address = address.empty() ? id : address;
         upstream.service = "ledger";
         upstream.role = role;
         upstream.availability = availability;
@@ -282,16 +285,79 @@
     EXPECT_EQ(run.phase(), PromotionPhase::Failed);
 }
 
-// Guards against a service without a primary because of a replica that left.
+// Guards against a service without a primary because of a replica that left or is lost.
 TEST_F(PromotionTest, DoesNotWaitForSynchronousReplicaThatIsGone)
 {
     makeSynchronous();
     m_unreachable.insert("r");
+    m_view.removeUpstream("r", Time { -10s });
     Promotion run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(1, Time { 10ms });
     run.statusArrived("q", status(40), Time { 20ms });
-    m_view.removeUpstream("r");
-    run.update(Time { 100ms });
+    EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "q" });
+}
+
+// Guards against the loss of commits that only a replica without an entry in the directory has acknowledged
+// (review/8): it runs, but does not reach the store.
+TEST_F(PromotionTest, PromotesSynchronousReplicaWhoseEntryWasRemoved)
+{
+    makeSynchronous();
+    m_view.removeUpstream("r", Time { -60s });
+    Promotion run = promotion(PromotionReason::Unreachable);
+    run.leaseAcquired(1, Time { 10ms });
+    EXPECT_EQ(m_statusRequests, (std::vector<std::string> { "q", "r" }));
+    run.statusArrived("q", status(40), Time { 20ms });
+    EXPECT_TRUE(m_promotionRequests.empty());
+    run.statusArrived("r", status(41), Time { 30ms });
+    EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "r" });
+}
+
+// Guards against the same if the replica does not respond: it may be back with its log.
+TEST_F(PromotionTest, PromotesNoneWhileFormerSynchronousReplicaMayReturn)
+{
+    makeSynchronous();
+    m_unreachable.insert("r");
+    m_view.removeUpstream("r", Time { -5s });
+    Promotion run = promotion(PromotionReason::Unreachable);
+    run.leaseAcquired(1, Time { 10ms });
+    run.statusArrived("q", status(40), Time { 20ms });
+    run.update(Time { 1400ms });
+    EXPECT_TRUE(m_promotionRequests.empty());
+    EXPECT_EQ(run.phase(), PromotionPhase::Failed);
+    // Nor if the entry is removed while the statuses are awaited.
+    setUpstream("r", Role::Replica);
+    Promotion next = promotion(PromotionReason::Unreachable);
+    next.leaseAcquired(2, Time { 10ms });
+    m_view.removeUpstream("r", Time { 15ms });
+    next.statusArrived("q", status(40), Time { 20ms });
+    next.update(Time { 1400ms });
+    EXPECT_TRUE(m_promotionRequests.empty());
+}
+
+// Guards against a promotion that does not ask the successor of a removed replica, which has its log.
+TEST_F(PromotionTest, AsksSuccessorOfSynchronousReplica)
+{
+    makeSynchronous();
+    m_view.removeUpstream("r", Time { -1s });
+    m_unreachable.insert("r");
+    Promotion run = promotion(PromotionReason::Unreachable);
+    run.leaseAcquired(1, Time { 10ms });
+    run.statusArrived("q", status(40), Time { 20ms });
+    setUpstream("s", Role::Replica, Availability::Ready, "r");
+    run.update(Time { 30ms });
+    EXPECT_TRUE(m_promotionRequests.empty());
+    run.statusArrived("s", status(41), Time { 40ms });
+    EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "s" });
+}
+
+// Guards against a service without synchronous replicas that waits for an upstream that hosts cannot use.
+TEST_F(PromotionTest, IgnoresFormerReplicaWithoutSynchronousReplicas)
+{
+    m_view.removeUpstream("r", Time { -1s });
+    Promotion run = promotion(PromotionReason::Unreachable);
+    run.leaseAcquired(1, Time { 10ms });
+    EXPECT_EQ(m_statusRequests, std::vector<std::string> { "q" });
+    run.statusArrived("q", status(40), Time { 20ms });
     EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "q" });
 }
 
--- a/tests/auto/core/proxy/tst_enginefailures.cpp
+++ b/tests/auto/core/proxy/tst_enginefailures.cpp
@@ -508,3 +508,21 @@
         advance(100ms);
     EXPECT_TRUE(m_links.at(link).isClosed);
 }
+
+// Guards against a promotion that cannot ask an upstream which runs, but whose entry was removed.
+TEST_F(EngineFailures, SendsCommandToUpstreamThatIsNoLongerRegistered)
+{
+    m_view.removeUpstream("q", m_now);
+    m_engine->directoryChanged(m_now);
+    bool isAnswered = false;
+    m_engine->command(
+        "q", { CommandKind::Status },
+        [&](const std::optional<Reply>& reply) { isAnswered = reply.has_value(); }, m_now);
+    acceptConnections();
+    const ConnectionId link = linkTo("q");
+    ASSERT_NE(link, 0U);
+    EXPECT_EQ(kinds(take(link)), std::vector<CommandKind> { CommandKind::Status });
+    answer(link);
+    EXPECT_TRUE(isAnswered);
+    EXPECT_TRUE(m_links.at(link).isClosed);
+}
--- a/tests/auto/sessionproxy/testcluster.cpp
+++ b/tests/auto/sessionproxy/testcluster.cpp
@@ -175,7 +175,8 @@
     for (int i = 0; i < m_furtherRoutes; ++i)
         routes.push_back(route("further-" + std::to_string(i), "bounded"));
     const nlohmann::json state { { "version", ++m_version }, { "routes", routes },
-        { "services", { { { "name", "ledger" }, { "maxConns", 40 } } } },
+        { "services",
+            { { { "name", "ledger" }, { "maxConns", 40 }, { "syncReplicas", m_synchronousReplicas } } } },
         { "limits", { { "txIdleMs", 3000 } } },
         { "tenants",
             { { { "name", "acme" }, { "apiKeys", keys }, { "ratePerS", rate }, { "burst", rate } } } } };
--- a/tests/auto/sessionproxy/testcluster.h
+++ b/tests/auto/sessionproxy/testcluster.h
@@ -90,6 +90,8 @@
     /// Returns the whole HTTP response; empty if there is none.
     std::string get(int host, const std::string& path) const;
     bool isReady(int host) const { return get(host, "/ready").starts_with("HTTP/1.1 200"); }
+    /// Applies to configurations that are published later.
+    void setSynchronousReplicas(int replicas) { m_synchronousReplicas = replicas; }
     /// Applies to configurations that are published later: routes besides the three that the tests use.
     void setFurtherRoutes(int count) { m_furtherRoutes = count; }
     /// Publishes a configuration with these keys of the customer `acme`. `rate` is its rate in operations per
@@ -129,6 +131,7 @@
     Fencing m_fencing;
     int m_version = 0;
     int m_furtherRoutes = 0;
+    int m_synchronousReplicas = 0;
     int m_forgetHostsAfterS = 600;
     double m_traceSampleRate = 0;
     int m_usageWindowS = 0;
--- a/tests/auto/sessionproxy/tst_sessionproxy.cpp
+++ b/tests/auto/sessionproxy/tst_sessionproxy.cpp
@@ -809,3 +809,24 @@
     EXPECT_NE(databases.primary(), successor);
     EXPECT_NE(databases.primary(), "db-0");
 }
+
+// Guards against the loss of acknowledged commits (review/8): at a service with synchronous replicas, a
+// promotion left out the only replica that had them, because its entry was removed. It runs, but does not
+// reach the store.
+TEST(SessionProxy, PromotesSynchronousReplicaWhoseEntryWasRemoved)
+{
+    TestCluster cluster(3);
+    cluster.setSynchronousReplicas(1);
+    cluster.publish({ "key-1" });
+    // Until then, the hosts cannot know which replicas there were before they started.
+    std::this_thread::sleep_for(11s);
+    ASSERT_TRUE(writeUntilComplete(cluster, 0, "before"));
+    Standins::Databases& databases = cluster.databases();
+    databases.setDeaf("db-2");
+    cluster.store().remove("servers", "db-1");
+    for (int i = 0; i < 5; ++i)
+        ASSERT_TRUE(writeUntilComplete(cluster, 0, "acknowledged"));
+    databases.crash("db-0");
+    EXPECT_TRUE(writeUntilComplete(cluster, 0, "after"));
+    EXPECT_EQ(databases.primary(), "db-1");
+}
