Record no promotion of the present primary

A promotion that has taken place may be requested once more, for example while the new primary does not reach the store. The platform then changes nothing, but the request was recorded as the start of a further term: replicas that follow the primary would have counted as parted at the next promotion, and the service would have waited 30 s for the failed primary. A candidate that leads already is no longer recorded.

The removed entry of an upstream whose successor was registered at its address before was remembered, so that promotions of synchronous services waited for it for 10 s. It is no longer.

PromotionTest.RecordsNoPromotionOfPresentPrimary failed without the change; the other case was added to View.RemembersRemovedUpstreams.

--- a/src/libs/core/directory/view.cpp
+++ b/src/libs/core/directory/view.cpp
@@ -1,5 +1,7 @@
 #include "core/directory/view.h"
 
+#include <algorithm>
+
 namespace Directory {
 
 namespace {
@@ -52,8 +54,12 @@
         m_removedPrimaries.insert_or_assign(id, RemovedPrimary { known->startedAt, known->primarySince });
     std::erase_if(m_formerUpstreams,
         [&](const auto& former) { return now - former.second.removedAt > formerUpstreamLifetime; });
-    m_formerUpstreams.insert_or_assign(id, FormerUpstream { *known, now });
+    const FormerUpstream former { *known, now };
     m_upstreams.erase(id);
+    const bool isReplaced = std::ranges::any_of(
+        m_upstreams, [&](const auto& other) { return other.second.address == former.upstream.address; });
+    if (!isReplaced)
+        m_formerUpstreams.insert_or_assign(id, former);
 }
 
 const Upstream* View::findUpstream(std::string_view id) const
--- a/src/libs/core/failover/promotion.cpp
+++ b/src/libs/core/failover/promotion.cpp
@@ -360,10 +360,7 @@
     m_hooks.surveyed({ m_statuses, partedUpstreams(), m_candidate });
     if (m_candidate.empty())
         return enter(PromotionPhase::Failed, now);
-    m_term = nextTerm();
-    // Without a position, nothing can be said of the logs of the others.
-    if (const Model::LogPosition end = lastPosition(m_candidate); end != Model::LogPosition {})
-        m_promotions.add({ m_term, m_candidate, end });
+    recordCandidate();
     if (m_hooks.allowPrimary) {
         enter(PromotionPhase::Allowing, now);
         m_hooks.allowPrimary(m_service, m_candidate);
@@ -373,6 +370,20 @@
     requestPromotion(now);
 }
 
+/// Adds the promotion of the candidate to those that have taken place.
+void Promotion::recordCandidate()
+{
+    m_term = nextTerm();
+    const auto status = m_statuses.find(m_candidate);
+    const bool isPrimary
+        = status != m_statuses.end() && status->second && status->second->role == Directory::Role::Primary;
+    const Model::LogPosition end = lastPosition(m_candidate);
+    // The promotion of the present primary begins no term. Without a position, nothing can be said of the
+    // logs of the others.
+    if (!isPrimary && end != Model::LogPosition {})
+        m_promotions.add({ m_term, m_candidate, end });
+}
+
 void Promotion::primaryAllowed(bool isAllowed, Model::Time now)
 {
     if (m_phase != PromotionPhase::Allowing)
--- a/src/libs/core/failover/promotion.h
+++ b/src/libs/core/failover/promotion.h
@@ -161,6 +161,7 @@
     bool isGone(const std::string& upstream, Model::Time now) const;
     void finishSurvey(Model::Time now);
     void promote(const std::string& candidate, Model::Time now);
+    void recordCandidate();
     int synchronousReplicas() const;
     bool hasLogOfPreviousTerm(const UpstreamStatus& status) const;
     std::string bestReplica() const;
--- a/tests/auto/core/directory/tst_view.cpp
+++ b/tests/auto/core/directory/tst_view.cpp
@@ -120,6 +120,10 @@
     EXPECT_EQ(view.findFormerUpstream("b"), nullptr);
     view.removeUpstream("d", Model::Time(std::chrono::hours(1)));
     EXPECT_EQ(view.findFormerUpstream("c"), nullptr);
+    // The successor may register before the entry of the previous one is removed.
+    view.setUpstream(at("e", "10.0.0.9:1"));
+    view.removeUpstream("a", Model::Time(std::chrono::hours(1)));
+    EXPECT_EQ(view.findFormerUpstream("a"), nullptr);
 }
 
 // Guards against new work for upstreams that are draining or whose zone was taken out of service.
--- a/tests/auto/core/failover/tst_promotion.cpp
+++ b/tests/auto/core/failover/tst_promotion.cpp
@@ -571,3 +571,16 @@
     next.statusArrived("r", status(60), Time { 20ms });
     EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "p" });
 }
+
+// Guards against replicas that count as parted although they follow the primary: the promotion of a replica
+// had taken place, but was requested once more, which begins no term.
+TEST_F(PromotionTest, RecordsNoPromotionOfPresentPrimary)
+{
+    const TermHistory recorded({ { 4, "q", { 3, 46 } } });
+    Promotion run = promotion(PromotionReason::Unreachable);
+    run.leaseAcquired(1, Time { 10ms }, recorded);
+    run.statusArrived("q", UpstreamStatus { Role::Primary, 4, { 4, 50 } }, Time { 20ms });
+    run.statusArrived("r", UpstreamStatus { Role::Replica, 4, { 4, 50 } }, Time { 20ms });
+    EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "q" });
+    EXPECT_EQ(run.promotions(), recorded);
+}
