--- a/tests/auto/core/proxy/enginefixture.cpp
+++ b/tests/auto/core/proxy/enginefixture.cpp
@@ -80,6 +80,7 @@
 {
     Directory::Upstream upstream;
     upstream.id = id;
+    upstream.address = id;
     upstream.service = "ledger";
     upstream.zone = "zone-" + id;
     upstream.role = role;
