Take no answer without a receipt for that of a statement

Cause: answers are assigned to commands by their order. If the answer to a read is lost, that to the rollback sent behind it was taken for it. Ruled out by the record of the case, which has the rows and the receipt that the database gave for each id: a database that answers without rows.

Change: a completed statement has the database's receipt, and no other command has one. On an answer without it, the connection is closed and the statement ends as after a lost connection: reads are tried again, writes and commits are in doubt. The adapter hands on the platform's sign for none as an empty receipt. This works because the answers to the proxy's own commands, the only ones that can be taken for a statement's, never have a receipt.

The simulated upstreams of the slot tests answer with a receipt now, as the platform's do.

--- a/src/libs/core/proxy/engineconnections.cpp
+++ b/src/libs/core/proxy/engineconnections.cpp
@@ -207,6 +207,10 @@
 void Engine::statementAnswered(
     Connection& connection, const Reply& reply, Model::Time sentAt, Model::Time now)
 {
+    // An upstream gives a receipt for each statement that it has completed, but none for other commands. If
+    // an answer was lost, the next one, for example to the rollback behind a read, would be taken for it.
+    if (reply.code == ResultCode::Complete && reply.text.empty())
+        return abandonConnection(connection.id, now);
     m_router.observeAnswer(connection.upstream, sentAt, now);
     Session* session = findSession(connection.session);
     // A write may fail because of its data, and only the primary runs writes.
--- a/tests/auto/core/proxy/slotsimulation.cpp
+++ b/tests/auto/core/proxy/slotsimulation.cpp
@@ -234,6 +234,7 @@
     const auto answer = [this, id](ResultCode code) {
         Reply reply;
         reply.code = code;
+        reply.text = "receipt";
         reply.state = m_links.at(id).isInTransaction ? TransactionState::Open : TransactionState::None;
         reply.position = { 1, m_position };
         at(m_now + latency, [this, id, reply] { m_engine->connectionReply(id, reply, m_now); });
--- a/tests/auto/core/proxy/tst_enginefailures.cpp
+++ b/tests/auto/core/proxy/tst_enginefailures.cpp
@@ -526,3 +526,41 @@
     EXPECT_TRUE(isAnswered);
     EXPECT_TRUE(m_links.at(link).isClosed);
 }
+
+// Guards against a read that gets the answer of the rollback behind it (review/7), without rows, because its
+// own answer was lost. Its rows may have arrived before the answer was cut off.
+TEST_F(EngineFailures, RepeatsReadWhoseAnswerWasLost)
+{
+    for (const bool hasRow : { false, true }) {
+        const SessionId session = open("strict");
+        send(session, statement(StatementKind::Read, "a"));
+        acceptConnections();
+        const ConnectionId link = linkTo("p");
+        answer(link, ResultCode::Complete, TransactionState::Open);
+        EXPECT_EQ(kinds(take(link)),
+            (std::vector<CommandKind> { CommandKind::Begin, CommandKind::Statement, CommandKind::Rollback }));
+        Reply ofRollback;
+        if (hasRow)
+            ofRollback.rows.emplace_back("granted");
+        m_engine->connectionReply(link, ofRollback, m_now);
+        EXPECT_EQ(replyCount(session), 1U);
+        EXPECT_TRUE(m_links.at(link).isClosed);
+        acceptConnections();
+        const ConnectionId next = linkTo("p");
+        ASSERT_NE(next, 0U);
+        answer(next, ResultCode::Complete, TransactionState::Open);
+        answer(next, ResultCode::Complete, TransactionState::Open);
+        EXPECT_EQ(lastReply(session).code, ResultCode::Complete);
+        EXPECT_EQ(lastReply(session).text, "receipt");
+        m_engine->sessionClosed(session, m_now);
+    }
+}
+
+// Guards against a write that counts as completed, or as not run, by an answer that is not its own.
+TEST_F(EngineFailures, WriteWithoutReceiptIsInDoubt)
+{
+    const SessionId session = open("strict");
+    const ConnectionId link = run(session, StatementKind::Write);
+    m_engine->connectionReply(link, Reply {}, m_now);
+    EXPECT_EQ(lastReply(session).code, ResultCode::InDoubt);
+}
--- a/tests/auto/platform/tst_wirecodec.cpp
+++ b/tests/auto/platform/tst_wirecodec.cpp
@@ -106,6 +106,7 @@
     EXPECT_EQ(codec.parseUpstream("ERROR LAGGING i-7f3a").code, ResultCode::Lagging);
     EXPECT_EQ(codec.parseUpstream("ERROR SOMETHING new").code, ResultCode::Failed);
     EXPECT_EQ(codec.parseUpstream("COMPLETE 7.1f3.c").text, "7.1f3.c");
+    EXPECT_EQ(codec.parseUpstream("COMPLETE -").text, "");
     EXPECT_EQ(codec.parseUpstream("DATAROW a b").text, "a b");
     for (const std::string& line :
         std::vector<std::string> { "READY", "READY X 1.2", "READY I 1", "READY I x.y", "HELLO", "" })
--- a/tests/auto/sessionproxy/tst_sessionproxy.cpp
+++ b/tests/auto/sessionproxy/tst_sessionproxy.cpp
@@ -830,3 +830,26 @@
     EXPECT_TRUE(writeUntilComplete(cluster, 0, "after"));
     EXPECT_EQ(databases.primary(), "db-1");
 }
+
+// Guards against a caller that takes an item for empty (review/7): the answer to its read was lost, and it
+// got that of the rollback that follows a read on the primary.
+TEST(SessionProxy, AnswersReadsWithTheirOwnRowsIfAnswersAreLost)
+{
+    TestCluster cluster(1);
+    Client client(cluster.callers(0));
+    ASSERT_EQ(client.open("strict", "key-1"), "READY I -");
+    ASSERT_TRUE(isComplete(client.query("WRITE a granted")));
+    cluster.databases().loseAnswersToReads(5);
+    int completed = 0;
+    for (int i = 0; i < 60; ++i) {
+        const auto answer = client.query("READ a");
+        ASSERT_FALSE(answer.empty());
+        if (!isComplete(answer))
+            continue;
+        ++completed;
+        ASSERT_EQ(answer.size(), 3U);
+        EXPECT_EQ(answer[0], "DATAROW granted");
+        EXPECT_TRUE(answer[1].starts_with("COMPLETE receipt-"));
+    }
+    EXPECT_GE(completed, 48);
+}
--- a/tests/standins/sessionplatform/databases.cpp
+++ b/tests/standins/sessionplatform/databases.cpp
@@ -132,6 +132,12 @@
     m_writesReleased.wait(lock, [&] { return !m_areWritesWaiting || !member.isUp; });
 }
 
+bool Databases::isAnswerLost(const std::string& line)
+{
+    const bool isRead = !line.starts_with("QUERY - ") && line.find(" READ ") != std::string::npos;
+    return isRead && m_lostAnswersPeriod > 0 && ++m_readAnswers % m_lostAnswersPeriod == 0;
+}
+
 void Databases::restart(const std::string& id)
 {
     const auto found = std::ranges::find_if(m_members, [&](const auto& member) { return member->id == id; });
@@ -213,7 +219,9 @@
                 std::this_thread::sleep_for(m_statementTime.load());
             if (line.find(" WRITE ") != std::string::npos)
                 waitWithWrite(member);
-            output += processLine(member, connection, line);
+            const std::string answer = processLine(member, connection, line);
+            if (!isAnswerLost(line))
+                output += answer;
             input.erase(0, end + 2);
         }
         if (::send(socket, output.data(), output.size(), MSG_NOSIGNAL) < 0)
--- a/tests/standins/sessionplatform/databases.h
+++ b/tests/standins/sessionplatform/databases.h
@@ -46,6 +46,8 @@
     /// From now on the database receives nothing from the primary, and reports the end of the log that it
     /// has.
     void setDeaf(const std::string& id);
+    /// From now on, one of `period` answers to reads of callers is lost; 0 for none.
+    void loseAnswersToReads(int period) { m_lostAnswersPeriod = period; }
     /// Time that each later statement of a caller takes; none at first.
     void setStatementTime(std::chrono::milliseconds time) { m_statementTime = time; }
     /// Number of rows that each later read returns, all with the same content; 1 at first.
@@ -81,6 +83,7 @@
 
     static void listenAt(Member& member);
     void waitWithWrite(const Member& member);
+    bool isAnswerLost(const std::string& line);
     void accept(Member& member);
     void serve(Member& member, int socket);
     std::string processLine(Member& member, Connection& connection, const std::string& line);
@@ -107,6 +110,8 @@
     bool m_areWritesWaiting = false;
     std::condition_variable m_writesReleased;
     std::atomic<int> m_rowsPerRead = 1;
+    std::atomic<int> m_lostAnswersPeriod = 0;
+    std::atomic<int> m_readAnswers = 0;
     std::atomic<std::chrono::milliseconds> m_statementTime = std::chrono::milliseconds(0);
     std::atomic<bool> m_isStopping = false;
 };
