Let the hosts' calls for changes end one after the other

Cause: a host leaves a silent connection at the end of a call, which waits up to 30 s, or when another host reports a change that it has not read. The calls of all hosts began with the last change, so that they ended together, and no host had anything to report. Ruled out by the log: hosts that learn of the change and do not adopt it; there is no store_change_missed and no failed read before the time-outs.

Change: the calls of different hosts end 3 s after one another, at fixed times of the store's clock, by the order of the registered hosts; in a fleet of more than ten hosts, those of ten. The first host that finds its connection silent reads the change on a new one, and its report makes the others leave theirs. This works because the calls' ends no longer depend on anything that happens to all hosts at once. The fleet makes one call in 3 s for a table, at any size, and up to ten more after a change.

Tried before: a first wait after each change that differs by host.

--- a/src/libs/proxyhost/proxyhost.cpp
+++ b/src/libs/proxyhost/proxyhost.cpp
@@ -200,6 +200,7 @@
     const auto rank = std::ranges::count_if(
         others, [&](const auto& name) { return placeOf(name) < placeOf(m_settings.host); });
     m_server.engine().setHosts(static_cast<int>(others.size()) + 1, static_cast<int>(rank));
+    m_storeControl.setFleetPlace({ static_cast<int>(others.size()) + 1, static_cast<int>(rank) });
     if (m_firstConfiguration)
         adopt(std::exchange(m_firstConfiguration, nullptr));
     if (m_guard)
--- a/src/libs/proxyhost/store.h
+++ b/src/libs/proxyhost/store.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/directory/changewait.h"
 #include "core/directory/tablewatch.h"
 #include "core/failover/promotion.h"
 #include "core/usage/window.h"
@@ -102,6 +103,8 @@
     /// Sets whether other hosts notify this one of changes that it has missed. If not, a call that waits for
     /// changes needs a shorter time-out.
     std::function<void(bool)> setPeerNotifications;
+    /// Sets this host's place among those that watch the store.
+    std::function<void(Directory::FleetPlace)> setFleetPlace;
 };
 
 /// Blocking calls to the platform, used by one thread.
--- a/src/tools/parsleytackd/sessionproxy.cpp
+++ b/src/tools/parsleytackd/sessionproxy.cpp
@@ -61,7 +61,8 @@
         [&loop](std::function<void()> task) { loop.post(std::move(task)); });
     host.setStoreControl(
         { [&watcher](ProxyHost::StoreTable table, Model::Time now) { return watcher.reread(table, now); },
-            [&watcher](bool hasPeerNotifications) { watcher.setPeerNotifications(hasPeerNotifications); } });
+            [&watcher](bool hasPeerNotifications) { watcher.setPeerNotifications(hasPeerNotifications); },
+            [&watcher](Directory::FleetPlace place) { watcher.setFleetPlace(place); } });
     loop.run();
     Logging::write(Logging::EventId::ProcessStopped);
     std::cout.flush();
--- a/tests/auto/sessionproxy/tst_sessionproxy.cpp
+++ b/tests/auto/sessionproxy/tst_sessionproxy.cpp
@@ -853,3 +853,25 @@
     }
     EXPECT_GE(completed, 48);
 }
+
+// Guards against withdrawn keys that run for half a minute (review/9): the connections of all hosts to the
+// store fall silent at the same time, so that no host learns of a change and tells the others.
+TEST(SessionProxy, RejectsWithdrawnKeyAfterAllStoreConnectionsFellSilent)
+{
+    constexpr int hosts = 3;
+    TestCluster cluster(hosts, TestCluster::Path::Links);
+    cluster.publish({ "key-1", "key-2", "key-3" });
+    for (int host = 0; host < hosts; ++host) {
+        ASSERT_TRUE(waitUntil(
+            [&] { return Client(cluster.callers(host)).open("own", "key-3") == "READY I -"; }, 10s));
+    }
+    std::this_thread::sleep_for(2s);
+    for (int host = 0; host < hosts; ++host)
+        cluster.storeLink(host).configure({ { "freezeExisting", true } });
+    std::this_thread::sleep_for(5s);
+    cluster.publish({ "key-1" });
+    for (int host = 0; host < hosts; ++host) {
+        EXPECT_TRUE(waitUntil(
+            [&] { return !Client(cluster.callers(host)).open("own", "key-2").starts_with("READY"); }, 5s));
+    }
+}
