--- a/src/libs/core/failover/promotion.cpp
+++ b/src/libs/core/failover/promotion.cpp
@@ -224,7 +224,7 @@
     m_promotions = m_recorded;
     if (!hasNewestTakenPlace())
         m_promotions.removeNewest();
-    m_mayPromoteParted = m_hooks.mayPromoteParted && m_hooks.mayPromoteParted(now);
+    m_mayPromoteDiverged = m_hooks.mayPromoteDiverged && m_hooks.mayPromoteDiverged(now);
     if (!isSurveySufficient(now))
         return promote({}, now);
     const auto previous = m_statuses.find(m_previousPrimary);
@@ -270,9 +270,9 @@
     return m_previousPrimary.empty() || m_previousPrimary == newest.primary || knownTerm() >= newest.term;
 }
 
-bool Promotion::hasParted(const Model::LogPosition& position) const
+bool Promotion::hasDiverged(const Model::LogPosition& position) const
 {
-    return !m_mayPromoteParted && m_promotions.hasParted(position);
+    return !m_mayPromoteDiverged && m_promotions.hasDiverged(position);
 }
 
 /// The end of the upstream's log, by its status or else as this host has last seen it.
@@ -283,11 +283,11 @@
     return isKnown ? status->second->received : m_hooks.knownPosition(upstream);
 }
 
-std::vector<std::string> Promotion::partedUpstreams() const
+std::vector<std::string> Promotion::divergedUpstreams() const
 {
     std::vector<std::string> result;
     for (const auto& [upstream, status] : m_statuses) {
-        if (upstream != m_previousPrimary && m_promotions.hasParted(lastPosition(upstream)))
+        if (upstream != m_previousPrimary && m_promotions.hasDiverged(lastPosition(upstream)))
             result.push_back(upstream);
     }
     return result;
@@ -318,7 +318,7 @@
     std::pair<Model::LogPosition, bool> longestRank;
     for (const auto& [id, status] : m_statuses) {
         const bool isExcluded = id == m_previousPrimary && previousPrimary == PreviousPrimary::Excluded;
-        if (isExcluded || !status || !hasLogOfPreviousTerm(*status) || hasParted(status->received))
+        if (isExcluded || !status || !hasLogOfPreviousTerm(*status) || hasDiverged(status->received))
             continue;
         const Directory::Upstream* upstream = m_view.findUpstream(id);
         const std::pair rank(status->received, upstream && m_view.acceptsWork(*upstream));
@@ -341,14 +341,14 @@
         if (upstream->id == m_previousPrimary || !m_view.acceptsWork(*upstream))
             continue;
         const Model::LogPosition position = lastPosition(upstream->id);
-        if (hasParted(position)) {
+        if (hasDiverged(position)) {
             hasSkipped = true;
         } else if (!bestPosition || position > *bestPosition) {
             best = upstream->id;
             bestPosition = position;
         }
     }
-    // An upstream without a log, for example a new one, would lose more than one whose log has parted.
+    // An upstream without a log, for example a new one, would lose more than one whose log has diverged.
     const bool isEmpty = bestPosition && bestPosition->position == 0;
     return hasSkipped && isEmpty ? std::string() : best;
 }
@@ -357,7 +357,7 @@
 void Promotion::promote(const std::string& candidate, Model::Time now)
 {
     m_candidate = candidate;
-    m_hooks.surveyed({ m_statuses, partedUpstreams(), m_candidate });
+    m_hooks.surveyed({ m_statuses, divergedUpstreams(), m_candidate });
     if (m_candidate.empty())
         return enter(PromotionPhase::Failed, now);
     recordCandidate();
--- a/src/libs/core/failover/promotion.h
+++ b/src/libs/core/failover/promotion.h
@@ -58,7 +58,7 @@
 struct SurveyResult {
     UpstreamStatuses statuses;
     /// The upstreams whose logs have entries that an earlier promotion rolled back.
-    std::vector<std::string> parted;
+    std::vector<std::string> diverged;
     /// Empty if no upstream can be promoted.
     std::string candidate;
 };
@@ -84,7 +84,7 @@
     std::function<void(const SurveyResult&)> surveyed;
     /// Whether upstreams with entries that an earlier promotion rolled back may be promoted, because no other
     /// has appeared for long.
-    std::function<bool(Model::Time now)> mayPromoteParted;
+    std::function<bool(Model::Time now)> mayPromoteDiverged;
 };
 
 /// One replacement of a service's primary by the replica that has received the longest log. Used on one
@@ -149,9 +149,9 @@
     std::uint64_t knownTerm() const;
     std::uint64_t nextTerm() const;
     bool hasNewestTakenPlace() const;
-    bool hasParted(const Model::LogPosition& position) const;
+    bool hasDiverged(const Model::LogPosition& position) const;
     Model::LogPosition lastPosition(const std::string& upstream) const;
-    std::vector<std::string> partedUpstreams() const;
+    std::vector<std::string> divergedUpstreams() const;
     void survey(Model::Time now);
     void requestStatus(const std::string& upstream);
     void continueSurvey(Model::Time now);
@@ -196,7 +196,7 @@
     /// The promotions that the lease had recorded.
     TermHistory m_recorded;
     TermHistory m_promotions;
-    bool m_mayPromoteParted = false;
+    bool m_mayPromoteDiverged = false;
     /// When a promotion request that is unavailable or has an unknown outcome is repeated.
     std::optional<Model::Time> m_retryAt;
 };
--- a/src/libs/core/failover/termhistory.cpp
+++ b/src/libs/core/failover/termhistory.cpp
@@ -25,10 +25,10 @@
         m_starts.erase(m_starts.begin());
 }
 
-bool TermHistory::hasParted(const Model::LogPosition& end) const
+bool TermHistory::hasDiverged(const Model::LogPosition& end) const
 {
     // Positions are numbered throughout, so that a log of an earlier term that is longer than the primary's
-    // was has parted whichever term it ends in.
+    // was has diverged whichever term it ends in.
     return std::ranges::any_of(m_starts, [&](const TermStart& start) {
         return end.term < start.term && (end > start.end || end.position > start.end.position);
     });
--- a/src/libs/core/failover/termhistory.h
+++ b/src/libs/core/failover/termhistory.h
@@ -19,9 +19,9 @@
     bool operator==(const TermStart&) const = default;
 };
 
-/// The newest promotions of a service. They tell which logs have parted from that of the primary: an upstream
-/// that had received more than the promoted one keeps entries that the promotion rolled back until it
-/// receives from the new primary. As the next primary, it would bring them back.
+/// The newest promotions of a service. They tell which logs have diverged from that of the primary: an
+/// upstream that had received more than the promoted one keeps entries that the promotion rolled back until
+/// it receives from the new primary. As the next primary, it would bring them back.
 class TermHistory {
 public:
     TermHistory() = default;
@@ -36,7 +36,7 @@
     /// Removes the newest promotion, which was requested but has not taken place.
     void removeNewest() { m_starts.pop_back(); }
     /// Whether a log that ends there has entries that a promotion rolled back.
-    bool hasParted(const Model::LogPosition& end) const;
+    bool hasDiverged(const Model::LogPosition& end) const;
 
     bool operator==(const TermHistory&) const = default;
 
--- a/src/libs/proxyhost/failovers.cpp
+++ b/src/libs/proxyhost/failovers.cpp
@@ -25,7 +25,7 @@
 
     constexpr Model::Duration recordRetryPause = std::chrono::milliseconds(200);
     /// A crashed primary is back with its log within this time, if ever.
-    constexpr Model::Duration partedLogPatience = std::chrono::seconds(30);
+    constexpr Model::Duration divergedLogPatience = std::chrono::seconds(30);
 
     /// Time between two checks whether a replica has received enough to take over from a leaving primary.
     constexpr Model::Duration replicaCheckPeriod = std::chrono::seconds(2);
@@ -121,7 +121,7 @@
     const Directory::Upstream* primary = m_view.primaryOf(service);
     if (!primary)
         return;
-    m_onlyPartedSince.erase(service);
+    m_onlyDivergedSince.erase(service);
     KnownPrimary& known = m_knownPrimaries[service];
     if (known.since != primary->primarySince)
         m_server.engine().resetReachability(primary->id);
@@ -191,7 +191,7 @@
     hooks.knownPosition
         = [this](const std::string& upstream) { return m_server.engine().router().position(upstream); };
     hooks.surveyed = [this, service](const Failover::SurveyResult& result) { surveyed(service, result); };
-    hooks.mayPromoteParted = [this, service](Model::Time at) { return mayPromoteParted(service, at); };
+    hooks.mayPromoteDiverged = [this, service](Model::Time at) { return mayPromoteDiverged(service, at); };
     m_promotions.emplace(service,
         std::make_unique<Failover::Promotion>(
             m_view, service, reason, m_knownPrimaries[service].upstream, std::move(hooks), EventLoop::now()));
@@ -206,20 +206,20 @@
     }
     Logging::write(Logging::EventId::PromotionSurveyed,
         { { "service", service }, { "candidate", result.candidate },
-            { "statuses", describe(result.statuses) }, { "parted", join(result.parted) },
+            { "statuses", describe(result.statuses) }, { "diverged", join(result.diverged) },
             { "unregistered", join(unregistered) } });
-    if (result.candidate.empty() && !result.parted.empty())
-        m_onlyPartedSince.try_emplace(service, EventLoop::now());
+    if (result.candidate.empty() && !result.diverged.empty())
+        m_onlyDivergedSince.try_emplace(service, EventLoop::now());
     else
-        m_onlyPartedSince.erase(service);
+        m_onlyDivergedSince.erase(service);
 }
 
-/// Whether logs may be promoted although they have parted from the replaced primary's: the service has had no
-/// other candidate for long, and the primary has not come back with its log.
-bool Failovers::mayPromoteParted(const std::string& service, Model::Time now) const
+/// Whether logs may be promoted although they have diverged from the replaced primary's: the service has had
+/// no other candidate for long, and the primary has not come back with its log.
+bool Failovers::mayPromoteDiverged(const std::string& service, Model::Time now) const
 {
-    const auto since = m_onlyPartedSince.find(service);
-    return since != m_onlyPartedSince.end() && now - since->second > partedLogPatience;
+    const auto since = m_onlyDivergedSince.find(service);
+    return since != m_onlyDivergedSince.end() && now - since->second > divergedLogPatience;
 }
 
 void Failovers::acquireLease(const std::string& service, Failover::Fence fence)
@@ -279,7 +279,7 @@
 }
 
 /// Records the requested promotion in the lease's row. The next promotion needs it to tell which logs have
-/// parted from the primary's; this one does not wait for the store.
+/// diverged from the primary's; this one does not wait for the store.
 void Failovers::recordPromotions(const std::string& service)
 {
     AcquiredLease& lease = m_leases.at(service);
--- a/src/libs/proxyhost/failovers.h
+++ b/src/libs/proxyhost/failovers.h
@@ -73,7 +73,7 @@
     std::optional<Model::Time> primaryExpected(const std::string& service, Model::Time now) const;
     bool isPausing(const std::string& service, Model::Time now) const;
     void surveyed(const std::string& service, const Failover::SurveyResult& result);
-    bool mayPromoteParted(const std::string& service, Model::Time now) const;
+    bool mayPromoteDiverged(const std::string& service, Model::Time now) const;
     bool isWaitingForReplicas(
         const std::string& service, Failover::PromotionReason reason, Model::Time now) const;
 
@@ -93,8 +93,8 @@
     std::map<std::string, Model::Time> m_lastEnded;
     /// When a failed record of a promotion is repeated.
     std::map<std::string, Model::Time> m_recordAfter;
-    /// Since when each promotion of the service has failed because all logs had parted from the primary's.
-    std::map<std::string, Model::Time> m_onlyPartedSince;
+    /// Since when each promotion of the service has failed because all logs had diverged from the primary's.
+    std::map<std::string, Model::Time> m_onlyDivergedSince;
     /// When this or another host was last seen to replace the primary.
     std::map<std::string, Model::Time> m_lastAttempts;
     struct KnownPrimary {
--- a/tests/auto/core/failover/tst_promotion.cpp
+++ b/tests/auto/core/failover/tst_promotion.cpp
@@ -66,7 +66,7 @@
         hooks.isReachable = [this](const std::string& upstream) { return !m_unreachable.contains(upstream); };
         hooks.knownPosition = [this](const std::string& upstream) { return m_knownPositions[upstream]; };
         hooks.surveyed = [this](const SurveyResult& result) { m_surveyResult = result; };
-        hooks.mayPromoteParted = [this](Time) { return m_mayPromoteParted; };
+        hooks.mayPromoteDiverged = [this](Time) { return m_mayPromoteDiverged; };
         if (m_needsFence) {
             hooks.isFenceEffective = [this](const std::string&, Time) { return m_isFenceEffective; };
             hooks.allowPrimary
@@ -94,7 +94,7 @@
     FencingToken m_token = 0;
     std::set<std::string> m_unreachable;
     SurveyResult m_surveyResult;
-    bool m_mayPromoteParted = false;
+    bool m_mayPromoteDiverged = false;
     std::map<std::string, Model::LogPosition> m_knownPositions;
 };
 
@@ -494,7 +494,7 @@
     run.statusArrived("q", status(63), Time { 20ms });
     run.statusArrived("r", status(46), Time { 20ms });
     EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "r" });
-    EXPECT_EQ(m_surveyResult.parted, std::vector<std::string> { "q" });
+    EXPECT_EQ(m_surveyResult.diverged, std::vector<std::string> { "q" });
     // `q` has still to be told from the others at the next promotion.
     const TermHistory expected({ { 4, "p", { 3, 46 } }, { 5, "r", { 3, 46 } } });
     EXPECT_EQ(run.promotions(), expected);
@@ -512,7 +512,7 @@
     EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "r" });
 }
 
-// Guards against a replica that counts as parted because of a promotion that has not taken place.
+// Guards against a replica that counts as diverged because of a promotion that has not taken place.
 TEST_F(PromotionTest, IgnoresRecordedPromotionThatHasNotTakenPlace)
 {
     const TermHistory recorded({ { 3, "p", { 2, 30 } }, { 4, "x", { 3, 46 } } });
@@ -537,11 +537,11 @@
 
 // Guards against the loss of a whole log: of an upstream without one and one whose end was rolled back,
 // neither is promoted while the primary may come back, and the latter after that.
-TEST_F(PromotionTest, PromotesPartedLogOnlyAsLastResort)
+TEST_F(PromotionTest, PromotesDivergedLogOnlyAsLastResort)
 {
     const TermHistory recorded({ { 4, "p", { 3, 46 } } });
     for (const bool isLastResort : { false, true }) {
-        m_mayPromoteParted = isLastResort;
+        m_mayPromoteDiverged = isLastResort;
         Promotion run = promotion(PromotionReason::Unreachable);
         run.leaseAcquired(1, Time { 10ms }, recorded);
         run.statusArrived("q", status(63), Time { 20ms });
@@ -553,7 +553,7 @@
 
 // Guards against a planned change to an upstream whose end was rolled back, and against a primary that steps
 // down although there is no other one to take over.
-TEST_F(PromotionTest, LeavingPrimaryKeepsRoleIfAllOtherLogsHaveParted)
+TEST_F(PromotionTest, LeavingPrimaryKeepsRoleIfAllOtherLogsHaveDiverged)
 {
     const TermHistory recorded({ { 4, "p", { 3, 46 } } });
     Promotion run = promotion(PromotionReason::Leaving);
@@ -572,7 +572,7 @@
     EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "p" });
 }
 
-// Guards against replicas that count as parted although they follow the primary: the promotion of a replica
+// Guards against replicas that count as diverged although they follow the primary: the promotion of a replica
 // had taken place, but was requested once more, which begins no term.
 TEST_F(PromotionTest, RecordsNoPromotionOfPresentPrimary)
 {
