--- a/src/libs/proxyhost/failovers.cpp
+++ b/src/libs/proxyhost/failovers.cpp
@@ -239,12 +239,12 @@
     const Model::Time now = EventLoop::now();
     if (!lease && now - promotion->second->startedAt() > storeResponseLimit)
         m_storeFailedAt = now;
-    if (lease)
+    if (lease) {
         m_leases.insert_or_assign(service, *lease);
-    if (lease)
         promotion->second->leaseAcquired(lease->lease.token, now, lease->lease.promotions);
-    else
+    } else {
         promotion->second->leaseAcquired(std::nullopt, now);
+    }
     advance(service);
 }
 
