--- a/review/11/case.cpp
+++ b/review/11/case.cpp
@@ -133,7 +133,7 @@
         if (!hasTrouble || i != calmWrites)
             return;
         threads.emplace_back([&] {
-            std::this_thread::sleep_for(1700ms);
+            std::this_thread::sleep_for(1500ms);
             record.write("i-1 receives nothing; i-0 is partitioned from 4 of 9 machines");
             group->setDeaf(1, true);
             group->setCut(0, cutMachines);
--- a/review/standins-3/machines.cpp
+++ b/review/standins-3/machines.cpp
@@ -23,25 +23,20 @@
     constexpr std::chrono::milliseconds poll { 20 };
     constexpr std::chrono::seconds readyLimit { 30 };
     constexpr int peerPortCount = 16;
+    /// Two more are for callers and for the probe.
+    constexpr int portCount = peerPortCount + 2;
     constexpr int exitCannotExecute = 127;
 
-    std::uint16_t freePort()
-    {
-        std::uint16_t port = 0;
-        ::close(listenOnLoopback(port));
-        return port;
-    }
-
     /// Returns the first of a range of ports that are free now.
     std::uint16_t freeRange()
     {
         // Below the ports that the system chooses for outgoing connections.
-        static int next = 20000 + static_cast<int>(getpid() % 400) * 20;
+        static int next = 20000 + static_cast<int>(getpid() % 500) * 20;
         while (true) {
             const int first = next;
-            next += peerPortCount;
+            next += portCount;
             bool isFree = true;
-            for (int i = 0; i < peerPortCount && isFree; ++i) {
+            for (int i = 0; i < portCount && isFree; ++i) {
                 auto port = static_cast<std::uint16_t>(first + i);
                 const int listener = listenOnLoopback(port);
                 isFree = listener >= 0;
@@ -65,8 +60,9 @@
     m_machines.resize(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
         m_peerPorts.push_back(freeRange());
-        m_machines.at(static_cast<std::size_t>(i)).callers = freePort();
-        m_machines.at(static_cast<std::size_t>(i)).probe = freePort();
+        const int afterPeers = m_peerPorts.back() + peerPortCount;
+        m_machines.at(static_cast<std::size_t>(i)).callers = static_cast<std::uint16_t>(afterPeers);
+        m_machines.at(static_cast<std::size_t>(i)).probe = static_cast<std::uint16_t>(afterPeers + 1);
     }
     for (int i = 0; i < count; ++i)
         start(i);
