--- a/review/11/case.cpp
+++ b/review/11/case.cpp
@@ -100,7 +100,7 @@
         return group->promote(call.id);
     });
     Review::DatabaseGroup::Hooks hooks;
-    hooks.changed = [&](const std::string& id, const std::string& address, bool isPrimary) {
+    hooks.changed = [&](const std::string& id, const std::string& address, bool isPrimary, int) {
         const nlohmann::json entry { { "service", "bindery-ledger" }, { "address", address },
             { "zone", "furano" }, { "version", "v1" }, { "slots", 2 }, { "state", "ready" },
             { "coldLeftMs", 0 }, { "seq", 1 }, { "born", 1000 },
--- a/review/standins-3/databasegroup.cpp
+++ b/review/standins-3/databasegroup.cpp
@@ -63,14 +63,17 @@
 {
     const std::string address
         = "127.0.0.1:" + std::to_string(m_databases.at(static_cast<std::size_t>(database)).port);
-    m_hooks.changed(idOf(database), address, database == m_primary);
+    m_hooks.changed(idOf(database), address, database == m_primary,
+        m_databases.at(static_cast<std::size_t>(database)).incarnation);
 }
 
 void DatabaseGroup::registerAll()
 {
     const Lock lock(m_mutex);
-    for (int i = 0; i < m_settings.databases; ++i)
-        reportEntry(i);
+    for (int i = 0; i < m_settings.databases; ++i) {
+        if (!m_databases.at(static_cast<std::size_t>(i)).isDown)
+            reportEntry(i);
+    }
 }
 
 int DatabaseGroup::primary()
@@ -92,6 +95,29 @@
     m_changed.notify_all();
 }
 
+void DatabaseGroup::crash(int database)
+{
+    const Lock lock(m_mutex);
+    Database& target = m_databases.at(static_cast<std::size_t>(database));
+    target.isDown = true;
+    ++target.incarnation;
+    ::shutdown(target.listener, SHUT_RDWR);
+    for (const int socket : target.sockets)
+        ::shutdown(socket, SHUT_RDWR);
+    m_changed.notify_all();
+}
+
+void DatabaseGroup::restart(int database, bool keepsLog)
+{
+    const Lock lock(m_mutex);
+    Database& target = m_databases.at(static_cast<std::size_t>(database));
+    if (!keepsLog)
+        target.log = { Entry {} };
+    target.isDown = false;
+    reportEntry(database);
+    m_changed.notify_all();
+}
+
 void DatabaseGroup::setCut(int database, std::set<int> machines)
 {
     const Lock lock(m_mutex);
@@ -122,9 +148,9 @@
         if (idOf(i) == id)
             database = i;
     }
-    if (database < 0)
-        return false;
     const Lock lock(m_mutex);
+    if (database < 0 || m_databases.at(static_cast<std::size_t>(database)).isDown)
+        return false;
     if (database == m_primary)
         return true;
     std::thread([this, database] {
@@ -151,23 +177,30 @@
             && log[common].number == other.log[common].number && log[common].term == other.log[common].term)
             ++common;
         other.log.resize(common);
+        // One that holds nothing gets the log from its beginning.
+        if (common == 0)
+            other.log = { log.front() };
     }
     m_record.write(idOf(database) + " leads term " + std::to_string(m_term) + " with the log up to "
         + receivedPosition(database));
-    for (int i = 0; i < m_settings.databases; ++i)
-        reportEntry(i);
+    for (int i = 0; i < m_settings.databases; ++i) {
+        if (!m_databases.at(static_cast<std::size_t>(i)).isDown)
+            reportEntry(i);
+    }
     replicate();
 }
 
 /// Gives the primary's log to the replicas that receive.
 void DatabaseGroup::replicate()
 {
-    if (m_primary >= 0) {
+    if (m_primary >= 0 && !m_databases.at(static_cast<std::size_t>(m_primary)).isDown) {
         const std::vector<Entry>& log = m_databases.at(static_cast<std::size_t>(m_primary)).log;
         for (int i = 0; i < m_settings.databases; ++i) {
             Database& replica = m_databases.at(static_cast<std::size_t>(i));
-            if (i == m_primary || replica.isDeaf || replica.isPaused)
+            if (i == m_primary || replica.isDeaf || replica.isPaused || replica.isDown)
                 continue;
+            if (replica.log.front().term == 0)
+                replica.log = { log.front() };
             for (std::size_t k = replica.log.size(); k < log.size(); ++k) {
                 replica.log.push_back(log[k]);
                 replica.log.back().at = std::chrono::steady_clock::now();
@@ -179,11 +212,32 @@
 
 void DatabaseGroup::accept(int database)
 {
-    const int listener = m_databases.at(static_cast<std::size_t>(database)).listener;
+    Lock lock(m_mutex);
+    Database& own = m_databases.at(static_cast<std::size_t>(database));
     while (true) {
+        const int listener = own.listener;
+        lock.unlock();
         const int socket = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
+        lock.lock();
+        if (socket >= 0 && !own.isDown) {
+            own.sockets.insert(socket);
+            std::thread([this, database, incarnation = own.incarnation, socket] {
+                serve(database, incarnation, socket);
+            }).detach();
+            continue;
+        }
         if (socket >= 0)
-            std::thread([this, database, socket] { serve(database, socket); }).detach();
+            ::close(socket);
+        if (!own.isDown)
+            continue;
+        ::close(own.listener);
+        m_changed.wait(lock, [&] { return !own.isDown; });
+        own.listener = listenOnLoopback(own.port);
+        // Another connection may have the port for a moment.
+        while (own.listener < 0) {
+            m_changed.wait_for(lock, replicationCheck);
+            own.listener = listenOnLoopback(own.port);
+        }
     }
 }
 
@@ -192,13 +246,22 @@
 {
     Lock lock(m_mutex);
     const Database& database = m_databases.at(static_cast<std::size_t>(connection.database));
-    m_changed.wait(lock, [&] { return !database.cutFrom.contains(connection.machine); });
+    m_changed.wait(
+        lock, [&] { return hasEnded(connection) || !database.cutFrom.contains(connection.machine); });
 }
 
-void DatabaseGroup::serve(int database, int socket)
+/// Whether the process that has the connection has ended.
+bool DatabaseGroup::hasEnded(const Connection& connection) const
+{
+    return m_databases.at(static_cast<std::size_t>(connection.database)).incarnation
+        != connection.incarnation;
+}
+
+void DatabaseGroup::serve(int database, int incarnation, int socket)
 {
     Connection connection;
     connection.database = database;
+    connection.incarnation = incarnation;
     connection.machine = m_hooks.machineOf(peerPort(socket));
     Input input(socket);
     while (const auto line = input.line()) {
@@ -208,6 +271,8 @@
         if (answer.empty() || !sendAll(socket, answer))
             break;
     }
+    const Lock lock(m_mutex);
+    m_databases.at(static_cast<std::size_t>(database)).sockets.erase(socket);
     ::close(socket);
 }
 
@@ -262,6 +327,8 @@
 {
     std::vector<std::string> words = split(line);
     Lock lock(m_mutex);
+    if (hasEnded(connection))
+        return {};
     if (!connection.isOpen) {
         const bool isRight = words.size() >= 3 && words[0] == "STARTUP" && words[1] == m_settings.service
             && (words.size() < 4 || words[3] == idOf(connection.database));
@@ -285,7 +352,8 @@
         words.erase(words.begin(), words.begin() + 2);
     }
     if (words[0] == "ROLLBACK") {
-        connection = { connection.database, connection.machine, true, false, false, false, {} };
+        connection = { connection.database, connection.incarnation, connection.machine, true, false, false,
+            false, {} };
         return done;
     }
     if (connection.hasFailed && words[0] != "COMMIT")
@@ -310,7 +378,8 @@
     const bool isLeading = connection.database == m_primary;
     if (words[0] == "COMMIT") {
         const Connection before = connection;
-        connection = { connection.database, connection.machine, true, false, false, false, {} };
+        connection = { connection.database, connection.incarnation, connection.machine, true, false, false,
+            false, {} };
         if (before.hasFailed)
             return error("ABORTED");
         return before.writes.empty() ? receipt(id) : commit(connection, id, before.writes, lock);
@@ -344,22 +413,26 @@
     }
     replicate();
     // The lead was lost meanwhile: the answer would say nothing for certain, so the connection ends.
-    if (!awaitReplicas(database, number, lock))
+    if (!awaitReplicas(connection, number, lock))
         return {};
     return receipt(id);
 }
 
-/// Waits until enough replicas have received the commit. Returns false if the database lost the lead before.
-bool DatabaseGroup::awaitReplicas(int database, std::uint64_t number, Lock& lock)
+/// Waits until enough replicas have received the commit. Returns false if the database ended or lost the lead
+/// before.
+bool DatabaseGroup::awaitReplicas(const Connection& connection, std::uint64_t number, Lock& lock)
 {
+    const int database = connection.database;
     const std::uint64_t term = m_term;
     const auto received = [&] {
         return std::ranges::count_if(m_databases, [&](const Database& other) {
             return other.log.back().number >= number && other.log.back().term >= term;
         }) - 1;
     };
-    m_changed.wait(lock, [&] { return m_primary != database || received() >= m_settings.syncReplicas; });
-    return m_primary == database;
+    m_changed.wait(lock, [&] {
+        return hasEnded(connection) || m_primary != database || received() >= m_settings.syncReplicas;
+    });
+    return !hasEnded(connection) && m_primary == database;
 }
 
 std::string DatabaseGroup::command(
@@ -380,7 +453,9 @@
     const bool isLeading = connection.database == m_primary;
     m_record.write(idOf(connection.database) + " answers " + words[0] + " with "
         + receivedPosition(connection.database) + " to machine " + std::to_string(connection.machine));
-    return "DATAROW " + std::string(isLeading ? "primary " : "replica ") + std::to_string(m_term) + " "
+    // One that holds nothing has not heard of any term.
+    const std::uint64_t known = own.log.front().term == 0 ? 0 : m_term;
+    return "DATAROW " + std::string(isLeading ? "primary " : "replica ") + std::to_string(known) + " "
         + receivedPosition(connection.database) + " 0 0 0 1\r\n" + done;
 }
 
--- a/review/standins-3/databasegroup.h
+++ b/review/standins-3/databasegroup.h
@@ -34,7 +34,9 @@
 public:
     struct Hooks {
         /// The entry of a database has changed.
-        std::function<void(const std::string& id, const std::string& address, bool isPrimary)> changed;
+        std::function<void(
+            const std::string& id, const std::string& address, bool isPrimary, int incarnation)>
+            changed;
         /// The machine that a connection from this local port belongs to; -1 if it is unknown.
         std::function<int(std::uint16_t port)> machineOf;
     };
@@ -42,13 +44,17 @@
     DatabaseGroup(GroupSettings settings, Hooks hooks, Record& record);
 
     static std::string idOf(int database) { return "i-" + std::to_string(database); }
-    /// Reports the entries of all databases.
+    /// Reports the entries of all databases that run.
     void registerAll();
     int primary();
     /// Calls of `POST /promote`; false if there is no such database.
     bool promote(const std::string& id);
     /// The database receives nothing from the primary until `isDeaf` is false again.
     void setDeaf(int database, bool isDeaf);
+    /// The process of the database ends, with its connections.
+    void crash(int database);
+    /// A crashed database starts again under its id: with its log, or with nothing of before.
+    void restart(int database, bool keepsLog);
     /// Partitions the database from these machines, silently; an empty set ends it.
     void setCut(int database, std::set<int> machines);
     /// Whether the log of the present primary has this data.
@@ -71,11 +77,16 @@
         std::vector<Entry> log;
         bool isDeaf = false;
         bool isPaused = false;
+        bool isDown = false;
+        /// Counts the starts of the process.
+        int incarnation = 1;
+        std::set<int> sockets;
         std::set<int> cutFrom;
     };
     /// State of a connection.
     struct Connection {
         int database = 0;
+        int incarnation = 0;
         int machine = -1;
         bool isOpen = false;
         bool isInTransaction = false;
@@ -86,7 +97,7 @@
     using Lock = std::unique_lock<std::mutex>;
 
     void accept(int database);
-    void serve(int database, int socket);
+    void serve(int database, int incarnation, int socket);
     void awaitPath(const Connection& connection);
     std::string handle(Connection& connection, const std::string& line);
     std::string query(
@@ -96,7 +107,8 @@
     std::string command(Connection& connection, const std::vector<std::string>& words, Lock& lock);
     std::string commit(Connection& connection, const std::string& id,
         const std::vector<std::pair<std::string, std::string>>& writes, Lock& lock);
-    bool awaitReplicas(int database, std::uint64_t number, Lock& lock);
+    bool awaitReplicas(const Connection& connection, std::uint64_t number, Lock& lock);
+    bool hasEnded(const Connection& connection) const;
     void replicate();
     void takeLead(int database);
     std::size_t applied(int database) const;
--- a/review/standins-3/platform.cpp
+++ b/review/standins-3/platform.cpp
@@ -126,6 +126,13 @@
     m_changed.notify_all();
 }
 
+void Platform::remove(const std::string& table, const std::string& key)
+{
+    const std::lock_guard lock(m_mutex);
+    m_rows[{ table, key }] = { {}, ++m_version, true };
+    m_changed.notify_all();
+}
+
 void Platform::accept(int listener)
 {
     while (true) {
--- a/review/standins-3/platform.h
+++ b/review/standins-3/platform.h
@@ -30,6 +30,7 @@
     std::uint16_t port() const { return m_port; }
     /// Writes a row as the operator or a database does.
     void set(const std::string& table, const std::string& key, const std::string& value);
+    void remove(const std::string& table, const std::string& key);
 
 private:
     struct Row {
