--- a/review/11/case.cpp
+++ b/review/11/case.cpp
@@ -88,7 +88,15 @@
     return acknowledged;
 }
 
-ExitCode run(const std::string& recordFile, bool hasTrouble)
+/// Ends the machines and the process. The threads of the stand-ins run until then, with what `run` owns.
+[[noreturn]] void end(std::unique_ptr<Review::Machines>& machines, ExitCode result)
+{
+    machines.reset();
+    std::cout << (result == Broken ? "broken" : result == Held ? "held" : "could not run") << std::endl;
+    std::_Exit(result);
+}
+
+[[noreturn]] void run(const std::string& recordFile, bool hasTrouble)
 {
     Review::Record record(recordFile);
     std::unique_ptr<Review::DatabaseGroup> group;
@@ -121,7 +129,7 @@
     machines = std::make_unique<Review::Machines>(settings, machineCount);
     started = machines.get();
     if (!machines->awaitReady())
-        return NotRun;
+        end(machines, NotRun);
     std::this_thread::sleep_for(2s);
 
     std::atomic<bool> isOver = false;
@@ -160,8 +168,8 @@
     record.write(std::to_string(acknowledged.size()) + " of " + std::to_string(writes)
         + " writes acknowledged, " + std::to_string(group->promotions()) + " promotions, exit "
         + std::to_string(result));
-    machines.reset();
-    return result;
+    started = nullptr;
+    end(machines, result);
 }
 
 }
@@ -171,8 +179,5 @@
     if (argc != 2)
         return NotRun;
     const char* trouble = std::getenv("TROUBLE");
-    const ExitCode result = run(argv[1], !trouble || std::string(trouble) != "0");
-    std::cout << (result == Broken ? "broken" : result == Held ? "held" : "could not run") << std::endl;
-    // The threads of the stand-ins run until the process ends.
-    std::_Exit(result);
+    run(argv[1], !trouble || std::string(trouble) != "0");
 }
--- a/review/standins-3/databasegroup.cpp
+++ b/review/standins-3/databasegroup.cpp
@@ -46,6 +46,7 @@
 {
     for (int i = 0; i < m_settings.databases; ++i) {
         Database& database = m_databases.at(static_cast<std::size_t>(i));
+        database.id = idOf(i);
         database.log.push_back({ 1, 1, {}, {}, {} });
         database.listener = listenOnLoopback(database.port);
         std::thread([this, i] { accept(i); }).detach();
@@ -63,7 +64,7 @@
 {
     const std::string address
         = "127.0.0.1:" + std::to_string(m_databases.at(static_cast<std::size_t>(database)).port);
-    m_hooks.changed(idOf(database), address, database == m_primary,
+    m_hooks.changed(presentId(database), address, database == m_primary,
         m_databases.at(static_cast<std::size_t>(database)).incarnation);
 }
 
@@ -71,7 +72,7 @@
 {
     const Lock lock(m_mutex);
     for (int i = 0; i < m_settings.databases; ++i) {
-        if (!m_databases.at(static_cast<std::size_t>(i)).isDown)
+        if (isConnected(i))
             reportEntry(i);
     }
 }
@@ -107,17 +108,39 @@
     m_changed.notify_all();
 }
 
-void DatabaseGroup::restart(int database, bool keepsLog)
+void DatabaseGroup::restartEmpty(int database)
 {
     const Lock lock(m_mutex);
     Database& target = m_databases.at(static_cast<std::size_t>(database));
-    if (!keepsLog)
-        target.log = { Entry {} };
+    target.log = { Entry {} };
+    target.knownTerm = 0;
     target.isDown = false;
     reportEntry(database);
     m_changed.notify_all();
 }
 
+void DatabaseGroup::restartAs(int database, const std::string& id)
+{
+    const Lock lock(m_mutex);
+    Database& target = m_databases.at(static_cast<std::size_t>(database));
+    target.id = id;
+    target.isDown = false;
+    reportEntry(database);
+    m_changed.notify_all();
+}
+
+const std::string& DatabaseGroup::presentId(int database) const
+{
+    return m_databases.at(static_cast<std::size_t>(database)).id;
+}
+
+void DatabaseGroup::setDark(int database, bool isDark)
+{
+    const Lock lock(m_mutex);
+    m_databases.at(static_cast<std::size_t>(database)).isDark = isDark;
+    m_changed.notify_all();
+}
+
 void DatabaseGroup::setCut(int database, std::set<int> machines)
 {
     const Lock lock(m_mutex);
@@ -143,12 +166,12 @@
 
 bool DatabaseGroup::promote(const std::string& id)
 {
+    const Lock lock(m_mutex);
     int database = -1;
     for (int i = 0; i < m_settings.databases; ++i) {
-        if (idOf(i) == id)
+        if (presentId(i) == id)
             database = i;
     }
-    const Lock lock(m_mutex);
     if (database < 0 || m_databases.at(static_cast<std::size_t>(database)).isDown)
         return false;
     if (database == m_primary)
@@ -160,7 +183,14 @@
     return true;
 }
 
-/// The database leads the next term with what it has received. Replicas that are ahead of it are rolled back.
+/// Whether the process runs and is not cut off.
+bool DatabaseGroup::isConnected(int database) const
+{
+    const Database& own = m_databases.at(static_cast<std::size_t>(database));
+    return !own.isDown && !own.isDark;
+}
+
+/// The database leads the next term with what it has received.
 void DatabaseGroup::takeLead(int database)
 {
     const Lock lock(m_mutex);
@@ -169,39 +199,35 @@
     m_primary = database;
     ++m_term;
     ++m_promotions;
-    const std::vector<Entry> log = m_databases.at(static_cast<std::size_t>(database)).log;
-    for (Database& other : m_databases) {
+    m_databases.at(static_cast<std::size_t>(database)).knownTerm = m_term;
+    for (Database& other : m_databases)
         other.isPaused = false;
-        std::size_t common = 0;
-        while (common < std::min(log.size(), other.log.size())
-            && log[common].number == other.log[common].number && log[common].term == other.log[common].term)
-            ++common;
-        other.log.resize(common);
-        // One that holds nothing gets the log from its beginning.
-        if (common == 0)
-            other.log = { log.front() };
-    }
-    m_record.write(idOf(database) + " leads term " + std::to_string(m_term) + " with the log up to "
+    m_record.write(presentId(database) + " leads term " + std::to_string(m_term) + " with the log up to "
         + receivedPosition(database));
     for (int i = 0; i < m_settings.databases; ++i) {
-        if (!m_databases.at(static_cast<std::size_t>(i)).isDown)
+        if (isConnected(i))
             reportEntry(i);
     }
     replicate();
 }
 
-/// Gives the primary's log to the replicas that receive.
+/// Gives the primary's log to the replicas that receive. Those that were ahead of it are rolled back.
 void DatabaseGroup::replicate()
 {
-    if (m_primary >= 0 && !m_databases.at(static_cast<std::size_t>(m_primary)).isDown) {
+    if (m_primary >= 0 && isConnected(m_primary)) {
         const std::vector<Entry>& log = m_databases.at(static_cast<std::size_t>(m_primary)).log;
         for (int i = 0; i < m_settings.databases; ++i) {
             Database& replica = m_databases.at(static_cast<std::size_t>(i));
-            if (i == m_primary || replica.isDeaf || replica.isPaused || replica.isDown)
+            if (i == m_primary || replica.isDeaf || replica.isPaused || !isConnected(i))
                 continue;
-            if (replica.log.front().term == 0)
-                replica.log = { log.front() };
-            for (std::size_t k = replica.log.size(); k < log.size(); ++k) {
+            std::size_t common = 0;
+            while (common < std::min(log.size(), replica.log.size())
+                && log[common].number == replica.log[common].number
+                && log[common].term == replica.log[common].term)
+                ++common;
+            replica.knownTerm = m_term;
+            replica.log.resize(common);
+            for (std::size_t k = common; k < log.size(); ++k) {
                 replica.log.push_back(log[k]);
                 replica.log.back().at = std::chrono::steady_clock::now();
             }
@@ -246,8 +272,9 @@
 {
     Lock lock(m_mutex);
     const Database& database = m_databases.at(static_cast<std::size_t>(connection.database));
-    m_changed.wait(
-        lock, [&] { return hasEnded(connection) || !database.cutFrom.contains(connection.machine); });
+    m_changed.wait(lock, [&] {
+        return hasEnded(connection) || (!database.isDark && !database.cutFrom.contains(connection.machine));
+    });
 }
 
 /// Whether the process that has the connection has ended.
@@ -331,7 +358,7 @@
         return {};
     if (!connection.isOpen) {
         const bool isRight = words.size() >= 3 && words[0] == "STARTUP" && words[1] == m_settings.service
-            && (words.size() < 4 || words[3] == idOf(connection.database));
+            && (words.size() < 4 || words[3] == presentId(connection.database));
         connection.isOpen = isRight;
         return isRight ? ready(connection) : error("WRONGNODE");
     }
@@ -408,7 +435,7 @@
     const std::uint64_t number = log.back().number + 1;
     for (const auto& [item, data] : writes) {
         log.push_back({ m_term, number, item, data, std::chrono::steady_clock::now() });
-        m_record.write(idOf(database) + " commits " + data + " as " + std::to_string(m_term) + "."
+        m_record.write(presentId(database) + " commits " + data + " as " + std::to_string(m_term) + "."
             + std::to_string(number));
     }
     replicate();
@@ -451,11 +478,9 @@
     else if (words[0] != "STATUS" && words[0] != "PAUSE" && words[0] != "STEPDOWN")
         return error("MALFORMED");
     const bool isLeading = connection.database == m_primary;
-    m_record.write(idOf(connection.database) + " answers " + words[0] + " with "
+    m_record.write(presentId(connection.database) + " answers " + words[0] + " with "
         + receivedPosition(connection.database) + " to machine " + std::to_string(connection.machine));
-    // One that holds nothing has not heard of any term.
-    const std::uint64_t known = own.log.front().term == 0 ? 0 : m_term;
-    return "DATAROW " + std::string(isLeading ? "primary " : "replica ") + std::to_string(known) + " "
+    return "DATAROW " + std::string(isLeading ? "primary " : "replica ") + std::to_string(own.knownTerm) + " "
         + receivedPosition(connection.database) + " 0 0 0 1\r\n" + done;
 }
 
--- a/review/standins-3/databasegroup.h
+++ b/review/standins-3/databasegroup.h
@@ -43,8 +43,9 @@
 
     DatabaseGroup(GroupSettings settings, Hooks hooks, Record& record);
 
+    /// The first id of a database.
     static std::string idOf(int database) { return "i-" + std::to_string(database); }
-    /// Reports the entries of all databases that run.
+    /// Reports the entries of all databases that run and reach the store.
     void registerAll();
     int primary();
     /// Calls of `POST /promote`; false if there is no such database.
@@ -53,8 +54,12 @@
     void setDeaf(int database, bool isDeaf);
     /// The process of the database ends, with its connections.
     void crash(int database);
-    /// A crashed database starts again under its id: with its log, or with nothing of before.
-    void restart(int database, bool keepsLog);
+    /// A crashed database starts again under its id and holds nothing of before.
+    void restartEmpty(int database);
+    /// A crashed database comes back with its log, under another id.
+    void restartAs(int database, const std::string& id);
+    /// The database is cut off from everything, silently, until `isDark` is false again.
+    void setDark(int database, bool isDark);
     /// Partitions the database from these machines, silently; an empty set ends it.
     void setCut(int database, std::set<int> machines);
     /// Whether the log of the present primary has this data.
@@ -72,12 +77,16 @@
         std::chrono::steady_clock::time_point at;
     };
     struct Database {
+        std::string id;
         int listener = -1;
         std::uint16_t port = 0;
         std::vector<Entry> log;
         bool isDeaf = false;
         bool isPaused = false;
         bool isDown = false;
+        bool isDark = false;
+        /// The newest term that it knows of.
+        std::uint64_t knownTerm = 1;
         /// Counts the starts of the process.
         int incarnation = 1;
         std::set<int> sockets;
@@ -110,6 +119,7 @@
     bool awaitReplicas(const Connection& connection, std::uint64_t number, Lock& lock);
     bool hasEnded(const Connection& connection) const;
     void replicate();
+    bool isConnected(int database) const;
     void takeLead(int database);
     std::size_t applied(int database) const;
     std::string position(int database) const;
@@ -118,6 +128,7 @@
     bool lacks(int database, const std::string& wanted) const;
     std::string read(int database, const std::string& item) const;
     void reportEntry(int database);
+    const std::string& presentId(int database) const;
 
     GroupSettings m_settings;
     Hooks m_hooks;
--- a/review/standins-3/machines.cpp
+++ b/review/standins-3/machines.cpp
@@ -31,7 +31,7 @@
     std::uint16_t freeRange()
     {
         // Below the ports that the system chooses for outgoing connections.
-        static int next = 20000 + static_cast<int>(getpid() % 500) * 20;
+        static int next = 20000 + static_cast<int>(getpid() % 60) * 200;
         while (true) {
             const int first = next;
             next += portCount;
--- a/review/standins-3/platform.cpp
+++ b/review/standins-3/platform.cpp
@@ -133,6 +133,21 @@
     m_changed.notify_all();
 }
 
+void Platform::setStoreSilent(bool isSilent)
+{
+    const std::lock_guard lock(m_mutex);
+    m_silences += isSilent ? 1 : 0;
+    m_isStoreSilent = isSilent;
+}
+
+bool Platform::isStoreSilent() { return storeState().first; }
+
+std::pair<bool, int> Platform::storeState()
+{
+    const std::lock_guard lock(m_mutex);
+    return { m_isStoreSilent, m_silences };
+}
+
 void Platform::accept(int listener)
 {
     while (true) {
@@ -166,7 +181,15 @@
         if (!header || !body)
             break;
         request.body = *body;
-        const Response response = handle(request);
+        const bool isForStore = request.path.starts_with("/-/");
+        const auto [isSilent, silences] = storeState();
+        bool isLost = isForStore && isSilent;
+        const Response response = isLost ? Response {} : handle(request);
+        isLost = isLost || (isForStore && storeState().second != silences);
+        // A connection on which a response is lost delivers nothing further.
+        while (isLost && input.line()) { }
+        if (isLost)
+            break;
         const std::string text = "HTTP/1.1 " + std::to_string(response.status)
             + " -\r\nContent-Type: application/json\r\nContent-Length: "
             + std::to_string(response.body.size()) + "\r\n\r\n" + response.body;
--- a/review/standins-3/platform.h
+++ b/review/standins-3/platform.h
@@ -31,6 +31,10 @@
     /// Writes a row as the operator or a database does.
     void set(const std::string& table, const std::string& key, const std::string& value);
     void remove(const std::string& table, const std::string& key);
+    /// While the store is silent, it performs and answers no calls; those that wait then get no answer
+    /// either.
+    void setStoreSilent(bool isSilent);
+    bool isStoreSilent();
 
 private:
     struct Row {
@@ -53,6 +57,8 @@
 
     void accept(int listener);
     void serve(int socket);
+    /// Whether the store is silent, and how often it has fallen silent.
+    std::pair<bool, int> storeState();
     Response handle(const Request& request);
     Response rows(const Request& request);
     Response feed(const Request& request);
@@ -64,6 +70,8 @@
     std::uint16_t m_port = 0;
     std::mutex m_mutex;
     std::condition_variable m_changed;
+    bool m_isStoreSilent = false;
+    int m_silences = 0;
     std::map<Key, Row> m_rows;
     std::uint64_t m_version = 0;
     /// The highest token seen for each service.
