Record a promotion before it is requested

Cause: the record of a promotion in the row of its lease was written beside the request. When the store failed between the two, the promotion took place and nobody knew of it; the next one brought back the replaced primary with its old log. Besides, a recorded promotion that no host had seen take place was ignored.

Ruled out: that another host overwrote the record (the log shows no other change of the row, and the write that timed out).

Change: a promotion is requested only after the store has confirmed its record. The newest record counts unless it certainly has not taken place (its upstream responds with its log and knows no such term, or a primary of an earlier term responds). Requests that certainly had no effect take the record back. The term of a promotion that follows an undecided one is read from its primary and corrected.

PromotionTest.IgnoresRecordedPromotionThatHasNotTakenPlace required the fault: it ignored the record of an upstream that did not respond. It now requires the same for one that responds and has not led, and RemembersPromotionThatMayHaveTakenPlace requires the opposite for one that does not. The fixture answers the new hook; assertions of the other tests are unchanged.

--- a/src/libs/core/failover/promotion.cpp
+++ b/src/libs/core/failover/promotion.cpp
@@ -35,8 +35,8 @@
         return "taking_duty";
     case PromotionPhase::Fencing:
         return "fencing";
-    case PromotionPhase::Allowing:
-        return "allowing";
+    case PromotionPhase::Recording:
+        return "recording";
     case PromotionPhase::Surveying:
         return "surveying";
     case PromotionPhase::SteppingDown:
@@ -85,6 +85,14 @@
     m_phaseAt = now;
 }
 
+/// Ends the promotion. Its record is withdrawn if no request may have been carried out.
+void Promotion::fail(Model::Time now)
+{
+    if (!m_hasOutstandingRequest && !m_hasUnknownRequest)
+        m_promotions = m_recorded;
+    enter(PromotionPhase::Failed, now);
+}
+
 void Promotion::leaseAcquired(std::optional<FencingToken> token, Model::Time now, const TermHistory& recorded)
 {
     if (m_phase != PromotionPhase::TakingDuty)
@@ -93,6 +101,7 @@
         return enter(PromotionPhase::Failed, now);
     m_token = *token;
     m_recorded = recorded;
+    m_promotions = recorded;
     // Another upstream may have become the primary while the store handled the lease.
     if (hasNewPrimary())
         return enter(PromotionPhase::Finished, now);
@@ -163,7 +172,9 @@
             m_target = status->received;
         enter(PromotionPhase::CatchingUp, now);
     }
-    if (m_phase == PromotionPhase::CatchingUp)
+    if (m_phase == PromotionPhase::Awaiting && status && upstream == m_candidate)
+        adoptTermOfCandidate(*status);
+    if (m_phase == PromotionPhase::CatchingUp || m_phase == PromotionPhase::Awaiting)
         update(now);
 }
 
@@ -221,9 +232,7 @@
 
 void Promotion::finishSurvey(Model::Time now)
 {
-    m_promotions = m_recorded;
-    if (!hasNewestTakenPlace())
-        m_promotions.removeNewest();
+    updateHistory();
     m_mayPromoteDiverged = m_hooks.mayPromoteDiverged && m_hooks.mayPromoteDiverged(now);
     if (!isSurveySufficient(now))
         return promote({}, now);
@@ -261,13 +270,40 @@
 /// The term of the next primary, as far as the upstreams and the recorded promotions show it.
 std::uint64_t Promotion::nextTerm() const { return std::max(knownTerm(), m_promotions.newestTerm()) + 1; }
 
-/// Whether the newest recorded promotion has taken place. It is recorded when it is requested.
-bool Promotion::hasNewestTakenPlace() const
+/// Whether the newest recorded promotion has certainly taken place.
+bool Promotion::isNewestKnown() const
 {
-    if (m_recorded.starts().empty())
-        return true;
     const TermStart& newest = m_recorded.starts().back();
-    return m_previousPrimary.empty() || m_previousPrimary == newest.primary || knownTerm() >= newest.term;
+    return m_previousPrimary == newest.primary || knownTerm() >= newest.term;
+}
+
+/// Whether the newest recorded promotion, which was recorded before it was requested, has certainly not taken
+/// place: its upstream has not led, or another one of an earlier term still does.
+bool Promotion::isNewestRefuted() const
+{
+    const TermStart& newest = m_recorded.starts().back();
+    return std::ranges::any_of(m_statuses, [&](const auto& entry) {
+        const std::optional<UpstreamStatus>& status = entry.second;
+        if (!status || status->term >= newest.term)
+            return false;
+        // One that has restarted without its log knows nothing of the promotion.
+        const bool isUnpromoted = entry.first == newest.primary && status->received >= newest.end;
+        const bool isOldPrimary = status->role == Directory::Role::Primary && !m_hooks.isFenceEffective;
+        return isUnpromoted || isOldPrimary;
+    });
+}
+
+/// Determines which of the recorded promotions may have taken place, by the survey.
+void Promotion::updateHistory()
+{
+    m_promotions = m_recorded;
+    m_isTermUncertain = false;
+    if (m_recorded.starts().empty() || isNewestKnown())
+        return;
+    if (isNewestRefuted())
+        m_promotions.removeNewest();
+    else
+        m_isTermUncertain = true;
 }
 
 bool Promotion::hasDiverged(const Model::LogPosition& position) const
@@ -358,20 +394,15 @@
 {
     m_candidate = candidate;
     m_hooks.surveyed({ m_statuses, divergedUpstreams(), m_candidate });
-    if (m_candidate.empty())
-        return enter(PromotionPhase::Failed, now);
-    recordCandidate();
-    if (m_hooks.allowPrimary) {
-        enter(PromotionPhase::Allowing, now);
-        m_hooks.allowPrimary(m_service, m_candidate);
-        return;
-    }
-    enter(PromotionPhase::Requesting, now);
-    requestPromotion(now);
+    if (m_candidate.empty() || now > leaseEnd())
+        return fail(now);
+    addCandidate();
+    enter(PromotionPhase::Recording, now);
+    m_hooks.recordCandidate(m_service, m_candidate);
 }
 
-/// Adds the promotion of the candidate to those that have taken place.
-void Promotion::recordCandidate()
+/// Adds the promotion of the candidate to those that may have taken place.
+void Promotion::addCandidate()
 {
     m_term = nextTerm();
     const auto status = m_statuses.find(m_candidate);
@@ -384,12 +415,12 @@
         m_promotions.add({ m_term, m_candidate, end });
 }
 
-void Promotion::primaryAllowed(bool isAllowed, Model::Time now)
+void Promotion::candidateRecorded(bool isRecorded, Model::Time now)
 {
-    if (m_phase != PromotionPhase::Allowing)
+    if (m_phase != PromotionPhase::Recording)
         return;
-    if (!isAllowed)
-        return enter(PromotionPhase::Failed, now);
+    if (!isRecorded)
+        return fail(now);
     enter(PromotionPhase::Requesting, now);
     requestPromotion(now);
 }
@@ -398,7 +429,8 @@
 void Promotion::requestPromotion(Model::Time now)
 {
     if (now > leaseEnd())
-        return enter(PromotionPhase::Failed, now);
+        return fail(now);
+    m_hasOutstandingRequest = true;
     m_hooks.requestPromotion(m_service, m_candidate, m_token);
 }
 
@@ -406,6 +438,7 @@
 {
     if (m_phase != PromotionPhase::Requesting)
         return;
+    m_hasOutstandingRequest = false;
     switch (result) {
     case PromotionRequestResult::Accepted:
         m_acceptedAt = now;
@@ -414,16 +447,47 @@
     case PromotionRequestResult::Refused:
         // Either the upstream does not run, or a newer holder of the lease acts; a new attempt acquires the
         // lease again.
-        enter(PromotionPhase::Failed, now);
+        fail(now);
         break;
-    case PromotionRequestResult::Unavailable:
     case PromotionRequestResult::Unknown:
+        m_hasUnknownRequest = true;
+        m_retryAt = now + retryDelay;
+        break;
+    case PromotionRequestResult::Unavailable:
         m_retryAt = now + retryDelay;
         break;
     }
     update(now);
 }
 
+void Promotion::continueAwaiting(Model::Time now)
+{
+    const Directory::Upstream* primary = m_view.primaryOf(m_service);
+    const bool isPrimary = primary && primary->id == m_candidate;
+    const bool isTimeOver = now - m_phaseAt > promotionTimeout;
+    if (isPrimary && (!m_isTermUncertain || isTimeOver)) {
+        stepDownPreviousPrimary();
+        return enter(PromotionPhase::Finished, now);
+    }
+    if (isTimeOver)
+        return enter(PromotionPhase::Failed, now);
+    if (isPrimary && now - m_statusRequestedAt >= statusRetryPeriod) {
+        m_statusRequestedAt = now;
+        requestStatus(m_candidate);
+    }
+}
+
+/// Corrects the recorded term. With one that is too high, the logs of all that follow the new primary would
+/// count as diverged at the next promotion.
+void Promotion::adoptTermOfCandidate(const UpstreamStatus& status)
+{
+    if (!m_isTermUncertain || status.role != Directory::Role::Primary)
+        return;
+    m_isTermUncertain = false;
+    if (m_promotions.starts().back().primary == m_candidate)
+        m_promotions.add({ status.term, m_candidate, m_promotions.starts().back().end });
+}
+
 Model::Time Promotion::expectedEnd(Model::Duration promotionDuration, Model::Time now) const
 {
     return m_acceptedAt ? *m_acceptedAt + promotionDuration : now + preparationDuration + promotionDuration;
@@ -480,28 +544,22 @@
         }
         break;
     }
-    case PromotionPhase::Allowing:
+    case PromotionPhase::Recording:
         if (elapsed > leaseTimeout)
-            enter(PromotionPhase::Failed, now);
+            fail(now);
         break;
     case PromotionPhase::Requesting:
         if (elapsed > requestTimeout)
-            return enter(PromotionPhase::Failed, now);
+            return fail(now);
         // Promotion requests are idempotent.
         if (m_retryAt && now >= *m_retryAt) {
             m_retryAt.reset();
             requestPromotion(now);
         }
         break;
-    case PromotionPhase::Awaiting: {
-        const Directory::Upstream* primary = m_view.primaryOf(m_service);
-        if (primary && primary->id == m_candidate) {
-            stepDownPreviousPrimary();
-            enter(PromotionPhase::Finished, now);
-        } else if (elapsed > promotionTimeout)
-            enter(PromotionPhase::Failed, now);
+    case PromotionPhase::Awaiting:
+        continueAwaiting(now);
         break;
-    }
     case PromotionPhase::Finished:
     case PromotionPhase::Failed:
         break;
--- a/src/libs/core/failover/promotion.h
+++ b/src/libs/core/failover/promotion.h
@@ -36,8 +36,8 @@
     SteppingDown,
     /// The most advanced replica receives the rest of the previous primary's log.
     CatchingUp,
-    /// Allows the hosts to use the chosen upstream as the primary.
-    Allowing,
+    /// Writes the chosen upstream to the row of the lease, before the promotion is requested.
+    Recording,
     /// Waits for the answer to the promotion request; printed as `ordering`.
     Requesting,
     /// The request was accepted; the upstream is not the primary yet.
@@ -67,10 +67,11 @@
 struct PromotionHooks {
     /// Acquires the lease, and with a fence ends the use of any primary of the service.
     std::function<void(const std::string& service, Fence)> acquireLease;
-    /// Allows the use of the upstream as the primary, and of no other one; empty if the platform's promotion
-    /// takes the role from the previous primary.
-    std::function<void(const std::string& service, const std::string& upstream)> allowPrimary;
-    /// Whether no host uses a primary of the service any more; empty like `allowPrimary`.
+    /// Writes `promotions()` to the row of the lease. Where the hosts need a fence, also allows the use of
+    /// the upstream as the primary, and of no other one.
+    std::function<void(const std::string& service, const std::string& upstream)> recordCandidate;
+    /// Whether no host uses a primary of the service any more; empty if the platform's promotion takes the
+    /// role from the previous primary.
     std::function<bool(const std::string& service, Model::Time now)> isFenceEffective;
     std::function<void(const std::string& upstream)> requestStatus;
     std::function<void(const std::string& upstream, std::uint64_t term)> stepDown;
@@ -95,7 +96,8 @@
 /// and the longest log decides, also if its upstream is about to leave or its entry was removed.
 ///
 /// An upstream that has entries which an earlier promotion rolled back is not promoted: reads have run on the
-/// replaced primary without them.
+/// replaced primary without them. So a promotion is recorded before it is requested, and counts unless it
+/// certainly has not taken place.
 class Promotion {
 public:
     /// `previousPrimary` is the last known primary of the service, also if it is no longer registered; empty
@@ -106,8 +108,8 @@
     /// `token` is `nullopt` if the lease could not be acquired. `recorded` are the promotions that the lease
     /// had recorded.
     void leaseAcquired(std::optional<FencingToken> token, Model::Time now, const TermHistory& recorded = {});
-    /// Answer to `allowPrimary`; `isAllowed` is false if the store did not accept it.
-    void primaryAllowed(bool isAllowed, Model::Time now);
+    /// Answer to `recordCandidate`; `isRecorded` is false if the store did not confirm it.
+    void candidateRecorded(bool isRecorded, Model::Time now);
     /// Response to `requestStatus` or `stepDown`; `nullopt` if the upstream did not respond.
     void statusArrived(
         const std::string& upstream, const std::optional<UpstreamStatus>& status, Model::Time now);
@@ -117,11 +119,6 @@
 
     PromotionPhase phase() const { return m_phase; }
     bool isOver() const { return m_phase == PromotionPhase::Finished || m_phase == PromotionPhase::Failed; }
-    /// Whether the upstream may have got the promotion request, and is not the primary yet.
-    bool isRequested() const
-    {
-        return m_phase == PromotionPhase::Requesting || m_phase == PromotionPhase::Awaiting;
-    }
     const std::string& service() const { return m_service; }
     /// Whether this host holds the lease, so that the others need not try to acquire it.
     bool holdsLease() const { return m_token != 0 && !isOver(); }
@@ -130,7 +127,8 @@
     PromotionReason reason() const { return m_reason; }
     Model::Time startedAt() const { return m_startedAt; }
     FencingToken token() const { return m_token; }
-    /// The promotions that have taken place, and this one once its candidate is chosen.
+    /// The promotions that may have taken place, as the row of the lease should have them: with this one once
+    /// its candidate is chosen, unless it has certainly not taken place.
     const TermHistory& promotions() const { return m_promotions; }
     /// Until when the promotion request may be sent.
     Model::Time leaseEnd() const;
@@ -142,13 +140,16 @@
 
 private:
     void enter(PromotionPhase phase, Model::Time now);
+    void fail(Model::Time now);
     void acquireLease(Fence fence, Model::Time now);
     void requestPromotion(Model::Time now);
     void stepDownPreviousPrimary();
     void stepDownFailed(Model::Time now);
     std::uint64_t knownTerm() const;
     std::uint64_t nextTerm() const;
-    bool hasNewestTakenPlace() const;
+    bool isNewestKnown() const;
+    bool isNewestRefuted() const;
+    void updateHistory();
     bool hasDiverged(const Model::LogPosition& position) const;
     Model::LogPosition lastPosition(const std::string& upstream) const;
     std::vector<std::string> divergedUpstreams() const;
@@ -161,7 +162,9 @@
     bool isGone(const std::string& upstream, Model::Time now) const;
     void finishSurvey(Model::Time now);
     void promote(const std::string& candidate, Model::Time now);
-    void recordCandidate();
+    void addCandidate();
+    void continueAwaiting(Model::Time now);
+    void adoptTermOfCandidate(const UpstreamStatus& status);
     int synchronousReplicas() const;
     bool hasLogOfPreviousTerm(const UpstreamStatus& status) const;
     std::string bestReplica() const;
@@ -193,6 +196,11 @@
     std::string m_candidate;
     /// Term of the candidate as the primary.
     std::uint64_t m_term = 0;
+    /// `m_term` may be too high, since it is not known whether the newest recorded promotion has taken place.
+    bool m_isTermUncertain = false;
+    bool m_hasOutstandingRequest = false;
+    /// A promotion request got no definite answer, so that it may still be carried out.
+    bool m_hasUnknownRequest = false;
     /// The promotions that the lease had recorded.
     TermHistory m_recorded;
     TermHistory m_promotions;
--- a/src/libs/proxyhost/failovers.cpp
+++ b/src/libs/proxyhost/failovers.cpp
@@ -23,7 +23,6 @@
     /// The directory shows the result of a promotion with a delay; until then, no other one is started.
     constexpr Model::Duration pauseAfterEnd = std::chrono::milliseconds(400);
 
-    constexpr Model::Duration recordRetryPause = std::chrono::milliseconds(200);
     /// A crashed primary is back with its log within this time, if ever.
     constexpr Model::Duration divergedLogPatience = std::chrono::seconds(30);
 
@@ -172,10 +171,8 @@
     Failover::PromotionHooks hooks;
     hooks.acquireLease
         = [this](const std::string& name, Failover::Fence fence) { acquireLease(name, fence); };
-    if (m_hooks.isFenceEffective) {
-        hooks.allowPrimary
-            = [this](const std::string& name, const std::string& upstream) { allowPrimary(name, upstream); };
-    }
+    hooks.recordCandidate
+        = [this](const std::string& name, const std::string& upstream) { recordCandidate(name, upstream); };
     hooks.isFenceEffective = m_hooks.isFenceEffective;
     hooks.requestStatus
         = [this, service](const std::string& upstream) { requestStatus(service, upstream, 0); };
@@ -248,20 +245,29 @@
     advance(service);
 }
 
-void Failovers::allowPrimary(const std::string& service, const std::string& upstream)
+/// Writes the promotion to the row of the lease, with which the next one can tell the logs that have diverged
+/// from the primary's. It is requested only after that, since the store may fail at any time.
+void Failovers::recordCandidate(const std::string& service, const std::string& upstream)
 {
-    m_worker.allowPrimary(m_leases.at(service), upstream, m_promotions.at(service)->promotions(),
-        [this, service](const std::optional<AcquiredLease>& lease) {
-            if (lease) {
-                m_leases.insert_or_assign(service, *lease);
-                m_hooks.leaseWritten(*lease);
-            }
-            const auto promotion = m_promotions.find(service);
-            if (promotion == m_promotions.end())
-                return;
-            promotion->second->primaryAllowed(lease.has_value(), EventLoop::now());
-            advance(service);
-        });
+    const auto recorded = [this, service](const std::optional<AcquiredLease>& lease) {
+        if (lease)
+            m_leases.insert_or_assign(service, *lease);
+        if (lease && m_hooks.isFenceEffective)
+            m_hooks.leaseWritten(*lease);
+        const auto promotion = m_promotions.find(service);
+        if (promotion == m_promotions.end())
+            return;
+        promotion->second->candidateRecorded(lease.has_value(), EventLoop::now());
+        advance(service);
+    };
+    const AcquiredLease& lease = m_leases.at(service);
+    const Failover::TermHistory& promotions = m_promotions.at(service)->promotions();
+    if (m_hooks.isFenceEffective)
+        m_worker.allowPrimary(lease, upstream, promotions, recorded);
+    else if (lease.lease.promotions != promotions)
+        m_worker.recordPromotions(lease, promotions, recorded);
+    else
+        m_loop.post([recorded, lease] { recorded(lease); });
 }
 
 void Failovers::requestPromotion(
@@ -278,25 +284,14 @@
         });
 }
 
-/// Records the requested promotion in the lease's row. The next promotion needs it to tell which logs have
-/// diverged from the primary's; this one does not wait for the store.
-void Failovers::recordPromotions(const std::string& service)
+/// Writes what the end of a promotion has shown to the row of the lease, which this host may hold no longer:
+/// it was certainly not carried out, or began another term than expected.
+void Failovers::recordOutcome(const std::string& service)
 {
-    AcquiredLease& lease = m_leases.at(service);
+    const AcquiredLease& lease = m_leases.at(service);
     const Failover::TermHistory& promotions = m_promotions.at(service)->promotions();
-    if (lease.lease.promotions == promotions || EventLoop::now() < m_recordAfter[service])
-        return;
-    const AcquiredLease before = lease;
-    lease.lease.promotions = promotions;
-    m_worker.recordPromotions(
-        before, promotions, [this, service, before](const std::optional<AcquiredLease>& written) {
-            AcquiredLease& current = m_leases.at(service);
-            if (current.lease.token != before.lease.token)
-                return;
-            current = written.value_or(before);
-            if (!written)
-                m_recordAfter[service] = EventLoop::now() + recordRetryPause;
-        });
+    if (lease.lease.promotions != promotions)
+        m_worker.recordPromotions(lease, promotions, [](const std::optional<AcquiredLease>&) {});
 }
 
 /// Requests an upstream's status. If `stepDownTerm` is not 0, a primary of a lower term becomes a replica
@@ -326,10 +321,10 @@
     Failover::Promotion& promotion = *found->second;
     const Model::Time now = EventLoop::now();
     promotion.update(now);
-    if (promotion.isRequested())
-        recordPromotions(service);
     if (!promotion.isOver())
         return;
+    if (promotion.token() != 0)
+        recordOutcome(service);
     const bool isDone = promotion.phase() == Failover::PromotionPhase::Finished;
     const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now - promotion.startedAt());
     Logging::write(isDone ? Logging::EventId::PromotionFinished : Logging::EventId::PromotionFailed,
--- a/src/libs/proxyhost/failovers.h
+++ b/src/libs/proxyhost/failovers.h
@@ -64,9 +64,9 @@
     void advance(const std::string& service);
     void requestStatus(const std::string& service, const std::string& upstream, std::uint64_t stepDownTerm);
     void acquireLease(const std::string& service, Failover::Fence fence);
-    void allowPrimary(const std::string& service, const std::string& upstream);
+    void recordCandidate(const std::string& service, const std::string& upstream);
     void leaseAcquired(const std::string& service, const std::optional<AcquiredLease>& lease);
-    void recordPromotions(const std::string& service);
+    void recordOutcome(const std::string& service);
     void requestPromotion(
         const std::string& service, const std::string& upstream, Failover::FencingToken token);
     void checkPrimary(const std::string& service);
@@ -91,8 +91,6 @@
     /// The lease of each running promotion that has acquired it.
     std::map<std::string, AcquiredLease> m_leases;
     std::map<std::string, Model::Time> m_lastEnded;
-    /// When a failed record of a promotion is repeated.
-    std::map<std::string, Model::Time> m_recordAfter;
     /// Since when each promotion of the service has failed because all logs had diverged from the primary's.
     std::map<std::string, Model::Time> m_onlyDivergedSince;
     /// When this or another host was last seen to replace the primary.
--- a/tests/auto/core/failover/tst_promotion.cpp
+++ b/tests/auto/core/failover/tst_promotion.cpp
@@ -47,9 +47,15 @@
         m_view.adopt(configuration);
     }
 
-    Promotion promotion(PromotionReason reason)
+    /// Valid until the next call.
+    Promotion& promotion(PromotionReason reason)
     {
         PromotionHooks hooks;
+        hooks.recordCandidate = [this](const std::string&, const std::string& upstream) {
+            m_recorded = upstream;
+            if (m_isStoreReachable)
+                m_run->candidateRecorded(true, Time { 0ms });
+        };
         hooks.acquireLease = [this](const std::string&, Fence fence) {
             ++m_leasesRequested;
             m_fence = fence;
@@ -67,12 +73,10 @@
         hooks.knownPosition = [this](const std::string& upstream) { return m_knownPositions[upstream]; };
         hooks.surveyed = [this](const SurveyResult& result) { m_surveyResult = result; };
         hooks.mayPromoteDiverged = [this](Time) { return m_mayPromoteDiverged; };
-        if (m_needsFence) {
+        if (m_needsFence)
             hooks.isFenceEffective = [this](const std::string&, Time) { return m_isFenceEffective; };
-            hooks.allowPrimary
-                = [this](const std::string&, const std::string& upstream) { m_allowed = upstream; };
-        }
-        return { m_view, "ledger", reason, "p", std::move(hooks), Time { 0ms } };
+        m_run = std::make_unique<Promotion>(m_view, "ledger", reason, "p", std::move(hooks), Time { 0ms });
+        return *m_run;
     }
 
     static UpstreamStatus status(std::uint64_t position, Role role = Role::Replica)
@@ -84,7 +88,10 @@
     std::uint64_t m_revision = 0;
     int m_leasesRequested = 0;
     Fence m_fence = Fence::None;
-    std::string m_allowed;
+    /// The upstream whose promotion was to be recorded.
+    std::string m_recorded;
+    /// If not, `recordCandidate` gets no answer.
+    bool m_isStoreReachable = true;
     bool m_needsFence = false;
     bool m_isFenceEffective = false;
     std::vector<std::string> m_statusRequests;
@@ -96,6 +103,7 @@
     SurveyResult m_surveyResult;
     bool m_mayPromoteDiverged = false;
     std::map<std::string, Model::LogPosition> m_knownPositions;
+    std::unique_ptr<Promotion> m_run;
 };
 
 }
@@ -103,7 +111,7 @@
 // Guards against the loss of acknowledged commits that only the most advanced replica has received.
 TEST_F(PromotionTest, PromotesMostAdvancedReplica)
 {
-    Promotion run = promotion(PromotionReason::Unreachable);
+    Promotion& run = promotion(PromotionReason::Unreachable);
     EXPECT_EQ(m_leasesRequested, 1);
     run.leaseAcquired(7, Time { 10ms });
     EXPECT_EQ(m_statusRequests, (std::vector<std::string> { "q", "r" }));
@@ -123,7 +131,7 @@
 // scale-2 of deployment asahi-bindery: 57 acknowledged commits rolled back).
 TEST_F(PromotionTest, WaitsForStatusOfReachableReplica)
 {
-    Promotion run = promotion(PromotionReason::Unreachable);
+    Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(1, Time { 10ms });
     run.statusArrived("q", status(40), Time { 20ms });
     run.statusArrived("r", std::nullopt, Time { 100ms });
@@ -138,7 +146,7 @@
 TEST_F(PromotionTest, DoesNotWaitForUnreachableReplica)
 {
     m_unreachable.insert("r");
-    Promotion run = promotion(PromotionReason::Unreachable);
+    Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(1, Time { 10ms });
     run.statusArrived("q", status(40), Time { 20ms });
     EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "q" });
@@ -148,7 +156,7 @@
 // acknowledged.
 TEST_F(PromotionTest, LeavingPrimaryStepsDownBeforePromotion)
 {
-    Promotion run = promotion(PromotionReason::Leaving);
+    Promotion& run = promotion(PromotionReason::Leaving);
     run.leaseAcquired(1, Time { 10ms });
     run.statusArrived("p", status(100, Role::Primary), Time { 20ms });
     run.statusArrived("q", status(90), Time { 20ms });
@@ -165,7 +173,7 @@
 // Guards against a service without a primary because the answer to the promotion request was lost.
 TEST_F(PromotionTest, RepeatsRequestWithUnknownOutcome)
 {
-    Promotion run = promotion(PromotionReason::Unreachable);
+    Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(5, Time { 10ms });
     run.statusArrived("q", status(1), Time { 20ms });
     run.statusArrived("r", status(1), Time { 20ms });
@@ -181,7 +189,7 @@
 // Guards against a previous lease holder that repeats its request after a newer holder's was carried out.
 TEST_F(PromotionTest, FailsOnRefusedRequest)
 {
-    Promotion run = promotion(PromotionReason::Unreachable);
+    Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(5, Time { 10ms });
     run.statusArrived("q", status(1), Time { 20ms });
     run.statusArrived("r", status(2), Time { 20ms });
@@ -195,7 +203,7 @@
 // receive while it acquires the lease.
 TEST_F(PromotionTest, FinishesIfAnotherUpstreamBecamePrimaryBeforeSurvey)
 {
-    Promotion run = promotion(PromotionReason::Unreachable);
+    Promotion& run = promotion(PromotionReason::Unreachable);
     setUpstream("q", Role::Primary);
     run.leaseAcquired(5, Time { 10ms });
     EXPECT_EQ(run.phase(), PromotionPhase::Finished);
@@ -205,7 +213,7 @@
 // Guards against a promotion without the promotion lease.
 TEST_F(PromotionTest, FailsWithoutLease)
 {
-    Promotion run = promotion(PromotionReason::Missing);
+    Promotion& run = promotion(PromotionReason::Missing);
     EXPECT_FALSE(run.holdsLease());
     run.leaseAcquired(std::nullopt, Time { 10ms });
     EXPECT_EQ(run.phase(), PromotionPhase::Failed);
@@ -216,7 +224,8 @@
 TEST_F(PromotionTest, RequestsNothingBeforeTheFenceIsEffective)
 {
     m_needsFence = true;
-    Promotion run = promotion(PromotionReason::Unreachable);
+    m_isStoreReachable = false;
+    Promotion& run = promotion(PromotionReason::Unreachable);
     EXPECT_EQ(m_fence, Fence::Set);
     run.leaseAcquired(1, Time { 10ms });
     run.update(Time { 500ms });
@@ -228,9 +237,9 @@
     run.statusArrived("q", status(100), Time { 520ms });
     run.statusArrived("r", status(101), Time { 520ms });
     // Without the store's confirmation, hosts that start later would use no primary or the wrong one.
-    EXPECT_EQ(m_allowed, "r");
+    EXPECT_EQ(m_recorded, "r");
     EXPECT_TRUE(m_promotionRequests.empty());
-    run.primaryAllowed(true, Time { 525ms });
+    run.candidateRecorded(true, Time { 525ms });
     ASSERT_EQ(m_promotionRequests, std::vector<std::string> { "r" });
     run.promotionAnswered(PromotionRequestResult::Accepted, Time { 530ms });
     setUpstream("r", Role::Primary);
@@ -244,7 +253,7 @@
 TEST_F(PromotionTest, FencesPrimaryThatDoesNotStepDown)
 {
     m_needsFence = true;
-    Promotion run = promotion(PromotionReason::Leaving);
+    Promotion& run = promotion(PromotionReason::Leaving);
     EXPECT_EQ(m_fence, Fence::None);
     m_isFenceEffective = true;
     run.leaseAcquired(1, Time { 10ms });
@@ -262,7 +271,7 @@
 // platform may not check the token.
 TEST_F(PromotionTest, SendsNoRequestAfterTheEndOfTheLease)
 {
-    Promotion run = promotion(PromotionReason::Unreachable);
+    Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(1, Time { 10ms });
     run.statusArrived("q", status(100), Time { 20ms });
     run.statusArrived("r", status(101), Time { 3100ms });
@@ -276,7 +285,7 @@
 {
     makeSynchronous();
     m_unreachable.insert("r");
-    Promotion run = promotion(PromotionReason::Unreachable);
+    Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(1, Time { 10ms });
     run.statusArrived("q", status(40), Time { 20ms });
     EXPECT_TRUE(m_promotionRequests.empty());
@@ -291,7 +300,7 @@
     makeSynchronous();
     m_unreachable.insert("r");
     m_view.removeUpstream("r", Time { -10s });
-    Promotion run = promotion(PromotionReason::Unreachable);
+    Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(1, Time { 10ms });
     run.statusArrived("q", status(40), Time { 20ms });
     EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "q" });
@@ -303,7 +312,7 @@
 {
     makeSynchronous();
     m_view.removeUpstream("r", Time { -60s });
-    Promotion run = promotion(PromotionReason::Unreachable);
+    Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(1, Time { 10ms });
     EXPECT_EQ(m_statusRequests, (std::vector<std::string> { "q", "r" }));
     run.statusArrived("q", status(40), Time { 20ms });
@@ -318,7 +327,7 @@
     makeSynchronous();
     m_unreachable.insert("r");
     m_view.removeUpstream("r", Time { -5s });
-    Promotion run = promotion(PromotionReason::Unreachable);
+    Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(1, Time { 10ms });
     run.statusArrived("q", status(40), Time { 20ms });
     run.update(Time { 1400ms });
@@ -326,7 +335,7 @@
     EXPECT_EQ(run.phase(), PromotionPhase::Failed);
     // Nor if the entry is removed while the statuses are awaited.
     setUpstream("r", Role::Replica);
-    Promotion next = promotion(PromotionReason::Unreachable);
+    Promotion& next = promotion(PromotionReason::Unreachable);
     next.leaseAcquired(2, Time { 10ms });
     m_view.removeUpstream("r", Time { 15ms });
     next.statusArrived("q", status(40), Time { 20ms });
@@ -340,7 +349,7 @@
     makeSynchronous();
     m_view.removeUpstream("r", Time { -1s });
     m_unreachable.insert("r");
-    Promotion run = promotion(PromotionReason::Unreachable);
+    Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(1, Time { 10ms });
     run.statusArrived("q", status(40), Time { 20ms });
     setUpstream("s", Role::Replica, Availability::Ready, "r");
@@ -354,7 +363,7 @@
 TEST_F(PromotionTest, IgnoresFormerReplicaWithoutSynchronousReplicas)
 {
     m_view.removeUpstream("r", Time { -1s });
-    Promotion run = promotion(PromotionReason::Unreachable);
+    Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(1, Time { 10ms });
     EXPECT_EQ(m_statusRequests, std::vector<std::string> { "q" });
     run.statusArrived("q", status(40), Time { 20ms });
@@ -367,7 +376,7 @@
 {
     makeSynchronous();
     m_knownPositions["p"] = { 4, 50 };
-    Promotion run = promotion(PromotionReason::Unreachable);
+    Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(1, Time { 10ms });
     run.statusArrived("q", status(40), Time { 20ms });
     run.statusArrived("r", status(45), Time { 20ms });
@@ -380,7 +389,7 @@
 {
     makeSynchronous();
     setUpstream("q", Role::Replica, Availability::Draining);
-    Promotion run = promotion(PromotionReason::Unreachable);
+    Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(1, Time { 10ms });
     run.statusArrived("q", status(100), Time { 20ms });
     run.statusArrived("r", status(95), Time { 20ms });
@@ -392,7 +401,7 @@
 {
     makeSynchronous();
     setUpstream("q", Role::Replica, Availability::Draining);
-    Promotion run = promotion(PromotionReason::Missing);
+    Promotion& run = promotion(PromotionReason::Missing);
     run.leaseAcquired(1, Time { 10ms });
     run.statusArrived("q", status(100), Time { 20ms });
     run.statusArrived("r", status(100), Time { 20ms });
@@ -404,7 +413,7 @@
 {
     makeSynchronous();
     setUpstream("q", Role::Replica, Availability::Draining);
-    Promotion run = promotion(PromotionReason::Leaving);
+    Promotion& run = promotion(PromotionReason::Leaving);
     run.leaseAcquired(1, Time { 10ms });
     run.statusArrived("p", status(100, Role::Primary), Time { 20ms });
     run.statusArrived("q", status(100), Time { 20ms });
@@ -418,7 +427,7 @@
 TEST_F(PromotionTest, ReturnsRoleToLeavingPrimaryIfNoReplicaCatchesUp)
 {
     makeSynchronous();
-    Promotion run = promotion(PromotionReason::Leaving);
+    Promotion& run = promotion(PromotionReason::Leaving);
     run.leaseAcquired(1, Time { 10ms });
     run.statusArrived("p", status(100, Role::Primary), Time { 20ms });
     run.statusArrived("q", status(100), Time { 20ms });
@@ -436,7 +445,7 @@
 TEST_F(PromotionTest, SurveysAgainIfStepDownIsNotAnswered)
 {
     makeSynchronous();
-    Promotion run = promotion(PromotionReason::Leaving);
+    Promotion& run = promotion(PromotionReason::Leaving);
     run.leaseAcquired(1, Time { 10ms });
     run.statusArrived("p", status(100, Role::Primary), Time { 20ms });
     run.statusArrived("q", status(100), Time { 20ms });
@@ -456,15 +465,16 @@
     makeSynchronous();
     m_needsFence = true;
     m_isFenceEffective = true;
-    Promotion run = promotion(PromotionReason::Leaving);
+    m_isStoreReachable = false;
+    Promotion& run = promotion(PromotionReason::Leaving);
     run.leaseAcquired(1, Time { 10ms });
     run.statusArrived("p", status(100, Role::Primary), Time { 20ms });
     run.statusArrived("q", status(100), Time { 20ms });
     run.statusArrived("r", status(90), Time { 20ms });
     run.statusArrived("p", status(102), Time { 30ms });
     run.update(Time { 500ms });
-    EXPECT_EQ(m_allowed, "p");
-    run.primaryAllowed(true, Time { 510ms });
+    EXPECT_EQ(m_recorded, "p");
+    run.candidateRecorded(true, Time { 510ms });
     m_steppedDown.clear();
     run.promotionAnswered(PromotionRequestResult::Accepted, Time { 520ms });
     EXPECT_EQ(run.phase(), PromotionPhase::Finished);
@@ -476,7 +486,7 @@
 TEST_F(PromotionTest, ChoosesLongestLogIfLeavingPrimaryHasSteppedDownBefore)
 {
     makeSynchronous();
-    Promotion run = promotion(PromotionReason::Leaving);
+    Promotion& run = promotion(PromotionReason::Leaving);
     run.leaseAcquired(1, Time { 10ms });
     run.statusArrived("p", status(102), Time { 20ms });
     run.statusArrived("q", status(100), Time { 20ms });
@@ -489,7 +499,7 @@
 TEST_F(PromotionTest, PromotesNoUpstreamWithRolledBackEntries)
 {
     const TermHistory recorded({ { 4, "p", { 3, 46 } } });
-    Promotion run = promotion(PromotionReason::Unreachable);
+    Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(1, Time { 10ms }, recorded);
     run.statusArrived("q", status(63), Time { 20ms });
     run.statusArrived("r", status(46), Time { 20ms });
@@ -505,18 +515,65 @@
 {
     makeSynchronous();
     m_knownPositions["p"] = { 3, 46 };
-    Promotion run = promotion(PromotionReason::Unreachable);
+    Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(1, Time { 10ms }, TermHistory({ { 4, "p", { 3, 46 } } }));
     run.statusArrived("q", status(63), Time { 20ms });
     run.statusArrived("r", status(46), Time { 20ms });
     EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "r" });
 }
 
-// Guards against a replica that counts as diverged because of a promotion that has not taken place.
-TEST_F(PromotionTest, IgnoresRecordedPromotionThatHasNotTakenPlace)
+// Guards against reads that lacked acknowledged commits (review/12): a promotion was requested, and the store
+// failed before it was recorded, so that the next one brought back what it had rolled back.
+TEST_F(PromotionTest, RequestsNoPromotionBeforeItIsRecorded)
+{
+    m_isStoreReachable = false;
+    const TermHistory recorded({ { 3, "p", { 2, 30 } } });
+    for (const bool isRecorded : { false, true }) {
+        Promotion& run = promotion(PromotionReason::Unreachable);
+        run.leaseAcquired(1, Time { 10ms }, recorded);
+        run.statusArrived("q", status(63), Time { 20ms });
+        run.statusArrived("r", status(46), Time { 20ms });
+        EXPECT_EQ(run.promotions(), TermHistory({ { 3, "p", { 2, 30 } }, { 4, "q", { 3, 63 } } }));
+        EXPECT_TRUE(m_promotionRequests.empty());
+        run.candidateRecorded(isRecorded, Time { 30ms });
+        EXPECT_EQ(m_promotionRequests.size(), isRecorded ? 1U : 0U);
+        if (!isRecorded) {
+            EXPECT_EQ(run.phase(), PromotionPhase::Failed);
+            EXPECT_EQ(run.promotions(), recorded);
+        }
+    }
+}
+
+// Guards against the same by a promotion that no host has seen take place: its upstream became unreachable
+// before any entry showed it as the primary.
+TEST_F(PromotionTest, RemembersPromotionThatMayHaveTakenPlace)
 {
     const TermHistory recorded({ { 3, "p", { 2, 30 } }, { 4, "x", { 3, 46 } } });
-    Promotion run = promotion(PromotionReason::Unreachable);
+    Promotion& run = promotion(PromotionReason::Unreachable);
+    run.leaseAcquired(1, Time { 10ms }, recorded);
+    run.statusArrived("q", status(63), Time { 20ms });
+    run.statusArrived("r", status(46), Time { 20ms });
+    ASSERT_EQ(m_promotionRequests, std::vector<std::string> { "r" });
+    TermHistory expected({ { 3, "p", { 2, 30 } }, { 4, "x", { 3, 46 } }, { 5, "r", { 3, 46 } } });
+    EXPECT_EQ(run.promotions(), expected);
+    // The term of the new primary shows that the promotion of `x` had not taken place.
+    run.promotionAnswered(PromotionRequestResult::Accepted, Time { 40ms });
+    setUpstream("r", Role::Primary);
+    m_statusRequests.clear();
+    run.update(Time { 400ms });
+    EXPECT_EQ(m_statusRequests, std::vector<std::string> { "r" });
+    EXPECT_FALSE(run.isOver());
+    run.statusArrived("r", UpstreamStatus { Role::Primary, 4, { 4, 47 } }, Time { 410ms });
+    EXPECT_EQ(run.phase(), PromotionPhase::Finished);
+    EXPECT_EQ(run.promotions(), TermHistory({ { 3, "p", { 2, 30 } }, { 4, "r", { 3, 46 } } }));
+}
+
+// Guards against a replica that counts as diverged because of a promotion that has not taken place: its
+// upstream responds and has not led.
+TEST_F(PromotionTest, IgnoresRecordedPromotionThatHasNotTakenPlace)
+{
+    const TermHistory recorded({ { 3, "p", { 2, 30 } }, { 4, "r", { 3, 46 } } });
+    Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(1, Time { 10ms }, recorded);
     run.statusArrived("q", status(63), Time { 20ms });
     run.statusArrived("r", status(46), Time { 20ms });
@@ -525,10 +582,51 @@
     EXPECT_EQ(run.promotions(), expected);
 }
 
+// Guards against a planned change that is put off because of such a promotion, while the primary still leads.
+TEST_F(PromotionTest, PrimaryOfEarlierTermRefutesRecordedPromotion)
+{
+    Promotion& run = promotion(PromotionReason::Leaving);
+    run.leaseAcquired(1, Time { 10ms }, TermHistory({ { 4, "x", { 3, 46 } } }));
+    run.statusArrived("p", status(63, Role::Primary), Time { 20ms });
+    run.statusArrived("q", status(63), Time { 20ms });
+    run.statusArrived("r", status(60), Time { 20ms });
+    EXPECT_EQ(m_steppedDown, "p");
+    EXPECT_EQ(m_stepDownTerm, 4U);
+}
+
+// Guards against an upstream that has led, but knows nothing of it because it restarted without its log.
+TEST_F(PromotionTest, RemembersPromotionOfUpstreamThatLostItsLog)
+{
+    Promotion& run = promotion(PromotionReason::Unreachable);
+    run.leaseAcquired(1, Time { 10ms }, TermHistory({ { 4, "r", { 3, 46 } } }));
+    run.statusArrived("q", status(63), Time { 20ms });
+    run.statusArrived("r", UpstreamStatus {}, Time { 20ms });
+    EXPECT_TRUE(m_promotionRequests.empty());
+    EXPECT_EQ(m_surveyResult.diverged, std::vector<std::string> { "q" });
+}
+
+// Guards against a record of a promotion that certainly has not taken place, and against the loss of one that
+// may have: only the first request is known to have had no effect.
+TEST_F(PromotionTest, RecordsOutcomeOfRefusedRequests)
+{
+    const TermHistory recorded({ { 3, "p", { 2, 30 } } });
+    for (const auto first : { PromotionRequestResult::Unavailable, PromotionRequestResult::Unknown }) {
+        Promotion& run = promotion(PromotionReason::Unreachable);
+        run.leaseAcquired(1, Time { 10ms }, recorded);
+        run.statusArrived("q", status(63), Time { 20ms });
+        run.statusArrived("r", status(46), Time { 20ms });
+        run.promotionAnswered(first, Time { 30ms });
+        run.update(Time { 200ms });
+        run.promotionAnswered(PromotionRequestResult::Refused, Time { 210ms });
+        EXPECT_EQ(run.phase(), PromotionPhase::Failed);
+        EXPECT_EQ(run.promotions() == recorded, first == PromotionRequestResult::Unavailable);
+    }
+}
+
 // Guards against the opposite: the primary that was promoted is unknown to this host, but its term is not.
 TEST_F(PromotionTest, RecordedPromotionCountsIfItsTermIsKnown)
 {
-    Promotion run = promotion(PromotionReason::Unreachable);
+    Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(1, Time { 10ms }, TermHistory({ { 4, "x", { 3, 46 } } }));
     run.statusArrived("q", status(63), Time { 20ms });
     run.statusArrived("r", UpstreamStatus { Role::Replica, 4, { 3, 46 } }, Time { 20ms });
@@ -542,7 +640,7 @@
     const TermHistory recorded({ { 4, "p", { 3, 46 } } });
     for (const bool isLastResort : { false, true }) {
         m_mayPromoteDiverged = isLastResort;
-        Promotion run = promotion(PromotionReason::Unreachable);
+        Promotion& run = promotion(PromotionReason::Unreachable);
         run.leaseAcquired(1, Time { 10ms }, recorded);
         run.statusArrived("q", status(63), Time { 20ms });
         run.statusArrived("r", UpstreamStatus { Role::Replica, 3, {} }, Time { 20ms });
@@ -556,7 +654,7 @@
 TEST_F(PromotionTest, LeavingPrimaryKeepsRoleIfAllOtherLogsHaveDiverged)
 {
     const TermHistory recorded({ { 4, "p", { 3, 46 } } });
-    Promotion run = promotion(PromotionReason::Leaving);
+    Promotion& run = promotion(PromotionReason::Leaving);
     run.leaseAcquired(1, Time { 10ms }, recorded);
     run.statusArrived("p", UpstreamStatus { Role::Primary, 4, { 4, 50 } }, Time { 20ms });
     run.statusArrived("q", status(63), Time { 20ms });
@@ -564,7 +662,7 @@
     EXPECT_TRUE(m_steppedDown.empty());
     EXPECT_TRUE(m_promotionRequests.empty());
     // One that has stepped down before gets its role back.
-    Promotion next = promotion(PromotionReason::Leaving);
+    Promotion& next = promotion(PromotionReason::Leaving);
     next.leaseAcquired(2, Time { 10ms }, recorded);
     next.statusArrived("p", UpstreamStatus { Role::Replica, 4, { 4, 50 } }, Time { 20ms });
     next.statusArrived("q", status(63), Time { 20ms });
@@ -577,7 +675,7 @@
 TEST_F(PromotionTest, RecordsNoPromotionOfPresentPrimary)
 {
     const TermHistory recorded({ { 4, "q", { 3, 46 } } });
-    Promotion run = promotion(PromotionReason::Unreachable);
+    Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(1, Time { 10ms }, recorded);
     run.statusArrived("q", UpstreamStatus { Role::Primary, 4, { 4, 50 } }, Time { 20ms });
     run.statusArrived("r", UpstreamStatus { Role::Replica, 4, { 4, 50 } }, Time { 20ms });
--- a/tests/auto/sessionproxy/tst_sessionproxy.cpp
+++ b/tests/auto/sessionproxy/tst_sessionproxy.cpp
@@ -29,6 +29,18 @@
         10s);
 }
 
+/// Reads from the primary through a host all the time, so that the host notices if it does not respond.
+std::jthread readAlways(TestCluster& cluster, int host)
+{
+    return std::jthread([&cluster, host](const std::stop_token& stop) {
+        while (!stop.stop_requested()) {
+            Client client(cluster.callers(host));
+            if (client.open("strict", "key-1").starts_with("READY"))
+                client.query("READ item");
+        }
+    });
+}
+
 /// Writes odd entries among those of the databases: very deeply nested, with numbers that are too large, and
 /// with ports out of range. They claim to be the primary, so that a host that believes one uses it.
 void writeOddEntries(TestCluster& cluster)
@@ -810,6 +822,33 @@
     EXPECT_NE(databases.primary(), "db-0");
 }
 
+// Guards against reads that lacked acknowledged commits (review/12): the store became unavailable with a
+// promotion, which was forgotten since its record had not been written yet. The next one brought back the
+// replaced primary with its old log.
+TEST(SessionProxy, RemembersPromotionDuringStoreOutage)
+{
+    TestCluster cluster(3);
+    ASSERT_TRUE(writeUntilComplete(cluster, 0, "before"));
+    Standins::Databases& databases = cluster.databases();
+    databases.setDeaf("db-1");
+    databases.setDeaf("db-2");
+    for (int i = 0; i < 5; ++i)
+        ASSERT_TRUE(writeUntilComplete(cluster, 0, "rolledback"));
+    databases.setDeaf("db-0");
+    const std::jthread reader = readAlways(cluster, 0);
+    cluster.store().failAfterPromotion();
+    databases.crash("db-0");
+    ASSERT_TRUE(waitUntil([&] { return databases.primary() != "db-0"; }, 10s));
+    const std::string successor = databases.primary();
+    // The hosts give the promotion up.
+    std::this_thread::sleep_for(4s);
+    databases.restart("db-0");
+    databases.crash(successor);
+    cluster.store().setUnavailable(false);
+    ASSERT_TRUE(waitUntil([&] { return databases.primary() != successor; }, 15s));
+    EXPECT_NE(databases.primary(), "db-0");
+}
+
 // Guards against the loss of acknowledged commits (review/8): at a service with synchronous replicas, a
 // promotion left out the only replica that had them, because its entry was removed. It runs, but does not
 // reach the store.
--- a/tests/standins/sessionplatform/rowstore.cpp
+++ b/tests/standins/sessionplatform/rowstore.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 #include <gnutls/gnutls.h>
 
@@ -101,6 +102,12 @@
     m_changed.notify_all();
 }
 
+void RowStore::failAfterPromotion()
+{
+    const std::lock_guard lock(m_mutex);
+    m_failsAfterPromotion = true;
+}
+
 void RowStore::saveCopy()
 {
     const std::lock_guard lock(m_mutex);
@@ -241,6 +248,7 @@
     const bool isDone = m_promote(body.at("service").get<std::string>(), body.at("id").get<std::string>());
     const std::lock_guard lock(m_mutex);
     m_promotions += isDone ? 1 : 0;
+    m_isUnavailable |= isDone && std::exchange(m_failsAfterPromotion, false);
     return jsonResponse(isDone ? 200 : 409, Json::object());
 }
 
--- a/tests/standins/sessionplatform/rowstore.h
+++ b/tests/standins/sessionplatform/rowstore.h
@@ -33,6 +33,8 @@
     /// While the store is unavailable, it responds to every call with HTTP status 503, also to pending long
     /// polls.
     void setUnavailable(bool isUnavailable);
+    /// The store becomes unavailable with the next successful promotion.
+    void failAfterPromotion();
     /// Keeps a copy of all rows, to which `restore` returns.
     void saveCopy();
     /// Loses all that was written since the last `saveCopy`, as a store that is restored from a copy. Its
@@ -79,6 +81,7 @@
     std::map<Key, Row> m_savedRows;
     std::uint64_t m_savedVersion = 0;
     bool m_isUnavailable = false;
+    bool m_failsAfterPromotion = false;
     int m_promotions = 0;
     std::vector<UsageReport> m_usageReports;
     std::uint64_t m_highestUsageToken = 0;
