--- /dev/null
+++ b/src/libs/core/failover/promotionsurvey.cpp
@@ -0,0 +1,208 @@
+#include "core/failover/promotion.h"
+
+#include "core/failover/replicareturntime.h"
+
+#include <algorithm>
+
+namespace Failover {
+
+namespace {
+
+    /// A replica that has not reported its position may hold acknowledged commits that no other replica has,
+    /// so the survey waits for it unless it is unreachable.
+    constexpr Model::Duration surveyTimeout = std::chrono::milliseconds(1200);
+    constexpr Model::Duration statusRetryPeriod = std::chrono::milliseconds(80);
+
+}
+
+void Promotion::survey(Model::Time now)
+{
+    enter(PromotionPhase::Surveying, now);
+    m_statuses.clear();
+    m_outstanding.clear();
+    m_statusRequestedAt = now;
+    for (const std::string& upstream : surveyedUpstreams())
+        m_statuses[upstream];
+    if (m_statuses.empty())
+        return enter(PromotionPhase::Failed, now);
+    for (const auto& [upstream, status] : m_statuses)
+        requestStatus(upstream);
+}
+
+/// Where commits wait for synchronous replicas, also those whose entry was removed: they may run and have
+/// acknowledged commits, but not reach the store.
+std::vector<std::string> Promotion::surveyedUpstreams() const
+{
+    std::vector<std::string> result;
+    for (const Directory::Upstream* upstream : m_view.upstreamsOf(m_service)) {
+        if (upstream->id != m_previousPrimary || m_reason == PromotionReason::Leaving)
+            result.push_back(upstream->id);
+    }
+    if (synchronousReplicas() == 0)
+        return result;
+    for (const Directory::FormerUpstream* former : m_view.formerUpstreamsOf(m_service)) {
+        if (former->upstream.id != m_previousPrimary)
+            result.push_back(former->upstream.id);
+    }
+    return result;
+}
+
+void Promotion::requestStatus(const std::string& upstream)
+{
+    if (m_outstanding.insert(upstream).second)
+        m_hooks.requestStatus(upstream);
+}
+
+void Promotion::continueSurvey(Model::Time now)
+{
+    updateSurveyedUpstreams();
+    const bool isComplete = std::ranges::all_of(
+        m_statuses, [&](const auto& entry) { return entry.second || !m_hooks.isReachable(entry.first); });
+    if ((isComplete && isSurveySufficient(now)) || now - m_phaseAt > surveyTimeout)
+        return finishSurvey(now);
+    if (now - m_statusRequestedAt < statusRetryPeriod)
+        return;
+    m_statusRequestedAt = now;
+    for (const auto& [upstream, status] : m_statuses) {
+        if (!status)
+            requestStatus(upstream);
+    }
+}
+
+/// Adopts changes of the directory since the survey began. A synchronous replica may have been replaced by
+/// one that has its log.
+void Promotion::updateSurveyedUpstreams()
+{
+    const std::vector<std::string> upstreams = surveyedUpstreams();
+    std::erase_if(m_statuses,
+        [&](const auto& entry) { return std::ranges::find(upstreams, entry.first) == upstreams.end(); });
+    for (const std::string& upstream : upstreams) {
+        if (synchronousReplicas() > 0 && m_statuses.try_emplace(upstream).second)
+            requestStatus(upstream);
+    }
+}
+
+int Promotion::synchronousReplicas() const
+{
+    const auto& configuration = m_view.configuration();
+    const Directory::Service* settings = configuration ? configuration->findService(m_service) : nullptr;
+    return settings ? settings->synchronousReplicas : 0;
+}
+
+/// Whether every acknowledged commit must be in the log of a replica that has responded.
+bool Promotion::isSurveySufficient(Model::Time now) const
+{
+    const auto silent = std::ranges::count_if(m_statuses, [&](const auto& entry) {
+        return !entry.second && entry.first != m_previousPrimary && !isGone(entry.first, now);
+    });
+    return synchronousReplicas() == 0 || silent < synchronousReplicas();
+}
+
+/// Whether the upstream, which has not responded, has left or is lost with its log.
+bool Promotion::isGone(const std::string& upstream, Model::Time now) const
+{
+    const Directory::FormerUpstream* former = m_view.findFormerUpstream(upstream);
+    return former && now - former->removedAt >= replicaReturnTime;
+}
+
+void Promotion::finishSurvey(Model::Time now)
+{
+    updateHistory();
+    m_mayPromoteDiverged = m_hooks.mayPromoteDiverged && m_hooks.mayPromoteDiverged(now);
+    if (!isSurveySufficient(now))
+        return promote({}, now);
+    const auto previous = m_statuses.find(m_previousPrimary);
+    if (m_reason != PromotionReason::Leaving || previous == m_statuses.end())
+        return promote(bestReplica(), now);
+    if (!previous->second)
+        return stepDownFailed(now);
+    // Nobody leads if the promotion after an earlier step-down did not take place.
+    if (previous->second->role != Directory::Role::Primary) {
+        const std::string best
+            = synchronousReplicas() > 0 ? longestLog(PreviousPrimary::Included) : bestReplica();
+        return promote(best.empty() ? m_previousPrimary : best, now);
+    }
+    // The primary keeps its role until a replica that accepts work has what the others have acknowledged.
+    const Directory::Upstream* next = m_view.findUpstream(bestReplica());
+    if (!next || !m_view.acceptsWork(*next))
+        return promote({}, now);
+    enter(PromotionPhase::SteppingDown, now);
+    m_outstanding.clear();
+    m_hooks.stepDown(m_previousPrimary, nextTerm());
+}
+
+bool Promotion::hasDiverged(const Model::LogPosition& position) const
+{
+    return !m_mayPromoteDiverged && m_promotions.hasDiverged(position);
+}
+
+/// The end of the upstream's log, by its status or else as this host has last seen it.
+Model::LogPosition Promotion::lastPosition(const std::string& upstream) const
+{
+    const auto status = m_statuses.find(upstream);
+    const bool isKnown = status != m_statuses.end() && status->second;
+    return isKnown ? status->second->received : m_hooks.knownPosition(upstream);
+}
+
+std::vector<std::string> Promotion::divergedUpstreams() const
+{
+    std::vector<std::string> result;
+    for (const auto& [upstream, status] : m_statuses) {
+        if (upstream != m_previousPrimary && m_promotions.hasDiverged(lastPosition(upstream)))
+            result.push_back(upstream);
+    }
+    return result;
+}
+
+/// Whether the replica has received from the previous primary. If it has not, it may lack commits that only
+/// the previous primary had received as a replica, before it became the primary.
+bool Promotion::hasLogOfPreviousTerm(const UpstreamStatus& status) const
+{
+    return status.received.term >= m_hooks.knownPosition(m_previousPrimary).term;
+}
+
+/// The upstream with the longest log among those that have responded; of equal ones, one that accepts work.
+/// An upstream that is draining or no longer registered may alone hold an acknowledged commit. As the
+/// primary, it passes it on.
+std::string Promotion::longestLog(PreviousPrimary previousPrimary) const
+{
+    std::string longest;
+    std::pair<Model::LogPosition, bool> longestRank;
+    for (const auto& [id, status] : m_statuses) {
+        const bool isExcluded = id == m_previousPrimary && previousPrimary == PreviousPrimary::Excluded;
+        if (isExcluded || !status || !hasLogOfPreviousTerm(*status) || hasDiverged(status->received))
+            continue;
+        const Directory::Upstream* upstream = m_view.findUpstream(id);
+        const std::pair rank(status->received, upstream && m_view.acceptsWork(*upstream));
+        if (longest.empty() || rank > longestRank) {
+            longest = id;
+            longestRank = rank;
+        }
+    }
+    return longest;
+}
+
+std::string Promotion::bestReplica() const
+{
+    if (synchronousReplicas() > 0)
+        return longestLog(PreviousPrimary::Excluded);
+    std::string best;
+    std::optional<Model::LogPosition> bestPosition;
+    bool hasSkipped = false;
+    for (const Directory::Upstream* upstream : m_view.upstreamsOf(m_service)) {
+        if (upstream->id == m_previousPrimary || !m_view.acceptsWork(*upstream))
+            continue;
+        const Model::LogPosition position = lastPosition(upstream->id);
+        if (hasDiverged(position)) {
+            hasSkipped = true;
+        } else if (!bestPosition || position > *bestPosition) {
+            best = upstream->id;
+            bestPosition = position;
+        }
+    }
+    // An upstream without a log, for example a new one, would lose more than one whose log has diverged.
+    const bool isEmpty = bestPosition && bestPosition->position == 0;
+    return hasSkipped && isEmpty ? std::string() : best;
+}
+
+}
