--- a/src/libs/core/failover/promotion.cpp
+++ b/src/libs/core/failover/promotion.cpp
@@ -34,6 +34,8 @@
         return "recording";
     case PromotionPhase::Surveying:
         return "surveying";
+    case PromotionPhase::Pausing:
+        return "pausing";
     case PromotionPhase::SteppingDown:
         return "stepping_down";
     case PromotionPhase::CatchingUp:
@@ -83,8 +85,10 @@
 /// Ends the promotion. Its record is withdrawn if no request may have been carried out.
 void Promotion::fail(Model::Time now)
 {
-    if (!m_hasOutstandingRequest && !m_hasUnknownRequest)
+    if (!m_hasOutstandingRequest && !m_hasUnknownRequest) {
         m_promotions = m_recorded;
+        resumeReplicas(now);
+    }
     enter(PromotionPhase::Failed, now);
 }
 
@@ -116,6 +120,9 @@
 void Promotion::statusArrived(
     const std::string& upstream, const std::optional<UpstreamStatus>& status, Model::Time now)
 {
+    // What a replica reported before it was paused no longer holds.
+    if (m_phase == PromotionPhase::Pausing)
+        return;
     m_outstanding.erase(upstream);
     if (status)
         m_statuses[upstream] = status;
@@ -328,6 +335,9 @@
     case PromotionPhase::Surveying:
         continueSurvey(now);
         break;
+    case PromotionPhase::Pausing:
+        continuePausing(now);
+        break;
     case PromotionPhase::SteppingDown:
         if (elapsed > stepDownTimeout)
             stepDownFailed(now);
--- a/src/libs/core/failover/promotion.h
+++ b/src/libs/core/failover/promotion.h
@@ -32,6 +32,8 @@
     Fencing,
     /// Requests the log positions of the service's upstreams.
     Surveying,
+    /// The replicas are requested to receive nothing more, so that their logs stay as they are compared.
+    Pausing,
     /// The current primary is requested to stop accepting writes.
     SteppingDown,
     /// The most advanced replica receives the rest of the previous primary's log.
@@ -75,6 +77,10 @@
     std::function<bool(const std::string& service, Model::Time now)> isFenceEffective;
     std::function<void(const std::string& upstream)> requestStatus;
     std::function<void(const std::string& upstream, std::uint64_t term)> stepDown;
+    /// Makes a replica receive nothing until it is resumed or an upstream is promoted, unless it knows a
+    /// primary of this term or a later one.
+    std::function<void(const std::string& upstream, std::uint64_t term)> pause;
+    std::function<void(const std::string& upstream)> resume;
     std::function<void(const std::string& service, const std::string& upstream, FencingToken)>
         requestPromotion;
     /// Whether the upstream may still respond; if not, the survey does not wait for it.
@@ -93,7 +99,9 @@
 ///
 /// Where commits wait for synchronous replicas, an acknowledged one is in the log of at least as many
 /// replicas. No upstream is promoted before so many replicas have responded that one of them must have it,
-/// and the longest log decides, also if its upstream is about to leave or its entry was removed.
+/// and the longest log decides, also if its upstream is about to leave or its entry was removed. The replaced
+/// primary may still run and be in use by hosts that reach it. So the replicas that have responded are paused
+/// before their logs are compared: too few others are left for it to acknowledge a commit.
 ///
 /// An upstream that has entries which an earlier promotion rolled back is not promoted: reads have run on the
 /// replaced primary without them. So a promotion is recorded before it is requested, and counts unless it
@@ -113,6 +121,9 @@
     /// Response to `requestStatus` or `stepDown`; `nullopt` if the upstream did not respond.
     void statusArrived(
         const std::string& upstream, const std::optional<UpstreamStatus>& status, Model::Time now);
+    /// Response to `pause` with this term; `nullopt` if the upstream did not respond.
+    void pauseAnswered(const std::string& upstream, std::uint64_t term,
+        const std::optional<UpstreamStatus>& status, Model::Time now);
     void promotionAnswered(PromotionRequestResult result, Model::Time now);
     /// Advances the promotion; has to be called after changes of the directory and periodically.
     void update(Model::Time now);
@@ -158,6 +169,12 @@
     void continueSurvey(Model::Time now);
     std::vector<std::string> surveyedUpstreams() const;
     void updateSurveyedUpstreams();
+    bool mustPauseReplicas() const;
+    void pauseReplicas(Model::Time now);
+    void requestPauses(Model::Time now);
+    void requestPause(const std::string& upstream);
+    void continuePausing(Model::Time now);
+    void resumeReplicas(Model::Time now);
     bool isSurveySufficient(Model::Time now) const;
     bool isGone(const std::string& upstream, Model::Time now) const;
     void finishSurvey(Model::Time now);
@@ -189,6 +206,9 @@
     UpstreamStatuses m_statuses;
     /// The upstreams with a status request that neither was answered nor has failed.
     std::set<std::string> m_outstanding;
+    /// The replicas that were requested to pause, and have not been resumed.
+    std::set<std::string> m_paused;
+    std::uint64_t m_pauseTerm = 0;
     /// Id of the primary that is replaced; empty if there was none.
     std::string m_previousPrimary;
     /// Its last position, if it stepped down.
--- a/src/libs/core/failover/promotionsurvey.cpp
+++ b/src/libs/core/failover/promotionsurvey.cpp
@@ -3,6 +3,7 @@
 #include "core/failover/replicareturntime.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Failover {
 
@@ -12,6 +13,8 @@
     /// so the survey waits for it unless it is unreachable.
     constexpr Model::Duration surveyTimeout = std::chrono::milliseconds(1200);
     constexpr Model::Duration statusRetryPeriod = std::chrono::milliseconds(80);
+    /// The replicas have responded just before, so that only one that has failed since does not.
+    constexpr Model::Duration pauseTimeout = std::chrono::milliseconds(400);
 
 }
 
@@ -82,6 +85,81 @@
     }
 }
 
+/// Whether the replaced primary may go on acknowledging commits. One that leaves steps down first, and where
+/// the hosts need a fence, none of them uses it any more.
+bool Promotion::mustPauseReplicas() const
+{
+    return synchronousReplicas() > 0 && !m_hooks.isFenceEffective && m_reason != PromotionReason::Leaving;
+}
+
+void Promotion::pauseReplicas(Model::Time now)
+{
+    if (bestReplica().empty())
+        return promote({}, now);
+    enter(PromotionPhase::Pausing, now);
+    for (const auto& [upstream, status] : m_statuses) {
+        if (status && status->role == Directory::Role::Replica)
+            m_paused.insert(upstream);
+    }
+    requestPauses(now);
+}
+
+/// Requests all pauses, or all again if a replica knows a later term than the others did.
+void Promotion::requestPauses(Model::Time now)
+{
+    m_pauseTerm = nextTerm();
+    m_statusRequestedAt = now;
+    m_outstanding.clear();
+    for (const std::string& upstream : m_paused)
+        m_statuses[upstream].reset();
+    for (const std::string& upstream : std::set(m_paused))
+        requestPause(upstream);
+}
+
+void Promotion::requestPause(const std::string& upstream)
+{
+    if (m_outstanding.insert(upstream).second)
+        m_hooks.pause(upstream, m_pauseTerm);
+}
+
+void Promotion::pauseAnswered(const std::string& upstream, std::uint64_t term,
+    const std::optional<UpstreamStatus>& status, Model::Time now)
+{
+    if (m_phase != PromotionPhase::Pausing || term != m_pauseTerm)
+        return;
+    m_outstanding.erase(upstream);
+    m_statuses[upstream] = status;
+    if (status && status->role == Directory::Role::Replica && status->term >= m_pauseTerm)
+        return requestPauses(now);
+    continuePausing(now);
+}
+
+void Promotion::continuePausing(Model::Time now)
+{
+    // A replica that has appeared meanwhile receives, and counts as one that has not responded.
+    for (const std::string& upstream : surveyedUpstreams())
+        m_statuses.try_emplace(upstream);
+    const auto hasResponded = [&](const std::string& upstream) { return m_statuses[upstream].has_value(); };
+    if (std::ranges::all_of(m_paused, hasResponded) || now - m_phaseAt > pauseTimeout)
+        return promote(isSurveySufficient(now) ? bestReplica() : std::string(), now);
+    if (now - m_statusRequestedAt < statusRetryPeriod)
+        return;
+    m_statusRequestedAt = now;
+    for (const std::string& upstream : std::set(m_paused)) {
+        if (!hasResponded(upstream))
+            requestPause(upstream);
+    }
+}
+
+/// Ends what `pauseReplicas` began. After the end of the lease, another host may have paused the replicas.
+void Promotion::resumeReplicas(Model::Time now)
+{
+    if (now > leaseEnd())
+        return;
+    for (const std::string& upstream : std::exchange(m_paused, {}))
+        m_hooks.resume(upstream);
+}
+
 int Promotion::synchronousReplicas() const
 {
     const auto& configuration = m_view.configuration();
@@ -111,6 +189,8 @@
     m_mayPromoteDiverged = m_hooks.mayPromoteDiverged && m_hooks.mayPromoteDiverged(now);
     if (!isSurveySufficient(now))
         return promote({}, now);
+    if (mustPauseReplicas())
+        return pauseReplicas(now);
     const auto previous = m_statuses.find(m_previousPrimary);
     if (m_reason != PromotionReason::Leaving || previous == m_statuses.end())
         return promote(bestReplica(), now);
--- a/src/libs/core/proxy/command.h
+++ b/src/libs/core/proxy/command.h
@@ -42,6 +42,11 @@
     Status,
     /// Demotes a primary whose term is lower than `term` to replica; answered like `Status`.
     StepDown,
+    /// Makes a replica that knows only terms lower than `term` receive nothing until it is resumed or an
+    /// upstream is promoted; answered like `Status`.
+    Pause,
+    /// Ends a pause; answered like `Status`.
+    Resume,
 };
 
 /// One message to an upstream.
--- a/src/libs/core/proxy/engineconnections.cpp
+++ b/src/libs/core/proxy/engineconnections.cpp
@@ -141,6 +141,8 @@
         break;
     case CommandKind::Status:
     case CommandKind::StepDown:
+    case CommandKind::Pause:
+    case CommandKind::Resume:
         if (pending.answered)
             pending.answered(reply);
         break;
--- a/src/libs/logging/eventid.cpp
+++ b/src/libs/logging/eventid.cpp
@@ -9,7 +9,7 @@
 
     using enum EventId;
 
-    constexpr std::array<EventInfo, 76> table { {
+    constexpr std::array<EventInfo, 78> table { {
         { ProcessStarted, "process_started", Severity::Info, "the process listens on all its addresses" },
         { ProcessStopped, "process_stopped", Severity::Info, "the process ended after its last request" },
         { DrainStarted, "drain_started", Severity::Info, "SIGTERM received; no new requests are accepted" },
@@ -53,6 +53,11 @@
             "a connection to an upstream cannot be opened" },
         { PromotionSurveyed, "promotion_surveyed", Severity::Info,
             "a promotion has chosen the new primary, or found that none can be promoted" },
+        { ReplicaPaused, "replica_paused", Severity::Info,
+            "a replica of a service with synchronous replicas is requested to receive nothing during a "
+            "promotion" },
+        { ReplicaResumed, "replica_resumed", Severity::Info,
+            "a replica is requested to receive again, because a promotion was given up" },
         { UpstreamChanged, "upstream_changed", Severity::Info,
             "an upstream was registered, or its entry changed" },
         { UpstreamGone, "upstream_gone", Severity::Info, "an upstream is no longer registered" },
--- a/src/libs/logging/eventid.h
+++ b/src/libs/logging/eventid.h
@@ -37,6 +37,8 @@
     UpstreamSilent = 310,
     ConnectionFailed = 311,
     PromotionSurveyed = 312,
+    ReplicaPaused = 313,
+    ReplicaResumed = 314,
     UpstreamChanged = 320,
     UpstreamGone = 321,
     ZoneChanged = 322,
--- a/src/libs/proxyhost/failovers.cpp
+++ b/src/libs/proxyhost/failovers.cpp
@@ -174,11 +174,17 @@
     hooks.recordCandidate
         = [this](const std::string& name, const std::string& upstream) { recordCandidate(name, upstream); };
     hooks.isFenceEffective = m_hooks.isFenceEffective;
-    hooks.requestStatus
-        = [this, service](const std::string& upstream) { requestStatus(service, upstream, 0); };
+    hooks.requestStatus = [this, service](const std::string& upstream) {
+        requestStatus(service, upstream, { Proxy::CommandKind::Status });
+    };
     hooks.stepDown = [this, service](const std::string& upstream, std::uint64_t term) {
-        requestStatus(service, upstream, term);
+        Proxy::Command command { Proxy::CommandKind::StepDown };
+        command.term = term;
+        requestStatus(service, upstream, command);
     };
+    hooks.pause = [this, service](
+                      const std::string& upstream, std::uint64_t term) { pause(service, upstream, term); };
+    hooks.resume = [this, service](const std::string& upstream) { resume(service, upstream); };
     hooks.requestPromotion = [this](const std::string& name, const std::string& upstream,
                                  Failover::FencingToken token) { requestPromotion(name, upstream, token); };
     hooks.isReachable = [this](const std::string& upstream) {
@@ -294,27 +300,52 @@
         m_worker.recordPromotions(lease, promotions, [](const std::optional<AcquiredLease>&) {});
 }
 
-/// Requests an upstream's status. If `stepDownTerm` is not 0, a primary of a lower term becomes a replica
-/// first.
-void Failovers::requestStatus(
-    const std::string& service, const std::string& upstream, std::uint64_t stepDownTerm)
+/// Sends a command that is answered with a status. `answered` is called if the promotion still runs then,
+/// with the same lease: what another one has requested says nothing about this one's requests.
+void Failovers::sendCommand(const std::string& service, const std::string& upstream,
+    const Proxy::Command& command, const StatusHook& answered)
 {
-    Proxy::Command command;
-    command.kind = stepDownTerm == 0 ? Proxy::CommandKind::Status : Proxy::CommandKind::StepDown;
-    command.term = stepDownTerm;
-    m_server.sendCommand(
-        upstream, command, [this, service, upstream](const std::optional<Failover::UpstreamStatus>& status) {
+    const Failover::FencingToken token = m_promotions.at(service)->token();
+    m_server.sendCommand(upstream, command,
+        [this, service, token, answered](const std::optional<Failover::UpstreamStatus>& status) {
             // The answer may arrive before `sendCommand` returns.
-            m_loop.post([this, service, upstream, status] {
+            m_loop.post([this, service, token, answered, status] {
                 const auto promotion = m_promotions.find(service);
-                if (promotion == m_promotions.end())
+                if (promotion == m_promotions.end() || promotion->second->token() != token)
                     return;
-                promotion->second->statusArrived(upstream, status, EventLoop::now());
+                answered(*promotion->second, status);
                 advance(service);
             });
         });
 }
 
+void Failovers::requestStatus(
+    const std::string& service, const std::string& upstream, const Proxy::Command& command)
+{
+    sendCommand(service, upstream, command, [upstream](Failover::Promotion& promotion, const auto& status) {
+        promotion.statusArrived(upstream, status, EventLoop::now());
+    });
+}
+
+void Failovers::pause(const std::string& service, const std::string& upstream, std::uint64_t term)
+{
+    Logging::write(Logging::EventId::ReplicaPaused,
+        { { "service", service }, { "upstream", upstream }, { "term", std::to_string(term) } });
+    Proxy::Command command { Proxy::CommandKind::Pause };
+    command.term = term;
+    sendCommand(
+        service, upstream, command, [upstream, term](Failover::Promotion& promotion, const auto& status) {
+            promotion.pauseAnswered(upstream, term, status, EventLoop::now());
+        });
+}
+
+void Failovers::resume(const std::string& service, const std::string& upstream)
+{
+    Logging::write(Logging::EventId::ReplicaResumed, { { "service", service }, { "upstream", upstream } });
+    m_server.sendCommand(
+        upstream, { Proxy::CommandKind::Resume }, [](const std::optional<Failover::UpstreamStatus>&) {});
+}
+
 void Failovers::advance(const std::string& service)
 {
     const auto found = m_promotions.find(service);
--- a/src/libs/proxyhost/failovers.h
+++ b/src/libs/proxyhost/failovers.h
@@ -3,6 +3,7 @@
 #include "core/directory/view.h"
 #include "core/failover/primarywatch.h"
 #include "core/failover/promotion.h"
+#include "core/proxy/command.h"
 #include "eventloop/timer.h"
 #include "proxyhost/fleet.h"
 #include "proxyhost/platformworker.h"
@@ -62,7 +63,14 @@
 private:
     void start(const std::string& service, Failover::PromotionReason reason);
     void advance(const std::string& service);
-    void requestStatus(const std::string& service, const std::string& upstream, std::uint64_t stepDownTerm);
+    using StatusHook
+        = std::function<void(Failover::Promotion&, const std::optional<Failover::UpstreamStatus>&)>;
+    void sendCommand(const std::string& service, const std::string& upstream, const Proxy::Command& command,
+        const StatusHook& answered);
+    void requestStatus(
+        const std::string& service, const std::string& upstream, const Proxy::Command& command);
+    void pause(const std::string& service, const std::string& upstream, std::uint64_t term);
+    void resume(const std::string& service, const std::string& upstream);
     void acquireLease(const std::string& service, Failover::Fence fence);
     void recordCandidate(const std::string& service, const std::string& upstream);
     void leaseAcquired(const std::string& service, const std::optional<AcquiredLease>& lease);
--- a/tests/auto/core/failover/tst_promotion.cpp
+++ b/tests/auto/core/failover/tst_promotion.cpp
@@ -65,6 +65,12 @@
             m_steppedDown = upstream;
             m_stepDownTerm = term;
         };
+        hooks.pause = [this](const std::string& upstream, std::uint64_t term) {
+            m_pauses.emplace_back(upstream, term);
+            if (m_answersPauses)
+                m_run->pauseAnswered(upstream, term, m_reported[upstream], Time { 0ms });
+        };
+        hooks.resume = [this](const std::string& upstream) { m_resumed.push_back(upstream); };
         hooks.requestPromotion = [this](const std::string&, const std::string& upstream, FencingToken token) {
             m_promotionRequests.push_back(upstream);
             m_token = token;
@@ -79,6 +85,14 @@
         return *m_run;
     }
 
+    /// Delivers a response to the running promotion.
+    void report(const std::string& upstream, const std::optional<UpstreamStatus>& status, Time now)
+    {
+        if (status)
+            m_reported[upstream] = *status;
+        m_run->statusArrived(upstream, status, now);
+    }
+
     static UpstreamStatus status(std::uint64_t position, Role role = Role::Replica)
     {
         return { role, 3, { 3, position } };
@@ -103,6 +117,12 @@
     SurveyResult m_surveyResult;
     bool m_mayPromoteDiverged = false;
     std::map<std::string, Model::LogPosition> m_knownPositions;
+    /// The last status that each upstream has reported.
+    std::map<std::string, UpstreamStatus> m_reported;
+    /// The requested pauses, with their terms.
+    std::vector<std::pair<std::string, std::uint64_t>> m_pauses;
+    bool m_answersPauses = true;
+    std::vector<std::string> m_resumed;
     std::unique_ptr<Promotion> m_run;
 };
 
@@ -115,9 +135,9 @@
     EXPECT_EQ(m_leasesRequested, 1);
     run.leaseAcquired(7, Time { 10ms });
     EXPECT_EQ(m_statusRequests, (std::vector<std::string> { "q", "r" }));
-    run.statusArrived("q", status(100), Time { 20ms });
+    report("q", status(100), Time { 20ms });
     EXPECT_TRUE(m_promotionRequests.empty());
-    run.statusArrived("r", status(101), Time { 30ms });
+    report("r", status(101), Time { 30ms });
     ASSERT_EQ(m_promotionRequests, std::vector<std::string> { "r" });
     EXPECT_EQ(m_token, 7U);
     run.promotionAnswered(PromotionRequestResult::Accepted, Time { 40ms });
@@ -133,12 +153,12 @@
 {
     Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(1, Time { 10ms });
-    run.statusArrived("q", status(40), Time { 20ms });
-    run.statusArrived("r", std::nullopt, Time { 100ms });
+    report("q", status(40), Time { 20ms });
+    report("r", std::nullopt, Time { 100ms });
     run.update(Time { 400ms });
     EXPECT_TRUE(m_promotionRequests.empty());
     EXPECT_EQ(std::ranges::count(m_statusRequests, "r"), 2);
-    run.statusArrived("r", status(97), Time { 450ms });
+    report("r", status(97), Time { 450ms });
     EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "r" });
 }
 
@@ -148,7 +168,7 @@
     m_unreachable.insert("r");
     Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(1, Time { 10ms });
-    run.statusArrived("q", status(40), Time { 20ms });
+    report("q", status(40), Time { 20ms });
     EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "q" });
 }
 
@@ -158,15 +178,15 @@
 {
     Promotion& run = promotion(PromotionReason::Leaving);
     run.leaseAcquired(1, Time { 10ms });
-    run.statusArrived("p", status(100, Role::Primary), Time { 20ms });
-    run.statusArrived("q", status(90), Time { 20ms });
-    run.statusArrived("r", status(95), Time { 20ms });
+    report("p", status(100, Role::Primary), Time { 20ms });
+    report("q", status(90), Time { 20ms });
+    report("r", status(95), Time { 20ms });
     EXPECT_EQ(m_steppedDown, "p");
     EXPECT_EQ(m_stepDownTerm, 4U);
     EXPECT_TRUE(m_promotionRequests.empty());
-    run.statusArrived("p", status(102), Time { 30ms });
+    report("p", status(102), Time { 30ms });
     EXPECT_TRUE(m_promotionRequests.empty());
-    run.statusArrived("r", status(102), Time { 60ms });
+    report("r", status(102), Time { 60ms });
     EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "r" });
 }
 
@@ -175,8 +195,8 @@
 {
     Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(5, Time { 10ms });
-    run.statusArrived("q", status(1), Time { 20ms });
-    run.statusArrived("r", status(1), Time { 20ms });
+    report("q", status(1), Time { 20ms });
+    report("r", status(1), Time { 20ms });
     run.promotionAnswered(PromotionRequestResult::Unknown, Time { 320ms });
     EXPECT_EQ(m_promotionRequests.size(), 1U);
     run.update(Time { 500ms });
@@ -191,8 +211,8 @@
 {
     Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(5, Time { 10ms });
-    run.statusArrived("q", status(1), Time { 20ms });
-    run.statusArrived("r", status(2), Time { 20ms });
+    report("q", status(1), Time { 20ms });
+    report("r", status(2), Time { 20ms });
     run.promotionAnswered(PromotionRequestResult::Refused, Time { 30ms });
     EXPECT_EQ(run.phase(), PromotionPhase::Failed);
     run.update(Time { 2s });
@@ -234,8 +254,8 @@
     EXPECT_TRUE(m_statusRequests.empty());
     m_isFenceEffective = true;
     run.update(Time { 510ms });
-    run.statusArrived("q", status(100), Time { 520ms });
-    run.statusArrived("r", status(101), Time { 520ms });
+    report("q", status(100), Time { 520ms });
+    report("r", status(101), Time { 520ms });
     // Without the store's confirmation, hosts that start later would use no primary or the wrong one.
     EXPECT_EQ(m_recorded, "r");
     EXPECT_TRUE(m_promotionRequests.empty());
@@ -257,9 +277,9 @@
     EXPECT_EQ(m_fence, Fence::None);
     m_isFenceEffective = true;
     run.leaseAcquired(1, Time { 10ms });
-    run.statusArrived("p", status(100, Role::Primary), Time { 20ms });
-    run.statusArrived("q", status(100), Time { 20ms });
-    run.statusArrived("r", status(100), Time { 20ms });
+    report("p", status(100, Role::Primary), Time { 20ms });
+    report("q", status(100), Time { 20ms });
+    report("r", status(100), Time { 20ms });
     EXPECT_EQ(m_steppedDown, "p");
     run.update(Time { 500ms });
     EXPECT_EQ(m_fence, Fence::Set);
@@ -273,8 +293,8 @@
 {
     Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(1, Time { 10ms });
-    run.statusArrived("q", status(100), Time { 20ms });
-    run.statusArrived("r", status(101), Time { 3100ms });
+    report("q", status(100), Time { 20ms });
+    report("r", status(101), Time { 3100ms });
     EXPECT_TRUE(m_promotionRequests.empty());
     EXPECT_EQ(run.phase(), PromotionPhase::Failed);
 }
@@ -287,7 +307,7 @@
     m_unreachable.insert("r");
     Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(1, Time { 10ms });
-    run.statusArrived("q", status(40), Time { 20ms });
+    report("q", status(40), Time { 20ms });
     EXPECT_TRUE(m_promotionRequests.empty());
     run.update(Time { 1500ms });
     EXPECT_TRUE(m_promotionRequests.empty());
@@ -302,7 +322,7 @@
     m_view.removeUpstream("r", Time { -10s });
     Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(1, Time { 10ms });
-    run.statusArrived("q", status(40), Time { 20ms });
+    report("q", status(40), Time { 20ms });
     EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "q" });
 }
 
@@ -315,9 +335,9 @@
     Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(1, Time { 10ms });
     EXPECT_EQ(m_statusRequests, (std::vector<std::string> { "q", "r" }));
-    run.statusArrived("q", status(40), Time { 20ms });
+    report("q", status(40), Time { 20ms });
     EXPECT_TRUE(m_promotionRequests.empty());
-    run.statusArrived("r", status(41), Time { 30ms });
+    report("r", status(41), Time { 30ms });
     EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "r" });
 }
 
@@ -329,7 +349,7 @@
     m_view.removeUpstream("r", Time { -5s });
     Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(1, Time { 10ms });
-    run.statusArrived("q", status(40), Time { 20ms });
+    report("q", status(40), Time { 20ms });
     run.update(Time { 1400ms });
     EXPECT_TRUE(m_promotionRequests.empty());
     EXPECT_EQ(run.phase(), PromotionPhase::Failed);
@@ -338,7 +358,7 @@
     Promotion& next = promotion(PromotionReason::Unreachable);
     next.leaseAcquired(2, Time { 10ms });
     m_view.removeUpstream("r", Time { 15ms });
-    next.statusArrived("q", status(40), Time { 20ms });
+    report("q", status(40), Time { 20ms });
     next.update(Time { 1400ms });
     EXPECT_TRUE(m_promotionRequests.empty());
 }
@@ -351,11 +371,11 @@
     m_unreachable.insert("r");
     Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(1, Time { 10ms });
-    run.statusArrived("q", status(40), Time { 20ms });
+    report("q", status(40), Time { 20ms });
     setUpstream("s", Role::Replica, Availability::Ready, "r");
     run.update(Time { 30ms });
     EXPECT_TRUE(m_promotionRequests.empty());
-    run.statusArrived("s", status(41), Time { 40ms });
+    report("s", status(41), Time { 40ms });
     EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "s" });
 }
 
@@ -366,7 +386,7 @@
     Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(1, Time { 10ms });
     EXPECT_EQ(m_statusRequests, std::vector<std::string> { "q" });
-    run.statusArrived("q", status(40), Time { 20ms });
+    report("q", status(40), Time { 20ms });
     EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "q" });
 }
 
@@ -378,8 +398,8 @@
     m_knownPositions["p"] = { 4, 50 };
     Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(1, Time { 10ms });
-    run.statusArrived("q", status(40), Time { 20ms });
-    run.statusArrived("r", status(45), Time { 20ms });
+    report("q", status(40), Time { 20ms });
+    report("r", status(45), Time { 20ms });
     EXPECT_TRUE(m_promotionRequests.empty());
     EXPECT_EQ(run.phase(), PromotionPhase::Failed);
 }
@@ -391,8 +411,8 @@
     setUpstream("q", Role::Replica, Availability::Draining);
     Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(1, Time { 10ms });
-    run.statusArrived("q", status(100), Time { 20ms });
-    run.statusArrived("r", status(95), Time { 20ms });
+    report("q", status(100), Time { 20ms });
+    report("r", status(95), Time { 20ms });
     EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "q" });
 }
 
@@ -403,8 +423,8 @@
     setUpstream("q", Role::Replica, Availability::Draining);
     Promotion& run = promotion(PromotionReason::Missing);
     run.leaseAcquired(1, Time { 10ms });
-    run.statusArrived("q", status(100), Time { 20ms });
-    run.statusArrived("r", status(100), Time { 20ms });
+    report("q", status(100), Time { 20ms });
+    report("r", status(100), Time { 20ms });
     EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "r" });
 }
 
@@ -415,9 +435,9 @@
     setUpstream("q", Role::Replica, Availability::Draining);
     Promotion& run = promotion(PromotionReason::Leaving);
     run.leaseAcquired(1, Time { 10ms });
-    run.statusArrived("p", status(100, Role::Primary), Time { 20ms });
-    run.statusArrived("q", status(100), Time { 20ms });
-    run.statusArrived("r", status(90), Time { 20ms });
+    report("p", status(100, Role::Primary), Time { 20ms });
+    report("q", status(100), Time { 20ms });
+    report("r", status(90), Time { 20ms });
     EXPECT_TRUE(m_steppedDown.empty());
     EXPECT_TRUE(m_promotionRequests.empty());
     EXPECT_EQ(run.phase(), PromotionPhase::Failed);
@@ -429,11 +449,11 @@
     makeSynchronous();
     Promotion& run = promotion(PromotionReason::Leaving);
     run.leaseAcquired(1, Time { 10ms });
-    run.statusArrived("p", status(100, Role::Primary), Time { 20ms });
-    run.statusArrived("q", status(100), Time { 20ms });
-    run.statusArrived("r", status(90), Time { 20ms });
+    report("p", status(100, Role::Primary), Time { 20ms });
+    report("q", status(100), Time { 20ms });
+    report("r", status(90), Time { 20ms });
     EXPECT_EQ(m_steppedDown, "p");
-    run.statusArrived("p", status(102), Time { 30ms });
+    report("p", status(102), Time { 30ms });
     run.update(Time { 300ms });
     EXPECT_TRUE(m_promotionRequests.empty());
     run.update(Time { 500ms });
@@ -447,14 +467,14 @@
     makeSynchronous();
     Promotion& run = promotion(PromotionReason::Leaving);
     run.leaseAcquired(1, Time { 10ms });
-    run.statusArrived("p", status(100, Role::Primary), Time { 20ms });
-    run.statusArrived("q", status(100), Time { 20ms });
-    run.statusArrived("r", status(99), Time { 20ms });
+    report("p", status(100, Role::Primary), Time { 20ms });
+    report("q", status(100), Time { 20ms });
+    report("r", status(99), Time { 20ms });
     EXPECT_EQ(m_steppedDown, "p");
     run.update(Time { 500ms });
     EXPECT_TRUE(m_promotionRequests.empty());
-    run.statusArrived("q", status(100), Time { 510ms });
-    run.statusArrived("r", status(105), Time { 510ms });
+    report("q", status(100), Time { 510ms });
+    report("r", status(105), Time { 510ms });
     EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "r" });
 }
 
@@ -468,10 +488,10 @@
     m_isStoreReachable = false;
     Promotion& run = promotion(PromotionReason::Leaving);
     run.leaseAcquired(1, Time { 10ms });
-    run.statusArrived("p", status(100, Role::Primary), Time { 20ms });
-    run.statusArrived("q", status(100), Time { 20ms });
-    run.statusArrived("r", status(90), Time { 20ms });
-    run.statusArrived("p", status(102), Time { 30ms });
+    report("p", status(100, Role::Primary), Time { 20ms });
+    report("q", status(100), Time { 20ms });
+    report("r", status(90), Time { 20ms });
+    report("p", status(102), Time { 30ms });
     run.update(Time { 500ms });
     EXPECT_EQ(m_recorded, "p");
     run.candidateRecorded(true, Time { 510ms });
@@ -488,9 +508,9 @@
     makeSynchronous();
     Promotion& run = promotion(PromotionReason::Leaving);
     run.leaseAcquired(1, Time { 10ms });
-    run.statusArrived("p", status(102), Time { 20ms });
-    run.statusArrived("q", status(100), Time { 20ms });
-    run.statusArrived("r", status(101), Time { 20ms });
+    report("p", status(102), Time { 20ms });
+    report("q", status(100), Time { 20ms });
+    report("r", status(101), Time { 20ms });
     EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "p" });
 }
 
@@ -501,8 +521,8 @@
     const TermHistory recorded({ { 4, "p", { 3, 46 } } });
     Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(1, Time { 10ms }, recorded);
-    run.statusArrived("q", status(63), Time { 20ms });
-    run.statusArrived("r", status(46), Time { 20ms });
+    report("q", status(63), Time { 20ms });
+    report("r", status(46), Time { 20ms });
     EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "r" });
     EXPECT_EQ(m_surveyResult.diverged, std::vector<std::string> { "q" });
     // `q` has still to be told from the others at the next promotion.
@@ -517,8 +537,8 @@
     m_knownPositions["p"] = { 3, 46 };
     Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(1, Time { 10ms }, TermHistory({ { 4, "p", { 3, 46 } } }));
-    run.statusArrived("q", status(63), Time { 20ms });
-    run.statusArrived("r", status(46), Time { 20ms });
+    report("q", status(63), Time { 20ms });
+    report("r", status(46), Time { 20ms });
     EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "r" });
 }
 
@@ -531,8 +551,8 @@
     for (const bool isRecorded : { false, true }) {
         Promotion& run = promotion(PromotionReason::Unreachable);
         run.leaseAcquired(1, Time { 10ms }, recorded);
-        run.statusArrived("q", status(63), Time { 20ms });
-        run.statusArrived("r", status(46), Time { 20ms });
+        report("q", status(63), Time { 20ms });
+        report("r", status(46), Time { 20ms });
         EXPECT_EQ(run.promotions(), TermHistory({ { 3, "p", { 2, 30 } }, { 4, "q", { 3, 63 } } }));
         EXPECT_TRUE(m_promotionRequests.empty());
         run.candidateRecorded(isRecorded, Time { 30ms });
@@ -551,8 +571,8 @@
     const TermHistory recorded({ { 3, "p", { 2, 30 } }, { 4, "x", { 3, 46 } } });
     Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(1, Time { 10ms }, recorded);
-    run.statusArrived("q", status(63), Time { 20ms });
-    run.statusArrived("r", status(46), Time { 20ms });
+    report("q", status(63), Time { 20ms });
+    report("r", status(46), Time { 20ms });
     ASSERT_EQ(m_promotionRequests, std::vector<std::string> { "r" });
     TermHistory expected({ { 3, "p", { 2, 30 } }, { 4, "x", { 3, 46 } }, { 5, "r", { 3, 46 } } });
     EXPECT_EQ(run.promotions(), expected);
@@ -563,7 +583,7 @@
     run.update(Time { 400ms });
     EXPECT_EQ(m_statusRequests, std::vector<std::string> { "r" });
     EXPECT_FALSE(run.isOver());
-    run.statusArrived("r", UpstreamStatus { Role::Primary, 4, { 4, 47 } }, Time { 410ms });
+    report("r", UpstreamStatus { Role::Primary, 4, { 4, 47 } }, Time { 410ms });
     EXPECT_EQ(run.phase(), PromotionPhase::Finished);
     EXPECT_EQ(run.promotions(), TermHistory({ { 3, "p", { 2, 30 } }, { 4, "r", { 3, 46 } } }));
 }
@@ -575,8 +595,8 @@
     const TermHistory recorded({ { 3, "p", { 2, 30 } }, { 4, "r", { 3, 46 } } });
     Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(1, Time { 10ms }, recorded);
-    run.statusArrived("q", status(63), Time { 20ms });
-    run.statusArrived("r", status(46), Time { 20ms });
+    report("q", status(63), Time { 20ms });
+    report("r", status(46), Time { 20ms });
     EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "q" });
     const TermHistory expected({ { 3, "p", { 2, 30 } }, { 4, "q", { 3, 63 } } });
     EXPECT_EQ(run.promotions(), expected);
@@ -587,9 +607,9 @@
 {
     Promotion& run = promotion(PromotionReason::Leaving);
     run.leaseAcquired(1, Time { 10ms }, TermHistory({ { 4, "x", { 3, 46 } } }));
-    run.statusArrived("p", status(63, Role::Primary), Time { 20ms });
-    run.statusArrived("q", status(63), Time { 20ms });
-    run.statusArrived("r", status(60), Time { 20ms });
+    report("p", status(63, Role::Primary), Time { 20ms });
+    report("q", status(63), Time { 20ms });
+    report("r", status(60), Time { 20ms });
     EXPECT_EQ(m_steppedDown, "p");
     EXPECT_EQ(m_stepDownTerm, 4U);
 }
@@ -599,8 +619,8 @@
 {
     Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(1, Time { 10ms }, TermHistory({ { 4, "r", { 3, 46 } } }));
-    run.statusArrived("q", status(63), Time { 20ms });
-    run.statusArrived("r", UpstreamStatus {}, Time { 20ms });
+    report("q", status(63), Time { 20ms });
+    report("r", UpstreamStatus {}, Time { 20ms });
     EXPECT_TRUE(m_promotionRequests.empty());
     EXPECT_EQ(m_surveyResult.diverged, std::vector<std::string> { "q" });
 }
@@ -613,8 +633,8 @@
     for (const auto first : { PromotionRequestResult::Unavailable, PromotionRequestResult::Unknown }) {
         Promotion& run = promotion(PromotionReason::Unreachable);
         run.leaseAcquired(1, Time { 10ms }, recorded);
-        run.statusArrived("q", status(63), Time { 20ms });
-        run.statusArrived("r", status(46), Time { 20ms });
+        report("q", status(63), Time { 20ms });
+        report("r", status(46), Time { 20ms });
         run.promotionAnswered(first, Time { 30ms });
         run.update(Time { 200ms });
         run.promotionAnswered(PromotionRequestResult::Refused, Time { 210ms });
@@ -628,8 +648,8 @@
 {
     Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(1, Time { 10ms }, TermHistory({ { 4, "x", { 3, 46 } } }));
-    run.statusArrived("q", status(63), Time { 20ms });
-    run.statusArrived("r", UpstreamStatus { Role::Replica, 4, { 3, 46 } }, Time { 20ms });
+    report("q", status(63), Time { 20ms });
+    report("r", UpstreamStatus { Role::Replica, 4, { 3, 46 } }, Time { 20ms });
     EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "r" });
 }
 
@@ -642,8 +662,8 @@
         m_mayPromoteDiverged = isLastResort;
         Promotion& run = promotion(PromotionReason::Unreachable);
         run.leaseAcquired(1, Time { 10ms }, recorded);
-        run.statusArrived("q", status(63), Time { 20ms });
-        run.statusArrived("r", UpstreamStatus { Role::Replica, 3, {} }, Time { 20ms });
+        report("q", status(63), Time { 20ms });
+        report("r", UpstreamStatus { Role::Replica, 3, {} }, Time { 20ms });
         EXPECT_EQ(m_promotionRequests.size(), isLastResort ? 1U : 0U);
     }
     EXPECT_EQ(m_promotionRequests.back(), "q");
@@ -656,17 +676,17 @@
     const TermHistory recorded({ { 4, "p", { 3, 46 } } });
     Promotion& run = promotion(PromotionReason::Leaving);
     run.leaseAcquired(1, Time { 10ms }, recorded);
-    run.statusArrived("p", UpstreamStatus { Role::Primary, 4, { 4, 50 } }, Time { 20ms });
-    run.statusArrived("q", status(63), Time { 20ms });
-    run.statusArrived("r", status(60), Time { 20ms });
+    report("p", UpstreamStatus { Role::Primary, 4, { 4, 50 } }, Time { 20ms });
+    report("q", status(63), Time { 20ms });
+    report("r", status(60), Time { 20ms });
     EXPECT_TRUE(m_steppedDown.empty());
     EXPECT_TRUE(m_promotionRequests.empty());
     // One that has stepped down before gets its role back.
     Promotion& next = promotion(PromotionReason::Leaving);
     next.leaseAcquired(2, Time { 10ms }, recorded);
-    next.statusArrived("p", UpstreamStatus { Role::Replica, 4, { 4, 50 } }, Time { 20ms });
-    next.statusArrived("q", status(63), Time { 20ms });
-    next.statusArrived("r", status(60), Time { 20ms });
+    report("p", UpstreamStatus { Role::Replica, 4, { 4, 50 } }, Time { 20ms });
+    report("q", status(63), Time { 20ms });
+    report("r", status(60), Time { 20ms });
     EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "p" });
 }
 
@@ -677,8 +697,119 @@
     const TermHistory recorded({ { 4, "q", { 3, 46 } } });
     Promotion& run = promotion(PromotionReason::Unreachable);
     run.leaseAcquired(1, Time { 10ms }, recorded);
-    run.statusArrived("q", UpstreamStatus { Role::Primary, 4, { 4, 50 } }, Time { 20ms });
-    run.statusArrived("r", UpstreamStatus { Role::Replica, 4, { 4, 50 } }, Time { 20ms });
+    report("q", UpstreamStatus { Role::Primary, 4, { 4, 50 } }, Time { 20ms });
+    report("r", UpstreamStatus { Role::Replica, 4, { 4, 50 } }, Time { 20ms });
     EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "q" });
     EXPECT_EQ(run.promotions(), recorded);
 }
+
+using Pauses = std::vector<std::pair<std::string, std::uint64_t>>;
+
+// Guards against the loss of acknowledged commits (review/11): while a promotion is under way, hosts that
+// still reach the previous primary commit on it, and a replica that is not promoted receives the commit.
+TEST_F(PromotionTest, ComparesLogsOfPausedReplicas)
+{
+    makeSynchronous();
+    m_answersPauses = false;
+    Promotion& run = promotion(PromotionReason::Unreachable);
+    run.leaseAcquired(1, Time { 10ms });
+    report("q", status(100), Time { 20ms });
+    report("r", status(100), Time { 20ms });
+    EXPECT_EQ(m_pauses, (Pauses { { "q", 4 }, { "r", 4 } }));
+    run.pauseAnswered("q", 4, status(100), Time { 25ms });
+    EXPECT_TRUE(m_promotionRequests.empty());
+    // A response from before the pause.
+    report("r", status(100), Time { 26ms });
+    EXPECT_TRUE(m_promotionRequests.empty());
+    run.pauseAnswered("r", 4, status(101), Time { 30ms });
+    EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "r" });
+}
+
+// Guards against a pause that has no effect because the replicas know a later term.
+TEST_F(PromotionTest, PausesReplicasAboveNewestTerm)
+{
+    makeSynchronous();
+    m_answersPauses = false;
+    Promotion& run = promotion(PromotionReason::Unreachable);
+    run.leaseAcquired(1, Time { 10ms });
+    report("q", status(100), Time { 20ms });
+    report("r", status(100), Time { 20ms });
+    run.pauseAnswered("q", 4, status(100), Time { 25ms });
+    m_pauses.clear();
+    run.pauseAnswered("r", 4, UpstreamStatus { Role::Replica, 6, { 6, 102 } }, Time { 30ms });
+    EXPECT_EQ(m_pauses, (Pauses { { "q", 7 }, { "r", 7 } }));
+    run.pauseAnswered("q", 4, status(100), Time { 35ms });
+    run.pauseAnswered("q", 7, status(100), Time { 36ms });
+    EXPECT_TRUE(m_promotionRequests.empty());
+    run.pauseAnswered("r", 7, UpstreamStatus { Role::Replica, 6, { 6, 103 } }, Time { 40ms });
+    EXPECT_EQ(m_promotionRequests, std::vector<std::string> { "r" });
+}
+
+// Guards against a primary without replicas that receive, after a promotion that was given up.
+TEST_F(PromotionTest, ResumesReplicasIfOneDoesNotPause)
+{
+    makeSynchronous();
+    m_answersPauses = false;
+    Promotion& run = promotion(PromotionReason::Unreachable);
+    run.leaseAcquired(1, Time { 10ms });
+    report("q", status(100), Time { 20ms });
+    report("r", status(100), Time { 20ms });
+    run.pauseAnswered("q", 4, status(100), Time { 25ms });
+    run.pauseAnswered("r", 4, std::nullopt, Time { 30ms });
+    run.update(Time { 200ms });
+    EXPECT_EQ(m_pauses, (Pauses { { "q", 4 }, { "r", 4 }, { "r", 4 } }));
+    run.update(Time { 500ms });
+    EXPECT_EQ(run.phase(), PromotionPhase::Failed);
+    EXPECT_TRUE(m_promotionRequests.empty());
+    EXPECT_EQ(m_resumed, (std::vector<std::string> { "q", "r" }));
+}
+
+// Guards against the loss of commits that are acknowledged after a promotion was given up, and which it does
+// not have if it is carried out late; and against a host that undoes the pause of the next holder.
+TEST_F(PromotionTest, ResumesNoReplicasWhilePromotionMayTakePlace)
+{
+    makeSynchronous();
+    for (const auto result : { PromotionRequestResult::Unknown, PromotionRequestResult::Refused }) {
+        Promotion& run = promotion(PromotionReason::Unreachable);
+        run.leaseAcquired(1, Time { 10ms });
+        report("q", status(100), Time { 20ms });
+        report("r", status(100), Time { 20ms });
+        run.promotionAnswered(result, Time { 3010ms });
+        run.update(Time { 3200ms });
+        EXPECT_EQ(run.phase(), PromotionPhase::Failed);
+        EXPECT_TRUE(m_resumed.empty());
+    }
+}
+
+// Guards against a planned change whose replicas do not receive the rest of the log, and against pauses at
+// services that lose acknowledged commits by them.
+TEST_F(PromotionTest, PausesOnlyReplicasOfUnreachableSynchronousPrimary)
+{
+    promotion(PromotionReason::Unreachable).leaseAcquired(1, Time { 10ms });
+    report("q", status(100), Time { 20ms });
+    report("r", status(100), Time { 20ms });
+    EXPECT_TRUE(m_pauses.empty());
+    makeSynchronous();
+    promotion(PromotionReason::Leaving).leaseAcquired(1, Time { 10ms });
+    report("p", status(102, Role::Primary), Time { 20ms });
+    report("q", status(100), Time { 20ms });
+    report("r", status(100), Time { 20ms });
+    EXPECT_EQ(m_steppedDown, "p");
+    EXPECT_TRUE(m_pauses.empty());
+}
+
+// Guards against a commit that only a replica without a pause receives, because it appeared after the survey.
+TEST_F(PromotionTest, PromotesNoneIfReplicaAppearsDuringPause)
+{
+    makeSynchronous();
+    m_answersPauses = false;
+    Promotion& run = promotion(PromotionReason::Unreachable);
+    run.leaseAcquired(1, Time { 10ms });
+    report("q", status(100), Time { 20ms });
+    report("r", status(100), Time { 20ms });
+    setUpstream("s", Role::Replica);
+    run.pauseAnswered("q", 4, status(100), Time { 25ms });
+    run.pauseAnswered("r", 4, status(100), Time { 25ms });
+    EXPECT_EQ(run.phase(), PromotionPhase::Failed);
+    EXPECT_TRUE(m_promotionRequests.empty());
+}
--- a/tests/auto/platform/tst_wirecodec.cpp
+++ b/tests/auto/platform/tst_wirecodec.cpp
@@ -87,6 +87,8 @@
     EXPECT_EQ(encoded({ CommandKind::Reset }), "QUERY - RESET\r\n");
     EXPECT_EQ(encoded({ CommandKind::Status }), "QUERY - STATUS\r\n");
     EXPECT_EQ(encoded({ CommandKind::StepDown, {}, {}, 4 }), "QUERY - STEPDOWN 4\r\n");
+    EXPECT_EQ(encoded({ CommandKind::Pause, {}, {}, 5 }), "QUERY - PAUSE 5\r\n");
+    EXPECT_EQ(encoded({ CommandKind::Resume }), "QUERY - RESUME\r\n");
     Command prepare { CommandKind::Prepare };
     prepare.statement.kind = StatementKind::Prepare;
     prepare.statement.name = "p1";
@@ -121,6 +123,9 @@
     EXPECT_EQ(status->role, Directory::Role::Replica);
     EXPECT_EQ(status->term, 3U);
     EXPECT_EQ(status->received, (Model::LogPosition { 3, 1209 }));
+    EXPECT_EQ(status->pausedTerm, 0U);
+    EXPECT_EQ(codec.parseStatus("replica 3 3.1209 4 12 2 17")->pausedTerm, 4U);
+    EXPECT_EQ(codec.parseStatus("replica 3 3.1209 -")->pausedTerm, 0U);
     EXPECT_FALSE(codec.parseStatus("observer 3 3.1209"));
     EXPECT_FALSE(codec.parseStatus("replica x 3.1209"));
     EXPECT_FALSE(codec.parseStatus(""));
--- a/tests/auto/sessionproxy/tst_sessionproxy.cpp
+++ b/tests/auto/sessionproxy/tst_sessionproxy.cpp
@@ -870,6 +870,33 @@
     EXPECT_EQ(databases.primary(), "db-1");
 }
 
+// Guards against the loss of acknowledged commits (review/11): the hosts do not reach the primary, which
+// still runs. While another database becomes the primary, it acknowledges a commit that only a third one
+// receives.
+TEST(SessionProxy, LosesNoCommitOfPrimaryThatIsBeingReplaced)
+{
+    TestCluster cluster(3, TestCluster::Path::Links);
+    cluster.setSynchronousReplicas(1);
+    cluster.publish({ "key-1" });
+    // Until then, the hosts cannot know which replicas there were before they started.
+    std::this_thread::sleep_for(11s);
+    Standins::Databases& databases = cluster.databases();
+    databases.setSynchronous();
+    databases.setPromotionTime(1s);
+    ASSERT_TRUE(writeUntilComplete(cluster, 0, "before"));
+    databases.setDeaf("db-1");
+    const std::jthread reader = readAlways(cluster, 0);
+    cluster.databaseLink(0).configure({ { "cutToTarget", true }, { "cutToClient", true } });
+    ASSERT_TRUE(waitUntil([&] { return databases.promotionsBegun() > 0; }, 15s));
+    // As a host that reaches the primary.
+    Client client(databases.address("db-0"));
+    ASSERT_TRUE(client.open("ledger", "acme db-0").starts_with("READY"));
+    client.query("WRITE item late");
+    ASSERT_TRUE(waitUntil([&] { return !databases.isPrimary("db-0"); }, 10s));
+    EXPECT_EQ(databases.lostCommits(), 0);
+    EXPECT_TRUE(writeUntilComplete(cluster, 0, "after"));
+}
+
 // Guards against a caller that takes an item for empty (review/7): the answer to its read was lost, and it
 // got that of the rollback that follows a read on the primary.
 TEST(SessionProxy, AnswersReadsWithTheirOwnRowsIfAnswersAreLost)
--- a/tests/standins/sessionplatform/databases.cpp
+++ b/tests/standins/sessionplatform/databases.cpp
@@ -129,7 +129,25 @@
 void Databases::waitWithWrite(const Member& member)
 {
     std::unique_lock lock(m_mutex);
-    m_writesReleased.wait(lock, [&] { return !m_areWritesWaiting || !member.isUp; });
+    m_writesReleased.wait(lock, [&] {
+        const bool mayRun = m_primary != member.id || isReceived();
+        return (!m_areWritesWaiting && mayRun) || !member.isUp;
+    });
+}
+
+void Databases::setSynchronous()
+{
+    const std::lock_guard lock(m_mutex);
+    m_isSynchronous = true;
+}
+
+/// Whether enough replicas receive what the primary commits now.
+bool Databases::isReceived() const
+{
+    return !m_isSynchronous || std::ranges::any_of(m_members, [&](const auto& member) {
+        return member->isUp && member->id != m_primary && !m_deaf.contains(member->id)
+            && !m_paused.contains(member->id);
+    });
 }
 
 bool Databases::isAnswerLost(const std::string& line)
@@ -158,16 +176,40 @@
 {
     if (!isUp(id))
         return false;
+    m_promotionsBegun += isPrimary(id) ? 0 : 1;
+    const std::chrono::milliseconds time = m_promotionTime;
+    if (time == std::chrono::milliseconds::zero()) {
+        lead(id);
+        return true;
+    }
+    const std::lock_guard lock(m_mutex);
+    m_threads.emplace_back([this, id, time] {
+        std::this_thread::sleep_for(time);
+        lead(id);
+    });
+    return true;
+}
+
+void Databases::lead(const std::string& id)
+{
     {
         const std::lock_guard lock(m_mutex);
         if (m_primary == id)
-            return true;
+            return;
+        m_lostCommits += m_end.number - logEnd(id).number;
         m_primary = id;
-        ++m_term;
+        ++m_end.term;
+        m_paused.clear();
+        m_writesReleased.notify_all();
     }
     for (const std::string& member : ids())
         m_statusChanged(member);
-    return true;
+}
+
+int Databases::lostCommits() const
+{
+    const std::lock_guard lock(m_mutex);
+    return static_cast<int>(m_lostCommits);
 }
 
 int Databases::commits(const std::string& data) const
@@ -235,16 +277,33 @@
 void Databases::setDeaf(const std::string& id)
 {
     const std::lock_guard lock(m_mutex);
-    m_heldPositions[id] = std::to_string(m_term) + "." + std::to_string(m_position);
+    m_deaf[id] = m_end;
 }
 
-/// The end of the database's log.
+Databases::LogEnd Databases::logEnd(const std::string& id) const
+{
+    const auto deaf = m_deaf.find(id);
+    if (deaf != m_deaf.end() && m_primary != id)
+        return deaf->second;
+    const auto paused = m_paused.find(id);
+    return paused != m_paused.end() ? paused->second.end : m_end;
+}
+
+/// The end of the database's log as TERM.NUMBER.
 std::string Databases::position(const Member& member) const
 {
-    const auto held = m_heldPositions.find(member.id);
-    if (held != m_heldPositions.end() && m_primary != member.id)
-        return held->second;
-    return std::to_string(m_term) + "." + std::to_string(m_position);
+    const LogEnd end = logEnd(member.id);
+    return std::to_string(end.term) + "." + std::to_string(end.number);
+}
+
+/// The answer to STATUS and to the commands that answer like it.
+std::string Databases::status(const Member& member) const
+{
+    const auto paused = m_paused.find(member.id);
+    const std::uint64_t pausedTerm = paused == m_paused.end() ? 0 : paused->second.term;
+    return std::string("DATAROW ") + (m_primary == member.id ? "primary " : "replica ")
+        + std::to_string(m_end.term) + " " + position(member) + " " + std::to_string(pausedTerm)
+        + " 0 0 1\r\nCOMPLETE -\r\n";
 }
 
 std::string Databases::ready(const Member& member, const Connection& connection) const
@@ -303,10 +362,16 @@
     }
     if (verb == "SET")
         return "COMPLETE -\r\n";
-    if (verb == "STATUS" || verb == "STEPDOWN") {
-        return std::string("DATAROW ") + (m_primary == member.id ? "primary " : "replica ")
-            + std::to_string(m_term) + " " + position(member) + " 0 0 0 1\r\nCOMPLETE -\r\n";
+    if (verb == "PAUSE" && std::stoull(words.at(1)) > m_end.term && m_primary != member.id) {
+        const Pause pause { logEnd(member.id), std::stoull(words.at(1)) };
+        m_paused.insert_or_assign(member.id, pause);
+    }
+    if (verb == "RESUME") {
+        m_paused.erase(member.id);
+        m_writesReleased.notify_all();
     }
+    if (verb == "STATUS" || verb == "STEPDOWN" || verb == "PAUSE" || verb == "RESUME")
+        return status(member);
     if (isProxyStatement) {
         m_protocolViolations.push_back(line);
         return error("MALFORMED");
@@ -334,7 +399,7 @@
             m_items[item] = data;
             ++m_commits[data];
         }
-        m_position += connection.writes.empty() || isLost ? 0 : 1;
+        m_end.number += connection.writes.empty() || isLost ? 0 : 1;
         connection = { true, false, false, false, {}, connection.prepared };
         return isLost ? error("READONLY") : receipt;
     }
@@ -355,7 +420,7 @@
     }
     m_items[words.at(1)] = words.at(2);
     ++m_commits[words.at(2)];
-    ++m_position;
+    ++m_end.number;
     return receipt;
 }
 
--- a/tests/standins/sessionplatform/databases.h
+++ b/tests/standins/sessionplatform/databases.h
@@ -39,7 +39,15 @@
     /// Makes the database the primary, in a new term unless it is the primary already. Returns false if it
     /// does not run.
     bool promote(const std::string& id);
+    /// Time that each later promotion takes, in which the previous primary still leads; none at first.
+    void setPromotionTime(std::chrono::milliseconds time) { m_promotionTime = time; }
+    /// Number of promotions that have begun, also those that are not over yet.
+    int promotionsBegun() const { return m_promotionsBegun; }
+    /// Number of commits that were acknowledged, but not in the log of the database that was promoted next.
+    int lostCommits() const;
 
+    /// From now on, a single write is acknowledged only once a replica has received it.
+    void setSynchronous();
     /// While set, single writes get no answer, as if they waited for a replica; all else is answered.
     void setWritesWaiting(bool areWaiting);
 
@@ -61,6 +69,11 @@
     std::vector<std::string> protocolViolations() const;
 
 private:
+    /// Position in the log.
+    struct LogEnd {
+        std::uint64_t term = 1;
+        std::uint64_t number = 0;
+    };
     struct Member {
         std::string id;
         int listener = -1;
@@ -83,6 +96,9 @@
 
     static void listenAt(Member& member);
     void waitWithWrite(const Member& member);
+    bool isReceived() const;
+    void lead(const std::string& id);
+    std::string status(const Member& member) const;
     bool isAnswerLost(const std::string& line);
     void accept(Member& member);
     void serve(Member& member, int socket);
@@ -90,6 +106,7 @@
     std::string runQuery(Member& member, Connection& connection, const std::string& line);
     std::string runStatement(
         Member& member, Connection& connection, const std::string& id, std::vector<std::string> words);
+    LogEnd logEnd(const std::string& id) const;
     std::string position(const Member& member) const;
     std::string ready(const Member& member, const Connection& connection) const;
 
@@ -99,10 +116,20 @@
     std::vector<std::unique_ptr<Member>> m_members;
     std::vector<std::thread> m_threads;
     std::string m_primary;
-    std::uint64_t m_term = 1;
-    std::uint64_t m_position = 0;
-    /// Ends of the logs of databases that receive nothing, as TERM.NUMBER.
-    std::map<std::string, std::string> m_heldPositions;
+    /// End of the primary's log.
+    LogEnd m_end;
+    /// Ends of the logs of databases that receive nothing.
+    std::map<std::string, LogEnd> m_deaf;
+    /// The paused databases, with the end of their log and the term of the pause.
+    struct Pause {
+        LogEnd end;
+        std::uint64_t term = 0;
+    };
+    std::map<std::string, Pause> m_paused;
+    bool m_isSynchronous = false;
+    std::uint64_t m_lostCommits = 0;
+    std::atomic<int> m_promotionsBegun = 0;
+    std::atomic<std::chrono::milliseconds> m_promotionTime = std::chrono::milliseconds(0);
     std::map<std::string, std::string> m_items;
     std::map<std::string, int> m_commits;
     std::set<std::string> m_customers;
