Finish promotions that were given up

If the primary kept its role and the request was carried out later, what it had acknowledged meanwhile was rolled back; with synchronous replicas, that loses acknowledged commits. And since replicas are paused during a promotion, a host that ends then would leave the writes of the service waiting for good.

Cause: nobody owns a promotion that is over without a known result.

Change: the host that made such a promotion finishes it, while the primary responds in its role: it requests the promotion of this primary with a new token, after which the promoter refuses the earlier request, withdraws the record and resumes the replicas. Every host whose requests wait on a primary that responds asks the replicas of a service with synchronous ones whether they are paused, in turn, and finishes the promotion if so. Without waiting requests, nothing more is sent.

UpstreamWithWaitingWritesStaysReachable passes the new callback and counts its answers besides.

--- a/src/libs/core/failover/primarywatch.cpp
+++ b/src/libs/core/failover/primarywatch.cpp
@@ -30,6 +30,8 @@
         return "unreachable";
     case PromotionReason::Leaving:
         return "leaving";
+    case PromotionReason::Unfinished:
+        return "unfinished";
     }
     return "";
 }
--- a/src/libs/core/failover/primarywatch.h
+++ b/src/libs/core/failover/primarywatch.h
@@ -19,6 +19,9 @@
     Unreachable,
     /// The primary is draining, or its zone was taken out of service.
     Leaving,
+    /// The primary keeps its role, but an earlier promotion may still take place, or has left replicas
+    /// paused.
+    Unfinished,
 };
 
 std::string_view promotionReasonName(PromotionReason reason);
--- a/src/libs/core/failover/promotion.cpp
+++ b/src/libs/core/failover/promotion.cpp
@@ -63,7 +63,7 @@
     , m_previousPrimary(std::move(previousPrimary))
 {
     // A primary that leaves is asked to step down, which ends its use without a fence.
-    acquireLease(m_reason == PromotionReason::Leaving ? Fence::None : Fence::Set, now);
+    acquireLease(asksPreviousPrimary() ? Fence::None : Fence::Set, now);
 }
 
 void Promotion::acquireLease(Fence fence, Model::Time now)
@@ -74,6 +74,12 @@
     m_hooks.acquireLease(m_service, fence);
 }
 
+/// Whether the previous primary is asked for its status, because it keeps its role until then.
+bool Promotion::asksPreviousPrimary() const
+{
+    return m_reason == PromotionReason::Leaving || m_reason == PromotionReason::Unfinished;
+}
+
 Model::Time Promotion::leaseEnd() const { return m_leaseRequestedAt + leaseUse; }
 
 void Promotion::enter(PromotionPhase phase, Model::Time now)
@@ -82,6 +88,19 @@
     m_phaseAt = now;
 }
 
+void Promotion::finish(Model::Time now)
+{
+    if (m_reason == PromotionReason::Unfinished)
+        resumeReplicas(now);
+    enter(PromotionPhase::Finished, now);
+}
+
+bool Promotion::isUnfinished() const
+{
+    const bool mayTakePlace = m_hasOutstandingRequest || m_hasUnknownRequest || m_acceptedAt;
+    return m_phase == PromotionPhase::Failed && (mayTakePlace || !m_paused.empty());
+}
+
 /// Ends the promotion. Its record is withdrawn if no request may have been carried out.
 void Promotion::fail(Model::Time now)
 {
@@ -216,15 +235,14 @@
 /// Adds the promotion of the candidate to those that may have taken place.
 void Promotion::addCandidate()
 {
-    m_term = nextTerm();
     const auto status = m_statuses.find(m_candidate);
-    const bool isPrimary
+    m_confirmsPrimary
         = status != m_statuses.end() && status->second && status->second->role == Directory::Role::Primary;
-    const Model::LogPosition end = lastPosition(m_candidate);
-    // The promotion of the present primary begins no term. Without a position, nothing can be said of the
-    // logs of the others.
-    if (!isPrimary && end != Model::LogPosition {})
-        m_promotions.add({ m_term, m_candidate, end });
+    m_term = m_confirmsPrimary ? status->second->term : nextTerm();
+    m_candidateEnd = lastPosition(m_candidate);
+    // Without a position, nothing can be said of the logs of the others.
+    if (!m_confirmsPrimary && m_candidateEnd != Model::LogPosition {})
+        m_promotions.add({ m_term, m_candidate, m_candidateEnd });
 }
 
 void Promotion::candidateRecorded(bool isRecorded, Model::Time now)
@@ -279,7 +297,7 @@
     const bool isTimeOver = now - m_phaseAt > promotionTimeout;
     if (isPrimary && (!m_isTermUncertain || isTimeOver)) {
         stepDownPreviousPrimary();
-        return enter(PromotionPhase::Finished, now);
+        return finish(now);
     }
     if (isTimeOver)
         return enter(PromotionPhase::Failed, now);
@@ -296,8 +314,12 @@
     if (!m_isTermUncertain || status.role != Directory::Role::Primary)
         return;
     m_isTermUncertain = false;
-    if (m_promotions.starts().back().primary == m_candidate)
-        m_promotions.add({ status.term, m_candidate, m_promotions.starts().back().end });
+    if (status.term == m_term || m_candidateEnd == Model::LogPosition {})
+        return;
+    // A primary that was to be confirmed has lost its role meanwhile, and got it back.
+    if (m_confirmsPrimary)
+        m_promotions = m_recorded;
+    m_promotions.add({ status.term, m_candidate, m_candidateEnd });
 }
 
 Model::Time Promotion::expectedEnd(Model::Duration promotionDuration, Model::Time now) const
--- a/src/libs/core/failover/promotion.h
+++ b/src/libs/core/failover/promotion.h
@@ -103,6 +103,9 @@
 /// primary may still run and be in use by hosts that reach it. So the replicas that have responded are paused
 /// before their logs are compared: too few others are left for it to acknowledge a commit.
 ///
+/// A request without a definite answer may be carried out later, and replicas stay paused until then. If the
+/// primary keeps its role, a further promotion, of this primary, prevents that and resumes the replicas.
+///
 /// An upstream that has entries which an earlier promotion rolled back is not promoted: reads have run on the
 /// replaced primary without them. So a promotion is recorded before it is requested, and counts unless it
 /// certainly has not taken place.
@@ -129,6 +132,8 @@
     void update(Model::Time now);
 
     PromotionPhase phase() const { return m_phase; }
+    /// Whether it has failed, but may still take place, or has left replicas paused.
+    bool isUnfinished() const;
     bool isOver() const { return m_phase == PromotionPhase::Finished || m_phase == PromotionPhase::Failed; }
     const std::string& service() const { return m_service; }
     /// Whether this host holds the lease, so that the others need not try to acquire it.
@@ -140,7 +145,11 @@
     FencingToken token() const { return m_token; }
     /// The promotions that may have taken place, as the row of the lease should have them: with this one once
     /// its candidate is chosen, unless it has certainly not taken place.
-    const TermHistory& promotions() const { return m_promotions; }
+    const TermHistory& promotions() const
+    {
+        // Until the promoter has confirmed the primary, an earlier request may still be carried out.
+        return m_confirmsPrimary && !m_acceptedAt ? m_recorded : m_promotions;
+    }
     /// Until when the promotion request may be sent.
     Model::Time leaseEnd() const;
     /// When the new primary is expected to accept writes if it takes `promotionDuration` from the acceptance
@@ -152,6 +161,8 @@
 private:
     void enter(PromotionPhase phase, Model::Time now);
     void fail(Model::Time now);
+    void finish(Model::Time now);
+    bool asksPreviousPrimary() const;
     void acquireLease(Fence fence, Model::Time now);
     void requestPromotion(Model::Time now);
     void stepDownPreviousPrimary();
@@ -178,6 +189,7 @@
     bool isSurveySufficient(Model::Time now) const;
     bool isGone(const std::string& upstream, Model::Time now) const;
     void finishSurvey(Model::Time now);
+    void finishEarlierPromotion(Model::Time now);
     void promote(const std::string& candidate, Model::Time now);
     void addCandidate();
     void continueAwaiting(Model::Time now);
@@ -216,6 +228,10 @@
     std::string m_candidate;
     /// Term of the candidate as the primary.
     std::uint64_t m_term = 0;
+    /// The candidate is the primary already, so that its promotion begins no term.
+    bool m_confirmsPrimary = false;
+    /// End of the candidate's log.
+    Model::LogPosition m_candidateEnd;
     /// `m_term` may be too high, since it is not known whether the newest recorded promotion has taken place.
     bool m_isTermUncertain = false;
     bool m_hasOutstandingRequest = false;
--- a/src/libs/core/failover/promotionsurvey.cpp
+++ b/src/libs/core/failover/promotionsurvey.cpp
@@ -38,7 +38,7 @@
 {
     std::vector<std::string> result;
     for (const Directory::Upstream* upstream : m_view.upstreamsOf(m_service)) {
-        if (upstream->id != m_previousPrimary || m_reason == PromotionReason::Leaving)
+        if (upstream->id != m_previousPrimary || asksPreviousPrimary())
             result.push_back(upstream->id);
     }
     if (synchronousReplicas() == 0)
@@ -85,6 +85,27 @@
     }
 }
 
+/// If the primary keeps its role, requests its promotion, with which the promoter carries out no earlier
+/// request any more, and resumes the replicas. Otherwise the directory will show why it does not.
+void Promotion::finishEarlierPromotion(Model::Time now)
+{
+    const auto primary = m_statuses.find(m_previousPrimary);
+    const bool isPrimary
+        = primary != m_statuses.end() && primary->second && primary->second->role == Directory::Role::Primary;
+    if (!isPrimary)
+        return promote({}, now);
+    if (synchronousReplicas() > 0) {
+        for (const auto& [upstream, status] : m_statuses) {
+            if (upstream != m_previousPrimary)
+                m_paused.insert(upstream);
+        }
+    }
+    if (m_promotions == m_recorded)
+        return finish(now);
+    m_isTermUncertain = true;
+    promote(m_previousPrimary, now);
+}
+
 /// Whether the replaced primary may go on acknowledging commits. One that leaves steps down first, and where
 /// the hosts need a fence, none of them uses it any more.
 bool Promotion::mustPauseReplicas() const
@@ -187,6 +208,8 @@
 {
     updateHistory();
     m_mayPromoteDiverged = m_hooks.mayPromoteDiverged && m_hooks.mayPromoteDiverged(now);
+    if (m_reason == PromotionReason::Unfinished)
+        return finishEarlierPromotion(now);
     if (!isSurveySufficient(now))
         return promote({}, now);
     if (mustPauseReplicas())
--- a/src/libs/core/proxy/engine.h
+++ b/src/libs/core/proxy/engine.h
@@ -124,8 +124,9 @@
     /// connection fails before a reply arrives.
     void command(const std::string& upstream, const Command& command, AnswerHook answered, Model::Time now);
     /// Requests the status of the upstream if it has left requests unanswered for a while. Has to be called
-    /// every 100 ms for upstreams whose reachability decides on their replacement.
-    void probeIfUnresponsive(const std::string& upstream, Model::Time now);
+    /// every 100 ms for upstreams whose reachability decides on their replacement. `answered` is the same as
+    /// that of `command`.
+    void probeIfUnresponsive(const std::string& upstream, AnswerHook answered, Model::Time now);
     /// Sets when a new primary of the service is expected; `nullopt` if none is. Requests whose deadline is
     /// later stay queued until their time limit instead of being refused early.
     void setPrimaryExpected(const std::string& service, std::optional<Model::Time> at);
--- a/src/libs/core/proxy/engineconnections.cpp
+++ b/src/libs/core/proxy/engineconnections.cpp
@@ -63,11 +63,10 @@
     m_hooks.connect(opened.id, *target, {});
 }
 
-void Engine::probeIfUnresponsive(const std::string& upstream, Model::Time now)
+void Engine::probeIfUnresponsive(const std::string& upstream, AnswerHook answered, Model::Time now)
 {
     if (m_reachability.takeProbe(upstream, now))
-        command(
-            upstream, { CommandKind::Status }, [](const std::optional<Reply>&) {}, now);
+        command(upstream, { CommandKind::Status }, std::move(answered), now);
 }
 
 /// Calls the reply callbacks of a lost connection with `nullopt`. A statement without a reply may have run.
--- a/src/libs/proxyhost/failovers.cpp
+++ b/src/libs/proxyhost/failovers.cpp
@@ -28,6 +28,8 @@
 
     /// Time between two checks whether a replica has received enough to take over from a leaving primary.
     constexpr Model::Duration replicaCheckPeriod = std::chrono::seconds(2);
+    /// Time between two attempts to finish an earlier promotion.
+    constexpr Model::Duration unfinishedRetryPeriod = std::chrono::seconds(2);
 
     std::string join(const std::vector<std::string>& words)
     {
@@ -65,8 +67,9 @@
     , m_self(self)
     , m_hooks(std::move(hooks))
     , m_promotionDuration(usualPromotionDuration)
-    , m_watch(view, server.engine().reachability(), std::move(self))
+    , m_watch(view, server.engine().reachability(), self)
     , m_timer(loop, [this] { update(); })
+    , m_pauseCheck(std::move(self))
 {
     m_watch.setNeedsMajority(m_hooks.isFenceEffective != nullptr);
 }
@@ -76,6 +79,12 @@
     m_watch.setHealthObservation(service, std::move(observation));
 }
 
+void Failovers::setHostCount(int count)
+{
+    m_watch.setHostCount(count);
+    m_pauseCheck.setHostCount(count);
+}
+
 void Failovers::upstreamsRead() { m_watch.setUpstreamsKnown(EventLoop::now()); }
 
 void Failovers::setHost(const std::string& host, bool canPromote)
@@ -103,7 +112,7 @@
         if (m_promotions.contains(service)) {
             advance(service);
         } else if (canPromote(now) && !isPausing(service, now)) {
-            const auto reason = m_watch.due(service, now);
+            const auto reason = dueReason(service, now);
             if (reason && !isWaitingForReplicas(service, *reason, now))
                 start(service, *reason);
         }
@@ -122,10 +131,53 @@
         return;
     m_onlyDivergedSince.erase(service);
     KnownPrimary& known = m_knownPrimaries[service];
-    if (known.since != primary->primarySince)
+    if (known.since != primary->primarySince) {
         m_server.engine().resetReachability(primary->id);
+        m_unfinished.erase(service);
+    }
     known = { primary->id, primary->primarySince };
-    m_server.probeIfUnresponsive(primary->id);
+    m_server.probeIfUnresponsive(
+        primary->id, [this, service](const std::optional<Failover::UpstreamStatus>& status) {
+            if (status && status->role == Directory::Role::Primary)
+                checkForPausedReplicas(service);
+        });
+}
+
+/// The primary responds, but requests wait there. Where they wait for replicas, these may have been left
+/// paused by a host that ended during a promotion.
+void Failovers::checkForPausedReplicas(const std::string& service)
+{
+    const Model::Time now = EventLoop::now();
+    const Directory::Service* settings = m_view.configuration()->findService(service);
+    if (!settings || settings->synchronousReplicas == 0 || !m_pauseCheck.isDue(service, now))
+        return;
+    for (const Directory::Upstream* upstream : m_view.upstreamsOf(service)) {
+        m_server.sendCommand(upstream->id, { Proxy::CommandKind::Status },
+            [this, service](const std::optional<Failover::UpstreamStatus>& status) {
+                if (status && status->pausedTerm != 0)
+                    m_unfinished.insert(service);
+            });
+    }
+}
+
+/// The reason for this host to replace the primary of a service now, or to finish an earlier promotion.
+std::optional<Failover::PromotionReason> Failovers::dueReason(const std::string& service, Model::Time now)
+{
+    if (const auto reason = m_watch.due(service, now))
+        return reason;
+    if (!m_unfinished.contains(service) || !isPrimaryReachable(service, now))
+        return std::nullopt;
+    const auto attempt = m_lastAttempts.find(service);
+    if (attempt != m_lastAttempts.end() && now - attempt->second < unfinishedRetryPeriod)
+        return std::nullopt;
+    return Failover::PromotionReason::Unfinished;
+}
+
+bool Failovers::isPrimaryReachable(const std::string& service, Model::Time now) const
+{
+    const Directory::Upstream* primary = m_view.primaryOf(service);
+    return primary
+        && m_server.engine().reachability().state(primary->id, now) == Failover::ReachabilityState::Reachable;
 }
 
 /// Returns when the service is expected to have its new primary; `nullopt` if no host is replacing the
@@ -362,9 +414,14 @@
         { { "service", service }, { "upstream", promotion.candidate() },
             { "token", std::to_string(promotion.token()) },
             { "elapsedMs", std::to_string(elapsed.count()) } });
-    if (isDone && promotion.acceptedAt())
+    const bool isNewPrimary = isDone && promotion.reason() != Failover::PromotionReason::Unfinished;
+    if (isNewPrimary && promotion.acceptedAt())
         m_promotionDuration = now - *promotion.acceptedAt();
     m_lastEnded[service] = now;
+    if (promotion.isUnfinished())
+        m_unfinished.insert(service);
+    else if (isDone)
+        m_unfinished.erase(service);
     m_promotions.erase(found);
 }
 
--- a/src/libs/proxyhost/failovers.h
+++ b/src/libs/proxyhost/failovers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/directory/view.h"
+#include "core/failover/pausecheck.h"
 #include "core/failover/primarywatch.h"
 #include "core/failover/promotion.h"
 #include "core/proxy/command.h"
@@ -13,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,7 +45,7 @@
     /// A report of another host arrived; `canPromote` is set if that host could replace a primary.
     void setHost(const std::string& host, bool canPromote);
     /// Sets the number of live hosts, this one included.
-    void setHostCount(int count) { m_watch.setHostCount(count); }
+    void setHostCount(int count);
     void setReportPeriod(Model::Duration period) { m_watch.setReportPeriod(period); }
     /// All upstreams that are registered are known.
     void upstreamsRead();
@@ -78,6 +80,9 @@
     void requestPromotion(
         const std::string& service, const std::string& upstream, Failover::FencingToken token);
     void checkPrimary(const std::string& service);
+    void checkForPausedReplicas(const std::string& service);
+    std::optional<Failover::PromotionReason> dueReason(const std::string& service, Model::Time now);
+    bool isPrimaryReachable(const std::string& service, Model::Time now) const;
     std::optional<Model::Time> primaryExpected(const std::string& service, Model::Time now) const;
     bool isPausing(const std::string& service, Model::Time now) const;
     void surveyed(const std::string& service, const Failover::SurveyResult& result);
@@ -99,6 +104,9 @@
     /// The lease of each running promotion that has acquired it.
     std::map<std::string, AcquiredLease> m_leases;
     std::map<std::string, Model::Time> m_lastEnded;
+    /// Services whose promotions have to be finished, see `PromotionReason::Unfinished`.
+    std::set<std::string> m_unfinished;
+    Failover::PauseCheck m_pauseCheck;
     /// Since when each promotion of the service has failed because all logs had diverged from the primary's.
     std::map<std::string, Model::Time> m_onlyDivergedSince;
     /// When this or another host was last seen to replace the primary.
--- a/src/libs/sessionserver/server.cpp
+++ b/src/libs/sessionserver/server.cpp
@@ -331,21 +331,25 @@
     scheduleTick();
 }
 
-void Server::sendCommand(const std::string& upstream, const Proxy::Command& command,
-    std::function<void(const std::optional<Failover::UpstreamStatus>&)> answered)
+/// Passes on the status in a reply.
+Proxy::Engine::AnswerHook Server::decodeStatus(StatusHook answered) const
 {
-    const auto decode = [this, answered = std::move(answered)](const std::optional<Proxy::Reply>& reply) {
+    return [this, answered = std::move(answered)](const std::optional<Proxy::Reply>& reply) {
         if (!reply || reply->code != Proxy::ResultCode::Complete || reply->rows.empty())
             return answered(std::nullopt);
         answered(m_codec.parseStatus(reply->rows.front()));
     };
-    m_engine.command(upstream, command, decode, EventLoop::now());
+}
+
+void Server::sendCommand(const std::string& upstream, const Proxy::Command& command, StatusHook answered)
+{
+    m_engine.command(upstream, command, decodeStatus(std::move(answered)), EventLoop::now());
     scheduleTick();
 }
 
-void Server::probeIfUnresponsive(const std::string& upstream)
+void Server::probeIfUnresponsive(const std::string& upstream, StatusHook answered)
 {
-    m_engine.probeIfUnresponsive(upstream, EventLoop::now());
+    m_engine.probeIfUnresponsive(upstream, decodeStatus(std::move(answered)), EventLoop::now());
 }
 
 void Server::handleForwarded(Proxy::SessionId id, Proxy::ForwardedStatement statement)
--- a/src/libs/sessionserver/server.h
+++ b/src/libs/sessionserver/server.h
@@ -95,10 +95,10 @@
     void endTransactions();
     /// Sends a command of the proxy itself to an upstream. `answered` gets `nullopt` if no answer arrives, or
     /// if it is an error or malformed.
-    void sendCommand(const std::string& upstream, const Proxy::Command& command,
-        std::function<void(const std::optional<Failover::UpstreamStatus>&)> answered);
+    using StatusHook = std::function<void(const std::optional<Failover::UpstreamStatus>&)>;
+    void sendCommand(const std::string& upstream, const Proxy::Command& command, StatusHook answered);
     /// Requests the status of the upstream if it has left requests unanswered for a while.
-    void probeIfUnresponsive(const std::string& upstream);
+    void probeIfUnresponsive(const std::string& upstream, StatusHook answered);
     /// Executes a statement of another host's session; see `Proxy::Engine::handleForwarded`.
     void handleForwarded(Proxy::SessionId id, Proxy::ForwardedStatement statement);
     /// The other host has ended the session, or is gone.
@@ -153,6 +153,8 @@
     void upstreamClosed(Proxy::ConnectionId id);
     void send(Proxy::ConnectionId id, std::span<const Proxy::Command> commands);
 
+    Proxy::Engine::AnswerHook decodeStatus(StatusHook answered) const;
+
     void countDecision(Proxy::DecisionKind kind);
     void settleCaller(Proxy::SessionId id);
     void settleUpstream(Proxy::ConnectionId id);
--- a/tests/auto/core/failover/tst_promotion.cpp
+++ b/tests/auto/core/failover/tst_promotion.cpp
@@ -813,3 +813,83 @@
     EXPECT_EQ(run.phase(), PromotionPhase::Failed);
     EXPECT_TRUE(m_promotionRequests.empty());
 }
+
+// Guards against a promotion that is carried out long after it was given up (review/11, report): the primary
+// had kept its role and acknowledged further commits.
+TEST_F(PromotionTest, TakesBackPromotionThatMayStillTakePlace)
+{
+    const TermHistory recorded({ { 4, "q", { 3, 46 } } });
+    Promotion& run = promotion(PromotionReason::Unfinished);
+    run.leaseAcquired(9, Time { 10ms }, recorded);
+    report("p", status(63, Role::Primary), Time { 20ms });
+    report("q", status(46), Time { 20ms });
+    report("r", status(60), Time { 20ms });
+    ASSERT_EQ(m_promotionRequests, std::vector<std::string> { "p" });
+    EXPECT_EQ(m_token, 9U);
+    // Until the promoter has seen the new token, the promotion of `q` may still take place.
+    EXPECT_EQ(run.promotions(), recorded);
+    run.promotionAnswered(PromotionRequestResult::Accepted, Time { 30ms });
+    run.update(Time { 150ms });
+    report("p", status(64, Role::Primary), Time { 160ms });
+    EXPECT_EQ(run.phase(), PromotionPhase::Finished);
+    EXPECT_EQ(run.promotions(), TermHistory());
+}
+
+// Guards against the same promotion being forgotten if it was carried out just before it was taken back.
+TEST_F(PromotionTest, RecordsPromotionThatCouldNotBeTakenBack)
+{
+    const TermHistory recorded({ { 4, "q", { 3, 46 } } });
+    Promotion& run = promotion(PromotionReason::Unfinished);
+    run.leaseAcquired(9, Time { 10ms }, recorded);
+    report("p", status(63, Role::Primary), Time { 20ms });
+    report("q", status(46), Time { 20ms });
+    report("r", status(60), Time { 20ms });
+    run.promotionAnswered(PromotionRequestResult::Accepted, Time { 30ms });
+    run.update(Time { 150ms });
+    report("p", UpstreamStatus { Role::Primary, 5, { 5, 64 } }, Time { 160ms });
+    EXPECT_EQ(run.phase(), PromotionPhase::Finished);
+    EXPECT_EQ(run.promotions(), TermHistory({ { 4, "q", { 3, 46 } }, { 5, "p", { 3, 63 } } }));
+}
+
+// Guards against replicas that receive nothing for good because a host ended during a promotion.
+TEST_F(PromotionTest, ResumesReplicasOfPrimaryThatKeepsItsRole)
+{
+    makeSynchronous();
+    Promotion& run = promotion(PromotionReason::Unfinished);
+    run.leaseAcquired(9, Time { 10ms });
+    report("p", status(63, Role::Primary), Time { 20ms });
+    report("q", status(46), Time { 20ms });
+    report("r", status(60), Time { 20ms });
+    EXPECT_EQ(run.phase(), PromotionPhase::Finished);
+    EXPECT_TRUE(m_promotionRequests.empty());
+    EXPECT_EQ(m_resumed, (std::vector<std::string> { "q", "r" }));
+}
+
+// Guards against replicas that receive again although the promotion was carried out.
+TEST_F(PromotionTest, ResumesNoReplicasIfPrimaryHasLostItsRole)
+{
+    makeSynchronous();
+    Promotion& run = promotion(PromotionReason::Unfinished);
+    run.leaseAcquired(9, Time { 10ms }, TermHistory({ { 4, "q", { 3, 46 } } }));
+    report("p", status(63), Time { 20ms });
+    report("q", status(46), Time { 20ms });
+    report("r", status(46), Time { 20ms });
+    EXPECT_EQ(run.phase(), PromotionPhase::Failed);
+    EXPECT_TRUE(m_promotionRequests.empty());
+    EXPECT_TRUE(m_resumed.empty());
+}
+
+// Guards against a host that forgets which of its promotions it has to finish.
+TEST_F(PromotionTest, IsUnfinishedOnlyWhileItMayTakePlace)
+{
+    for (const auto result : { PromotionRequestResult::Refused, PromotionRequestResult::Unknown }) {
+        Promotion& run = promotion(PromotionReason::Unreachable);
+        run.leaseAcquired(1, Time { 10ms });
+        report("q", status(100), Time { 20ms });
+        report("r", status(100), Time { 20ms });
+        run.promotionAnswered(result, Time { 30ms });
+        run.update(Time { 3200ms });
+        EXPECT_EQ(run.phase(), PromotionPhase::Failed);
+        EXPECT_EQ(run.isUnfinished(), result == PromotionRequestResult::Unknown);
+    }
+}
--- a/tests/auto/core/proxy/tst_enginefailures.cpp
+++ b/tests/auto/core/proxy/tst_enginefailures.cpp
@@ -216,15 +216,19 @@
 {
     run(open("strict"), StatementKind::Write);
     run(open("strict"), StatementKind::Write);
+    int answers = 0;
     for (int i = 0; i < 10; ++i) {
         advance(100ms);
-        m_engine->probeIfUnresponsive("p", m_now);
+        m_engine->probeIfUnresponsive(
+            "p", [&](const std::optional<Reply>& reply) { answers += reply ? 1 : 0; }, m_now);
         acceptConnections();
         const ConnectionId link = linkTo("p");
         if (link != 0 && kinds(take(link)) == std::vector { CommandKind::Status })
             answer(link);
         EXPECT_NE(m_engine->reachability().state("p", m_now), Failover::ReachabilityState::Unreachable);
     }
+    // From it, a host learns that the replicas may be paused. No request is sent after it.
+    EXPECT_EQ(answers, 1);
 }
 
 // Guards against a read that waits until its time limit after its reply was lost (incident inc-3845).
--- a/tests/auto/sessionproxy/tst_sessionproxy.cpp
+++ b/tests/auto/sessionproxy/tst_sessionproxy.cpp
@@ -897,6 +897,25 @@
     EXPECT_TRUE(writeUntilComplete(cluster, 0, "after"));
 }
 
+// Guards against a service whose writes wait for good: a host has ended during a promotion and left the
+// replicas paused, while the primary keeps its role.
+TEST(SessionProxy, ResumesReplicasThatWereLeftPaused)
+{
+    TestCluster cluster(3);
+    cluster.setSynchronousReplicas(1);
+    cluster.publish({ "key-1" });
+    Standins::Databases& databases = cluster.databases();
+    databases.setSynchronous();
+    ASSERT_TRUE(writeUntilComplete(cluster, 0, "before"));
+    for (const std::string replica : { "db-1", "db-2" }) {
+        Client client(databases.address(replica));
+        ASSERT_TRUE(client.open("ledger", "acme " + replica).starts_with("READY"));
+        client.query("PAUSE 9");
+    }
+    EXPECT_TRUE(writeUntilComplete(cluster, 0, "after"));
+    EXPECT_TRUE(databases.isPrimary("db-0"));
+}
+
 // Guards against a caller that takes an item for empty (review/7): the answer to its read was lost, and it
 // got that of the rollback that follows a read on the primary.
 TEST(SessionProxy, AnswersReadsWithTheirOwnRowsIfAnswersAreLost)
