Keep replicas paused while an earlier promotion may take place

Replicas are resumed by a failed promotion only if the newest recorded one has certainly taken place or there is none, and by one that finishes an earlier promotion only once the promoter has confirmed the primary.

PromotionTest.ResumesNoReplicasWhileEarlierPromotionMayTakePlace failed before (both replicas resumed) and passes. Only services with synchronous replicas are concerned.

--- a/src/libs/core/failover/promotion.cpp
+++ b/src/libs/core/failover/promotion.cpp
@@ -90,8 +90,14 @@
 
 void Promotion::finish(Model::Time now)
 {
-    if (m_reason == PromotionReason::Unfinished)
+    // Those that an earlier promotion may have paused.
+    if (m_reason == PromotionReason::Unfinished && synchronousReplicas() > 0) {
+        for (const auto& [upstream, status] : m_statuses) {
+            if (upstream != m_previousPrimary)
+                m_paused.insert(upstream);
+        }
         resumeReplicas(now);
+    }
     enter(PromotionPhase::Finished, now);
 }
 
@@ -101,12 +107,16 @@
     return m_phase == PromotionPhase::Failed && (mayTakePlace || !m_paused.empty());
 }
 
+/// Whether the newest recorded promotion may still be carried out.
+bool Promotion::mayEarlierTakePlace() const { return !m_recorded.starts().empty() && !isNewestKnown(); }
+
 /// Ends the promotion. Its record is withdrawn if no request may have been carried out.
 void Promotion::fail(Model::Time now)
 {
     if (!m_hasOutstandingRequest && !m_hasUnknownRequest) {
         m_promotions = m_recorded;
-        resumeReplicas(now);
+        if (!mayEarlierTakePlace())
+            resumeReplicas(now);
     }
     enter(PromotionPhase::Failed, now);
 }
--- a/src/libs/core/failover/promotion.h
+++ b/src/libs/core/failover/promotion.h
@@ -170,6 +170,7 @@
     std::uint64_t knownTerm() const;
     std::uint64_t nextTerm() const;
     bool isNewestKnown() const;
+    bool mayEarlierTakePlace() const;
     bool isNewestRefuted() const;
     void updateHistory();
     bool hasDiverged(const Model::LogPosition& position) const;
--- a/src/libs/core/failover/promotionsurvey.cpp
+++ b/src/libs/core/failover/promotionsurvey.cpp
@@ -94,12 +94,6 @@
         = primary != m_statuses.end() && primary->second && primary->second->role == Directory::Role::Primary;
     if (!isPrimary)
         return promote({}, now);
-    if (synchronousReplicas() > 0) {
-        for (const auto& [upstream, status] : m_statuses) {
-            if (upstream != m_previousPrimary)
-                m_paused.insert(upstream);
-        }
-    }
     if (m_promotions == m_recorded)
         return finish(now);
     m_isTermUncertain = true;
@@ -172,7 +166,7 @@
     }
 }
 
-/// Ends what `pauseReplicas` began. After the end of the lease, another host may have paused the replicas.
+/// Ends the pauses. After the end of the lease, another host may have paused the replicas.
 void Promotion::resumeReplicas(Model::Time now)
 {
     if (now > leaseEnd())
--- a/tests/auto/core/failover/tst_promotion.cpp
+++ b/tests/auto/core/failover/tst_promotion.cpp
@@ -893,3 +893,31 @@
         EXPECT_EQ(run.isUnfinished(), result == PromotionRequestResult::Unknown);
     }
 }
+
+// Guards against the loss of commits that are acknowledged after a later promotion was given up, because it
+// resumed the replicas although an earlier one may still be carried out.
+TEST_F(PromotionTest, ResumesNoReplicasWhileEarlierPromotionMayTakePlace)
+{
+    makeSynchronous();
+    m_answersPauses = false;
+    const TermHistory recorded({ { 4, "q", { 3, 100 } } });
+    Promotion& run = promotion(PromotionReason::Unreachable);
+    run.leaseAcquired(1, Time { 10ms }, recorded);
+    report("q", status(100), Time { 20ms });
+    report("r", status(100), Time { 20ms });
+    run.pauseAnswered("q", 4, status(100), Time { 25ms });
+    run.update(Time { 500ms });
+    EXPECT_EQ(run.phase(), PromotionPhase::Failed);
+    EXPECT_TRUE(m_resumed.empty());
+    EXPECT_TRUE(run.isUnfinished());
+
+    Promotion& next = promotion(PromotionReason::Unfinished);
+    next.leaseAcquired(2, Time { 10ms }, recorded);
+    report("p", status(100, Role::Primary), Time { 20ms });
+    report("q", status(100), Time { 20ms });
+    report("r", status(100), Time { 20ms });
+    ASSERT_EQ(m_promotionRequests, std::vector<std::string> { "p" });
+    next.promotionAnswered(PromotionRequestResult::Refused, Time { 30ms });
+    EXPECT_EQ(next.phase(), PromotionPhase::Failed);
+    EXPECT_TRUE(m_resumed.empty());
+}
