Test that a promotion without an answer is taken back

Real processes: the promoter answers no request, the hosts reach the primary again, and it is promoted with a new token.

--- a/tests/auto/sessionproxy/tst_sessionproxy.cpp
+++ b/tests/auto/sessionproxy/tst_sessionproxy.cpp
@@ -897,6 +897,26 @@
     EXPECT_TRUE(writeUntilComplete(cluster, 0, "after"));
 }
 
+// Guards against a promotion that is carried out long after it was given up, when the primary is in use
+// again: its requests got no answer, and the hosts reach the primary again.
+TEST(SessionProxy, TakesBackPromotionWithoutAnswer)
+{
+    TestCluster cluster(3, TestCluster::Path::Links);
+    ASSERT_TRUE(writeUntilComplete(cluster, 0, "before"));
+    cluster.store().setPromotionsUnanswered(true);
+    const std::jthread reader = readAlways(cluster, 0);
+    cluster.databaseLink(0).configure({ { "cutToTarget", true }, { "cutToClient", true } });
+    ASSERT_TRUE(waitUntil([&] { return !cluster.store().requestedPromotions().empty(); }, 15s));
+    cluster.databaseLink(0).configure({ { "cutToTarget", false }, { "cutToClient", false } });
+    // The hosts give the promotion up.
+    std::this_thread::sleep_for(4s);
+    EXPECT_NE(cluster.store().requestedPromotions().back(), "db-0");
+    cluster.store().setPromotionsUnanswered(false);
+    EXPECT_TRUE(waitUntil([&] { return cluster.store().requestedPromotions().back() == "db-0"; }, 10s));
+    EXPECT_TRUE(cluster.databases().isPrimary("db-0"));
+    EXPECT_TRUE(writeUntilComplete(cluster, 0, "after"));
+}
+
 // Guards against a service whose writes wait for good: a host has ended during a promotion and left the
 // replicas paused, while the primary keeps its role.
 TEST(SessionProxy, ResumesReplicasThatWereLeftPaused)
--- a/tests/standins/sessionplatform/rowstore.cpp
+++ b/tests/standins/sessionplatform/rowstore.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <thread>
 #include <utility>
 
 #include <gnutls/gnutls.h>
@@ -102,6 +103,18 @@
     m_changed.notify_all();
 }
 
+void RowStore::setPromotionsUnanswered(bool areUnanswered)
+{
+    const std::lock_guard lock(m_mutex);
+    m_arePromotionsUnanswered = areUnanswered;
+}
+
+std::vector<std::string> RowStore::requestedPromotions() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_requestedPromotions;
+}
+
 void RowStore::failAfterPromotion()
 {
     const std::lock_guard lock(m_mutex);
@@ -244,8 +257,20 @@
 
 HttpResponse RowStore::promote(const HttpRequest& request)
 {
+    constexpr std::chrono::seconds longerThanTimeLimit { 1 };
     const Json body = Json::parse(request.body);
-    const bool isDone = m_promote(body.at("service").get<std::string>(), body.at("id").get<std::string>());
+    const auto upstream = body.at("id").get<std::string>();
+    bool isUnanswered = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_requestedPromotions.push_back(upstream);
+        isUnanswered = m_arePromotionsUnanswered;
+    }
+    if (isUnanswered) {
+        std::this_thread::sleep_for(longerThanTimeLimit);
+        return jsonResponse(503, Json::object());
+    }
+    const bool isDone = m_promote(body.at("service").get<std::string>(), upstream);
     const std::lock_guard lock(m_mutex);
     m_promotions += isDone ? 1 : 0;
     m_isUnavailable |= isDone && std::exchange(m_failsAfterPromotion, false);
--- a/tests/standins/sessionplatform/rowstore.h
+++ b/tests/standins/sessionplatform/rowstore.h
@@ -40,6 +40,10 @@
     /// Loses all that was written since the last `saveCopy`, as a store that is restored from a copy. Its
     /// versions go back and its era rises.
     void restore();
+    /// While set, promotion requests get no answer within the callers' time limits, and are not carried out.
+    void setPromotionsUnanswered(bool areUnanswered);
+    /// The upstreams whose promotion was requested, in the order of the requests.
+    std::vector<std::string> requestedPromotions() const;
     /// Number of successful promotions.
     int promotions() const;
     /// A usage report that was accepted.
@@ -82,6 +86,8 @@
     std::uint64_t m_savedVersion = 0;
     bool m_isUnavailable = false;
     bool m_failsAfterPromotion = false;
+    bool m_arePromotionsUnanswered = false;
+    std::vector<std::string> m_requestedPromotions;
     int m_promotions = 0;
     std::vector<UsageReport> m_usageReports;
     std::uint64_t m_highestUsageToken = 0;
