Count an empty log as no answer of a survey

Cause: the survey counts answers, and an empty log says nothing about what the replica had received before a restart. Ruled out: that the empty replica was chosen, or too few were asked.

Elsewhere nothing changes.

--- a/src/libs/core/failover/promotion.h
+++ b/src/libs/core/failover/promotion.h
@@ -85,6 +85,8 @@
         requestPromotion;
     /// Whether the upstream may still respond; if not, the survey does not wait for it.
     std::function<bool(const std::string& upstream)> isReachable;
+    /// Whether an upstream that reports an empty log may have had another one lately.
+    std::function<bool(const std::string& upstream, Model::Time now)> mayHaveLostLog;
     /// The last log position that the upstream reported in a response of any kind.
     std::function<Model::LogPosition(const std::string& upstream)> knownPosition;
     /// Called when the new primary is chosen, for logs.
@@ -99,9 +101,10 @@
 ///
 /// Where commits wait for synchronous replicas, an acknowledged one is in the log of at least as many
 /// replicas. No upstream is promoted before so many replicas have responded that one of them must have it,
-/// and the longest log decides, also if its upstream is about to leave or its entry was removed. The replaced
-/// primary may still run and be in use by hosts that reach it. So the replicas that have responded are paused
-/// before their logs are compared: too few others are left for it to acknowledge a commit.
+/// not counting those that may have lost their logs, and the longest log decides, also if its upstream is
+/// about to leave or its entry was removed. The replaced primary may still run and be in use by hosts that
+/// reach it. So the replicas that have responded are paused before their logs are compared: too few others
+/// are left for it to acknowledge a commit.
 ///
 /// A request without a definite answer may be carried out later, and replicas stay paused until then. If the
 /// primary keeps its role, a further promotion, of this primary, prevents that and resumes the replicas.
@@ -188,6 +191,9 @@
     void continuePausing(Model::Time now);
     void resumeReplicas(Model::Time now);
     bool isSurveySufficient(Model::Time now) const;
+    bool isEvidence(
+        const std::string& upstream, const std::optional<UpstreamStatus>& status, Model::Time now) const;
+    bool hasCommits() const;
     bool isGone(const std::string& upstream, Model::Time now) const;
     void finishSurvey(Model::Time now);
     void finishEarlierPromotion(Model::Time now);
--- a/src/libs/core/failover/promotionsurvey.cpp
+++ b/src/libs/core/failover/promotionsurvey.cpp
@@ -185,10 +185,30 @@
 /// Whether every acknowledged commit must be in the log of a replica that has responded.
 bool Promotion::isSurveySufficient(Model::Time now) const
 {
-    const auto silent = std::ranges::count_if(m_statuses, [&](const auto& entry) {
-        return !entry.second && entry.first != m_previousPrimary && !isGone(entry.first, now);
+    if (synchronousReplicas() == 0)
+        return true;
+    const auto missing = std::ranges::count_if(m_statuses, [&](const auto& entry) {
+        return entry.first != m_previousPrimary && !isEvidence(entry.first, entry.second, now);
     });
-    return synchronousReplicas() == 0 || silent < synchronousReplicas();
+    return missing < synchronousReplicas();
+}
+
+/// Whether the replica's status, or the lack of one, shows which commits it had received.
+bool Promotion::isEvidence(
+    const std::string& upstream, const std::optional<UpstreamStatus>& status, Model::Time now) const
+{
+    if (!status)
+        return isGone(upstream, now);
+    const bool isEmpty = status->received.position == 0 && hasCommits();
+    return !isEmpty || !m_hooks.mayHaveLostLog(upstream, now);
+}
+
+/// Whether any log of the service is known to have an entry.
+bool Promotion::hasCommits() const
+{
+    return m_hooks.knownPosition(m_previousPrimary).position > 0
+        || std::ranges::any_of(m_statuses,
+            [](const auto& entry) { return entry.second && entry.second->received.position > 0; });
 }
 
 /// Whether the upstream, which has not responded, has left or is lost with its log.
--- a/src/libs/proxyhost/failovers.cpp
+++ b/src/libs/proxyhost/failovers.cpp
@@ -243,6 +243,9 @@
         return m_server.engine().reachability().state(upstream, EventLoop::now())
             != Failover::ReachabilityState::Unreachable;
     };
+    hooks.mayHaveLostLog = [this](const std::string& upstream, Model::Time now) {
+        return m_emptyLogs.mayBeLost(upstream, now);
+    };
     hooks.knownPosition
         = [this](const std::string& upstream) { return m_server.engine().router().position(upstream); };
     hooks.surveyed = [this, service](const Failover::SurveyResult& result) { surveyed(service, result); };
@@ -256,6 +259,8 @@
 {
     std::vector<std::string> unregistered;
     for (const auto& [upstream, status] : result.statuses) {
+        if (status && status->received.position == 0)
+            m_emptyLogs.seen(upstream, EventLoop::now());
         if (!m_view.findUpstream(upstream))
             unregistered.push_back(upstream);
     }
--- a/src/libs/proxyhost/failovers.h
+++ b/src/libs/proxyhost/failovers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/directory/view.h"
+#include "core/failover/emptylogs.h"
 #include "core/failover/pausecheck.h"
 #include "core/failover/primarywatch.h"
 #include "core/failover/promotion.h"
@@ -107,6 +108,7 @@
     /// Services whose promotions have to be finished, see `PromotionReason::Unfinished`.
     std::set<std::string> m_unfinished;
     Failover::PauseCheck m_pauseCheck;
+    Failover::EmptyLogs m_emptyLogs;
     /// Since when each promotion of the service has failed because all logs had diverged from the primary's.
     std::map<std::string, Model::Time> m_onlyDivergedSince;
     /// When this or another host was last seen to replace the primary.
--- a/tests/auto/core/failover/tst_promotion.cpp
+++ b/tests/auto/core/failover/tst_promotion.cpp
@@ -76,6 +76,7 @@
             m_token = token;
         };
         hooks.isReachable = [this](const std::string& upstream) { return !m_unreachable.contains(upstream); };
+        hooks.mayHaveLostLog = [this](const std::string&, Time) { return m_mayHaveLostLog; };
         hooks.knownPosition = [this](const std::string& upstream) { return m_knownPositions[upstream]; };
         hooks.surveyed = [this](const SurveyResult& result) { m_surveyResult = result; };
         hooks.mayPromoteDiverged = [this](Time) { return m_mayPromoteDiverged; };
@@ -116,6 +117,7 @@
     std::set<std::string> m_unreachable;
     SurveyResult m_surveyResult;
     bool m_mayPromoteDiverged = false;
+    bool m_mayHaveLostLog = true;
     std::map<std::string, Model::LogPosition> m_knownPositions;
     /// The last status that each upstream has reported.
     std::map<std::string, UpstreamStatus> m_reported;
@@ -921,3 +923,30 @@
     EXPECT_EQ(next.phase(), PromotionPhase::Failed);
     EXPECT_TRUE(m_resumed.empty());
 }
+
+// Guards against the loss of acknowledged commits (review/13): a replica that had received them restarted
+// without its log, and counted as one that has answered.
+TEST_F(PromotionTest, WaitsForCommitsOfReplicaThatLostItsLog)
+{
+    makeSynchronous();
+    for (const bool mayHaveLostLog : { true, false }) {
+        m_mayHaveLostLog = mayHaveLostLog;
+        Promotion& run = promotion(PromotionReason::Unreachable);
+        run.leaseAcquired(1, Time { 10ms });
+        report("q", status(40), Time { 20ms });
+        report("r", UpstreamStatus {}, Time { 20ms });
+        run.update(Time { 1500ms });
+        EXPECT_EQ(m_promotionRequests.size(), mayHaveLostLog ? 0U : 1U);
+    }
+}
+
+// Guards against a new service without a primary, since the logs of all its replicas are empty.
+TEST_F(PromotionTest, PromotesEmptyReplicaOfServiceWithoutCommits)
+{
+    makeSynchronous();
+    Promotion& run = promotion(PromotionReason::Unreachable);
+    run.leaseAcquired(1, Time { 10ms });
+    report("q", UpstreamStatus {}, Time { 20ms });
+    report("r", UpstreamStatus {}, Time { 20ms });
+    EXPECT_EQ(m_promotionRequests.size(), 1U);
+}
