Share the set-up of the promotion tests that begin with a full survey

Six tests repeated the same four lines. No assertion changes; the 101 tests of tst_failover pass, formatter and linter are clean on the file.

--- a/tests/auto/core/failover/tst_promotion.cpp
+++ b/tests/auto/core/failover/tst_promotion.cpp
@@ -94,6 +94,16 @@
         m_run->statusArrived(upstream, status, now);
     }
 
+    /// A promotion of an unreachable primary in which both replicas have reported the same position.
+    Promotion& surveyedPromotion()
+    {
+        Promotion& run = promotion(PromotionReason::Unreachable);
+        run.leaseAcquired(1, Time { 10ms });
+        report("q", status(100), Time { 20ms });
+        report("r", status(100), Time { 20ms });
+        return run;
+    }
+
     static UpstreamStatus status(std::uint64_t position, Role role = Role::Replica)
     {
         return { role, 3, { 3, position } };
@@ -713,10 +723,7 @@
 {
     makeSynchronous();
     m_answersPauses = false;
-    Promotion& run = promotion(PromotionReason::Unreachable);
-    run.leaseAcquired(1, Time { 10ms });
-    report("q", status(100), Time { 20ms });
-    report("r", status(100), Time { 20ms });
+    Promotion& run = surveyedPromotion();
     EXPECT_EQ(m_pauses, (Pauses { { "q", 4 }, { "r", 4 } }));
     run.pauseAnswered("q", 4, status(100), Time { 25ms });
     EXPECT_TRUE(m_promotionRequests.empty());
@@ -732,10 +739,7 @@
 {
     makeSynchronous();
     m_answersPauses = false;
-    Promotion& run = promotion(PromotionReason::Unreachable);
-    run.leaseAcquired(1, Time { 10ms });
-    report("q", status(100), Time { 20ms });
-    report("r", status(100), Time { 20ms });
+    Promotion& run = surveyedPromotion();
     run.pauseAnswered("q", 4, status(100), Time { 25ms });
     m_pauses.clear();
     run.pauseAnswered("r", 4, UpstreamStatus { Role::Replica, 6, { 6, 102 } }, Time { 30ms });
@@ -752,10 +756,7 @@
 {
     makeSynchronous();
     m_answersPauses = false;
-    Promotion& run = promotion(PromotionReason::Unreachable);
-    run.leaseAcquired(1, Time { 10ms });
-    report("q", status(100), Time { 20ms });
-    report("r", status(100), Time { 20ms });
+    Promotion& run = surveyedPromotion();
     run.pauseAnswered("q", 4, status(100), Time { 25ms });
     run.pauseAnswered("r", 4, std::nullopt, Time { 30ms });
     run.update(Time { 200ms });
@@ -772,10 +773,7 @@
 {
     makeSynchronous();
     for (const auto result : { PromotionRequestResult::Unknown, PromotionRequestResult::Refused }) {
-        Promotion& run = promotion(PromotionReason::Unreachable);
-        run.leaseAcquired(1, Time { 10ms });
-        report("q", status(100), Time { 20ms });
-        report("r", status(100), Time { 20ms });
+        Promotion& run = surveyedPromotion();
         run.promotionAnswered(result, Time { 3010ms });
         run.update(Time { 3200ms });
         EXPECT_EQ(run.phase(), PromotionPhase::Failed);
@@ -805,10 +803,7 @@
 {
     makeSynchronous();
     m_answersPauses = false;
-    Promotion& run = promotion(PromotionReason::Unreachable);
-    run.leaseAcquired(1, Time { 10ms });
-    report("q", status(100), Time { 20ms });
-    report("r", status(100), Time { 20ms });
+    Promotion& run = surveyedPromotion();
     setUpstream("s", Role::Replica);
     run.pauseAnswered("q", 4, status(100), Time { 25ms });
     run.pauseAnswered("r", 4, status(100), Time { 25ms });
@@ -885,10 +880,7 @@
 TEST_F(PromotionTest, IsUnfinishedOnlyWhileItMayTakePlace)
 {
     for (const auto result : { PromotionRequestResult::Refused, PromotionRequestResult::Unknown }) {
-        Promotion& run = promotion(PromotionReason::Unreachable);
-        run.leaseAcquired(1, Time { 10ms });
-        report("q", status(100), Time { 20ms });
-        report("r", status(100), Time { 20ms });
+        Promotion& run = surveyedPromotion();
         run.promotionAnswered(result, Time { 30ms });
         run.update(Time { 3200ms });
         EXPECT_EQ(run.phase(), PromotionPhase::Failed);
